--- /dev/null
+++ b/cli/root.go
@@ -0,0 +1,63 @@
+// Package cli is the operators' command line. Each command stands in its own
+// file and is registered in commands.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Exit codes of the command line.
+const (
+	// ExitOK means that the command did what it was asked.
+	ExitOK = 0
+	// ExitFailed means that the command ran and failed.
+	ExitFailed = 1
+	// ExitUsage means that the input was wrong and nothing was done.
+	ExitUsage = 2
+)
+
+// UsageError marks an error of the input; the process exits with ExitUsage.
+type UsageError struct{ Err error }
+
+// Error returns the text of the wrapped error.
+func (e *UsageError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the wrapped error.
+func (e *UsageError) Unwrap() error { return e.Err }
+
+// commands lists the subcommands in the order of the help text.
+func commands() []*cli.Command {
+	return []*cli.Command{}
+}
+
+// Run executes one command line and returns the exit code.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	root := &cli.Command{
+		Name:                  "rhubarbsaddle",
+		Usage:                 "schedule agent programs over pools of model engines and services",
+		Version:               Version,
+		EnableShellCompletion: true,
+		Commands:              commands(),
+		Writer:                stdout,
+		ErrWriter:             stderr,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return &UsageError{Err: err}
+		},
+	}
+	err := root.Run(ctx, args)
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintln(stderr, "error:", err)
+	var usage *UsageError
+	if errors.As(err, &usage) {
+		return ExitUsage
+	}
+	return ExitFailed
+}
