--- /dev/null
+++ b/rpc/wire/decode.go
@@ -0,0 +1,154 @@
+package wire
+
+import (
+	"fmt"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/peerpb"
+)
+
+// Decode returns the message of an envelope. An envelope without a known
+// message, as a newer peer may send, is an UnknownMessageError.
+func Decode(env *peerpb.Envelope) (core.Message, error) {
+	switch p := env.GetMessage().(type) {
+	case *peerpb.Envelope_Forward:
+		return core.Forward{Req: toRequest(p.Forward.GetReq()), Call: toCall(p.Forward.GetCall())}, nil
+	case *peerpb.Envelope_Placed:
+		return core.Placed{
+			Req:     toRequest(p.Placed.GetReq()),
+			Attempt: ToAttempt(p.Placed.GetAttempt()),
+			Sidecar: ToNode(p.Placed.GetSidecar()),
+		}, nil
+	case *peerpb.Envelope_Finished:
+		return core.Finished{
+			Req:    toRequest(p.Finished.GetReq()),
+			Finish: toFinish(p.Finished.GetFinish()),
+		}, nil
+	case *peerpb.Envelope_Withdraw:
+		return core.Withdraw{Req: toRequest(p.Withdraw.GetReq())}, nil
+	case *peerpb.Envelope_EndRequest:
+		return core.EndRequest{
+			Req:     toRequest(p.EndRequest.GetReq()),
+			Program: core.ProgramID(p.EndRequest.GetProgram()),
+			Account: core.Account(p.EndRequest.GetAccount()),
+		}, nil
+	case *peerpb.Envelope_Heartbeat:
+		return core.Heartbeat{
+			Domain:     core.Domain(p.Heartbeat.GetDomain()),
+			Generation: p.Heartbeat.GetGeneration(),
+			MapSum:     p.Heartbeat.GetMapSum(),
+			Draining:   p.Heartbeat.GetDraining(),
+		}, nil
+	case *peerpb.Envelope_Hello:
+		return core.Hello{}, nil
+	case *peerpb.Envelope_AckResult:
+		return core.AckResult{Attempt: ToAttempt(p.AckResult.GetAttempt())}, nil
+	case *peerpb.Envelope_LoadReport:
+		return core.LoadReport{Load: toLoad(p.LoadReport.GetLoad())}, nil
+	case *peerpb.Envelope_Result:
+		return toResult(p.Result), nil
+	}
+	if msg := decodeSlotMessage(env); msg != nil {
+		return msg, nil
+	}
+	return nil, &UnknownMessageError{Step: "decode", Type: fmt.Sprintf("%T", env.GetMessage())}
+}
+
+// decodeSlotMessage decodes the messages that carry a slot; nil for others.
+func decodeSlotMessage(env *peerpb.Envelope) core.Message {
+	switch p := env.GetMessage().(type) {
+	case *peerpb.Envelope_MirrorWrite:
+		return toMirrorWrite(p.MirrorWrite)
+	case *peerpb.Envelope_MirrorAck:
+		return core.MirrorAck{
+			Slot:      core.SlotID(p.MirrorAck.GetSlot()),
+			Epoch:     toEpoch(p.MirrorAck.GetEpoch()),
+			Index:     p.MirrorAck.GetIndex(),
+			OK:        p.MirrorAck.GetOk(),
+			Promised:  toEpoch(p.MirrorAck.GetPromised()),
+			NeedImage: p.MirrorAck.GetNeedImage(),
+		}
+	case *peerpb.Envelope_SlotUpdate:
+		var owners []core.SlotOwner
+		for _, o := range p.SlotUpdate.GetOwners() {
+			owners = append(owners, toOwner(o))
+		}
+		return core.SlotUpdate{Owners: owners}
+	case *peerpb.Envelope_SlotQuery:
+		return core.SlotQuery{}
+	case *peerpb.Envelope_Handover:
+		return core.Handover{
+			Slot:  core.SlotID(p.Handover.GetSlot()),
+			Epoch: toEpoch(p.Handover.GetEpoch()),
+		}
+	case *peerpb.Envelope_Dispatch:
+		return toDispatch(p.Dispatch)
+	case *peerpb.Envelope_QueryAttempt:
+		return core.QueryAttempt{
+			Slot:    core.SlotID(p.QueryAttempt.GetSlot()),
+			Epoch:   toEpoch(p.QueryAttempt.GetEpoch()),
+			Attempt: ToAttempt(p.QueryAttempt.GetAttempt()),
+			Target:  ToNode(p.QueryAttempt.GetTarget()),
+		}
+	case *peerpb.Envelope_CancelAttempt:
+		return core.CancelAttempt{
+			Slot:    core.SlotID(p.CancelAttempt.GetSlot()),
+			Epoch:   toEpoch(p.CancelAttempt.GetEpoch()),
+			Attempt: ToAttempt(p.CancelAttempt.GetAttempt()),
+		}
+	case *peerpb.Envelope_EndProgram:
+		return core.EndProgram{
+			Slot:    core.SlotID(p.EndProgram.GetSlot()),
+			Epoch:   toEpoch(p.EndProgram.GetEpoch()),
+			Program: core.ProgramID(p.EndProgram.GetProgram()),
+		}
+	}
+	return nil
+}
+
+func toMirrorWrite(p *peerpb.MirrorWrite) core.MirrorWrite {
+	m := core.MirrorWrite{
+		Slot:        core.SlotID(p.GetSlot()),
+		Epoch:       toEpoch(p.GetEpoch()),
+		Index:       p.GetIndex(),
+		Image:       toImage(p.GetImage()),
+		Programs:    toPrograms(p.GetPrograms()),
+		Escrows:     toEscrows(p.GetEscrows()),
+		NextAttempt: p.GetNextAttempt(),
+	}
+	for _, id := range p.GetRemoved() {
+		m.Removed = append(m.Removed, core.ProgramID(id))
+	}
+	return m
+}
+
+func toDispatch(p *peerpb.Dispatch) core.Dispatch {
+	return core.Dispatch{
+		Slot:     core.SlotID(p.GetSlot()),
+		Epoch:    toEpoch(p.GetEpoch()),
+		Attempt:  ToAttempt(p.GetAttempt()),
+		Target:   ToNode(p.GetTarget()),
+		Call:     toCall(p.GetCall()),
+		Attained: p.GetAttained(),
+		Turns:    p.GetTurns(),
+		Started:  core.Instant(p.GetStarted()),
+		Age:      p.GetAge(),
+	}
+}
+
+func toResult(p *peerpb.Result) core.Result {
+	return core.Result{
+		Attempt:    ToAttempt(p.GetAttempt()),
+		Program:    core.ProgramID(p.GetProgram()),
+		State:      core.AttemptState(p.GetState()),
+		Reason:     core.Reason(p.GetReason()),
+		RetryAfter: p.GetRetryAfter(),
+		Usage:      toUsage(p.GetUsage()),
+		Digest:     p.GetDigest(),
+		Blocks:     p.GetBlocks(),
+		Answer:     p.GetAnswer(),
+		Length:     p.GetLength(),
+		Epoch:      toEpoch(p.GetEpoch()),
+		Load:       toLoad(p.GetLoad()),
+	}
+}
--- /dev/null
+++ b/rpc/wire/encode.go
@@ -0,0 +1,144 @@
+package wire
+
+import (
+	"fmt"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/peerpb"
+)
+
+// UnknownMessageError reports a message that has no form on the wire.
+type UnknownMessageError struct {
+	// Step is where the message was met: encode or decode.
+	Step string
+	// Type is the Go type of the message.
+	Type string
+}
+
+// Error returns the step and the type.
+func (e *UnknownMessageError) Error() string {
+	return fmt.Sprintf("%s: no message for %s", e.Step, e.Type)
+}
+
+// Encode returns the envelope of a message for one incarnation of its
+// receiver; zero means any.
+func Encode(msg core.Message, to core.Incarnation) (*peerpb.Envelope, error) {
+	env := &peerpb.Envelope{ToInc: uint64(to)}
+	switch m := msg.(type) {
+	case core.Forward:
+		env.Message = &peerpb.Envelope_Forward{Forward: &peerpb.Forward{
+			Req: fromRequest(m.Req), Call: fromCall(&m.Call)}}
+	case core.Placed:
+		env.Message = &peerpb.Envelope_Placed{Placed: &peerpb.Placed{
+			Req: fromRequest(m.Req), Attempt: FromAttempt(m.Attempt), Sidecar: FromNode(m.Sidecar)}}
+	case core.Finished:
+		env.Message = &peerpb.Envelope_Finished{Finished: &peerpb.Finished{
+			Req: fromRequest(m.Req), Finish: fromFinish(&m.Finish)}}
+	case core.Withdraw:
+		env.Message = &peerpb.Envelope_Withdraw{Withdraw: &peerpb.Withdraw{Req: fromRequest(m.Req)}}
+	case core.EndRequest:
+		env.Message = &peerpb.Envelope_EndRequest{EndRequest: &peerpb.EndRequest{
+			Req: fromRequest(m.Req), Program: string(m.Program), Account: string(m.Account)}}
+	case core.Heartbeat:
+		env.Message = &peerpb.Envelope_Heartbeat{Heartbeat: &peerpb.Heartbeat{
+			Domain: string(m.Domain), Generation: m.Generation, MapSum: m.MapSum, Draining: m.Draining}}
+	case core.Hello:
+		env.Message = &peerpb.Envelope_Hello{Hello: &peerpb.Hello{}}
+	case core.AckResult:
+		env.Message = &peerpb.Envelope_AckResult{AckResult: &peerpb.AckResult{Attempt: FromAttempt(m.Attempt)}}
+	case core.LoadReport:
+		env.Message = &peerpb.Envelope_LoadReport{LoadReport: &peerpb.LoadReport{Load: fromLoad(&m.Load)}}
+	case core.Result:
+		env.Message = &peerpb.Envelope_Result{Result: fromResult(&m)}
+	default:
+		if !encodeSlotMessage(env, msg) {
+			return nil, &UnknownMessageError{Step: "encode", Type: fmt.Sprintf("%T", msg)}
+		}
+	}
+	return env, nil
+}
+
+// encodeSlotMessage encodes the messages that carry a slot.
+func encodeSlotMessage(env *peerpb.Envelope, msg core.Message) bool {
+	switch m := msg.(type) {
+	case core.MirrorWrite:
+		env.Message = &peerpb.Envelope_MirrorWrite{MirrorWrite: fromMirrorWrite(&m)}
+	case core.MirrorAck:
+		env.Message = &peerpb.Envelope_MirrorAck{MirrorAck: &peerpb.MirrorAck{
+			Slot: uint32(m.Slot), Epoch: fromEpoch(m.Epoch), Index: m.Index,
+			Ok: m.OK, Promised: fromEpoch(m.Promised), NeedImage: m.NeedImage}}
+	case core.SlotUpdate:
+		update := &peerpb.SlotUpdate{}
+		for i := range m.Owners {
+			update.Owners = append(update.Owners, fromOwner(&m.Owners[i]))
+		}
+		env.Message = &peerpb.Envelope_SlotUpdate{SlotUpdate: update}
+	case core.SlotQuery:
+		env.Message = &peerpb.Envelope_SlotQuery{SlotQuery: &peerpb.SlotQuery{}}
+	case core.Handover:
+		env.Message = &peerpb.Envelope_Handover{Handover: &peerpb.Handover{
+			Slot: uint32(m.Slot), Epoch: fromEpoch(m.Epoch)}}
+	case core.Dispatch:
+		env.Message = &peerpb.Envelope_Dispatch{Dispatch: fromDispatch(&m)}
+	case core.QueryAttempt:
+		env.Message = &peerpb.Envelope_QueryAttempt{QueryAttempt: &peerpb.QueryAttempt{
+			Slot: uint32(m.Slot), Epoch: fromEpoch(m.Epoch),
+			Attempt: FromAttempt(m.Attempt), Target: FromNode(m.Target)}}
+	case core.CancelAttempt:
+		env.Message = &peerpb.Envelope_CancelAttempt{CancelAttempt: &peerpb.CancelAttempt{
+			Slot: uint32(m.Slot), Epoch: fromEpoch(m.Epoch), Attempt: FromAttempt(m.Attempt)}}
+	case core.EndProgram:
+		env.Message = &peerpb.Envelope_EndProgram{EndProgram: &peerpb.EndProgram{
+			Slot: uint32(m.Slot), Epoch: fromEpoch(m.Epoch), Program: string(m.Program)}}
+	default:
+		return false
+	}
+	return true
+}
+
+func fromMirrorWrite(m *core.MirrorWrite) *peerpb.MirrorWrite {
+	p := &peerpb.MirrorWrite{
+		Slot:        uint32(m.Slot),
+		Epoch:       fromEpoch(m.Epoch),
+		Index:       m.Index,
+		Image:       fromImage(m.Image),
+		Programs:    fromPrograms(m.Programs),
+		Escrows:     fromEscrows(m.Escrows),
+		NextAttempt: m.NextAttempt,
+	}
+	for _, id := range m.Removed {
+		p.Removed = append(p.Removed, string(id))
+	}
+	return p
+}
+
+func fromDispatch(m *core.Dispatch) *peerpb.Dispatch {
+	return &peerpb.Dispatch{
+		Slot:     uint32(m.Slot),
+		Epoch:    fromEpoch(m.Epoch),
+		Attempt:  FromAttempt(m.Attempt),
+		Target:   FromNode(m.Target),
+		Call:     fromCall(&m.Call),
+		Attained: m.Attained,
+		Turns:    m.Turns,
+		Started:  int64(m.Started),
+		Age:      m.Age,
+	}
+}
+
+func fromResult(m *core.Result) *peerpb.Result {
+	return &peerpb.Result{
+		Attempt:    FromAttempt(m.Attempt),
+		Program:    string(m.Program),
+		State:      uint32(m.State),
+		Reason:     string(m.Reason),
+		RetryAfter: m.RetryAfter,
+		Usage:      fromUsage(m.Usage),
+		Digest:     m.Digest,
+		Blocks:     m.Blocks,
+		Answer:     m.Answer,
+		Length:     m.Length,
+		Epoch:      fromEpoch(m.Epoch),
+		Load:       fromLoad(&m.Load),
+	}
+}
--- /dev/null
+++ b/rpc/wire/id.go
@@ -0,0 +1,51 @@
+package wire
+
+import (
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/peerpb"
+)
+
+// FromNode returns the wire form of a node, or nil for the zero node.
+func FromNode(n core.Node) *peerpb.Node {
+	if n == (core.Node{}) {
+		return nil
+	}
+	return &peerpb.Node{Vm: string(n.VM), Inc: uint64(n.Inc)}
+}
+
+// ToNode returns the node that p stands for.
+func ToNode(p *peerpb.Node) core.Node {
+	return core.Node{VM: core.VM(p.GetVm()), Inc: core.Incarnation(p.GetInc())}
+}
+
+func fromEpoch(e core.Epoch) *peerpb.Epoch {
+	if e == (core.Epoch{}) {
+		return nil
+	}
+	return &peerpb.Epoch{Version: e.Version, Rank: e.Rank}
+}
+
+func toEpoch(p *peerpb.Epoch) core.Epoch {
+	return core.Epoch{Version: p.GetVersion(), Rank: p.GetRank()}
+}
+
+// FromAttempt returns the wire form of an attempt, or nil for the zero attempt.
+func FromAttempt(a core.AttemptID) *peerpb.AttemptID {
+	if a.IsZero() {
+		return nil
+	}
+	return &peerpb.AttemptID{Slot: uint32(a.Slot), Epoch: fromEpoch(a.Epoch), N: a.N}
+}
+
+// ToAttempt returns the attempt that p stands for.
+func ToAttempt(p *peerpb.AttemptID) core.AttemptID {
+	return core.AttemptID{Slot: core.SlotID(p.GetSlot()), Epoch: toEpoch(p.GetEpoch()), N: p.GetN()}
+}
+
+func fromRequest(r core.RequestID) *peerpb.RequestID {
+	return &peerpb.RequestID{Edge: FromNode(r.Edge), N: r.N}
+}
+
+func toRequest(p *peerpb.RequestID) core.RequestID {
+	return core.RequestID{Edge: ToNode(p.GetEdge()), N: p.GetN()}
+}
--- /dev/null
+++ b/rpc/wire/record.go
@@ -0,0 +1,189 @@
+package wire
+
+import (
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/peerpb"
+)
+
+func fromRecord(r *core.CallRecord) *peerpb.CallRecord {
+	return &peerpb.CallRecord{
+		Seq:           r.Seq,
+		Key:           r.Key,
+		Kind:          uint32(r.Kind),
+		Pool:          string(r.Pool),
+		NonIdempotent: r.NonIdempotent,
+		Phase:         uint32(r.Phase),
+		Fingerprint:   r.Fingerprint,
+		Attempt:       FromAttempt(r.Attempt),
+		Target:        FromNode(r.Target),
+		Reserved:      r.Reserved,
+		Finish:        fromFinish(&r.Finish),
+		DoneAt:        int64(r.DoneAt),
+	}
+}
+
+func toRecord(p *peerpb.CallRecord) core.CallRecord {
+	return core.CallRecord{
+		Seq:           p.GetSeq(),
+		Key:           p.GetKey(),
+		Kind:          core.CallKind(p.GetKind()),
+		Pool:          core.Pool(p.GetPool()),
+		NonIdempotent: p.GetNonIdempotent(),
+		Phase:         core.CallPhase(p.GetPhase()),
+		Fingerprint:   p.GetFingerprint(),
+		Attempt:       ToAttempt(p.GetAttempt()),
+		Target:        ToNode(p.GetTarget()),
+		Reserved:      p.GetReserved(),
+		Finish:        toFinish(p.GetFinish()),
+		DoneAt:        core.Instant(p.GetDoneAt()),
+	}
+}
+
+func fromProgram(q *core.Program) *peerpb.Program {
+	p := &peerpb.Program{
+		Id:            string(q.ID),
+		Kind:          q.Kind,
+		Account:       string(q.Account),
+		NextSeq:       q.NextSeq,
+		Budget:        q.Budget,
+		Reserved:      q.Reserved,
+		Spent:         q.Spent,
+		HistoryDigest: q.HistoryDigest,
+		HistoryBlocks: q.HistoryBlocks,
+		Attained:      q.Attained,
+		Turns:         q.Turns,
+		Last:          FromNode(q.Last),
+		Started:       int64(q.Started),
+		Active:        int64(q.Active),
+		Ended:         q.Ended,
+	}
+	for i := range q.Calls {
+		p.Calls = append(p.Calls, fromRecord(&q.Calls[i]))
+	}
+	return p
+}
+
+func toProgram(p *peerpb.Program) *core.Program {
+	q := &core.Program{
+		ID:            core.ProgramID(p.GetId()),
+		Kind:          p.GetKind(),
+		Account:       core.Account(p.GetAccount()),
+		NextSeq:       p.GetNextSeq(),
+		Budget:        p.GetBudget(),
+		Reserved:      p.GetReserved(),
+		Spent:         p.GetSpent(),
+		HistoryDigest: p.GetHistoryDigest(),
+		HistoryBlocks: p.GetHistoryBlocks(),
+		Attained:      p.GetAttained(),
+		Turns:         p.GetTurns(),
+		Last:          ToNode(p.GetLast()),
+		Started:       core.Instant(p.GetStarted()),
+		Active:        core.Instant(p.GetActive()),
+		Ended:         p.GetEnded(),
+	}
+	for _, r := range p.GetCalls() {
+		q.Calls = append(q.Calls, toRecord(r))
+	}
+	return q
+}
+
+func fromPrograms(list []*core.Program) []*peerpb.Program {
+	var out []*peerpb.Program
+	for _, q := range list {
+		out = append(out, fromProgram(q))
+	}
+	return out
+}
+
+func toPrograms(list []*peerpb.Program) []*core.Program {
+	var out []*core.Program
+	for _, p := range list {
+		out = append(out, toProgram(p))
+	}
+	return out
+}
+
+func fromEscrows(list []core.Escrow) []*peerpb.Escrow {
+	var out []*peerpb.Escrow
+	for _, e := range list {
+		out = append(out, &peerpb.Escrow{Account: string(e.Account), Granted: e.Granted, Used: e.Used})
+	}
+	return out
+}
+
+func toEscrows(list []*peerpb.Escrow) []core.Escrow {
+	var out []core.Escrow
+	for _, p := range list {
+		e := core.Escrow{Account: core.Account(p.GetAccount()), Granted: p.GetGranted(), Used: p.GetUsed()}
+		out = append(out, e)
+	}
+	return out
+}
+
+func fromImage(m *core.SlotImage) *peerpb.SlotImage {
+	if m == nil {
+		return nil
+	}
+	return &peerpb.SlotImage{
+		Slot:        uint32(m.Slot),
+		Epoch:       fromEpoch(m.Epoch),
+		Index:       m.Index,
+		Remembers:   m.Remembers,
+		Programs:    fromPrograms(m.Programs),
+		Escrows:     fromEscrows(m.Escrows),
+		NextAttempt: m.NextAttempt,
+	}
+}
+
+func toImage(p *peerpb.SlotImage) *core.SlotImage {
+	if p == nil {
+		return nil
+	}
+	return &core.SlotImage{
+		Slot:        core.SlotID(p.GetSlot()),
+		Epoch:       toEpoch(p.GetEpoch()),
+		Index:       p.GetIndex(),
+		Remembers:   p.GetRemembers(),
+		Programs:    toPrograms(p.GetPrograms()),
+		Escrows:     toEscrows(p.GetEscrows()),
+		NextAttempt: p.GetNextAttempt(),
+	}
+}
+
+func fromMember(m core.Member) *peerpb.Member {
+	return &peerpb.Member{Node: FromNode(m.Node), Domain: string(m.Domain), Since: m.Since}
+}
+
+func toMember(p *peerpb.Member) core.Member {
+	return core.Member{Node: ToNode(p.GetNode()), Domain: core.Domain(p.GetDomain()), Since: p.GetSince()}
+}
+
+func fromOwner(o *core.SlotOwner) *peerpb.SlotOwner {
+	p := &peerpb.SlotOwner{
+		Slot:      uint32(o.Slot),
+		Epoch:     fromEpoch(o.Epoch),
+		Proposal:  o.Proposal,
+		Home:      fromMember(o.Home),
+		Remembers: o.Remembers,
+		Revision:  o.Revision,
+	}
+	for _, m := range o.Mirrors {
+		p.Mirrors = append(p.Mirrors, fromMember(m))
+	}
+	return p
+}
+
+func toOwner(p *peerpb.SlotOwner) core.SlotOwner {
+	o := core.SlotOwner{
+		Slot:      core.SlotID(p.GetSlot()),
+		Epoch:     toEpoch(p.GetEpoch()),
+		Proposal:  p.GetProposal(),
+		Home:      toMember(p.GetHome()),
+		Remembers: p.GetRemembers(),
+		Revision:  p.GetRevision(),
+	}
+	for _, m := range p.GetMirrors() {
+		o.Mirrors = append(o.Mirrors, toMember(m))
+	}
+	return o
+}
--- /dev/null
+++ b/rpc/wire/wire_test.go
@@ -0,0 +1,62 @@
+package wire
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/peerpb"
+)
+
+// roundTrip sends a message over the wire's bytes and back.
+func roundTrip[M core.Message](t *rapid.T) {
+	msg := rapid.Make[M]().Draw(t, "message")
+	clearEmpty(any(&msg))
+	env, err := Encode(msg, 7)
+	require.NoError(t, err)
+	raw, err := proto.Marshal(env)
+	require.NoError(t, err)
+	var back peerpb.Envelope
+	require.NoError(t, proto.Unmarshal(raw, &back))
+	require.EqualValues(t, 7, back.GetToInc())
+	got, err := Decode(&back)
+	require.NoError(t, err)
+	require.Equal(t, core.Message(msg), got)
+}
+
+func TestRoundTripOfEveryMessage(t *testing.T) {
+	tests := map[string]func(*rapid.T){
+		"Forward":       roundTrip[core.Forward],
+		"Placed":        roundTrip[core.Placed],
+		"Finished":      roundTrip[core.Finished],
+		"Withdraw":      roundTrip[core.Withdraw],
+		"EndRequest":    roundTrip[core.EndRequest],
+		"MirrorWrite":   roundTrip[core.MirrorWrite],
+		"MirrorAck":     roundTrip[core.MirrorAck],
+		"Heartbeat":     roundTrip[core.Heartbeat],
+		"SlotUpdate":    roundTrip[core.SlotUpdate],
+		"SlotQuery":     roundTrip[core.SlotQuery],
+		"Handover":      roundTrip[core.Handover],
+		"Dispatch":      roundTrip[core.Dispatch],
+		"QueryAttempt":  roundTrip[core.QueryAttempt],
+		"CancelAttempt": roundTrip[core.CancelAttempt],
+		"AckResult":     roundTrip[core.AckResult],
+		"EndProgram":    roundTrip[core.EndProgram],
+		"Hello":         roundTrip[core.Hello],
+		"Result":        roundTrip[core.Result],
+		"LoadReport":    roundTrip[core.LoadReport],
+	}
+	for name, check := range tests {
+		t.Run(name, func(t *testing.T) { rapid.Check(t, check) })
+	}
+}
+
+func TestDecodeRefusesEmptyEnvelope(t *testing.T) {
+	_, err := Decode(&peerpb.Envelope{})
+	var unknown *UnknownMessageError
+	require.ErrorAs(t, err, &unknown)
+	require.Equal(t, "decode", unknown.Step)
+}
