--- /dev/null
+++ b/rpc/peer/handler.go
@@ -0,0 +1,74 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/peerpb"
+	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/peerpb/peerpbconnect"
+	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/wire"
+)
+
+// Answers is where a sidecar keeps the answers of its attempts.
+type Answers interface {
+	// Serve sends an answer from an offset on; it returns when the answer has
+	// ended, the context is done or send fails.
+	Serve(ctx context.Context, attempt core.AttemptID, offset uint64, send func(*peerpb.AttachResponse) error) error
+}
+
+// Handler receives what peers send.
+type Handler struct {
+	// Self is this life; messages to another incarnation are dropped.
+	Self core.Node
+	// Receive takes a message; it must not block.
+	Receive func(from core.Node, msg core.Message)
+	// Learn is told the address of a sender.
+	Learn func(vm core.VM, addr string)
+	// Answers is nil for an entry.
+	Answers Answers
+}
+
+// HTTP returns the path and the handler to serve.
+func (h *Handler) HTTP() (string, http.Handler) {
+	return peerpbconnect.NewPeerServiceHandler(h, connect.WithReadMaxBytes(maxMessageBytes))
+}
+
+// Deliver passes a batch on to Receive. Messages that cannot be decoded are
+// dropped, as lost ones would be.
+func (h *Handler) Deliver(_ context.Context, req *peerpb.DeliverRequest) (*peerpb.DeliverResponse, error) {
+	from := wire.ToNode(req.GetFrom())
+	if from.IsZero() {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("a batch needs its sender"))
+	}
+	h.Learn(from.VM, req.GetFromAddress())
+	resp := &peerpb.DeliverResponse{Node: wire.FromNode(h.Self)}
+	for _, env := range req.GetMessages() {
+		if inc := env.GetToInc(); inc != 0 && core.Incarnation(inc) != h.Self.Inc {
+			resp.Dropped++
+			continue
+		}
+		msg, err := wire.Decode(env)
+		if err != nil {
+			resp.Dropped++
+			continue
+		}
+		h.Receive(from, msg)
+	}
+	return resp, nil
+}
+
+// Attach streams the answer of an attempt. Another life than the one asked for
+// refuses, because the answers of an earlier life are gone.
+func (h *Handler) Attach(ctx context.Context, req *peerpb.AttachRequest, stream *connect.ServerStream[peerpb.AttachResponse]) error {
+	asked := wire.ToNode(req.GetSidecar())
+	if h.Answers == nil || asked != h.Self {
+		return connect.NewError(connect.CodeFailedPrecondition, errors.New("the sidecar's life has ended"))
+	}
+	return h.Answers.Serve(ctx, wire.ToAttempt(req.GetAttempt()), req.GetOffset(), stream.Send)
+}
+
+var _ peerpbconnect.PeerServiceHandler = (*Handler)(nil)
--- /dev/null
+++ b/rpc/peer/mesh.go
@@ -0,0 +1,179 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/peerpb"
+	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/tlsfile"
+	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/wire"
+)
+
+// DefaultCallTimeout is the time that a peer has to take a batch.
+const DefaultCallTimeout = 500 * time.Millisecond
+
+// DeliveryError reports a call to a peer that failed.
+type DeliveryError struct {
+	Step string
+	// Peer is the VM that was called.
+	Peer string
+	Err  error
+}
+
+// Error returns the step, the peer and the cause.
+func (e *DeliveryError) Error() string { return fmt.Sprintf("%s to %s: %v", e.Step, e.Peer, e.Err) }
+
+// Unwrap returns the cause.
+func (e *DeliveryError) Unwrap() error { return e.Err }
+
+// Options are the settings of a Mesh.
+type Options struct {
+	Self core.Node
+	// Addr is this process's address for its peers.
+	Addr string
+	// TLS is nil for plain text.
+	TLS *tlsfile.Files
+	// CallTimeout bounds one call; zero means DefaultCallTimeout.
+	CallTimeout time.Duration
+	// OnError, if set, is told of failed calls.
+	OnError func(error)
+}
+
+// Stats counts messages.
+type Stats struct {
+	Sent    atomic.Uint64
+	Dropped atomic.Uint64
+}
+
+// Mesh is a process's side towards all its peers.
+type Mesh struct {
+	options Options
+	self    *peerpb.Node
+	ctx     context.Context
+	cancel  context.CancelFunc
+	stats   Stats
+
+	mu      sync.Mutex
+	addrs   map[string]string
+	boxes   map[string]*outbox
+	readers map[string]*connSlot
+}
+
+// NewMesh returns a mesh without known peers.
+func NewMesh(options Options) *Mesh {
+	if options.CallTimeout == 0 {
+		options.CallTimeout = DefaultCallTimeout
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Mesh{
+		options: options,
+		self:    wire.FromNode(options.Self),
+		ctx:     ctx,
+		cancel:  cancel,
+		addrs:   make(map[string]string),
+		boxes:   make(map[string]*outbox),
+		readers: make(map[string]*connSlot),
+	}
+}
+
+// Stats returns the counters of the mesh.
+func (m *Mesh) Stats() *Stats { return &m.stats }
+
+// SetAddress records where a VM listens for its peers.
+func (m *Mesh) SetAddress(vm core.VM, addr string) {
+	if vm == "" || addr == "" {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.addrs[string(vm)] = addr
+}
+
+// Send passes a message to a peer, or drops it if the peer's address is not
+// known. It never blocks.
+func (m *Mesh) Send(to core.Node, msg core.Message) {
+	env, err := wire.Encode(msg, to.Inc)
+	if err != nil {
+		m.report(err)
+		return
+	}
+	box := m.box(string(to.VM))
+	if box == nil {
+		m.count(&m.stats.Dropped, 1)
+		return
+	}
+	box.put(env)
+}
+
+// Close stops all sending and closes all connections.
+func (m *Mesh) Close() {
+	m.cancel()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, b := range m.boxes {
+		b.slot.close()
+	}
+	for _, r := range m.readers {
+		r.close()
+	}
+}
+
+// Forget removes a VM that has ended.
+func (m *Mesh) Forget(vm core.VM) {
+	m.mu.Lock()
+	box := m.boxes[string(vm)]
+	reader := m.readers[string(vm)]
+	delete(m.addrs, string(vm))
+	delete(m.boxes, string(vm))
+	delete(m.readers, string(vm))
+	m.mu.Unlock()
+	if box != nil {
+		box.slot.close()
+	}
+	if reader != nil {
+		reader.close()
+	}
+}
+
+func (m *Mesh) box(vm string) *outbox {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if b := m.boxes[vm]; b != nil {
+		return b
+	}
+	if m.addrs[vm] == "" {
+		return nil
+	}
+	b := &outbox{mesh: m, vm: vm, slot: connSlot{files: m.options.TLS}}
+	m.boxes[vm] = b
+	return b
+}
+
+func (m *Mesh) reader(vm string) *connSlot {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := m.readers[vm]
+	if r == nil {
+		r = &connSlot{files: m.options.TLS}
+		m.readers[vm] = r
+	}
+	return r
+}
+
+func (m *Mesh) address(vm string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.addrs[vm]
+}
+
+func (m *Mesh) count(c *atomic.Uint64, n uint64) { c.Add(n) }
+
+func (m *Mesh) report(err error) {
+	if m.options.OnError != nil && m.ctx.Err() == nil {
+		m.options.OnError(err)
+	}
+}
