--- /dev/null
+++ b/chat/event.go
@@ -0,0 +1,53 @@
+package chat
+
+import "bytes"
+
+var (
+	dataPrefix = []byte("data:")
+	eventEnd   = []byte("\n\n")
+)
+
+// CutEvent cuts the first whole event of a stream of server-sent events. It
+// returns the event with its end, and what follows; ok is false if no event is
+// whole yet.
+func CutEvent(b []byte) (event, rest []byte, ok bool) {
+	i := bytes.Index(b, eventEnd)
+	if i < 0 {
+		return nil, b, false
+	}
+	n := i + len(eventEnd)
+	return b[:n], b[n:], true
+}
+
+// EventData returns the data of an event, or nil if it has none.
+func EventData(event []byte) []byte {
+	for line := range bytes.Lines(event) {
+		if data, ok := bytes.CutPrefix(line, dataPrefix); ok {
+			return bytes.TrimSpace(data)
+		}
+	}
+	return nil
+}
+
+// endMarks are found only in the events that end an answer: inside of a text
+// the quotes would be escaped.
+var endMarks = [][]byte{
+	[]byte(`"finish_reason":"`),
+	[]byte(`"finish_reason": "`),
+	[]byte(`"usage":{`),
+	[]byte(`"usage": {`),
+}
+
+// EndsAnswer reports whether an event belongs to the end of a streamed answer,
+// by which a client takes the answer for whole.
+func EndsAnswer(event []byte) bool {
+	if bytes.Equal(EventData(event), []byte(doneData)) {
+		return true
+	}
+	for _, mark := range endMarks {
+		if bytes.Contains(event, mark) {
+			return true
+		}
+	}
+	return false
+}
