engine, standin/engine: port to targets, its adapters, and a model engine over HTTP

Cause: sidecars need one way to drive model engines and services, and tests and the demo need engines that fail on purpose. Change: port engine.Target; adapters engine/openai, which resumes an answer over a new connection when the old one goes silent, and engine/service; the stand-in server with the faults of standin/fault.

--- /dev/null
+++ b/engine/openai/target.go
@@ -0,0 +1,199 @@
+package openai
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/engine"
+)
+
+// Options sets up a Target. Zero fields take defaults.
+type Options struct {
+	// Silence is the time without a byte after which a connection is given up
+	// and the answer resumed over a new one.
+	Silence time.Duration
+	// Resumes bounds the consecutive failures to resume an answer.
+	Resumes int
+	// Backoff is the wait before an answer is resumed again.
+	Backoff time.Duration
+	// Timeout bounds every operation but Run and CacheEvents.
+	Timeout time.Duration
+	// Transport makes the connections; nil means one of the target's own.
+	Transport *http.Transport
+}
+
+// Defaults of Options.
+const (
+	DefaultSilence = 3 * time.Second
+	DefaultResumes = 3
+	DefaultBackoff = 100 * time.Millisecond
+	DefaultTimeout = 5 * time.Second
+)
+
+// maxErrorBody bounds what is read of a refusal, in bytes.
+const maxErrorBody = 4096
+
+// Target drives a model engine over HTTP. It implements engine.Target.
+type Target struct {
+	addr      string
+	options   Options
+	transport *http.Transport
+	client    *http.Client
+}
+
+var _ engine.Target = (*Target)(nil)
+
+// New returns a target at an address, IP and port.
+func New(addr string, o Options) *Target {
+	if o.Silence <= 0 {
+		o.Silence = DefaultSilence
+	}
+	if o.Resumes <= 0 {
+		o.Resumes = DefaultResumes
+	}
+	if o.Backoff <= 0 {
+		o.Backoff = DefaultBackoff
+	}
+	if o.Timeout <= 0 {
+		o.Timeout = DefaultTimeout
+	}
+	transport := o.Transport
+	if transport == nil {
+		transport = &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true}
+	}
+	return &Target{addr: addr, options: o, transport: transport, client: &http.Client{Transport: transport}}
+}
+
+// fail returns an error of a step at this target.
+func (t *Target) fail(step engine.Step, sent bool, err error) *engine.Error {
+	return &engine.Error{Step: step, Peer: t.addr, Sent: sent, Reason: core.ReasonTarget, Err: err}
+}
+
+// url returns the URL of a path.
+func (t *Target) url(path string) string { return "http://" + t.addr + path }
+
+// send performs a request. The error says whether the target may have got it.
+func (t *Target) send(ctx context.Context, step engine.Step, req *http.Request) (*http.Response, error) {
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	resp, err := t.client.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err != nil {
+		return nil, t.fail(step, sent.Load(), err)
+	}
+	return resp, nil
+}
+
+// refusal reads a response without an answer and returns it as an error.
+func (t *Target) refusal(step engine.Step, resp *http.Response) *engine.Error {
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
+	e := t.fail(step, resp.StatusCode >= http.StatusInternalServerError, fmt.Errorf("%s", bytes.TrimSpace(text)))
+	e.Status = resp.StatusCode
+	switch resp.StatusCode {
+	case http.StatusConflict:
+		e.Reason = core.ReasonStaleEpoch
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		e.Reason = core.ReasonOverload
+		e.Sent = false
+	}
+	return e
+}
+
+// exchange performs an operation with JSON in and out.
+func (t *Target) exchange(ctx context.Context, step engine.Step, method, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, t.options.Timeout)
+	defer cancel()
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return t.fail(step, false, err)
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequest(method, t.url(path), body)
+	if err != nil {
+		return t.fail(step, false, err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := t.send(ctx, step, req)
+	if err != nil {
+		t.transport.CloseIdleConnections()
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return t.refusal(step, resp)
+	}
+	defer resp.Body.Close()
+	if out == nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+	} else {
+		err = json.NewDecoder(resp.Body).Decode(out)
+	}
+	if err != nil {
+		return t.fail(step, true, err)
+	}
+	return nil
+}
+
+// Cancel stops an attempt. An attempt that has ended is no error.
+func (t *Target) Cancel(ctx context.Context, attempt core.AttemptID) error {
+	path := PathResponses + attempt.String() + "/cancel"
+	err := t.exchange(ctx, engine.StepCancel, http.MethodPost, path, nil, nil)
+	if e, ok := err.(*engine.Error); ok && e.Status == http.StatusNotFound {
+		return nil
+	}
+	return err
+}
+
+// Load returns the engine's own report.
+func (t *Target) Load(ctx context.Context) (core.TargetLoad, error) {
+	var w WireLoad
+	err := t.exchange(ctx, engine.StepLoad, http.MethodGet, PathLoad, nil, &w)
+	return w.Core(), err
+}
+
+// Listing returns the content of the prefix cache.
+func (t *Target) Listing(ctx context.Context) (engine.Listing, error) {
+	var l engine.Listing
+	err := t.exchange(ctx, engine.StepListing, http.MethodGet, PathCache, nil, &l)
+	return l, err
+}
+
+// Release drops blocks from the prefix cache.
+func (t *Target) Release(ctx context.Context, digests []uint64) error {
+	return t.exchange(ctx, engine.StepRelease, http.MethodPost, PathRelease, WireRelease{Digests: digests}, nil)
+}
+
+// Export reads the cached prefix of a conversation.
+func (t *Target) Export(ctx context.Context, blocks []core.Block) (engine.KV, error) {
+	var kv engine.KV
+	err := t.exchange(ctx, engine.StepExport, http.MethodPost, PathExport, WireBlocks{Blocks: blocks}, &kv)
+	return kv, err
+}
+
+// Import stores an exported prefix.
+func (t *Target) Import(ctx context.Context, kv engine.KV) (uint64, error) {
+	var out WireImported
+	err := t.exchange(ctx, engine.StepImport, http.MethodPost, PathImport, kv, &out)
+	return out.Tokens, err
+}
+
+// Order passes an order on.
+func (t *Target) Order(ctx context.Context, order engine.Order) error {
+	return t.exchange(ctx, engine.StepOrder, http.MethodPost, PathOrders, order, nil)
+}
+
+// isStream reports whether a response is a stream of server-sent events.
+func isStream(resp *http.Response) bool {
+	return strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+}
--- /dev/null
+++ b/engine/service/service.go
@@ -0,0 +1,196 @@
+// Package service is the adapter for tool and plain services: any method under
+// a prefix, passed on with its Idempotency-Key.
+package service
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/engine"
+	"github.com/rhubarbsaddle/rhubarbsaddle/engine/openai"
+)
+
+// HeaderKey is the header with the idempotency key of a call.
+const HeaderKey = "Idempotency-Key"
+
+// errUnsupported is the cause for operations that only model engines have.
+var errUnsupported = errors.New("a service has no such operation")
+
+// readSize is the size of one read, in bytes.
+const readSize = 16 << 10
+
+// Target drives a tool or plain service. It implements engine.Target.
+type Target struct {
+	addr   string
+	client *http.Client
+	// once sends each request on a connection of its own, where the HTTP client
+	// never repeats a request, with or without an idempotency key.
+	once *http.Client
+
+	mu      sync.Mutex
+	running map[core.AttemptID]context.CancelFunc
+}
+
+var _ engine.Target = (*Target)(nil)
+
+// New returns a target at an address, IP and port.
+func New(addr string) *Target {
+	shared := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true}
+	single := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	return &Target{
+		addr:    addr,
+		client:  &http.Client{Transport: shared, CheckRedirect: noRedirect},
+		once:    &http.Client{Transport: single, CheckRedirect: noRedirect},
+		running: make(map[core.AttemptID]context.CancelFunc),
+	}
+}
+
+// noRedirect leaves redirects to the caller: following one would execute the
+// call at an address that nobody configured.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// fail returns an error of a step at this target.
+func (t *Target) fail(step engine.Step, sent bool, err error) *engine.Error {
+	return &engine.Error{Step: step, Peer: t.addr, Sent: sent, Reason: core.ReasonTarget, Err: err}
+}
+
+// Run executes a call. Whatever status the service answers with is the answer.
+func (t *Target) Run(ctx context.Context, req engine.Request, sink engine.Sink) (engine.Result, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t.track(req.Attempt, cancel)
+	defer t.untrack(req.Attempt)
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	httpReq, err := t.request(httptrace.WithClientTrace(ctx, trace), &req)
+	if err != nil {
+		return engine.Result{}, t.fail(engine.StepRun, false, err)
+	}
+	resp, err := t.clientFor(&req.Call).Do(httpReq)
+	if err != nil {
+		return engine.Result{}, t.fail(engine.StepRun, sent.Load(), err)
+	}
+	defer resp.Body.Close()
+	length, err := pass(resp, sink)
+	if err != nil {
+		return engine.Result{}, t.fail(engine.StepRun, true, err)
+	}
+	return engine.Result{Length: length}, nil
+}
+
+// clientFor returns the client for a call.
+func (t *Target) clientFor(call *core.Call) *http.Client {
+	if call.NonIdempotent {
+		return t.once
+	}
+	return t.client
+}
+
+// request returns the HTTP request of a call.
+func (t *Target) request(ctx context.Context, req *engine.Request) (*http.Request, error) {
+	call := &req.Call
+	out, err := http.NewRequestWithContext(ctx, call.Method, "http://"+t.addr+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, err
+	}
+	if call.ContentType != "" {
+		out.Header.Set("Content-Type", call.ContentType)
+	}
+	if call.Key != "" {
+		out.Header.Set(HeaderKey, call.Key)
+	}
+	out.Header.Set(openai.HeaderAttempt, req.Attempt.String())
+	out.Header.Set(openai.HeaderFence, openai.FormatFence(req.Attempt.Slot, req.Fence))
+	return out, nil
+}
+
+// pass gives a response to the sink and returns the length of its body.
+func pass(resp *http.Response, sink engine.Sink) (uint64, error) {
+	head := engine.Head{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type")}
+	if err := sink.Head(head); err != nil {
+		return 0, err
+	}
+	var length uint64
+	buf := make([]byte, readSize)
+	for {
+		n, err := resp.Body.Read(buf)
+		if n > 0 {
+			length += uint64(n)
+			if err := sink.Data(buf[:n], 0); err != nil {
+				return length, err
+			}
+		}
+		if err == io.EOF {
+			return length, nil
+		}
+		if err != nil {
+			return length, err
+		}
+	}
+}
+
+// track records a running attempt.
+func (t *Target) track(attempt core.AttemptID, cancel context.CancelFunc) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.running[attempt] = cancel
+}
+
+// untrack forgets an attempt.
+func (t *Target) untrack(attempt core.AttemptID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.running, attempt)
+}
+
+// Cancel closes the connection of an attempt.
+func (t *Target) Cancel(_ context.Context, attempt core.AttemptID) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if cancel := t.running[attempt]; cancel != nil {
+		cancel()
+	}
+	return nil
+}
+
+// Load counts the running attempts.
+func (t *Target) Load(context.Context) (core.TargetLoad, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return core.TargetLoad{Running: uint32(len(t.running))}, nil
+}
+
+// CacheEvents waits until ctx is done: a service has no cache.
+func (t *Target) CacheEvents(ctx context.Context, _ uint64, _ func(core.CacheEvent)) error {
+	<-ctx.Done()
+	return t.fail(engine.StepEvents, false, ctx.Err())
+}
+
+// Listing returns an empty listing.
+func (t *Target) Listing(context.Context) (engine.Listing, error) { return engine.Listing{}, nil }
+
+// Release does nothing.
+func (t *Target) Release(context.Context, []uint64) error { return nil }
+
+// Export fails: a service has no cache.
+func (t *Target) Export(context.Context, []core.Block) (engine.KV, error) {
+	return engine.KV{}, t.fail(engine.StepExport, false, errUnsupported)
+}
+
+// Import fails: a service has no cache.
+func (t *Target) Import(context.Context, engine.KV) (uint64, error) {
+	return 0, t.fail(engine.StepImport, false, errUnsupported)
+}
+
+// Order fails: a service takes no orders.
+func (t *Target) Order(context.Context, engine.Order) error {
+	return t.fail(engine.StepOrder, false, errUnsupported)
+}
--- /dev/null
+++ b/standin/engine/chat.go
@@ -0,0 +1,231 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/chat"
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/engine/openai"
+)
+
+// streamOptions is the part of a request that package chat leaves out.
+type streamOptions struct {
+	StreamOptions struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+// serveChat executes a request and answers it.
+func (s *Server) serveChat(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		writeError(w, http.StatusRequestEntityTooLarge, err)
+		return
+	}
+	req, err := chat.Parse(body)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err)
+		return
+	}
+	var options streamOptions
+	if err := json.Unmarshal(body, &options); err != nil {
+		writeError(w, http.StatusBadRequest, err)
+		return
+	}
+	if err := s.checkFence(r.Header.Get(openai.HeaderFence)); err != nil {
+		writeError(w, http.StatusConflict, err)
+		return
+	}
+	answer := s.submit(req, options.StreamOptions.IncludeUsage, r.Header.Get(openai.HeaderAttempt))
+	s.writeAnswer(w, r, answer, 0)
+}
+
+// submit hands a request to the model.
+func (s *Server) submit(req *chat.Request, includeUsage bool, name string) *response {
+	blocks := chat.Blocks(req.Messages)
+	digest := blocks[len(blocks)-1].Digest
+	limit := req.OutputLimit(defaultMaxTokens)
+	total := AnswerTokens(digest, limit)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer s.wake()
+	s.jobs++
+	if name == "" {
+		name = s.nextName()
+	}
+	r := &response{
+		name:         name,
+		job:          core.AttemptID{N: s.jobs},
+		model:        req.Model,
+		created:      time.Now().Unix(),
+		stream:       req.Stream,
+		includeUsage: includeUsage,
+		digest:       digest,
+		total:        total,
+		limit:        limit,
+		changed:      make(chan struct{}),
+	}
+	s.byJob[r.job] = r
+	s.byName[name] = r
+	s.model.Submit(Job{
+		ID:           r.job,
+		Blocks:       blocks,
+		OutputTokens: total,
+		AnswerDigest: chat.Next(digest, answerMessage(AnswerText(digest, total))),
+	}, s.now())
+	return r
+}
+
+// serveResume continues an answer at an offset.
+func (s *Server) serveResume(w http.ResponseWriter, r *http.Request) {
+	offset, err := strconv.Atoi(r.URL.Query().Get("offset"))
+	if err != nil || offset < 0 {
+		offset = 0
+	}
+	s.mu.Lock()
+	answer := s.byName[r.PathValue("name")]
+	pending := answer != nil && !answer.stream && !answer.done
+	s.mu.Unlock()
+	if answer == nil {
+		http.NotFound(w, r)
+		return
+	}
+	if pending && !s.await(r.Context(), answer) {
+		w.WriteHeader(http.StatusAccepted)
+		return
+	}
+	s.writeAnswer(w, r, answer, offset)
+}
+
+// await waits one heartbeat for a plain answer and reports whether it is whole.
+func (s *Server) await(ctx context.Context, answer *response) bool {
+	timer := time.NewTimer(s.options.Heartbeat)
+	defer timer.Stop()
+	for {
+		_, state := s.read(answer, 0)
+		if state.done {
+			return true
+		}
+		select {
+		case <-state.changed:
+		case <-timer.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// answerState is a copy of a response's state.
+type answerState struct {
+	status   int
+	stream   bool
+	done     bool
+	canceled bool
+	usage    core.Usage
+	changed  <-chan struct{}
+}
+
+// read returns the body of an answer from an offset on, and its state.
+func (s *Server) read(r *response, offset int) ([]byte, answerState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := answerState{
+		status:   r.status,
+		stream:   r.stream,
+		done:     r.done,
+		canceled: r.canceled,
+		usage:    r.usage,
+		changed:  r.changed,
+	}
+	return r.body[min(offset, len(r.body)):], state
+}
+
+// writeAnswer writes an answer from an offset on until it is whole.
+func (s *Server) writeAnswer(w http.ResponseWriter, r *http.Request, answer *response, offset int) {
+	heartbeat := time.NewTicker(s.options.Heartbeat)
+	defer heartbeat.Stop()
+	begun := false
+	for {
+		data, state := s.read(answer, offset)
+		if state.canceled {
+			panic(http.ErrAbortHandler)
+		}
+		if state.status != 0 && !begun {
+			begun = true
+			writeHead(w, state)
+		}
+		if len(data) > 0 {
+			if _, err := w.Write(data); err != nil {
+				return
+			}
+			offset += len(data)
+			flush(w)
+		}
+		if state.done {
+			w.Header().Set(openai.TrailerUsage, openai.FormatUsage(state.usage))
+			return
+		}
+		select {
+		case <-state.changed:
+		case <-heartbeat.C:
+			if begun && state.stream {
+				_, _ = io.WriteString(w, ": heartbeat\n\n")
+				flush(w)
+			}
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// writeHead writes the head of an answer.
+func writeHead(w http.ResponseWriter, state answerState) {
+	w.Header().Set("Trailer", openai.TrailerUsage)
+	w.Header().Set("Content-Type", "application/json")
+	if state.stream {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set("Cache-Control", "no-cache")
+	}
+	w.WriteHeader(state.status)
+	flush(w)
+}
+
+// flush sends what is buffered.
+func flush(w http.ResponseWriter) {
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
+	}
+}
+
+// serveModels lists the one model.
+func (s *Server) serveModels(w http.ResponseWriter, _ *http.Request) {
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		OwnedBy string `json:"owned_by"`
+	}
+	writeJSON(w, struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{"list", []model{{ID: s.options.Model, Object: "model", Created: s.origin.Unix(), OwnedBy: "standin"}}})
+}
+
+// writeError writes an error in the form of the chat completions API.
+func writeError(w http.ResponseWriter, status int, err error) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(wireError{Error: wireErrorBody{Message: err.Error(), Type: "invalid_request_error"}})
+}
+
+// writeJSON writes a value as JSON.
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/standin/engine/server.go
@@ -0,0 +1,223 @@
+package engine
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	port "github.com/rhubarbsaddle/rhubarbsaddle/engine"
+	"github.com/rhubarbsaddle/rhubarbsaddle/engine/openai"
+	"github.com/rhubarbsaddle/rhubarbsaddle/standin/fault"
+)
+
+// Options sets up a Server.
+type Options struct {
+	Params Params
+	// Model is the model name in answers.
+	Model string
+	// LoadLag is the age that a load report may have.
+	LoadLag time.Duration
+	// EventDelay is how late cache events arrive.
+	EventDelay time.Duration
+	// EventGapEvery loses every cache event whose number is a multiple of it.
+	EventGapEvery uint64
+	// ChecksFence refuses calls and orders with an old fencing number.
+	ChecksFence bool
+	// Heartbeat is the longest silence on a streamed answer.
+	Heartbeat time.Duration
+}
+
+const (
+	// defaultHeartbeat is used when Options.Heartbeat is zero.
+	defaultHeartbeat = 500 * time.Millisecond
+	// answerRetention is how long a finished answer can be resumed.
+	answerRetention = time.Minute
+	// maxBody bounds the body of a request in bytes.
+	maxBody = 16 << 20
+)
+
+// Server puts a Model behind HTTP in real time. Paths and headers are those of
+// package engine/openai; the faults those of package standin/fault. Beside them
+// it answers GET /engine/executions with the number of times that each attempt
+// was executed, GET /engine/orders with the orders that were accepted, and GET
+// /engine/waste with the account of wasted cache.
+type Server struct {
+	*fault.Server
+	options Options
+	origin  time.Time
+	kick    chan struct{}
+	stop    chan struct{}
+	once    sync.Once
+
+	mu         sync.Mutex
+	model      *Model
+	jobs       uint64
+	byJob      map[core.AttemptID]*response
+	byName     map[string]*response
+	executions map[string]int
+	events     eventLog
+	load       openai.WireLoad
+	loadAt     time.Time
+	fences     map[core.SlotID]core.Epoch
+	orders     []port.Order
+}
+
+// NewServer returns a server; Start makes it listen.
+func NewServer(o Options) *Server {
+	if o.Heartbeat <= 0 {
+		o.Heartbeat = defaultHeartbeat
+	}
+	if o.Model == "" {
+		o.Model = "standin"
+	}
+	s := &Server{
+		options:    o,
+		origin:     time.Now(),
+		kick:       make(chan struct{}, 1),
+		stop:       make(chan struct{}),
+		model:      NewModel(o.Params),
+		byJob:      make(map[core.AttemptID]*response),
+		byName:     make(map[string]*response),
+		executions: make(map[string]int),
+		events:     eventLog{gapEvery: o.EventGapEvery, changed: make(chan struct{})},
+		fences:     make(map[core.SlotID]core.Epoch),
+	}
+	s.Server = fault.NewServer(s.routes())
+	go s.loop()
+	return s
+}
+
+// Close stops the engine and closes all connections.
+func (s *Server) Close() error {
+	s.once.Do(func() { close(s.stop) })
+	return s.Server.Close()
+}
+
+// routes returns the handler of all paths.
+func (s *Server) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+openai.PathChat, s.serveChat)
+	mux.HandleFunc("GET "+openai.PathModels, s.serveModels)
+	mux.HandleFunc("GET "+openai.PathResponses+"{name}", s.serveResume)
+	mux.HandleFunc("POST "+openai.PathResponses+"{name}/cancel", s.serveCancel)
+	mux.HandleFunc("GET "+openai.PathLoad, s.serveLoad)
+	mux.HandleFunc("GET "+openai.PathCache, s.serveListing)
+	mux.HandleFunc("GET "+openai.PathEvents, s.serveEvents)
+	mux.HandleFunc("POST "+openai.PathRelease, s.serveRelease)
+	mux.HandleFunc("POST "+openai.PathExport, s.serveExport)
+	mux.HandleFunc("POST "+openai.PathImport, s.serveImport)
+	mux.HandleFunc("POST "+openai.PathOrders, s.serveOrder)
+	mux.HandleFunc("GET "+openai.PathOrders, s.serveOrders)
+	mux.HandleFunc("GET /engine/executions", s.serveExecutions)
+	mux.HandleFunc("GET /engine/waste", s.serveWaste)
+	return mux
+}
+
+// now returns the instant of the model's clock.
+func (s *Server) now() core.Instant { return core.Instant(time.Since(s.origin)) }
+
+// wake makes the loop look at the model again.
+func (s *Server) wake() {
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+}
+
+// loop runs the model in real time.
+func (s *Server) loop() {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		if wait, busy := s.advance(); busy {
+			timer.Reset(wait)
+		} else {
+			timer.Stop()
+		}
+		select {
+		case <-timer.C:
+		case <-s.kick:
+		case <-s.stop:
+			return
+		}
+	}
+}
+
+// advance runs the model up to now and returns the time to its next step.
+func (s *Server) advance() (wait time.Duration, busy bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	for _, h := range s.model.Advance(now) {
+		s.apply(h)
+	}
+	next, busy := s.model.NextStep()
+	return time.Duration(next.Sub(now)), busy
+}
+
+// apply carries a happening over to the answers and the cache events.
+func (s *Server) apply(h Happening) {
+	switch h := h.(type) {
+	case Started:
+		s.applyStarted(h)
+	case Tokens:
+		if r := s.byJob[h.ID]; r != nil {
+			r.addTokens(h.N)
+			r.notify()
+		}
+	case Finished:
+		if r := s.byJob[h.ID]; r != nil {
+			r.finish(h.Usage)
+			s.retire(r)
+		}
+	case Rejected:
+		if r := s.byJob[h.ID]; r != nil {
+			r.reject(http.StatusBadRequest, "the conversation is longer than the engine's memory")
+			s.retire(r)
+		}
+	case Stored:
+		s.events.add(h.Digests, nil, s.origin.Add(time.Duration(h.At)))
+	case Evicted:
+		s.events.add(nil, h.Digests, s.origin.Add(time.Duration(h.At)))
+	case Preempted:
+	}
+}
+
+// applyStarted begins an answer and counts the execution.
+func (s *Server) applyStarted(h Started) {
+	r := s.byJob[h.ID]
+	if r == nil {
+		return
+	}
+	if !r.executed {
+		r.executed = true
+		s.executions[r.name]++
+	}
+	r.start()
+	r.notify()
+}
+
+// retire ends a job and forgets its answer after the retention time.
+func (s *Server) retire(r *response) {
+	delete(s.byJob, r.job)
+	r.notify()
+	time.AfterFunc(answerRetention, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.byName[r.name] == r {
+			delete(s.byName, r.name)
+		}
+	})
+}
+
+// Executions returns how often the attempt with a name was executed.
+func (s *Server) Executions(name string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.executions[name]
+}
+
+// nextName returns a name for a request without an attempt id.
+func (s *Server) nextName() string { return "anonymous-" + strconv.FormatUint(s.jobs, 10) }
--- /dev/null
+++ b/standin/fault/fault.go
@@ -0,0 +1,240 @@
+// Package fault serves a stand-in over HTTP and injects faults into it.
+//
+// Every stand-in answers these control requests, which no fault touches:
+//
+//	GET  /fault          the faults in force, as JSON
+//	POST /fault          put the Faults of the body in force, in place of others
+//	POST /fault/silence  all open connections go silent for good; new ones work
+//	POST /fault/die      close the listener and all connections abruptly
+package fault
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/config"
+)
+
+// Faults are the faults that a Server injects into requests.
+type Faults struct {
+	// Path limits the faults to requests whose path begins with it.
+	Path string `json:"path,omitempty"`
+	// Times limits the faults to that many requests; zero: to no number.
+	Times int `json:"times,omitempty"`
+	// Hang accepts requests and never answers.
+	Hang bool `json:"hang,omitempty"`
+	// Late delays the execution of a request.
+	Late config.Duration `json:"late,omitempty"`
+	// Status answers with an HTTP status in place of execution.
+	Status int `json:"status,omitempty"`
+	// LoseAnswer executes a request and then drops its connection.
+	LoseAnswer bool `json:"lose_answer,omitempty"`
+}
+
+// idle reports whether f injects nothing.
+func (f Faults) idle() bool {
+	return !f.Hang && f.Late == 0 && f.Status == 0 && !f.LoseAnswer
+}
+
+// Server serves a handler and injects faults.
+type Server struct {
+	handler  http.Handler
+	server   http.Server
+	listener net.Listener
+
+	mu       sync.Mutex
+	faults   Faults
+	conns    map[net.Conn]*connState
+	injected int
+}
+
+// connState belongs to one accepted connection.
+type connState struct {
+	mu     sync.Mutex
+	silent bool
+}
+
+// connKey is the key of the connState in a request's context.
+type connKey struct{}
+
+// headerTimeout bounds the time to read a request's header.
+const headerTimeout = 10 * time.Second
+
+// NewServer returns a server for a handler.
+func NewServer(handler http.Handler) *Server {
+	s := &Server{handler: handler, conns: make(map[net.Conn]*connState)}
+	s.server = http.Server{
+		Handler:           s,
+		ReadHeaderTimeout: headerTimeout,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, s.addConn(c))
+		},
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if state == http.StateClosed {
+				s.removeConn(c)
+			}
+		},
+	}
+	return s
+}
+
+// Start listens on an address and serves until Close. It returns the address
+// with the port in use.
+func (s *Server) Start(addr string) (string, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return "", err
+	}
+	s.listener = l
+	go func() { _ = s.server.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+// Close closes the listener and all connections.
+func (s *Server) Close() error {
+	err := s.server.Close()
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// Set puts faults in force in place of all others.
+func (s *Server) Set(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Silence makes all open connections go silent for good. The peer sees no end;
+// new connections work.
+func (s *Server) Silence() { s.silence(nil) }
+
+// silence makes all open connections but one go silent.
+func (s *Server) silence(except *connState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		if c != except {
+			c.silence()
+		}
+	}
+}
+
+// Injected returns the number of requests that a fault has hit.
+func (s *Server) Injected() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.injected
+}
+
+// addConn records a new connection.
+func (s *Server) addConn(c net.Conn) *connState {
+	state := &connState{}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = state
+	return state
+}
+
+// removeConn forgets a closed connection.
+func (s *Server) removeConn(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// take returns the faults that apply to a request and counts them.
+func (s *Server) take(path string) Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.faults
+	if f.idle() || !strings.HasPrefix(path, f.Path) {
+		return Faults{}
+	}
+	s.injected++
+	if f.Times > 0 {
+		s.faults.Times--
+		if s.faults.Times == 0 {
+			s.faults = Faults{}
+		}
+	}
+	return f
+}
+
+// ServeHTTP injects the faults in force and serves the request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn := r.Context().Value(connKey{}).(*connState)
+	if r.URL.Path == "/fault" || strings.HasPrefix(r.URL.Path, "/fault/") {
+		s.serveControl(w, r, conn)
+		return
+	}
+	if conn.isSilent() {
+		hang(r)
+		return
+	}
+	f := s.take(r.URL.Path)
+	if f.Late > 0 {
+		sleep(r.Context(), time.Duration(f.Late))
+	}
+	switch {
+	case f.Hang:
+		hang(r)
+	case f.Status != 0:
+		http.Error(w, "injected fault", f.Status)
+	case f.LoseAnswer:
+		s.handler.ServeHTTP(discardWriter{header: make(http.Header)}, r)
+		panic(http.ErrAbortHandler)
+	default:
+		s.handler.ServeHTTP(&connWriter{ResponseWriter: w, conn: conn}, r)
+		conn.waitIfSilent(r.Context())
+	}
+}
+
+// serveControl serves the control requests.
+func (s *Server) serveControl(w http.ResponseWriter, r *http.Request, conn *connState) {
+	switch r.Method + " " + r.URL.Path {
+	case "GET /fault":
+		s.mu.Lock()
+		f := s.faults
+		s.mu.Unlock()
+		_ = json.NewEncoder(w).Encode(f)
+	case "POST /fault":
+		var f Faults
+		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.Set(f)
+	case "POST /fault/silence":
+		s.silence(conn)
+	case "POST /fault/die":
+		go s.Close()
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+// hang keeps a request without an answer until its peer closes the connection.
+// The body is read to its end because the server notices the close only then.
+func hang(r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
+// sleep waits for a time or until ctx is done.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
