--- /dev/null
+++ b/config/default.go
@@ -0,0 +1,95 @@
+package config
+
+import "time"
+
+// Defaults of a set.
+const (
+	DefaultSlots           = 64
+	DefaultMirrors         = 1
+	DefaultHeartbeat       = Duration(500 * time.Millisecond)
+	DefaultSuspectAfter    = Duration(2 * time.Second)
+	DefaultAnswerRetention = Duration(5 * time.Minute)
+	DefaultCallTimeout     = Duration(2 * time.Minute)
+	DefaultRetryRatio      = 0.1
+	DefaultRetryBurst      = 10
+	DefaultRetryBackoff    = Duration(50 * time.Millisecond)
+	DefaultMaxTurns        = 100
+	DefaultMaxDepth        = 3
+	DefaultMaxAge          = Duration(24 * time.Hour)
+	DefaultMaxIdle         = Duration(time.Hour)
+	DefaultAccountWeight   = 1
+)
+
+// Defaults of a process's settings.
+const (
+	DefaultStoreTimeout = Duration(2 * time.Second)
+	DefaultVMListPeriod = Duration(time.Second)
+	DefaultBodyBytes    = 8 << 20
+	DefaultHeaderBytes  = 64 << 10
+	DefaultReadTimeout  = Duration(30 * time.Second)
+	DefaultLogLevel     = "info"
+)
+
+// orDefault returns v, or def if v is the zero value.
+func orDefault[T comparable](v, def T) T {
+	var zero T
+	if v == zero {
+		return def
+	}
+	return v
+}
+
+// ApplyDefaults fills what a set leaves open.
+func (s *Set) ApplyDefaults() {
+	s.Ownership.applyDefaults()
+	for i := range s.Pools {
+		s.Pools[i].applyDefaults()
+	}
+	for i := range s.Programs {
+		s.Programs[i].applyDefaults()
+	}
+	for i := range s.Accounts {
+		s.Accounts[i].Weight = orDefault(s.Accounts[i].Weight, DefaultAccountWeight)
+	}
+	for i := range s.Tools {
+		s.Tools[i].Timeout = orDefault(s.Tools[i].Timeout, DefaultCallTimeout)
+	}
+}
+
+func (o *Ownership) applyDefaults() {
+	o.Slots = orDefault(o.Slots, DefaultSlots)
+	o.Heartbeat = orDefault(o.Heartbeat, DefaultHeartbeat)
+	o.SuspectAfter = orDefault(o.SuspectAfter, DefaultSuspectAfter)
+	o.AnswerRetention = orDefault(o.AnswerRetention, DefaultAnswerRetention)
+	o.Mirrors = orDefault(o.Mirrors, DefaultMirrors)
+}
+
+func (p *Pool) applyDefaults() {
+	p.Policy.Order = orDefault(p.Policy.Order, "las")
+	p.Policy.Placement = orDefault(p.Policy.Placement, "cost")
+	p.Policy.Admission = orDefault(p.Policy.Admission, "cache")
+	p.Policy.Retention = orDefault(p.Policy.Retention, "learned")
+	p.Policy.Concurrency = orDefault(p.Policy.Concurrency, "adaptive")
+	p.Policy.CacheWeight = orDefault(p.Policy.CacheWeight, 1)
+	p.Retry.Ratio = orDefault(p.Retry.Ratio, DefaultRetryRatio)
+	p.Retry.Burst = orDefault(p.Retry.Burst, DefaultRetryBurst)
+	p.Retry.Backoff = orDefault(p.Retry.Backoff, DefaultRetryBackoff)
+	p.CallTimeout = orDefault(p.CallTimeout, DefaultCallTimeout)
+}
+
+func (k *ProgramKind) applyDefaults() {
+	k.MaxTurns = orDefault(k.MaxTurns, DefaultMaxTurns)
+	k.MaxDepth = orDefault(k.MaxDepth, DefaultMaxDepth)
+	k.MaxAge = orDefault(k.MaxAge, DefaultMaxAge)
+	k.MaxIdle = orDefault(k.MaxIdle, DefaultMaxIdle)
+}
+
+// ApplyDefaults fills what a process's settings leave open.
+func (n *Node) ApplyDefaults() {
+	n.Store.Timeout = orDefault(n.Store.Timeout, DefaultStoreTimeout)
+	n.VMList.Period = orDefault(n.VMList.Period, DefaultVMListPeriod)
+	n.Log.Level = orDefault(n.Log.Level, DefaultLogLevel)
+	n.Limits.BodyBytes = orDefault(n.Limits.BodyBytes, DefaultBodyBytes)
+	n.Limits.HeaderBytes = orDefault(n.Limits.HeaderBytes, DefaultHeaderBytes)
+	n.Limits.ReadTimeout = orDefault(n.Limits.ReadTimeout, DefaultReadTimeout)
+}
--- /dev/null
+++ b/config/load/load.go
@@ -0,0 +1,103 @@
+// Package load reads the configuration from YAML files. Unknown fields, wrong
+// units and missing parts are errors that name file, line, field and remedy.
+package load
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/config"
+)
+
+// Set reads all YAML files of a directory as one set, fills its defaults and
+// checks it. The error is of type Errors if the content is at fault.
+func Set(dir string) (*config.Set, error) {
+	names, err := yamlFiles(dir)
+	if err != nil {
+		return nil, err
+	}
+	m := newMerger()
+	for _, name := range names {
+		if err := m.addFile(name); err != nil {
+			return nil, err
+		}
+	}
+	if len(m.errs) > 0 {
+		return nil, m.errs
+	}
+	return finish(dir, m)
+}
+
+// finish fills and checks a merged set.
+func finish(dir string, m *merger) (*config.Set, error) {
+	set := m.set
+	set.ApplyDefaults()
+	for _, p := range set.Check() {
+		m.errs = append(m.errs, m.locate(dir, p))
+	}
+	if len(m.errs) > 0 {
+		return nil, m.errs
+	}
+	return set, nil
+}
+
+// SetBytes reads a set from one document, as config/publish stores it.
+func SetBytes(name string, data []byte) (*config.Set, error) {
+	m := newMerger()
+	m.add(name, data)
+	if len(m.errs) > 0 {
+		return nil, m.errs
+	}
+	return finish(name, m)
+}
+
+// Node reads the settings file of one process, fills its defaults and checks
+// it.
+func Node(file string) (*config.Node, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return NodeBytes(file, data)
+}
+
+// NodeBytes reads the settings of one process from a document.
+func NodeBytes(name string, data []byte) (*config.Node, error) {
+	node := &config.Node{}
+	doc, fault := decode(name, data, node)
+	if fault != nil {
+		return nil, Errors{fault}
+	}
+	node.ApplyDefaults()
+	var errs Errors
+	for _, p := range node.Check() {
+		errs = append(errs, &Error{File: name, Line: doc.line(p.Path), Field: p.Path, Text: p.Text, Fix: p.Fix})
+	}
+	if len(errs) > 0 {
+		return nil, errs
+	}
+	return node, nil
+}
+
+// yamlFiles lists the YAML files of a directory in the order of their names.
+func yamlFiles(dir string) ([]string, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, e := range entries {
+		ext := filepath.Ext(e.Name())
+		if e.IsDir() || strings.HasPrefix(e.Name(), ".") || ext != ".yaml" && ext != ".yml" {
+			continue
+		}
+		names = append(names, filepath.Join(dir, e.Name()))
+	}
+	if len(names) == 0 {
+		return nil, Errors{{File: dir, Text: "holds no YAML file", Fix: "name the folder of a set"}}
+	}
+	slices.Sort(names)
+	return names, nil
+}
--- a/config/set.go
+++ b/config/set.go
@@ -11,14 +11,19 @@
 // Duration is a length of time written with its unit, such as "250ms".
 type Duration time.Duration
 
+// DurationError says that a text is no duration of zero or more with a unit.
+type DurationError struct{ Text string }
+
+// Error names the text.
+func (e *DurationError) Error() string {
+	return fmt.Sprintf("%q is no duration with a unit", e.Text)
+}
+
 // UnmarshalText parses a duration with its unit.
 func (d *Duration) UnmarshalText(text []byte) error {
 	v, err := time.ParseDuration(string(text))
-	if err != nil {
-		return fmt.Errorf("%q is no duration with a unit; write for example 250ms, 10s or 2h", text)
-	}
-	if v < 0 {
-		return fmt.Errorf("%q is negative; write a duration of zero or more", text)
+	if err != nil || v < 0 {
+		return &DurationError{Text: string(text)}
 	}
 	*d = Duration(v)
 	return nil
@@ -52,7 +57,7 @@
 type Ownership struct {
 	// Slots is the fixed number of slots; it cannot change once applied.
 	Slots uint32 `yaml:"slots"`
-	// Mirrors is the number of copies beside the home.
+	// Mirrors is the number of copies beside the home; zero means the default.
 	Mirrors int `yaml:"mirrors"`
 	// Heartbeat is the period of heartbeats between entries.
 	Heartbeat Duration `yaml:"heartbeat"`
