core: the request of a call record, the sidecars that served a tree

A new home recognizes a request that is forwarded again without a sequence number or key only by its id, and must tell every sidecar that holds engine memory of a tree when the tree ends. Send to incarnation zero reaches whichever life runs: the first heartbeat to a VM cannot know it.

--- a/core/effect.go
+++ b/core/effect.go
@@ -4,7 +4,7 @@
 type Effect interface{ effect() }
 
 // Send passes a message to another process. A shell that cannot deliver it to
-// that life drops it.
+// that life drops it. Incarnation zero addresses whichever life the VM runs.
 type Send struct {
 	To  Node
 	Msg Message
@@ -38,7 +38,8 @@
 }
 
 // StoreSwap writes a key if its revision is still Revision (zero: absent);
-// answered by StoreResult.
+// answered by StoreResult, whose Entries hold the key with its new revision
+// when the swap succeeded.
 type StoreSwap struct {
 	Op       uint64
 	Key      string
--- a/core/record.go
+++ b/core/record.go
@@ -15,7 +15,10 @@
 
 // CallRecord is what the home of a program remembers of one of its calls.
 type CallRecord struct {
-	Seq           uint64
+	Seq uint64
+	// Req is the request that began the call; an edge that forwards it again
+	// to another home is recognized by it.
+	Req           RequestID
 	Key           string
 	Kind          CallKind
 	Pool          Pool
@@ -51,7 +54,10 @@
 	Attained uint64
 	Turns    uint32
 	// Last is the target that served the last model call.
-	Last    Node
+	Last Node
+	// Served lists the lives of the sidecars that served the tree; on a root
+	// only. They hold engine memory until the program ends.
+	Served  []Node
 	Started Instant
 	Active  Instant
 	Ended   bool
@@ -63,6 +69,7 @@
 func (p *Program) Clone() *Program {
 	q := *p
 	q.Calls = append([]CallRecord(nil), p.Calls...)
+	q.Served = append([]Node(nil), p.Served...)
 	return &q
 }
 
