--- /dev/null
+++ b/policy/place/cost.go
@@ -0,0 +1,132 @@
+package place
+
+import (
+	"math/rand/v2"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/config"
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+)
+
+const (
+	// defaultPrefillRate is assumed of a target that has not reported, in tokens
+	// a second.
+	defaultPrefillRate = 10_000
+	// defaultStepTime is assumed of a target that has not reported.
+	defaultStepTime = 5 * core.Millisecond
+	// remoteCost is what leaving the entry's failure domain costs a call: a
+	// network round trip.
+	remoteCost = 2 * core.Millisecond
+	// serviceSteps is the assumed length of a call in decode steps while
+	// nothing better is known.
+	serviceSteps = 100
+)
+
+// cost weighs the prefix that a target has cached against the wait before it,
+// in one estimate of time.
+type cost struct {
+	// weight scales the time of recomputing tokens against time of waiting.
+	weight float64
+}
+
+func newCost(cfg config.Policy) cost {
+	if cfg.CacheWeight > 0 {
+		return cost{weight: cfg.CacheWeight}
+	}
+	return cost{weight: 1}
+}
+
+// Choose returns the target with the lowest estimate; ties are broken at
+// random, so that entries with the same view do not all choose the same target.
+func (p cost) Choose(req Request, targets []Target, rng *rand.Rand) (int, core.Duration) {
+	best, low, ties := 0, core.Duration(0), 0
+	for i := range targets {
+		c := p.estimate(&req, &targets[i])
+		if ties == 0 || c < low {
+			best, low, ties = i, c, 1
+			continue
+		}
+		if c > low {
+			continue
+		}
+		ties++
+		if rng.IntN(ties) == 0 {
+			best = i
+		}
+	}
+	return best, low
+}
+
+// estimate returns the expected delay of a call at a target.
+func (p cost) estimate(req *Request, t *Target) core.Duration {
+	total := prefillTime(t, p.uncached(req, t)) + queueTime(t) + batchTime(req, t)
+	total += core.Duration(p.weight * float64(prefillTime(t, overflow(req, t))))
+	if !t.Local {
+		total += remoteCost
+	}
+	return total
+}
+
+// uncached returns the prompt tokens that the target would have to compute,
+// scaled by the weight of the cache where the tokens were computed elsewhere.
+func (p cost) uncached(req *Request, t *Target) uint64 {
+	prompt := uint64(req.PromptTokens)
+	if req.Last.IsZero() {
+		return prompt
+	}
+	kept := min(uint64(req.LastTokens), prompt)
+	if t.Node == req.Last {
+		return prompt - kept
+	}
+	return prompt - kept + uint64(p.weight*float64(kept))
+}
+
+// overflow returns the tokens of other programs that the call would push out
+// of the target's cache; they will be computed again.
+func overflow(req *Request, t *Target) uint64 {
+	if t.Load.CacheTokens == 0 || t.Node == req.Last {
+		return 0
+	}
+	need := t.Load.CachePinned + t.OwnTokens + uint64(req.PromptTokens) + uint64(req.MaxTokens)
+	if need <= t.Load.CacheTokens {
+		return 0
+	}
+	return need - t.Load.CacheTokens
+}
+
+// queueTime returns the expected wait for a place in the target's batch.
+func queueTime(t *Target) core.Duration {
+	wait := prefillTime(t, t.Load.WaitingTokens+t.OwnTokens)
+	if t.Load.Limit == 0 || outstanding(t) < t.Load.Limit {
+		return wait
+	}
+	ahead := core.Duration(outstanding(t) - t.Load.Limit + 1)
+	return wait + ahead*serviceSteps*stepTime(t)/core.Duration(t.Load.Limit)
+}
+
+// batchTime returns the time that the call's decode steps take longer in the
+// target's present batch than alone.
+func batchTime(req *Request, t *Target) core.Duration {
+	if t.Load.Limit == 0 {
+		return 0
+	}
+	steps := min(core.Duration(req.MaxTokens), serviceSteps)
+	share := min(outstanding(t), t.Load.Limit)
+	return steps * stepTime(t) * core.Duration(share) / core.Duration(2*t.Load.Limit)
+}
+
+// prefillTime returns the time that the target computes a number of tokens in.
+func prefillTime(t *Target, tokens uint64) core.Duration {
+	rate := t.Load.PrefillRate
+	if rate == 0 {
+		rate = defaultPrefillRate
+	}
+	return core.Duration(float64(tokens) / float64(rate) * float64(core.Second))
+}
+
+// stepTime returns the time of a decode step at the target.
+func stepTime(t *Target) core.Duration {
+	if t.Load.StepTime == 0 {
+		return defaultStepTime
+	}
+	return t.Load.StepTime
+}
