--- /dev/null
+++ b/policy/limit/limit_test.go
@@ -0,0 +1,43 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/config"
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+)
+
+var engine = config.Engine{MaxBatch: 16, StepTime: config.Duration(4 * time.Millisecond)}
+
+func TestFixedStays(t *testing.T) {
+	p, err := New(Fixed, engine)
+	require.NoError(t, err)
+	p.Observe(Observation{Running: 16, StepTime: core.Second})
+	require.EqualValues(t, 16, p.Limit())
+}
+
+func TestAdaptive(t *testing.T) {
+	slow := Observation{Running: 16, Waiting: 4, StepTime: 40 * core.Millisecond}
+	short := Observation{Running: 16, Waiting: 4, StepTime: 4 * core.Millisecond, CacheTokens: 100, RunningTokens: 95}
+	calm := Observation{Running: 4, Waiting: 4, StepTime: 4 * core.Millisecond, CacheTokens: 100, RunningTokens: 10}
+	for name, pressed := range map[string]Observation{"slow steps": slow, "short memory": short} {
+		t.Run(name, func(t *testing.T) {
+			p, err := New(Adaptive, engine)
+			require.NoError(t, err)
+			for range 50 {
+				p.Observe(pressed)
+			}
+			require.EqualValues(t, 4, p.Limit(), "the floor holds")
+			for range 50 {
+				p.Observe(calm)
+			}
+			require.EqualValues(t, 16, p.Limit(), "the ceiling is reached again and holds")
+		})
+	}
+	_, err := New("none", engine)
+	var unknown *UnknownError
+	require.ErrorAs(t, err, &unknown)
+}
