--- /dev/null
+++ b/sim/store_test.go
@@ -0,0 +1,99 @@
+package sim
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+)
+
+// client is a toy reducer that records what the platform tells it.
+type client struct {
+	results []core.StoreResult
+	watched []core.StoreEntry
+	lists   []core.VMList
+	next    []core.Effect
+}
+
+func (c *client) Step(ev core.Event, _ core.Instant) []core.Effect {
+	switch ev := ev.(type) {
+	case core.StoreResult:
+		c.results = append(c.results, ev)
+	case core.StoreWatch:
+		c.watched = append(c.watched, ev.Entries...)
+	case core.VMList:
+		c.lists = append(c.lists, ev)
+	}
+	next := c.next
+	c.next = nil
+	return next
+}
+
+func newClient() (*Sim, *client) {
+	c := &client{}
+	s := New(Options{Seed: 1})
+	s.AddEntry("e", "d1", func(core.Node) core.Reducer { return c })
+	return s, c
+}
+
+// do runs one operation and returns its result.
+func do(s *Sim, c *client, e core.Effect) core.StoreResult {
+	c.next = []core.Effect{e}
+	s.Run(s.Now().Add(10 * core.Second))
+	return c.results[len(c.results)-1]
+}
+
+func TestSwapComparesRevisions(t *testing.T) {
+	s, c := newClient()
+	first := do(s, c, core.StoreSwap{Op: 1, Key: "slots/1", Value: []byte("a")})
+	require.True(t, first.Swapped)
+	stale := do(s, c, core.StoreSwap{Op: 2, Key: "slots/1", Value: []byte("b")})
+	require.False(t, stale.Swapped)
+	require.False(t, stale.Err)
+	got := do(s, c, core.StoreRange{Op: 3, Prefix: "slots/"})
+	require.Equal(t, "a", string(got.Entries[0].Value))
+	second := do(s, c, core.StoreSwap{Op: 4, Key: "slots/1", Revision: got.Entries[0].Revision, Value: []byte("b")})
+	require.True(t, second.Swapped)
+	require.Len(t, c.watched, 2)
+}
+
+func TestLostAnswerHidesASwapThatTookEffect(t *testing.T) {
+	s, c := newClient()
+	s.Store.SetLostAnswers(1)
+	res := do(s, c, core.StoreSwap{Op: 1, Key: "k", Value: []byte("a")})
+	require.True(t, res.Err)
+	require.Equal(t, "a", string(s.Store.Get("k").Value))
+	require.Equal(t, uint64(1), s.Store.Stats().LostAnswers)
+}
+
+func TestOutageFailsOperationsAndDelaysTheWatch(t *testing.T) {
+	s, c := newClient()
+	s.Store.SetDown(true)
+	require.True(t, do(s, c, core.StoreGet{Op: 1, Key: "k"}).Err)
+	s.Store.Swap(0, "slots/1", 0, []byte("a"))
+	s.Run(s.Now().Add(core.Second))
+	require.Empty(t, c.watched)
+	s.Store.SetDown(false)
+	s.Run(s.Now().Add(core.Second))
+	require.Len(t, c.watched, 1)
+}
+
+func TestSlowServiceTimesOut(t *testing.T) {
+	s, c := newClient()
+	s.Store.SetSlow(core.Minute)
+	require.True(t, do(s, c, core.StoreGet{Op: 1, Key: "k"}).Err)
+}
+
+func TestVMListLagsAndForgetsVMs(t *testing.T) {
+	s, c := newClient()
+	other := s.AddEntry("x", "d2", func(core.Node) core.Reducer { return &client{} })
+	s.Run(s.Now().Add(5 * core.Second))
+	require.Len(t, c.lists[len(c.lists)-1].VMs, 2)
+	other.Leave()
+	require.Len(t, s.VMs.List(), 2)
+	s.Run(s.Now().Add(5 * core.Second))
+	require.Len(t, c.lists[len(c.lists)-1].VMs, 1)
+	other.Start()
+	require.False(t, other.Up())
+}
--- /dev/null
+++ b/sim/tool.go
@@ -0,0 +1,136 @@
+package sim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+)
+
+// ToolOptions sets the behaviour of a fake tool service.
+type ToolOptions struct {
+	Seed uint64
+	// Service is the mean time of a call.
+	Service core.Duration
+	// Hang is the probability that a call executes and never answers.
+	Hang float64
+	// Fail is the probability that a call executes and then fails.
+	Fail float64
+	// Refuse is the probability that a call is refused before it executes.
+	Refuse float64
+}
+
+// defaultService is the mean time of a tool call.
+const defaultService = 20 * core.Millisecond
+
+// Execution is one execution of a call at a tool.
+type Execution struct {
+	Attempt core.AttemptID
+	Call    core.Call
+	At      core.Instant
+}
+
+// Tool is a fake tool service that counts its executions.
+type Tool struct {
+	// Executed sees each execution at the instant it begins.
+	Executed func(Execution)
+	// Hangs counts the calls that never answered.
+	Hangs   uint64
+	opts    ToolOptions
+	rng     *rand.Rand
+	pending []toolEvent
+	n       uint64
+}
+
+// toolEvent is an event that falls due.
+type toolEvent struct {
+	at core.Instant
+	ev core.Event
+}
+
+// NewTool returns a tool service without calls.
+func NewTool(opts ToolOptions) *Tool {
+	if opts.Service == 0 {
+		opts.Service = defaultService
+	}
+	return &Tool{opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 0x7001))}
+}
+
+// SetHang changes the probability that a call never answers.
+func (t *Tool) SetHang(p float64) { t.opts.Hang = p }
+
+// Start executes an attempt at once; the answer comes after the service time.
+func (t *Tool) Start(now core.Instant, e core.StartTarget) {
+	if t.rng.Float64() < t.opts.Refuse {
+		t.add(now, core.TargetFailed{Attempt: e.Attempt, Reason: core.ReasonTarget})
+		return
+	}
+	t.n++
+	if t.Executed != nil {
+		t.Executed(Execution{Attempt: e.Attempt, Call: e.Call, At: now})
+	}
+	t.add(now, core.TargetStarted{Attempt: e.Attempt})
+	end := now.Add(t.opts.Service/2 + t.rng.Int64N(t.opts.Service))
+	switch p := t.rng.Float64(); {
+	case p < t.opts.Hang:
+		t.Hangs++
+	case p < t.opts.Hang+t.opts.Fail:
+		t.add(end, core.TargetFailed{Attempt: e.Attempt, Sent: true, Reason: core.ReasonTarget})
+	default:
+		t.add(end, t.answer(e))
+	}
+}
+
+// answer makes an answer that names the call and this execution.
+func (t *Tool) answer(e core.StartTarget) core.TargetFinished {
+	body := ToolAnswer(&e.Call, t.n)
+	return core.TargetFinished{Attempt: e.Attempt, Answer: body, Length: uint64(len(body))}
+}
+
+// ToolAnswer is the answer to a call at a tool's nth execution.
+func ToolAnswer(c *core.Call, n uint64) []byte {
+	return fmt.Appendf(nil, "%s %d %s %d", c.Program, c.Seq, c.Key, n)
+}
+
+func (t *Tool) add(at core.Instant, ev core.Event) {
+	t.pending = append(t.pending, toolEvent{at: at, ev: ev})
+}
+
+// Abort stops waiting for an attempt; what was executed stays executed.
+func (t *Tool) Abort(now core.Instant, a core.AttemptID) {
+	t.pending = slices.DeleteFunc(t.pending, func(p toolEvent) bool {
+		f, ok := p.ev.(core.TargetFinished)
+		return ok && f.Attempt == a
+	})
+	t.add(now, core.TargetFailed{Attempt: a, Sent: true, Reason: core.ReasonCanceled})
+}
+
+// Release does nothing: a tool has no prefix cache.
+func (t *Tool) Release(core.Instant, core.ReleaseCache) {}
+
+// List returns nothing: a tool has no prefix cache.
+func (t *Tool) List(core.Instant) []uint64 { return nil }
+
+// Next returns the instant of the earliest event.
+func (t *Tool) Next() (core.Instant, bool) {
+	if len(t.pending) == 0 {
+		return 0, false
+	}
+	first := t.pending[0].at
+	for _, p := range t.pending[1:] {
+		first = min(first, p.at)
+	}
+	return first, true
+}
+
+// Advance returns the events due, by time.
+func (t *Tool) Advance(now core.Instant) []core.Event {
+	slices.SortStableFunc(t.pending, func(a, b toolEvent) int { return int(a.at - b.at) })
+	var due []core.Event
+	for len(t.pending) > 0 && t.pending[0].at <= now {
+		due = append(due, t.pending[0].ev)
+		t.pending = t.pending[1:]
+	}
+	return due
+}
--- /dev/null
+++ b/sim/vmlist.go
@@ -0,0 +1,85 @@
+package sim
+
+import (
+	"slices"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+)
+
+// Times of the VM list.
+const (
+	// vmListPeriod is the period at which nodes read the list.
+	vmListPeriod = 2 * core.Second
+	// vmListLag bounds the time by which the list lags behind the truth.
+	vmListLag = 1 * core.Second
+)
+
+// VMRegistry is the fake VM list of the platform.
+type VMRegistry struct {
+	sim  *Sim
+	list []core.VMInfo
+}
+
+func newVMRegistry(s *Sim) *VMRegistry { return &VMRegistry{sim: s} }
+
+// List returns the list as the platform shows it now.
+func (r *VMRegistry) List() []core.VMInfo { return r.list }
+
+func (r *VMRegistry) add(n *Node) {
+	info := core.VMInfo{VM: n.id.VM, Domain: n.domain, Role: n.role, Pool: n.pool}
+	r.change(func() { r.list = append(slices.Clone(r.list), info) }, r.sim.now > start)
+}
+
+func (r *VMRegistry) remove(n *Node) {
+	r.change(func() {
+		r.list = slices.DeleteFunc(slices.Clone(r.list), func(v core.VMInfo) bool { return v.VM == n.id.VM })
+	}, true)
+}
+
+// Leaving marks a VM as leaving.
+func (r *VMRegistry) Leaving(n *Node) {
+	r.change(func() {
+		r.list = slices.Clone(r.list)
+		for i := range r.list {
+			if r.list[i].VM == n.id.VM {
+				r.list[i].Leaving = true
+			}
+		}
+	}, true)
+}
+
+// change applies an edit after the list's lag. Every node reads the new list
+// within a period.
+func (r *VMRegistry) change(edit func(), lag bool) {
+	if !lag {
+		edit()
+		r.informAll()
+		return
+	}
+	r.sim.After(r.sim.rng.Int64N(vmListLag), func() {
+		edit()
+		r.informAll()
+	})
+}
+
+func (r *VMRegistry) informAll() {
+	for _, n := range r.sim.order {
+		r.informLater(n)
+	}
+}
+
+func (r *VMRegistry) informLater(n *Node) {
+	if n.gone {
+		return
+	}
+	r.sim.After(r.sim.rng.Int64N(vmListPeriod), func() { r.inform(n) })
+}
+
+// inform gives a node the present list.
+func (r *VMRegistry) inform(n *Node) {
+	if !n.up {
+		return
+	}
+	ev := core.VMList{VMs: r.list}
+	r.sim.schedule(item{at: r.sim.now, node: n, life: n.id.Inc, ev: ev})
+}
