--- /dev/null
+++ b/sim/engine.go
@@ -0,0 +1,279 @@
+package sim
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/standin/engine"
+)
+
+// EngineOptions sets the behaviour of a model engine's reports.
+type EngineOptions struct {
+	Seed   uint64
+	Params engine.Params
+	// Output chooses the tokens that a call generates; nil draws up to MaxTokens.
+	Output func(c *core.Call) uint32
+	// LoadPeriod is the period of load reports and LoadLag their age.
+	LoadPeriod core.Duration
+	LoadLag    core.Duration
+	// EventLag bounds the delay of cache events, and EventGap is the probability
+	// that one is lost.
+	EventLag core.Duration
+	EventGap float64
+	// Hang is the probability that an answer is never reported.
+	Hang float64
+}
+
+// Defaults of EngineOptions.
+const (
+	defaultLoadPeriod = 1 * core.Second
+	defaultLoadLag    = 100 * core.Millisecond
+)
+
+// bytesPerToken sizes the answers of engines.
+const bytesPerToken = 4
+
+// EngineStats counts the faults of an engine's reports.
+type EngineStats struct{ Gaps, LateEvents, LateLoads, Hangs uint64 }
+
+// engineJob is a call in the engine.
+type engineJob struct {
+	call      core.Call
+	digest    uint64
+	generated uint32
+	started   bool
+}
+
+// Engine adapts the stand-in's engine model to Target.
+type Engine struct {
+	// Executed sees each execution at the instant it is submitted.
+	Executed func(Execution)
+	// Spent sees what an attempt has cost when it has left the engine.
+	Spent func(a core.AttemptID, c *core.Call, tokens uint64)
+
+	opts     EngineOptions
+	rng      *rand.Rand
+	model    *engine.Model
+	jobs     map[core.AttemptID]*engineJob
+	pending  []toolEvent
+	sequence uint64
+	loadAt   core.Instant
+	stats    EngineStats
+}
+
+// NewEngine returns an idle engine.
+func NewEngine(opts EngineOptions) *Engine {
+	if opts.LoadPeriod == 0 {
+		opts.LoadPeriod = defaultLoadPeriod
+	}
+	if opts.LoadLag == 0 {
+		opts.LoadLag = defaultLoadLag
+	}
+	return &Engine{
+		opts:  opts,
+		rng:   rand.New(rand.NewPCG(opts.Seed, 0xe791e)),
+		model: engine.NewModel(opts.Params),
+		jobs:  map[core.AttemptID]*engineJob{},
+	}
+}
+
+// Model returns the engine's model.
+func (e *Engine) Model() *engine.Model { return e.model }
+
+// Stats returns the counts of faults.
+func (e *Engine) Stats() EngineStats { return e.stats }
+
+// SetFaults changes the delay and loss of reports.
+func (e *Engine) SetFaults(eventLag core.Duration, eventGap float64, loadLag core.Duration, hang float64) {
+	e.opts.EventLag, e.opts.EventGap = eventLag, eventGap
+	e.opts.LoadLag, e.opts.Hang = loadLag, hang
+}
+
+// AnswerDigest is the digest of a conversation continued by an attempt's answer.
+func AnswerDigest(blocks []core.Block, a core.AttemptID) uint64 {
+	var buf [40]byte
+	if len(blocks) > 0 {
+		binary.LittleEndian.PutUint64(buf[0:], blocks[len(blocks)-1].Digest)
+	}
+	binary.LittleEndian.PutUint64(buf[8:], uint64(a.Slot))
+	binary.LittleEndian.PutUint64(buf[16:], a.Epoch.Version)
+	binary.LittleEndian.PutUint64(buf[24:], uint64(a.Epoch.Rank))
+	binary.LittleEndian.PutUint64(buf[32:], a.N)
+	return xxhash.Sum64(buf[:])
+}
+
+// Start submits an attempt.
+func (e *Engine) Start(now core.Instant, s core.StartTarget) {
+	if e.Executed != nil {
+		e.Executed(Execution{Attempt: s.Attempt, Call: s.Call, At: now})
+	}
+	job := &engineJob{call: s.Call, digest: AnswerDigest(s.Call.Blocks, s.Attempt)}
+	e.jobs[s.Attempt] = job
+	e.model.Submit(engine.Job{
+		ID:           s.Attempt,
+		Blocks:       s.Call.Blocks,
+		OutputTokens: e.output(&job.call),
+		AnswerDigest: job.digest,
+	}, now)
+}
+
+func (e *Engine) output(c *core.Call) uint32 {
+	if e.opts.Output != nil {
+		return min(e.opts.Output(c), max(c.MaxTokens, 1))
+	}
+	return 1 + e.rng.Uint32N(max(c.MaxTokens, 1))
+}
+
+// Abort cancels an attempt.
+func (e *Engine) Abort(now core.Instant, a core.AttemptID) {
+	job := e.jobs[a]
+	if job == nil {
+		return
+	}
+	e.take(now)
+	if e.jobs[a] == nil {
+		return
+	}
+	e.model.Cancel(a, now)
+	e.leave(a, job, job.partial())
+	e.add(now, core.TargetFailed{Attempt: a, Sent: true, Reason: core.ReasonCanceled})
+}
+
+// partial is what a job has cost before its end.
+func (j *engineJob) partial() uint64 {
+	if !j.started {
+		return 0
+	}
+	return uint64(j.call.PromptTokens()) + uint64(j.generated)
+}
+
+func (e *Engine) leave(a core.AttemptID, job *engineJob, tokens uint64) {
+	delete(e.jobs, a)
+	if e.Spent != nil {
+		e.Spent(a, &job.call, tokens)
+	}
+}
+
+// Release drops blocks from the prefix cache.
+func (e *Engine) Release(now core.Instant, r core.ReleaseCache) { e.model.Release(r.Digests, now) }
+
+// List returns the content of the prefix cache.
+func (e *Engine) List(core.Instant) []uint64 { return e.model.Listing() }
+
+func (e *Engine) add(at core.Instant, ev core.Event) {
+	i := len(e.pending)
+	for i > 0 && e.pending[i-1].at > at {
+		i--
+	}
+	e.pending = slices.Insert(e.pending, i, toolEvent{at: at, ev: ev})
+}
+
+// Next returns the instant of the next event.
+func (e *Engine) Next() (core.Instant, bool) {
+	next := e.loadAt
+	if len(e.pending) > 0 {
+		next = min(next, e.pending[0].at)
+	}
+	if at, ok := e.model.Next(); ok {
+		next = min(next, at)
+	}
+	return next, true
+}
+
+// Advance runs the model and returns the events due.
+func (e *Engine) Advance(now core.Instant) []core.Event {
+	e.take(now)
+	e.report(now)
+	n := 0
+	for n < len(e.pending) && e.pending[n].at <= now {
+		n++
+	}
+	due := make([]core.Event, n)
+	for i := range n {
+		due[i] = e.pending[i].ev
+	}
+	e.pending = e.pending[n:]
+	return due
+}
+
+// report plans the next load report.
+func (e *Engine) report(now core.Instant) {
+	if now < e.loadAt {
+		return
+	}
+	e.loadAt = now.Add(e.opts.LoadPeriod)
+	if e.opts.LoadLag > defaultLoadLag {
+		e.stats.LateLoads++
+	}
+	e.add(now.Add(e.opts.LoadLag), e.model.Load().TargetLoad)
+}
+
+// take turns what the model did into events.
+func (e *Engine) take(now core.Instant) {
+	for _, h := range e.model.Advance(now) {
+		e.happened(now, h)
+	}
+}
+
+func (e *Engine) happened(now core.Instant, h engine.Happening) {
+	switch h := h.(type) {
+	case engine.Started:
+		if j := e.jobs[h.ID]; j != nil && !j.started {
+			j.started = true
+			e.add(now, core.TargetStarted{Attempt: h.ID})
+		}
+	case engine.Tokens:
+		if j := e.jobs[h.ID]; j != nil {
+			j.generated += h.N
+			e.add(now, core.TargetProgress{Attempt: h.ID, Tokens: h.N})
+		}
+	case engine.Finished:
+		e.finished(now, h)
+	case engine.Rejected:
+		e.leave(h.ID, e.jobs[h.ID], 0)
+		e.add(now, core.TargetFailed{Attempt: h.ID, Reason: core.ReasonTarget})
+	case engine.Stored:
+		e.cacheEvent(now, core.CacheEvent{Stored: slices.Clone(h.Digests)})
+	case engine.Evicted:
+		e.cacheEvent(now, core.CacheEvent{Evicted: slices.Clone(h.Digests)})
+	}
+}
+
+func (e *Engine) finished(now core.Instant, h engine.Finished) {
+	job := e.jobs[h.ID]
+	if job == nil {
+		return
+	}
+	e.leave(h.ID, job, h.Usage.Total())
+	if e.rng.Float64() < e.opts.Hang {
+		e.stats.Hangs++
+		return
+	}
+	e.add(now, core.TargetFinished{
+		Attempt: h.ID,
+		Usage:   h.Usage,
+		Digest:  job.digest,
+		Blocks:  uint32(len(job.call.Blocks)) + 1,
+		Length:  uint64(h.Usage.OutputTokens) * bytesPerToken,
+	})
+}
+
+// cacheEvent numbers an event and delays or loses it.
+func (e *Engine) cacheEvent(now core.Instant, ev core.CacheEvent) {
+	e.sequence++
+	ev.Sequence = e.sequence
+	if e.rng.Float64() < e.opts.EventGap {
+		e.stats.Gaps++
+		return
+	}
+	at := now
+	if e.opts.EventLag > 0 {
+		e.stats.LateEvents++
+		at = at.Add(e.rng.Int64N(e.opts.EventLag))
+	}
+	e.add(at, ev)
+}
--- /dev/null
+++ b/sim/engine_test.go
@@ -0,0 +1,74 @@
+package sim
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+)
+
+func modelCall() core.StartTarget {
+	return core.StartTarget{
+		Attempt: core.AttemptID{N: 1},
+		Call:    core.Call{Program: "p", MaxTokens: 10, Blocks: []core.Block{{Digest: 7, Tokens: 100}}},
+	}
+}
+
+// drainTarget advances a target for ten virtual seconds.
+func drainTarget(t Target) []core.Event {
+	var all []core.Event
+	for {
+		at, ok := t.Next()
+		if !ok || at > core.Instant(10*core.Second) {
+			return all
+		}
+		all = append(all, t.Advance(at)...)
+	}
+}
+
+func finishedIn(events []core.Event) *core.TargetFinished {
+	for _, ev := range events {
+		if f, ok := ev.(core.TargetFinished); ok {
+			return &f
+		}
+	}
+	return nil
+}
+
+func TestEngineAnswersWithTheDigestOfTheConversation(t *testing.T) {
+	e := NewEngine(EngineOptions{Seed: 1})
+	e.Start(0, modelCall())
+	f := finishedIn(drainTarget(e))
+	require.NotNil(t, f)
+	require.Equal(t, AnswerDigest(modelCall().Call.Blocks, core.AttemptID{N: 1}), f.Digest)
+	require.Equal(t, uint32(2), f.Blocks)
+	require.Equal(t, uint32(100), f.Usage.PromptTokens)
+}
+
+func TestEngineFaultsHideReports(t *testing.T) {
+	e := NewEngine(EngineOptions{Seed: 1})
+	e.SetFaults(0, 1, core.Second, 1)
+	e.Start(0, modelCall())
+	events := drainTarget(e)
+	require.Nil(t, finishedIn(events))
+	for _, ev := range events {
+		_, isCache := ev.(core.CacheEvent)
+		require.False(t, isCache)
+	}
+	require.NotZero(t, e.Stats().Gaps)
+	require.NotZero(t, e.Stats().LateLoads)
+	require.Equal(t, uint64(1), e.Stats().Hangs)
+}
+
+func TestAbortedJobCostsWhatItComputed(t *testing.T) {
+	e := NewEngine(EngineOptions{Seed: 1, Output: func(*core.Call) uint32 { return 10 }})
+	var spent uint64
+	e.Spent = func(_ core.AttemptID, _ *core.Call, tokens uint64) { spent = tokens }
+	e.Start(0, modelCall())
+	e.Advance(core.Instant(50 * core.Millisecond))
+	e.Abort(core.Instant(50*core.Millisecond), core.AttemptID{N: 1})
+	require.Greater(t, spent, uint64(100))
+	require.Less(t, spent, uint64(110))
+	require.Nil(t, finishedIn(drainTarget(e)))
+}
