cli: check; the commands over the key-value service wait for its adapter

Change: check is registered; apply, diff and history follow the adapter. Measured: check of a copy with a misspelt field exits 2 and names file, line and field.

--- a/cli/root.go
+++ b/cli/root.go
@@ -32,7 +32,9 @@
 
 // commands lists the subcommands in the order of the help text.
 func commands() []*cli.Command {
-	return []*cli.Command{}
+	return []*cli.Command{
+		checkCommand(),
+	}
 }
 
 // Run executes one command line and returns the exit code.
