--- /dev/null
+++ b/standin/tool/tool.go
@@ -0,0 +1,125 @@
+// Package tool is a stand-in for a tool or plain service. It accepts any method
+// at any path, counts executions by idempotency key and echoes the request.
+//
+// The query parameter sleep, such as sleep=50ms, sets the time of an execution,
+// and status the status of the answer. GET /tool/executions answers with the
+// count of every key; the faults are those of package standin/fault.
+package tool
+
+import (
+	"encoding/json"
+	"io"
+	"maps"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/standin/fault"
+)
+
+const (
+	// headerKey is the header with the idempotency key of a request.
+	headerKey = "Idempotency-Key"
+	// maxBody bounds the body of a request in bytes.
+	maxBody = 16 << 20
+	// pathExecutions answers with the counts.
+	pathExecutions = "/tool/executions"
+)
+
+// Echo is the answer to a request.
+type Echo struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Key    string `json:"key,omitempty"`
+	Body   string `json:"body,omitempty"`
+	// Execution counts the executions under the key, from 1.
+	Execution int `json:"execution"`
+}
+
+// Server is a tool service.
+type Server struct {
+	*fault.Server
+	// time is how long an execution takes when the request does not say.
+	time time.Duration
+
+	mu         sync.Mutex
+	executions map[string]int
+}
+
+// NewServer returns a service whose executions take a time; Start makes it
+// listen.
+func NewServer(execution time.Duration) *Server {
+	s := &Server{time: execution, executions: make(map[string]int)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+pathExecutions, s.serveExecutions)
+	mux.HandleFunc("/", s.serve)
+	s.Server = fault.NewServer(mux)
+	return s
+}
+
+// Executions returns the number of executions under a key. Requests without a
+// key count under their method and path, as "POST /path".
+func (s *Server) Executions(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.executions[key]
+}
+
+// All returns the number of executions under every key.
+func (s *Server) All() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.executions)
+}
+
+// serveExecutions answers with the counts.
+func (s *Server) serveExecutions(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(s.All())
+}
+
+// serve executes a request. It counts before it waits, because a request whose
+// caller has gone was executed all the same.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	key := r.Header.Get(headerKey)
+	echo := Echo{Method: r.Method, Path: r.URL.Path, Key: key, Body: string(body)}
+	echo.Execution = s.count(r, key)
+	s.wait(r)
+	status := http.StatusOK
+	if n, err := strconv.Atoi(r.URL.Query().Get("status")); err == nil && n >= 200 && n <= 599 {
+		status = n
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(echo)
+}
+
+// count records an execution and returns its number.
+func (s *Server) count(r *http.Request, key string) int {
+	if key == "" {
+		key = r.Method + " " + r.URL.Path
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.executions[key]++
+	return s.executions[key]
+}
+
+// wait takes the time of an execution.
+func (s *Server) wait(r *http.Request) {
+	length := s.time
+	if d, err := time.ParseDuration(r.URL.Query().Get("sleep")); err == nil {
+		length = d
+	}
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.Context().Done():
+	}
+}
