--- /dev/null
+++ b/observe/read.go
@@ -0,0 +1,91 @@
+package observe
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+)
+
+const (
+	// maxLine bounds a line in bytes.
+	maxLine = 1 << 20
+	// fetchTimeout bounds the reading of one daemon's log.
+	fetchTimeout = 30 * time.Second
+)
+
+// ReadError is a failure to read a log.
+type ReadError struct {
+	// Step is open, fetch, read or parse.
+	Step string
+	// Peer is the file or the URL.
+	Peer string
+	// Line is the number of the line at fault, or zero.
+	Line int
+	Err  error
+}
+
+// Error returns the step, the source and the cause.
+func (e *ReadError) Error() string {
+	if e.Line > 0 {
+		return fmt.Sprintf("%s event log %s: line %d: %v", e.Step, e.Peer, e.Line, e.Err)
+	}
+	return fmt.Sprintf("%s event log %s: %v", e.Step, e.Peer, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ReadError) Unwrap() error { return e.Err }
+
+// Read calls fn for every line. A last line without its end is left out: its
+// writer may have died while it wrote.
+func Read(r io.Reader, peer string, fn func(Line)) error {
+	lines := bufio.NewReaderSize(r, maxLine)
+	for n := 1; ; n++ {
+		data, err := lines.ReadSlice('\n')
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return &ReadError{Step: "read", Peer: peer, Line: n, Err: err}
+		}
+		var line Line
+		if err := json.Unmarshal(data, &line); err != nil {
+			return &ReadError{Step: "parse", Peer: peer, Line: n, Err: err}
+		}
+		fn(line)
+	}
+}
+
+// ReadFile reads the log in a file.
+func ReadFile(path string, fn func(Line)) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return &ReadError{Step: "open", Peer: path, Err: err}
+	}
+	defer file.Close()
+	return Read(file, path, fn)
+}
+
+// Fetch reads the log that a daemon keeps in memory.
+func Fetch(ctx context.Context, url string, fn func(Line)) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return &ReadError{Step: "fetch", Peer: url, Err: err}
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return &ReadError{Step: "fetch", Peer: url, Err: err}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return &ReadError{Step: "fetch", Peer: url, Err: fmt.Errorf("status %d", resp.StatusCode)}
+	}
+	return Read(resp.Body, url, fn)
+}
