core: the home's time of a mirror write

Instants of two nodes cannot be compared, but a new home must go on with the ages of its programs. It shifts them by the difference to its own clock.

--- a/core/message.go
+++ b/core/message.go
@@ -47,6 +47,9 @@
 	Escrows  []Escrow
 	// NextAttempt is the owner's next attempt number.
 	NextAttempt uint64
+	// At is the home's time of the write. A mirror that becomes home shifts the
+	// instants of the records by the difference to its own time.
+	At Instant
 }
 
 // MirrorAck answers a MirrorWrite.
