core: the epoch of a forward and of its answer

A request that was forwarded to two homes in turn could be refused by the first as not run, and run by the second, when the first answer came late; and a late copy of a forward could run after its refusal. Epochs on both let the edge and the home tell such messages.

--- a/core/message.go
+++ b/core/message.go
@@ -8,6 +8,10 @@
 type Forward struct {
 	Req  RequestID
 	Call Call
+	// Epoch is the owner's as the edge knows it. A home takes no forward of an
+	// epoch before its own time: a late copy must not run a call that another
+	// home has refused.
+	Epoch Epoch
 }
 
 // Placed tells the edge where the answer of a request will appear, so that it
@@ -22,6 +26,9 @@
 type Finished struct {
 	Req    RequestID
 	Finish Finish
+	// Epoch is the answering home's. An edge that has forwarded the request
+	// again in a later epoch ignores an older refusal.
+	Epoch Epoch
 }
 
 // Withdraw tells the home that the caller of a request has gone.
