--- /dev/null
+++ b/core/entry/cluster_test.go
@@ -0,0 +1,380 @@
+package entry
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/config"
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/invariant"
+)
+
+const tickPeriod = 10 * core.Millisecond
+
+// proc is one process of the cluster: an entry or a fake sidecar.
+type proc struct {
+	node    core.Node
+	domain  core.Domain
+	entry   *Entry
+	side    *fakeSidecar
+	down    bool
+	paused  bool
+	backlog []core.Event
+	stopped bool
+}
+
+// delivery is an event on its way to a process.
+type delivery struct {
+	to *proc
+	ev core.Event
+}
+
+// cluster pumps messages between entries, fake sidecars and a fake key-value
+// service in virtual time.
+type cluster struct {
+	t        *testing.T
+	now      core.Instant
+	procs    map[core.VM]*proc
+	unlisted map[core.VM]bool
+	kv       map[string]core.StoreEntry
+	kvRev    int64
+	kvDown   bool
+	// loseSwap lets the next swaps take effect and loses their answers.
+	loseSwap int
+	queue    []delivery
+	pumping  bool
+	swaps    int
+	set      *config.Set
+	check    *invariant.Recorder
+	replies  map[core.RequestID][]core.Finish
+	attached map[core.RequestID][]core.AttemptID
+	nextReq  uint64
+	// cut drops the messages for which it returns true.
+	cut  func(from, to core.VM, m core.Message) bool
+	seen func(from core.Node, m core.Message)
+}
+
+func testSet() *config.Set {
+	return &config.Set{
+		Ownership: config.Ownership{
+			Slots: 4, Mirrors: 1,
+			Heartbeat:    config.Duration(50 * core.Millisecond),
+			SuspectAfter: config.Duration(300 * core.Millisecond),
+		},
+		Pools:    []config.Pool{{Name: "model", Kind: config.PoolModel}, {Name: "tool", Kind: config.PoolTool}},
+		Programs: []config.ProgramKind{{Name: "kind", BudgetTokens: 1000, MaxTurns: 5, MaxDepth: 1}},
+		Accounts: []config.Account{{Name: "acc"}, {Name: "rich", BudgetTokens: 500}, {Name: "few", MaxPrograms: 1}},
+	}
+}
+
+func newCluster(t *testing.T, entries int) *cluster {
+	c := &cluster{
+		t: t, now: core.Instant(core.Hour), set: testSet(),
+		procs: map[core.VM]*proc{}, unlisted: map[core.VM]bool{},
+		kv: map[string]core.StoreEntry{}, replies: map[core.RequestID][]core.Finish{},
+		attached: map[core.RequestID][]core.AttemptID{},
+		check:    &invariant.Recorder{Panic: true},
+	}
+	for i := range entries {
+		c.start(core.VM("e"+string(rune('0'+i))), core.Domain("d"+string(rune('0'+i))), 1)
+	}
+	c.startSidecar("m1", "model", 1)
+	c.startSidecar("t1", "tool", 1)
+	c.list()
+	return c
+}
+
+func (c *cluster) start(vm core.VM, d core.Domain, inc core.Incarnation) *proc {
+	p := &proc{node: core.Node{VM: vm, Inc: inc}, domain: d}
+	p.entry = New(Options{Self: p.node, Domain: d, Seed: uint64(inc), Invariants: c.check})
+	c.procs[vm] = p
+	c.deliver(p, core.ConfigApplied{Generation: 1, Set: c.set})
+	return p
+}
+
+func (c *cluster) startSidecar(vm core.VM, pool core.Pool, inc core.Incarnation) {
+	n := core.Node{VM: vm, Inc: inc}
+	c.procs[vm] = &proc{node: n, domain: "d0", side: newFakeSidecar(n, pool)}
+}
+
+// restart gives the VM's process a new life without memory.
+func (c *cluster) restart(vm core.VM) {
+	p := c.procs[vm]
+	if p.side != nil {
+		c.startSidecar(vm, p.side.load.Pool, p.node.Inc+1)
+		return
+	}
+	c.start(vm, p.domain, p.node.Inc+1)
+	c.list()
+}
+
+func (c *cluster) sorted() []*proc {
+	return slices.SortedFunc(maps.Values(c.procs), func(a, b *proc) int { return cmp.Compare(a.node.VM, b.node.VM) })
+}
+
+// list gives every entry a reading of the VM list.
+func (c *cluster) list() {
+	var vms []core.VMInfo
+	for _, p := range c.sorted() {
+		if c.unlisted[p.node.VM] {
+			continue
+		}
+		vm := core.VMInfo{VM: p.node.VM, Domain: p.domain}
+		if p.side != nil {
+			vm.Role, vm.Pool, vm.Leaving = core.RoleSidecar, p.side.load.Pool, p.side.leaving
+		}
+		vms = append(vms, vm)
+	}
+	for _, p := range c.sorted() {
+		if p.entry != nil {
+			c.deliver(p, core.VMList{VMs: vms})
+		}
+	}
+}
+
+// remove takes a VM away for good.
+func (c *cluster) remove(vm core.VM) {
+	c.procs[vm].down = true
+	c.unlisted[vm] = true
+	c.list()
+}
+
+func (c *cluster) resume(vm core.VM) {
+	p := c.procs[vm]
+	p.paused = false
+	events := p.backlog
+	p.backlog = nil
+	for _, ev := range events {
+		c.deliver(p, ev)
+	}
+}
+
+// deliver queues an event and, unless it is called from within, delivers all
+// queued events in order.
+func (c *cluster) deliver(p *proc, ev core.Event) {
+	c.queue = append(c.queue, delivery{p, ev})
+	if c.pumping {
+		return
+	}
+	c.pumping = true
+	for len(c.queue) > 0 {
+		d := c.queue[0]
+		c.queue = c.queue[1:]
+		c.step(d.to, d.ev)
+	}
+	c.pumping = false
+}
+
+func (c *cluster) step(p *proc, ev core.Event) {
+	switch {
+	case p.down || p.stopped:
+	case p.paused:
+		p.backlog = append(p.backlog, ev)
+	case p.side != nil:
+		if r, ok := ev.(core.Recv); ok {
+			for _, s := range p.side.recv(r.From, r.Msg) {
+				c.send(p.node, s)
+			}
+		}
+	default:
+		c.run(p, p.entry.Step(ev, c.now))
+	}
+}
+
+func (c *cluster) run(p *proc, effects []core.Effect) {
+	for _, ef := range effects {
+		switch ef := ef.(type) {
+		case core.Send:
+			c.send(p.node, ef)
+		case core.Reply:
+			c.replies[ef.Req] = append(c.replies[ef.Req], ef.Finish)
+		case core.AttachStream:
+			c.attached[ef.Req] = append(c.attached[ef.Req], ef.Attempt)
+		case core.StoreGet:
+			c.answer(p, core.StoreResult{Op: ef.Op, Entries: c.get(ef.Key)})
+		case core.StoreRange:
+			c.answer(p, core.StoreResult{Op: ef.Op, Entries: c.scan(ef.Prefix)})
+		case core.StoreSwap:
+			c.swap(p, ef)
+		case core.Stopped:
+			p.stopped = true
+		}
+	}
+}
+
+func (c *cluster) send(from core.Node, s core.Send) {
+	if c.seen != nil {
+		c.seen(from, s.Msg)
+	}
+	to := c.procs[s.To.VM]
+	if to == nil || s.To.Inc != 0 && to.node != s.To {
+		return
+	}
+	if c.cut != nil && c.cut(from.VM, s.To.VM, s.Msg) {
+		return
+	}
+	c.deliver(to, core.Recv{From: from, Msg: s.Msg})
+}
+
+func (c *cluster) answer(p *proc, r core.StoreResult) {
+	if c.kvDown {
+		r = core.StoreResult{Op: r.Op, Err: true}
+	}
+	c.deliver(p, r)
+}
+
+func (c *cluster) get(key string) []core.StoreEntry {
+	if en, ok := c.kv[key]; ok {
+		return []core.StoreEntry{en}
+	}
+	return nil
+}
+
+func (c *cluster) scan(prefix string) []core.StoreEntry {
+	var out []core.StoreEntry
+	for _, k := range slices.Sorted(maps.Keys(c.kv)) {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, c.kv[k])
+		}
+	}
+	return out
+}
+
+func (c *cluster) swap(p *proc, s core.StoreSwap) {
+	ok := !c.kvDown && c.kv[s.Key].Revision == s.Revision
+	if ok {
+		c.kvRev++
+		c.swaps++
+		c.kv[s.Key] = core.StoreEntry{Key: s.Key, Value: s.Value, Revision: c.kvRev}
+	}
+	r := core.StoreResult{Op: s.Op, Swapped: ok, Entries: c.get(s.Key)}
+	if c.loseSwap > 0 {
+		c.loseSwap--
+		r = core.StoreResult{Op: s.Op, Err: true}
+	}
+	c.answer(p, r)
+}
+
+// advance runs ticks for a time.
+func (c *cluster) advance(d core.Duration) {
+	for end := c.now.Add(d); c.now < end; {
+		c.now = c.now.Add(tickPeriod)
+		for _, p := range c.sorted() {
+			if p.side != nil && !p.down {
+				for _, s := range p.side.tick() {
+					c.send(p.node, s)
+				}
+				continue
+			}
+			c.deliver(p, core.Tick{})
+		}
+	}
+}
+
+// until runs ticks until a condition holds.
+func (c *cluster) until(what string, ok func() bool) {
+	c.t.Helper()
+	for range 6000 {
+		if ok() {
+			return
+		}
+		c.advance(tickPeriod)
+	}
+	require.Fail(c.t, "not reached: "+what)
+}
+
+// settled waits until every slot has a live home.
+func (c *cluster) settled() {
+	c.t.Helper()
+	c.until("every slot has a home", func() bool {
+		for s := range c.set.Ownership.Slots {
+			if len(c.homes(core.SlotID(s))) != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	c.advance(200 * core.Millisecond)
+}
+
+// homes returns the running entries that act as home of a slot.
+func (c *cluster) homes(id core.SlotID) []*proc {
+	var out []*proc
+	for _, p := range c.sorted() {
+		if p.entry != nil && !p.down && !p.paused && !p.stopped && p.entry.slots[id].home != nil {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+func (c *cluster) homeOf(id core.ProgramID) *proc {
+	c.t.Helper()
+	hs := c.homes(id.Slot(c.set.Ownership.Slots))
+	require.Len(c.t, hs, 1)
+	return hs[0]
+}
+
+// mirrorOf returns the first mirror of a program's slot.
+func (c *cluster) mirrorOf(id core.ProgramID) *proc {
+	h := c.homeOf(id)
+	return c.procs[h.entry.slotOf(id).owner.Mirrors[0].Node.VM]
+}
+
+// other returns an entry that is neither of two.
+func (c *cluster) other(a, b *proc) *proc {
+	for _, p := range c.sorted() {
+		if p.entry != nil && p != a && p != b {
+			return p
+		}
+	}
+	return nil
+}
+
+// call makes a call at an entry and returns its request.
+func (c *cluster) call(at *proc, call core.Call) core.RequestID {
+	c.nextReq++
+	req := core.RequestID{Edge: at.node, N: c.nextReq}
+	c.deliver(at, core.CallArrived{Req: req, Call: call})
+	return req
+}
+
+func (c *cluster) end(at *proc, id core.ProgramID) core.RequestID {
+	c.nextReq++
+	req := core.RequestID{Edge: at.node, N: c.nextReq}
+	c.deliver(at, core.EndArrived{Req: req, Program: id, Account: "acc"})
+	return req
+}
+
+// reply waits for the single answer of a request.
+func (c *cluster) reply(req core.RequestID) core.Finish {
+	c.t.Helper()
+	c.until("reply to "+req.String(), func() bool { return len(c.replies[req]) > 0 })
+	require.Len(c.t, c.replies[req], 1)
+	return c.replies[req][0]
+}
+
+// turn returns the next model call of a conversation of seq turns.
+func turn(id core.ProgramID, seq uint64) core.Call {
+	call := core.Call{
+		Program: id, ProgramKind: "kind", Seq: seq, Account: "acc", Kind: core.CallModel,
+		Pool: "model", MaxTokens: 10, Timeout: 60 * core.Second,
+	}
+	for i := range 2*seq - 1 {
+		call.Blocks = append(call.Blocks, core.Block{Digest: 1000 + i, Tokens: 10})
+	}
+	return call
+}
+
+// booking returns a tool call that must not be repeated.
+func booking(id core.ProgramID, seq uint64, key string) core.Call {
+	return core.Call{
+		Program: id, ProgramKind: "kind", Seq: seq, Account: "acc", Kind: core.CallTool,
+		Pool: "tool", Key: key, NonIdempotent: true, Timeout: 60 * core.Second,
+	}
+}
--- /dev/null
+++ b/core/entry/history.go
@@ -0,0 +1,28 @@
+package entry
+
+import (
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/invariant"
+)
+
+// extends reports whether a call's conversation continues the recorded one. The
+// digest of a block covers all blocks before it, so one comparison settles it.
+func extends(p *core.Program, call *core.Call) bool {
+	n := p.HistoryBlocks
+	if n == 0 || call.Kind != core.CallModel || call.ResetHistory {
+		return true
+	}
+	return uint32(len(call.Blocks)) >= n && call.Blocks[n-1].Digest == p.HistoryDigest
+}
+
+// recordHistory records the conversation with the answer of a model call.
+func (e *Entry) recordHistory(p *core.Program, call *core.Call, r core.Result) {
+	if r.Blocks == 0 {
+		return
+	}
+	reset := call != nil && call.ResetHistory
+	e.check.Check(invariant.History, reset || r.Blocks >= p.HistoryBlocks,
+		"%s: history of %s shrinks from %d to %d blocks", e.self, p.ID, p.HistoryBlocks, r.Blocks)
+	p.HistoryDigest = r.Digest
+	p.HistoryBlocks = r.Blocks
+}
--- /dev/null
+++ b/core/entry/limits.go
@@ -0,0 +1,129 @@
+package entry
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/config"
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/policy/shed"
+)
+
+// freshBlocks is the most blocks of a conversation that has no answer yet: the
+// system's and the user's first message.
+const freshBlocks = 2
+
+// hint returns when a refused caller should try again; zero where trying again
+// cannot help.
+func (e *Entry) hint(reason core.Reason) core.Duration {
+	switch reason {
+	case core.ReasonOverload, core.ReasonNoTarget, core.ReasonNoOwner, core.ReasonDraining:
+		return retryHint
+	}
+	return 0
+}
+
+// admissible returns why a call is refused on arrival, or "".
+func (e *Entry) admissible(s *slot, call *core.Call) core.Reason {
+	p := s.image.programs[call.Program]
+	root := s.image.programs[call.Program.Root()]
+	switch {
+	case p != nil && p.Ended, root != nil && root.Ended:
+		return core.ReasonEnded
+	case e.set.Pool(string(call.Pool)) == nil:
+		return core.ReasonNoTarget
+	}
+	if root != nil || s.home.lanes[call.Program] != nil {
+		return ""
+	}
+	return e.admitProgram(s, call)
+}
+
+// admitProgram returns why a new program is refused, or "".
+func (e *Entry) admitProgram(s *slot, call *core.Call) core.Reason {
+	if e.forgotten(s) && !e.freshProgram(call) {
+		return core.ReasonForgotten
+	}
+	if call.Kind == core.CallService && call.ProgramKind == "" {
+		return ""
+	}
+	account := e.set.Account(string(call.Account))
+	counts := e.programCounts()
+	if account != nil && account.MaxPrograms > 0 && counts[call.Account] >= account.MaxPrograms {
+		return core.ReasonLimit
+	}
+	if !shed.Admit(e.poolLoad(call.Pool), call.Account, e.shares(counts)) {
+		return core.ReasonOverload
+	}
+	return ""
+}
+
+// programCounts returns the programs under way at this home, by account.
+func (e *Entry) programCounts() map[core.Account]int {
+	counts := map[core.Account]int{}
+	for _, s := range e.slots {
+		if s.home == nil {
+			continue
+		}
+		for id, p := range s.image.programs {
+			if id.Root() == id && !p.Ended && p.Kind != "" {
+				counts[p.Account]++
+			}
+		}
+	}
+	return counts
+}
+
+func (e *Entry) shares(counts map[core.Account]int) []shed.Share {
+	var shares []shed.Share
+	for _, a := range slices.Sorted(maps.Keys(counts)) {
+		s := shed.Share{Account: a, Programs: counts[a]}
+		if cfg := e.set.Account(string(a)); cfg != nil {
+			s.Weight = cfg.Weight
+		}
+		shares = append(shares, s)
+	}
+	return shares
+}
+
+// poolLoad sums the load of a pool's usable targets.
+func (e *Entry) poolLoad(pool core.Pool) shed.Pool {
+	var sum shed.Pool
+	for _, t := range e.pool(pool) {
+		sum.Waiting += uint64(t.load.Waiting)
+		sum.Limit += uint64(t.load.Limit)
+	}
+	return sum
+}
+
+// allowed returns why a call whose turn it is must not run, or "".
+func (e *Entry) allowed(s *slot, c *openCall) core.Reason {
+	call := c.body
+	p := s.image.programs[c.program]
+	root := s.image.programs[c.program.Root()]
+	if p != nil && p.Ended || root != nil && root.Ended {
+		return core.ReasonEnded
+	}
+	if p != nil && !extends(p, call) {
+		return core.ReasonHistory
+	}
+	if kind := e.set.ProgramKind(call.ProgramKind); kind != nil && e.beyond(kind, p, root, call) {
+		return core.ReasonLimit
+	}
+	if !e.affordable(s, call) {
+		return core.ReasonBudget
+	}
+	return ""
+}
+
+// beyond reports whether a call exceeds the limits of its program's kind.
+func (e *Entry) beyond(kind *config.ProgramKind, p, root *core.Program, call *core.Call) bool {
+	if kind.MaxDepth > 0 && call.Program.Depth() > kind.MaxDepth {
+		return true
+	}
+	if p != nil && call.Kind == core.CallModel && kind.MaxTurns > 0 && p.Turns >= kind.MaxTurns {
+		return true
+	}
+	age := kind.MaxAge.Nanos()
+	return root != nil && age > 0 && e.now.Sub(root.Started) > age
+}
--- /dev/null
+++ b/core/entry/maintain.go
@@ -0,0 +1,140 @@
+package entry
+
+import (
+	"slices"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+)
+
+const (
+	// stableFor is the time in units of the suspicion time for which an entry
+	// must live before slots move to it.
+	stableFor = 3
+	// offerPeriod is the period of repeated offers of a slot, in heartbeats.
+	offerPeriod = 5
+)
+
+// maintain keeps the member set of a slot that this entry is the home of: the
+// right number of sound mirrors, the newest epoch in the key-value service, and
+// the slot at the first entry in rendezvous order.
+func (e *Entry) maintain(s *slot, cs []candidate) {
+	order := ranked(s.id, cs)
+	heir := e.heir(order)
+	want := e.wanted(s, order, heir)
+	if s.owner.Epoch.Rank > 0 || !sameMembers(want, s.owner.Mirrors) {
+		e.remember(s, want, cs)
+		return
+	}
+	if heir != nil {
+		e.offer(s, heir.node)
+	}
+}
+
+// remember writes a changed member set.
+func (e *Entry) remember(s *slot, mirrors []core.Member, cs []candidate) {
+	o := e.nextOwner(s, nil, cs)
+	o.Mirrors = mirrors
+	e.propose(s, o)
+}
+
+// heir returns the entry that the slot should move to, or nil.
+func (e *Entry) heir(order []candidate) *candidate {
+	if len(order) == 0 || order[0].node == e.self {
+		return nil
+	}
+	p := e.members.peers[order[0].node.VM]
+	if !e.drain.requested && e.now.Sub(p.since) < stableFor*e.times.suspect {
+		return nil
+	}
+	return &order[0]
+}
+
+// wanted returns the mirrors that the slot should have next. A mirror that is
+// to leave stays until every new one has the image, so that no change of the
+// set makes the slot depend on one copy.
+func (e *Entry) wanted(s *slot, order []candidate, heir *candidate) []core.Member {
+	count := e.mirrorCount()
+	var kept []core.Member
+	if heir != nil {
+		count = max(count, 1)
+		kept = append(kept, s.member(heir))
+	}
+	for _, m := range s.owner.Mirrors {
+		if e.sound(m.Node) && (heir == nil || m.Node != heir.node) {
+			kept = append(kept, m)
+		}
+	}
+	kept = kept[:min(len(kept), count)]
+	want := chooseMirrors(candidate{e.self, e.domain}, kept, order, count, s.owner.Epoch.Version+1)
+	if s.synced(want) {
+		return want
+	}
+	for _, m := range s.owner.Mirrors {
+		known := slices.ContainsFunc(want, func(w core.Member) bool { return w.Node == m.Node })
+		if !known && !e.members.dead(m.Node) && !e.silent(m.Node) {
+			want = append(want, m)
+		}
+	}
+	return want
+}
+
+// member returns a candidate as a mirror of the slot, new or as it stands.
+func (s *slot) member(c *candidate) core.Member {
+	for _, m := range s.owner.Mirrors {
+		if m.Node == c.node {
+			return m
+		}
+	}
+	return core.Member{Node: c.node, Domain: c.domain, Since: s.owner.Epoch.Version + 1}
+}
+
+// synced reports whether every one of the mirrors has acknowledged an image of
+// this epoch.
+func (s *slot) synced(mirrors []core.Member) bool {
+	for _, m := range mirrors {
+		i := slices.IndexFunc(s.home.links, func(l *link) bool { return l.member.Node == m.Node })
+		if i < 0 || s.home.links[i].acked == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// sameMembers reports whether two lists name the same nodes, in any order.
+func sameMembers(a, b []core.Member) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for _, m := range a {
+		if !slices.ContainsFunc(b, func(o core.Member) bool { return o.Node == m.Node }) {
+			return false
+		}
+	}
+	return true
+}
+
+// offer asks a synchronized mirror to take the slot over. One slot at a time is
+// offered, but for a drain, so that a joining entry is filled gently.
+func (e *Entry) offer(s *slot, to core.Node) {
+	period := offerPeriod * e.times.heartbeat
+	if s.offeredAt > 0 && e.now.Sub(s.offeredAt) < period {
+		return
+	}
+	if !e.drain.requested && e.now.Sub(e.offeredAt) < e.times.heartbeat {
+		return
+	}
+	s.offeredAt = e.now
+	e.offeredAt = e.now
+	e.send(to, core.Handover{Slot: s.id, Epoch: s.owner.Epoch})
+}
+
+// handover takes over a slot that its home offers.
+func (e *Entry) handover(from core.Node, m core.Handover) {
+	s := e.slot(m.Slot)
+	if s == nil || s.home != nil || s.owner.Epoch != m.Epoch || s.homeNode() != from {
+		return
+	}
+	if _, eligible := e.succession(s); eligible && !e.drain.requested {
+		e.takeBySwap(s, e.candidates())
+	}
+}
--- /dev/null
+++ b/core/entry/members.go
@@ -0,0 +1,184 @@
+package entry
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+)
+
+// members is what an entry knows of the VMs and of the lives of processes.
+type members struct {
+	peers map[core.VM]*peer
+	// lives holds the highest incarnation seen of each VM.
+	lives map[core.VM]core.Incarnation
+	// gone holds the VMs that were listed and no longer are.
+	gone map[core.VM]bool
+	// listed holds the VMs of the last reading of the list.
+	listed map[core.VM]core.VMInfo
+	// list says that the list was read at least once.
+	list   bool
+	beatAt core.Instant
+}
+
+// peer is another entry.
+type peer struct {
+	node   core.Node
+	domain core.Domain
+	// heard is when the current life was last heard; zero for never.
+	heard core.Instant
+	// since is when the current life was first heard.
+	since    core.Instant
+	leaving  bool
+	draining bool
+	asked    core.Instant
+	// agreedAt is when the peer's slot map was last seen equal to this entry's.
+	agreedAt core.Instant
+}
+
+func newMembers() members {
+	return members{
+		peers:  map[core.VM]*peer{},
+		lives:  map[core.VM]core.Incarnation{},
+		gone:   map[core.VM]bool{},
+		listed: map[core.VM]core.VMInfo{},
+	}
+}
+
+// dead reports evidence that a life has ended: a later life of its VM was seen,
+// or its VM was listed and no longer is. Silence is never evidence.
+func (m *members) dead(n core.Node) bool {
+	return m.gone[n.VM] || m.lives[n.VM] > n.Inc
+}
+
+// observe notes that a life was heard.
+func (m *members) observe(n core.Node, now core.Instant) {
+	if m.lives[n.VM] < n.Inc {
+		m.lives[n.VM] = n.Inc
+	}
+	p := m.peers[n.VM]
+	if p == nil {
+		return
+	}
+	if p.node != n {
+		*p = peer{node: n, domain: p.domain, since: now, leaving: p.leaving}
+	}
+	p.heard = now
+}
+
+// peer returns the record of an entry's VM, creating it if needed.
+func (m *members) peer(vm core.VM) *peer {
+	p := m.peers[vm]
+	if p == nil {
+		p = &peer{node: core.Node{VM: vm}}
+		m.peers[vm] = p
+	}
+	return p
+}
+
+// sorted returns the peers by VM.
+func (m *members) sorted() []*peer {
+	return slices.SortedFunc(maps.Values(m.peers), func(a, b *peer) int {
+		return cmp.Compare(a.node.VM, b.node.VM)
+	})
+}
+
+// vmList takes in a reading of the platform's VM list.
+func (e *Entry) vmList(vms []core.VMInfo) {
+	m := &e.members
+	next := make(map[core.VM]core.VMInfo, len(vms))
+	for _, vm := range vms {
+		next[vm.VM] = vm
+	}
+	for vm := range m.listed {
+		if _, ok := next[vm]; !ok {
+			m.gone[vm] = true
+			delete(m.peers, vm)
+			e.targets.remove(vm)
+		}
+	}
+	m.listed = next
+	m.list = true
+	for _, vm := range vms {
+		e.vmListed(vm)
+	}
+}
+
+func (e *Entry) vmListed(vm core.VMInfo) {
+	if vm.VM == e.self.VM || e.members.gone[vm.VM] {
+		return
+	}
+	if vm.Role == core.RoleSidecar {
+		e.targets.listed(vm)
+		return
+	}
+	p := e.members.peer(vm.VM)
+	p.domain = vm.Domain
+	p.leaving = vm.Leaving
+}
+
+// alive reports whether the peer's life was heard recently.
+func (e *Entry) alive(p *peer) bool {
+	return p.heard > 0 && e.now.Sub(p.heard) < e.times.suspect
+}
+
+// silent reports whether a life has not been heard for the suspicion time. An
+// unknown life is silent since the start.
+func (e *Entry) silent(n core.Node) bool {
+	return n != e.self && e.silence(n) >= e.times.suspect
+}
+
+// silence returns the time since a life was heard.
+func (e *Entry) silence(n core.Node) core.Duration {
+	p := e.members.peers[n.VM]
+	if p == nil || p.node != n || p.heard == 0 {
+		return e.now.Sub(e.started)
+	}
+	return e.now.Sub(p.heard)
+}
+
+// leavingEntry reports whether an entry is draining or leaving.
+func (e *Entry) leavingEntry(n core.Node) bool {
+	if n == e.self {
+		return e.drain.requested
+	}
+	p := e.members.peers[n.VM]
+	return p != nil && (p.leaving || p.draining)
+}
+
+// heartbeat takes in a peer's heartbeat and asks for its slot map if the two
+// maps differ.
+func (e *Entry) heartbeat(from core.Node, h core.Heartbeat) {
+	p := e.members.peer(from.VM)
+	e.members.observe(from, e.now)
+	p.domain = h.Domain
+	p.draining = h.Draining
+	if h.MapSum == e.mapSum() {
+		p.agreedAt = e.now
+		return
+	}
+	if e.now.Sub(p.asked) >= e.times.heartbeat {
+		p.asked = e.now
+		e.send(from, core.SlotQuery{})
+	}
+}
+
+// tickMembers sends heartbeats to the peers and subscribes to load reports.
+func (e *Entry) tickMembers() {
+	e.tickTargets()
+	if e.members.beatAt > 0 && e.now.Sub(e.members.beatAt) < e.times.heartbeat {
+		return
+	}
+	e.members.beatAt = e.now
+	h := core.Heartbeat{
+		Domain:     e.domain,
+		Generation: e.generation,
+		MapSum:     e.mapSum(),
+		Draining:   e.drain.requested,
+	}
+	for _, p := range e.members.sorted() {
+		// Incarnation zero also reaches a life that is not known yet.
+		e.send(core.Node{VM: p.node.VM}, h)
+	}
+}
--- /dev/null
+++ b/core/entry/records.go
@@ -0,0 +1,197 @@
+package entry
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+)
+
+const (
+	// maxRecords bounds the finished calls kept of a program for retries, beside
+	// those that must not be repeated.
+	maxRecords = 4
+	// expirePeriod is the period of the search for idle and old programs.
+	expirePeriod = 1 * core.Second
+)
+
+// sortedPrograms returns the programs of a slot by id.
+func sortedPrograms(s *slot) []*core.Program {
+	ps := make([]*core.Program, 0, len(s.image.programs))
+	for _, id := range slices.Sorted(maps.Keys(s.image.programs)) {
+		ps = append(ps, s.image.programs[id])
+	}
+	return ps
+}
+
+// inTree reports whether id is top or one of its sub-agents.
+func inTree(id, top core.ProgramID) bool {
+	return id == top || strings.HasPrefix(string(id), string(top)+"/")
+}
+
+// tree returns the programs of the tree under top by id.
+func tree(s *slot, top core.ProgramID) []core.ProgramID {
+	var ids []core.ProgramID
+	for _, id := range slices.Sorted(maps.Keys(s.image.programs)) {
+		if inTree(id, top) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// trim drops the records of finished calls beyond those that a retry may ask
+// for. A call that must not be repeated stays known as long as its program,
+// without its answer once the retention time is over.
+func (e *Entry) trim(calls []core.CallRecord) []core.CallRecord {
+	plain := 0
+	for i := len(calls) - 1; i >= 0; i-- {
+		r := &calls[i]
+		old := e.now.Sub(r.DoneAt) > e.times.retention
+		switch {
+		case r.Phase != core.PhaseDone:
+		case r.NonIdempotent && r.Key != "":
+			if old {
+				r.Finish.Answer = nil
+			}
+		case old || plain >= maxRecords:
+			calls = slices.Delete(calls, i, i+1)
+		default:
+			plain++
+		}
+	}
+	return calls
+}
+
+// removeUnused forgets a program of which no call ever ran.
+func (e *Entry) removeUnused(s *slot, p *core.Program) {
+	unused := p.NextSeq == 1 && len(p.Calls) == 0 && p.Spent+p.Reserved == 0 && !p.Ended
+	if unused && len(tree(s, p.ID)) == 1 {
+		s.remove(p.ID)
+	}
+}
+
+// endRequested ends a program and its sub-agents at a caller's request.
+func (e *Entry) endRequested(from core.Node, m core.EndRequest) {
+	s := e.slotOf(m.Program)
+	if s == nil || s.home == nil {
+		return
+	}
+	p := s.image.programs[m.Program]
+	if p != nil && p.Account != m.Account {
+		e.answer(s, m.Req, refusal(core.ReasonUnauthorized, 0))
+		return
+	}
+	e.end(s, m.Program)
+	done := core.Finished{
+		Req:    m.Req,
+		Finish: core.Finish{Outcome: core.OutcomeRan},
+		Epoch:  s.home.epoch,
+	}
+	e.durable(s, func() { e.send(from, done) })
+}
+
+// end marks a tree as ended, stops its calls and releases the engine memory
+// that is held for it.
+func (e *Entry) end(s *slot, top core.ProgramID) {
+	for _, id := range tree(s, top) {
+		p := s.edit(id)
+		p.Ended = true
+		p.Active = e.now
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.home.lanes)) {
+		if inTree(id, top) {
+			e.endLane(s, s.home.lanes[id])
+		}
+	}
+	e.durable(s, func() { e.sendEnd(s, top) })
+}
+
+func (e *Entry) endLane(s *slot, l *lane) {
+	for _, c := range slices.Clone(l.waiting) {
+		e.refuse(s, c, core.ReasonEnded, 0)
+	}
+	if l.open != nil {
+		l.open.ended = true
+		e.cancel(s, l.open, core.ReasonEnded)
+	}
+}
+
+// sendEnd tells every sidecar that served a tree to release its memory.
+func (e *Entry) sendEnd(s *slot, top core.ProgramID) {
+	root := s.image.programs[top.Root()]
+	if root == nil {
+		return
+	}
+	for _, n := range root.Served {
+		if !e.members.dead(n) {
+			e.send(n, core.EndProgram{Slot: s.id, Epoch: s.home.epoch, Program: top})
+		}
+	}
+}
+
+// expire ends programs that are idle or too old and forgets ended ones.
+func (e *Entry) expire(s *slot) {
+	if s.expiredAt > 0 && e.now.Sub(s.expiredAt) < expirePeriod {
+		return
+	}
+	s.expiredAt = e.now
+	for _, p := range sortedPrograms(s) {
+		if p.ID != p.ID.Root() || s.image.programs[p.ID] == nil {
+			continue
+		}
+		if e.busy(s, p.ID) {
+			continue
+		}
+		switch idle := e.now.Sub(e.lastActive(s, p.ID)); {
+		case p.Ended && idle >= e.times.retention:
+			e.forgetTree(s, p.ID)
+		case !p.Ended && (idle >= e.maxIdle(p) || e.now.Sub(p.Started) >= e.maxAge(p)):
+			e.end(s, p.ID)
+		}
+	}
+}
+
+// busy reports whether a call of a tree is open.
+func (e *Entry) busy(s *slot, top core.ProgramID) bool {
+	for id := range s.home.lanes {
+		if inTree(id, top) {
+			return true
+		}
+	}
+	return false
+}
+
+// lastActive returns when the tree last made progress.
+func (e *Entry) lastActive(s *slot, top core.ProgramID) core.Instant {
+	var last core.Instant
+	for _, id := range tree(s, top) {
+		last = max(last, s.image.programs[id].Active)
+	}
+	return last
+}
+
+// forgetTree releases the memory once more, in case the first message was lost,
+// and removes the records.
+func (e *Entry) forgetTree(s *slot, top core.ProgramID) {
+	e.sendEnd(s, top)
+	for _, id := range tree(s, top) {
+		s.remove(id)
+	}
+	e.mark(s)
+}
+
+func (e *Entry) maxIdle(p *core.Program) core.Duration {
+	if kind := e.set.ProgramKind(p.Kind); kind != nil {
+		return orDefault(kind.MaxIdle.Nanos(), defaultIdle)
+	}
+	return defaultIdle
+}
+
+func (e *Entry) maxAge(p *core.Program) core.Duration {
+	if kind := e.set.ProgramKind(p.Kind); kind != nil {
+		return orDefault(kind.MaxAge.Nanos(), defaultAge)
+	}
+	return defaultAge
+}
--- /dev/null
+++ b/core/entry/sidecar_test.go
@@ -0,0 +1,143 @@
+package entry
+
+import (
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+)
+
+// fakeSidecar runs attempts at once, or when released, and keeps a call table
+// with tombstones and fences.
+type fakeSidecar struct {
+	node    core.Node
+	load    core.Load
+	leaving bool
+	// hold keeps attempts running until release.
+	hold bool
+	// refuse is the number of dispatches to refuse.
+	refuse int
+	table  map[core.AttemptID]core.Result
+	owners map[core.AttemptID]core.Node
+	calls  map[core.AttemptID]core.Call
+	fences map[core.SlotID]core.Epoch
+	hellos map[core.VM]core.Node
+	ended  []core.ProgramID
+	acked  map[core.AttemptID]bool
+	order  []core.AttemptID
+	// executed counts the executions by key and sequence number.
+	executed map[string]int
+}
+
+func newFakeSidecar(n core.Node, pool core.Pool) *fakeSidecar {
+	return &fakeSidecar{
+		node: n, load: core.Load{Pool: pool, Domain: "d0", Limit: 8},
+		table: map[core.AttemptID]core.Result{}, owners: map[core.AttemptID]core.Node{},
+		calls: map[core.AttemptID]core.Call{}, fences: map[core.SlotID]core.Epoch{},
+		hellos: map[core.VM]core.Node{}, acked: map[core.AttemptID]bool{}, executed: map[string]int{},
+	}
+}
+
+func (f *fakeSidecar) fenced(slot core.SlotID, e core.Epoch) bool {
+	if e.Less(f.fences[slot]) {
+		return true
+	}
+	f.fences[slot] = e
+	return false
+}
+
+func (f *fakeSidecar) recv(from core.Node, m core.Message) []core.Send {
+	switch m := m.(type) {
+	case core.Hello:
+		f.hellos[from.VM] = from
+		return []core.Send{{To: from, Msg: core.LoadReport{Load: f.load}}}
+	case core.Dispatch:
+		return f.dispatch(from, m)
+	case core.QueryAttempt:
+		if !f.fenced(m.Slot, m.Epoch) {
+			f.owners[m.Attempt] = from
+			if _, ok := f.table[m.Attempt]; !ok {
+				f.table[m.Attempt] = core.Result{Attempt: m.Attempt, State: core.AttemptRefused, Reason: core.ReasonTombstone}
+			}
+		}
+		return f.report(from, m.Attempt)
+	case core.AckResult:
+		f.acked[m.Attempt] = true
+	case core.EndProgram:
+		f.ended = append(f.ended, m.Program)
+	}
+	return nil
+}
+
+func (f *fakeSidecar) dispatch(from core.Node, d core.Dispatch) []core.Send {
+	f.owners[d.Attempt] = from
+	if _, ok := f.table[d.Attempt]; ok {
+		return f.report(from, d.Attempt)
+	}
+	r := core.Result{Attempt: d.Attempt, Program: d.Call.Program, State: core.AttemptRunning}
+	switch {
+	case f.fenced(d.Slot, d.Epoch):
+		r.State, r.Reason = core.AttemptRefused, core.ReasonStaleEpoch
+	case d.Target != f.node:
+		r.State, r.Reason = core.AttemptRefused, core.ReasonIncarnation
+	case f.refuse > 0:
+		f.refuse--
+		r.State, r.Reason = core.AttemptRefused, core.ReasonOverload
+	default:
+		f.executed[d.Call.Key]++
+		f.order = append(f.order, d.Attempt)
+	}
+	f.calls[d.Attempt] = d.Call
+	f.table[d.Attempt] = r
+	if r.State == core.AttemptRunning && !f.hold {
+		f.finish(d.Attempt)
+	}
+	return f.report(from, d.Attempt)
+}
+
+// finish ends a running attempt with an answer that adds one block.
+func (f *fakeSidecar) finish(a core.AttemptID) {
+	r := f.table[a]
+	call := f.calls[a]
+	r.State = core.AttemptDone
+	r.Length = 5
+	if call.Kind == core.CallModel {
+		r.Usage = core.Usage{PromptTokens: call.PromptTokens(), OutputTokens: call.MaxTokens}
+		r.Blocks = uint32(len(call.Blocks)) + 1
+		r.Digest = 1000 + uint64(len(call.Blocks))
+	} else {
+		r.Answer = []byte("done")
+	}
+	f.table[a] = r
+}
+
+// release finishes all running attempts and reports them.
+func (f *fakeSidecar) release() {
+	f.hold = false
+	for _, a := range f.order {
+		if f.table[a].State == core.AttemptRunning {
+			f.finish(a)
+		}
+	}
+}
+
+func (f *fakeSidecar) report(to core.Node, a core.AttemptID) []core.Send {
+	r := f.table[a]
+	r.Attempt = a
+	r.Epoch = f.fences[a.Slot]
+	r.Load = f.load
+	return []core.Send{{To: to, Msg: r}}
+}
+
+// tick reports load and the results that were not acknowledged.
+func (f *fakeSidecar) tick() []core.Send {
+	var out []core.Send
+	for _, vm := range []core.VM{"e0", "e1", "e2", "e3"} {
+		if n, ok := f.hellos[vm]; ok {
+			out = append(out, core.Send{To: n, Msg: core.LoadReport{Load: f.load}})
+		}
+	}
+	for _, a := range f.order {
+		if f.table[a].State == core.AttemptDone && !f.acked[a] {
+			out = append(out, f.report(f.owners[a], a)...)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/core/entry/slotmap.go
@@ -0,0 +1,248 @@
+package entry
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+)
+
+// candidate is a live entry that may become a member of slots.
+type candidate struct {
+	node   core.Node
+	domain core.Domain
+}
+
+// candidates returns the live entries that are neither leaving nor draining.
+func (e *Entry) candidates() []candidate {
+	var cs []candidate
+	if !e.leavingEntry(e.self) {
+		cs = append(cs, candidate{e.self, e.domain})
+	}
+	for _, p := range e.members.sorted() {
+		if e.alive(p) && !p.leaving && !p.draining {
+			cs = append(cs, candidate{p.node, p.domain})
+		}
+	}
+	return cs
+}
+
+// score is the rendezvous weight of a VM for a slot. It does not depend on the
+// incarnation, so that a restart moves no slot.
+func score(id core.SlotID, vm core.VM) uint64 {
+	return xxhash.Sum64String(core.SlotKey(id) + "|" + string(vm))
+}
+
+// ranked returns the candidates in rendezvous order for a slot.
+func ranked(id core.SlotID, cs []candidate) []candidate {
+	out := slices.Clone(cs)
+	slices.SortFunc(out, func(a, b candidate) int {
+		return cmp.Or(
+			-cmp.Compare(score(id, a.node.VM), score(id, b.node.VM)),
+			cmp.Compare(a.node.VM, b.node.VM))
+	})
+	return out
+}
+
+// chooseMirrors adds members to kept until there are count: first from failure
+// domains that have none yet, then from any.
+func chooseMirrors(home candidate, kept []core.Member, order []candidate, count int, since uint64) []core.Member {
+	out := slices.Clone(kept)
+	used := map[core.Domain]bool{home.domain: true}
+	taken := map[core.Node]bool{home.node: true}
+	for _, m := range kept {
+		used[m.Domain] = true
+		taken[m.Node] = true
+	}
+	for _, fresh := range []bool{true, false} {
+		for _, c := range order {
+			if len(out) >= count || taken[c.node] || fresh && used[c.domain] {
+				continue
+			}
+			out = append(out, core.Member{Node: c.node, Domain: c.domain, Since: since})
+			used[c.domain] = true
+			taken[c.node] = true
+		}
+	}
+	return out
+}
+
+// mirrorCount returns the number of mirrors that a slot should have.
+func (e *Entry) mirrorCount() int {
+	if e.set == nil {
+		return 0
+	}
+	return e.set.Ownership.Mirrors
+}
+
+// settled reports whether the view of the other entries is complete enough to
+// assign slots that have no owner.
+func (e *Entry) settled() bool {
+	if e.now.Sub(e.started) >= 2*e.times.suspect {
+		return true
+	}
+	if !e.members.list {
+		return false
+	}
+	for _, vm := range e.members.listed {
+		if vm.Role != core.RoleEntry || vm.Leaving || vm.VM == e.self.VM {
+			continue
+		}
+		if p := e.members.peers[vm.VM]; p == nil || !e.alive(p) {
+			return false
+		}
+	}
+	return true
+}
+
+// tickSlots drives the ownership of every slot and the calls of those that this
+// entry is the home of.
+func (e *Entry) tickSlots() {
+	if e.slots == nil {
+		return
+	}
+	cs := e.candidates()
+	for _, s := range e.slots {
+		e.tickOwnership(s, cs)
+		if s.home != nil {
+			e.tickLinks(s)
+		}
+		if s.home != nil {
+			e.tickCalls(s)
+		}
+	}
+}
+
+func (e *Entry) tickOwnership(s *slot, cs []candidate) {
+	switch {
+	case s.proposal != nil:
+		e.tickProposal(s)
+	case s.owner.Epoch.Version == 0:
+		e.bootstrap(s, cs)
+	case s.home != nil:
+		e.maintain(s, cs)
+	default:
+		e.takeover(s, cs)
+	}
+}
+
+// bootstrap claims a slot that never had an owner if this entry is the first
+// live one in rendezvous order.
+func (e *Entry) bootstrap(s *slot, cs []candidate) {
+	if !e.store.ranged || !e.settled() {
+		return
+	}
+	order := ranked(s.id, cs)
+	if len(order) == 0 || order[0].node != e.self {
+		return
+	}
+	e.propose(s, e.newOwner(s, order, nil))
+}
+
+// newOwner returns an owner entry of the next version with this entry as home.
+func (e *Entry) newOwner(s *slot, order []candidate, kept []core.Member) core.SlotOwner {
+	version := s.owner.Epoch.Version + 1
+	self := candidate{e.self, e.domain}
+	o := core.SlotOwner{
+		Slot:      s.id,
+		Epoch:     core.Epoch{Version: version},
+		Home:      core.Member{Node: e.self, Domain: e.domain, Since: version},
+		Mirrors:   chooseMirrors(self, kept, order, e.mirrorCount(), version),
+		Remembers: version,
+	}
+	return o
+}
+
+// adopt takes in an owner entry. It follows only a newer epoch than the one
+// known, so that the map never goes back.
+func (e *Entry) adopt(s *slot, o core.SlotOwner) {
+	if !s.owner.Epoch.Less(o.Epoch) {
+		return
+	}
+	s.owner = o
+	s.changedAt = e.now
+	s.ownerless = 0
+	s.evidenceAt = 0
+	s.emptyAt = 0
+	if s.promised.Less(o.Epoch) {
+		s.promised = o.Epoch
+	}
+	switch {
+	case o.Home.Node == e.self:
+		e.assume(s)
+	case s.home != nil:
+		e.stepDown(s, o.Epoch)
+	}
+	e.forwardAll(s)
+}
+
+// assume becomes home of a slot whose owner entry names this life, if the image
+// has every acknowledged write or the entry starts a new memory.
+func (e *Entry) assume(s *slot) {
+	o := s.owner
+	if o.Epoch.Less(s.promised) {
+		return
+	}
+	fresh := o.Remembers == o.Epoch.Version && o.Home.Since == o.Epoch.Version
+	switch {
+	case s.home != nil:
+	case fresh:
+		s.image = emptyImage()
+		s.image.remembers = o.Remembers
+		s.forgotAt = 0
+	case !e.eligible(s, o.Home):
+		return
+	}
+	e.becomeHome(s)
+	e.gossip(s)
+}
+
+// eligible reports whether this entry's image has every write acknowledged
+// before it became the member m of the slot.
+func (e *Entry) eligible(s *slot, m core.Member) bool {
+	return m.Node == e.self && s.image.valid && s.image.epoch.Version >= m.Since
+}
+
+// gossip passes a slot's owner on to every peer.
+func (e *Entry) gossip(s *slot) {
+	update := core.SlotUpdate{Owners: []core.SlotOwner{s.owner}}
+	for _, p := range e.members.sorted() {
+		if p.node.Inc > 0 {
+			e.send(p.node, update)
+		}
+	}
+}
+
+// slotQuery answers with all owners known.
+func (e *Entry) slotQuery(from core.Node) {
+	var owners []core.SlotOwner
+	for _, s := range e.slots {
+		if s.owner.Epoch.Version > 0 {
+			owners = append(owners, s.owner)
+		}
+	}
+	if len(owners) > 0 {
+		e.send(from, core.SlotUpdate{Owners: owners})
+	}
+}
+
+func (e *Entry) slotUpdate(u core.SlotUpdate) {
+	for _, o := range u.Owners {
+		if s := e.slot(o.Slot); s != nil {
+			o.Revision = 0
+			e.adopt(s, o)
+		}
+	}
+}
+
+// mapSum returns the sum of all versions and ranks known, which tells two maps
+// apart in a heartbeat.
+func (e *Entry) mapSum() uint64 {
+	var sum uint64
+	for _, s := range e.slots {
+		sum += s.owner.Epoch.Version<<20 + uint64(s.owner.Epoch.Rank)
+	}
+	return sum
+}
--- /dev/null
+++ b/core/entry/takeover.go
@@ -0,0 +1,228 @@
+package entry
+
+import (
+	"slices"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+)
+
+// forgetAfter is the time in units of the suspicion time for which no member
+// may have taken a slot over before an entry without its memory does.
+const forgetAfter = 3
+
+// otherFactor prolongs that time while a member of the slot is alive, which
+// should take the slot over itself.
+const otherFactor = 10
+
+// takeover drives a slot whose home is another entry, or is this one although it
+// had to step down.
+func (e *Entry) takeover(s *slot, cs []candidate) {
+	home := s.homeNode()
+	dead := e.members.dead(home)
+	if !dead && home != e.self && !e.silent(home) {
+		s.ownerless = 0
+		s.evidenceAt = 0
+		s.emptyAt = 0
+		return
+	}
+	if s.ownerless == 0 {
+		s.ownerless = e.now
+	}
+	if dead && s.evidenceAt == 0 {
+		s.evidenceAt = e.now
+	}
+	place, eligible := e.succession(s)
+	switch {
+	case !eligible:
+		e.takeEmpty(s, cs)
+	case dead && e.firstAlive(s, place):
+		e.takeByEvidence(s, place, cs)
+	case e.now.Sub(s.ownerless) >= int64(place)*e.times.heartbeat:
+		e.takeBySwap(s, cs)
+	}
+}
+
+// succession returns this entry's place in the order of succession, the home's
+// being zero, and whether its image lets it take over.
+func (e *Entry) succession(s *slot) (int, bool) {
+	for i, m := range s.members() {
+		if m.Node == e.self {
+			return i, e.eligible(s, m)
+		}
+	}
+	return 0, false
+}
+
+// members returns the home and the mirrors in order of succession.
+func (s *slot) members() []core.Member {
+	return append([]core.Member{s.owner.Home}, s.owner.Mirrors...)
+}
+
+// firstAlive reports evidence that all members before a place are dead.
+func (e *Entry) firstAlive(s *slot, place int) bool {
+	for _, m := range s.members()[:place] {
+		if !e.members.dead(m.Node) {
+			return false
+		}
+	}
+	return true
+}
+
+// takeByEvidence takes over at once: through the key-value service while it
+// answers, else by raising the rank.
+func (e *Entry) takeByEvidence(s *slot, place int, cs []candidate) {
+	if !e.store.failed {
+		e.takeBySwap(s, cs)
+		return
+	}
+	if s.promised.Version == s.owner.Epoch.Version && e.agreed(s) {
+		e.takeByRank(s, place)
+		return
+	}
+	e.takeBySwap(s, cs)
+}
+
+// agreed reports whether every other entry that may be alive has shown since
+// the evidence that it knows no newer owner. Without this a mirror that its home
+// had replaced, unnoticed, could take over with an old image.
+func (e *Entry) agreed(s *slot) bool {
+	for _, p := range e.members.sorted() {
+		if p.agreedAt <= s.evidenceAt {
+			return false
+		}
+	}
+	return true
+}
+
+// takeByRank takes the slot over without the key-value service. The members
+// that are not dead by evidence must acknowledge every write, and refuse if
+// they have promised a higher epoch.
+func (e *Entry) takeByRank(s *slot, place int) {
+	o := s.owner
+	rank := max(o.Epoch.Rank, s.promised.Rank) + uint32(place) + 1
+	o.Epoch = core.Epoch{Version: o.Epoch.Version, Rank: rank}
+	o.Home = s.members()[place]
+	o.Mirrors = nil
+	for i, m := range s.members() {
+		if i != place && !e.members.dead(m.Node) {
+			o.Mirrors = append(o.Mirrors, m)
+		}
+	}
+	e.decideTakeover(s, "rank")
+	e.adopt(s, o)
+}
+
+// takeBySwap promises the next version and swaps the entry to it.
+func (e *Entry) takeBySwap(s *slot, cs []candidate) {
+	o := e.nextOwner(s, e.survivors(s), cs)
+	e.startProposal(s, &proposal{owner: o, promise: true})
+	if s.proposal != nil {
+		e.decideTakeover(s, "swap")
+	}
+}
+
+func (e *Entry) decideTakeover(s *slot, how core.Reason) {
+	e.emit(core.Decision{Step: "takeover", Slot: s.id, Target: s.homeNode(), Reason: how})
+}
+
+// survivors returns the other members that can go on as mirrors.
+func (e *Entry) survivors(s *slot) []core.Member {
+	var kept []core.Member
+	for _, m := range s.members() {
+		if m.Node != e.self && e.sound(m.Node) {
+			kept = append(kept, m)
+		}
+	}
+	return kept[:min(len(kept), e.mirrorCount())]
+}
+
+// sound reports whether a member is neither dead, silent nor leaving.
+func (e *Entry) sound(n core.Node) bool {
+	return !e.members.dead(n) && !e.silent(n) && !e.leavingEntry(n)
+}
+
+// nextOwner returns the owner entry of the next version that keeps the slot's
+// memory, with this entry as home.
+func (e *Entry) nextOwner(s *slot, kept []core.Member, cs []candidate) core.SlotOwner {
+	o := e.newOwner(s, ranked(s.id, cs), kept)
+	o.Remembers = s.owner.Remembers
+	for _, m := range s.members() {
+		if m.Node == e.self {
+			o.Home = m
+		}
+	}
+	return o
+}
+
+// takeEmpty claims a slot whose members are all gone, without its memory, if
+// this entry is the first live one. Members that are merely silent get time to
+// come back.
+func (e *Entry) takeEmpty(s *slot, cs []candidate) {
+	order := ranked(s.id, cs)
+	if len(order) == 0 || order[0].node != e.self || !e.store.ranged {
+		return
+	}
+	wait := forgetAfter * e.times.suspect
+	if e.otherSound(s) {
+		wait *= otherFactor
+	}
+	if !e.allDead(s) && e.now.Sub(s.ownerless) < wait {
+		return
+	}
+	if !e.allDead(s) && !e.confirmedEmpty(s, wait) {
+		return
+	}
+	e.startProposal(s, &proposal{owner: e.newOwner(s, order, nil), promise: true})
+}
+
+// allDead reports evidence that no member of the slot lives.
+func (e *Entry) allDead(s *slot) bool {
+	return !slices.ContainsFunc(s.members(), func(m core.Member) bool {
+		return !e.members.dead(m.Node)
+	})
+}
+
+// otherSound reports whether another member of the slot is alive.
+func (e *Entry) otherSound(s *slot) bool {
+	return slices.ContainsFunc(s.members(), func(m core.Member) bool {
+		return m.Node != e.self && e.sound(m.Node)
+	})
+}
+
+// confirmedEmpty reports whether the key-value service has answered for a while
+// and no member has taken the slot over through it.
+func (e *Entry) confirmedEmpty(s *slot, wait core.Duration) bool {
+	if e.store.failed {
+		s.emptyAt = 0
+	} else if s.emptyAt == 0 {
+		s.emptyAt = e.now
+	}
+	if s.emptyAt > 0 && e.now.Sub(s.emptyAt) >= wait {
+		return true
+	}
+	e.store.rangeDue = true
+	return false
+}
+
+// forgotten reports whether programs that the slot does not know may be older
+// than its memory.
+func (e *Entry) forgotten(s *slot) bool {
+	return s.image.remembers > 1 && e.now.Sub(s.forgotAt) < e.horizon()
+}
+
+// horizon returns the greatest age of a program.
+func (e *Entry) horizon() core.Duration {
+	var age core.Duration
+	for i := range e.set.Programs {
+		age = max(age, orDefault(e.set.Programs[i].MaxAge.Nanos(), defaultAge))
+	}
+	return orDefault(age, defaultAge)
+}
+
+// freshProgram reports whether a call shows that it begins a new program.
+func (e *Entry) freshProgram(call *core.Call) bool {
+	if call.NonIdempotent {
+		return false
+	}
+	return call.Seq == 1 || call.Seq == 0 && len(call.Blocks) <= freshBlocks
+}
--- /dev/null
+++ b/core/entry/targets.go
@@ -0,0 +1,176 @@
+package entry
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/config"
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/policy/place"
+)
+
+// target is the weak view of a sidecar and its target: the last load report
+// and what this entry has dispatched since.
+type target struct {
+	node    core.Node
+	pool    core.Pool
+	domain  core.Domain
+	load    core.Load
+	leaving bool
+	// reports counts the load reports of this life.
+	reports    uint64
+	reportedAt core.Instant
+	ownCalls   uint32
+	ownTokens  uint64
+}
+
+type targets struct {
+	byVM    map[core.VM]*target
+	helloAt core.Instant
+}
+
+func newTargets() targets { return targets{byVM: map[core.VM]*target{}} }
+
+// listed takes in a sidecar's VM of the platform's list.
+func (ts *targets) listed(vm core.VMInfo) {
+	t := ts.byVM[vm.VM]
+	if t == nil {
+		t = &target{node: core.Node{VM: vm.VM}}
+		ts.byVM[vm.VM] = t
+	}
+	t.pool = vm.Pool
+	t.domain = vm.Domain
+	t.leaving = vm.Leaving
+}
+
+func (ts *targets) remove(vm core.VM) { delete(ts.byVM, vm) }
+
+// sorted returns the targets by VM.
+func (ts *targets) sorted() []*target {
+	return slices.SortedFunc(maps.Values(ts.byVM), func(a, b *target) int {
+		return cmp.Compare(a.node.VM, b.node.VM)
+	})
+}
+
+// tickTargets renews the subscription to load reports.
+func (e *Entry) tickTargets() {
+	if e.targets.helloAt > 0 && e.now.Sub(e.targets.helloAt) < helloPeriod {
+		return
+	}
+	e.targets.helloAt = e.now
+	for _, t := range e.targets.sorted() {
+		e.send(core.Node{VM: t.node.VM}, core.Hello{})
+	}
+}
+
+// loadReport replaces the view of a target. What was dispatched before the
+// report is taken to be part of it.
+func (e *Entry) loadReport(from core.Node, load core.Load) {
+	t := e.targets.byVM[from.VM]
+	if t == nil || load.Pool == "" {
+		return
+	}
+	if t.node != from {
+		*t = target{node: from, leaving: t.leaving}
+	}
+	t.pool = load.Pool
+	t.domain = load.Domain
+	t.load = load
+	t.reports++
+	t.reportedAt = e.now
+	t.ownCalls = 0
+	t.ownTokens = 0
+}
+
+// usable reports whether a target may get new calls of a pool.
+func (e *Entry) usable(t *target, pool core.Pool) bool {
+	return t.pool == pool && t.reports > 0 && !t.leaving && !t.load.Draining &&
+		e.now.Sub(t.reportedAt) < targetSilence && !e.members.dead(t.node)
+}
+
+// pool returns the usable targets of a pool by VM.
+func (e *Entry) pool(pool core.Pool) []*target {
+	var ts []*target
+	for _, t := range e.targets.sorted() {
+		if e.usable(t, pool) {
+			ts = append(ts, t)
+		}
+	}
+	return ts
+}
+
+// noteDispatch adds a dispatch to the view.
+func (e *Entry) noteDispatch(t *target, c *openCall) {
+	c.reported = t.reports
+	c.tokens = c.body.Cost()
+	t.ownCalls++
+	t.ownTokens += c.tokens
+}
+
+// noteEnd takes an ended call off the view unless a report came since.
+func (e *Entry) noteEnd(c *openCall) {
+	t := e.targets.byVM[c.target.VM]
+	if t == nil || t.node != c.target || t.reports != c.reported || t.ownCalls == 0 {
+		return
+	}
+	t.ownCalls--
+	t.ownTokens -= min(t.ownTokens, c.tokens)
+}
+
+// choose picks a target for a call by the pool's placement policy.
+func (e *Entry) choose(s *slot, c *openCall) (*target, core.Duration) {
+	ts := e.pool(c.body.Pool)
+	if len(ts) == 0 {
+		return nil, 0
+	}
+	views := make([]place.Target, len(ts))
+	for i, t := range ts {
+		views[i] = place.Target{
+			Node:      t.node,
+			Load:      t.load,
+			OwnCalls:  t.ownCalls,
+			OwnTokens: t.ownTokens,
+			Local:     t.domain == e.domain,
+		}
+	}
+	req := place.Request{
+		Program:      c.program,
+		PromptTokens: c.body.PromptTokens(),
+		MaxTokens:    c.body.MaxTokens,
+		Blocks:       c.body.Blocks,
+	}
+	if p := s.image.programs[c.program]; p != nil {
+		req.Last = p.Last
+		req.LastTokens = lastTokens(p, c.body)
+	}
+	i, cost := e.placement(c.body.Pool).Choose(req, views, e.rng)
+	return ts[i], cost
+}
+
+// lastTokens returns the length of the recorded conversation within a call's.
+func lastTokens(p *core.Program, call *core.Call) uint32 {
+	var sum uint32
+	for _, b := range call.Blocks[:min(int(p.HistoryBlocks), len(call.Blocks))] {
+		sum += b.Tokens
+	}
+	return sum
+}
+
+// placement returns the placement policy of a pool. The configuration was
+// checked when it was applied, so an unknown name means the default.
+func (e *Entry) placement(name core.Pool) place.Policy {
+	if p := e.places[name]; p != nil {
+		return p
+	}
+	var cfg config.Policy
+	if pool := e.set.Pool(string(name)); pool != nil {
+		cfg = pool.Policy
+	}
+	p, err := place.New(cfg.Placement, cfg)
+	if err != nil {
+		p, _ = place.New("", cfg)
+	}
+	e.places[name] = p
+	return p
+}
--- /dev/null
+++ b/core/entry/times.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"github.com/rhubarbsaddle/rhubarbsaddle/config"
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+)
+
+const (
+	defaultHeartbeat       = 100 * core.Millisecond
+	defaultSuspectAfter    = 1 * core.Second
+	defaultAnswerRetention = 10 * core.Minute
+	defaultCallTimeout     = 10 * core.Minute
+	defaultIdle            = 1 * core.Hour
+	defaultAge             = 24 * core.Hour
+	defaultSlots           = 64
+
+	// noTargetWait bounds the wait of a call for a pool with no usable target.
+	noTargetWait = 2 * core.Second
+	// gapWait bounds the wait of a call for an earlier sequence number.
+	gapWait = 10 * core.Second
+	// queryAfter is the silence of a sidecar about a dispatched attempt after
+	// which its outcome is asked for.
+	queryAfter = 500 * core.Millisecond
+	// pollAfter is the same for an attempt that the sidecar has acknowledged.
+	pollAfter = 5 * core.Second
+	// edgeGrace is added to a call's timeout at its edge, so that the home's
+	// own answer to the timeout arrives first.
+	edgeGrace = 2 * core.Second
+	// maxForwardPeriod bounds the growing period of repeated forwards.
+	maxForwardPeriod = 16 * core.Second
+	// retryHint is told to callers when no better estimate is known.
+	retryHint = 1 * core.Second
+	// targetSilence is the age of a load report beyond which a target gets no
+	// new dispatch.
+	targetSilence = 5 * core.Second
+	// helloPeriod is the period of the subscription to load reports.
+	helloPeriod = 1 * core.Second
+)
+
+// times are the time limits of the configuration in force.
+type times struct {
+	heartbeat core.Duration
+	suspect   core.Duration
+	retention core.Duration
+}
+
+func timesOf(set *config.Set) times {
+	t := times{defaultHeartbeat, defaultSuspectAfter, defaultAnswerRetention}
+	if set == nil {
+		return t
+	}
+	t.heartbeat = orDefault(set.Ownership.Heartbeat.Nanos(), t.heartbeat)
+	t.suspect = orDefault(set.Ownership.SuspectAfter.Nanos(), t.suspect)
+	t.retention = orDefault(set.Ownership.AnswerRetention.Nanos(), t.retention)
+	return t
+}
+
+// orDefault returns v, or def if v is zero.
+func orDefault[T comparable](v, def T) T {
+	var zero T
+	if v == zero {
+		return def
+	}
+	return v
+}
