--- a/core/entry/home.go
+++ b/core/entry/home.go
@@ -47,6 +47,11 @@
 		e.durable(s, func() { e.answer(s, f.Req, fin) })
 		return
 	}
+	if call.NonIdempotent && e.unremembered(s, &call) {
+		// The lost home may have run it.
+		e.answer(s, f.Req, core.Finish{Outcome: core.OutcomeUnknown, Reason: core.ReasonForgotten})
+		return
+	}
 	if reason := e.admissible(s, &call); reason != "" {
 		e.answer(s, f.Req, refusal(reason, e.hint(reason)))
 		return
--- a/core/entry/limits.go
+++ b/core/entry/limits.go
@@ -41,7 +41,7 @@
 
 // admitProgram returns why a new program is refused, or "".
 func (e *Entry) admitProgram(s *slot, call *core.Call) core.Reason {
-	if e.forgotten(s) && !e.freshProgram(call) {
+	if e.unremembered(s, call) && !freshProgram(call) {
 		return core.ReasonForgotten
 	}
 	if call.Kind == core.CallService && call.ProgramKind == "" {
--- a/core/entry/maintain.go
+++ b/core/entry/maintain.go
@@ -10,6 +10,9 @@
 	// stableFor is the time in units of the suspicion time for which an entry
 	// must live before slots move to it.
 	stableFor = 3
+	// aloneAfter is the silence of the last mirror, in units of the suspicion
+	// time, after which a home goes on without any.
+	aloneAfter = 4
 	// offerPeriod is the period of repeated offers of a slot, in heartbeats.
 	offerPeriod = 5
 )
@@ -66,6 +69,7 @@
 	}
 	kept = kept[:min(len(kept), count)]
 	want := chooseMirrors(candidate{e.self, e.domain}, kept, order, count, s.owner.Epoch.Version+1)
+	want = e.keepSilent(s, want, count)
 	if s.synced(want) {
 		return want
 	}
@@ -78,6 +82,23 @@
 	return want
 }
 
+// keepSilent adds silent mirrors that nobody can replace. The silence may be
+// this entry's own: a mirror that lives gets the time to take over first, and a
+// home that hears none of several peers never goes on alone.
+func (e *Entry) keepSilent(s *slot, want []core.Member, count int) []core.Member {
+	alone := len(e.members.peers) > 1 && len(e.candidates()) <= 1
+	for _, m := range s.owner.Mirrors {
+		if len(want) >= count {
+			break
+		}
+		waiting := alone || e.silence(m.Node) < aloneAfter*e.times.suspect
+		if e.silent(m.Node) && waiting && !e.members.dead(m.Node) && !e.leavingEntry(m.Node) {
+			want = append(want, m)
+		}
+	}
+	return want
+}
+
 // member returns a candidate as a mirror of the slot, new or as it stands.
 func (s *slot) member(c *candidate) core.Member {
 	for _, m := range s.owner.Mirrors {
--- a/core/entry/slot.go
+++ b/core/entry/slot.go
@@ -127,9 +127,6 @@
 // homeNode returns the home's life, or zero if no owner is known.
 func (s *slot) homeNode() core.Node { return s.owner.Home.Node }
 
-// isHome reports whether this entry is the home.
-func (s *slot) isHome() bool { return s.home != nil }
-
 // edit returns a copy of a program's record that may be changed until the end
 // of the step, creating the record if needed.
 func (s *slot) edit(id core.ProgramID) *core.Program {
--- a/core/entry/slotmap.go
+++ b/core/entry/slotmap.go
@@ -187,12 +187,12 @@
 	}
 	fresh := o.Remembers == o.Epoch.Version && o.Home.Since == o.Epoch.Version
 	switch {
-	case s.home != nil:
+	case s.home != nil, e.eligible(s, o.Home):
 	case fresh:
 		s.image = emptyImage()
 		s.image.remembers = o.Remembers
 		s.forgotAt = 0
-	case !e.eligible(s, o.Home):
+	default:
 		return
 	}
 	e.becomeHome(s)
--- a/core/entry/takeover.go
+++ b/core/entry/takeover.go
@@ -204,10 +204,11 @@
 	return false
 }
 
-// forgotten reports whether programs that the slot does not know may be older
-// than its memory.
-func (e *Entry) forgotten(s *slot) bool {
-	return s.image.remembers > 1 && e.now.Sub(s.forgotAt) < e.horizon()
+// unremembered reports whether a call's program is unknown and may be older
+// than the slot's memory.
+func (e *Entry) unremembered(s *slot, call *core.Call) bool {
+	return s.image.programs[call.Program.Root()] == nil &&
+		s.image.remembers > 1 && e.now.Sub(s.forgotAt) < e.horizon()
 }
 
 // horizon returns the greatest age of a program.
@@ -220,9 +221,6 @@
 }
 
 // freshProgram reports whether a call shows that it begins a new program.
-func (e *Entry) freshProgram(call *core.Call) bool {
-	if call.NonIdempotent {
-		return false
-	}
+func freshProgram(call *core.Call) bool {
 	return call.Seq == 1 || call.Seq == 0 && len(call.Blocks) <= freshBlocks
 }
