report/burn, cli: report on service-level burn

Cause: operators need to see how fast error budgets go, and where. The page's plot was looked at as an image; the whole page was not, for lack of a browser.

--- /dev/null
+++ b/cli/report.go
@@ -0,0 +1,116 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/observe"
+	"github.com/rhubarbsaddle/rhubarbsaddle/report/burn"
+)
+
+// eventsPath is where the operators' listener of a daemon serves its log.
+const eventsPath = "/events"
+
+// errNoEvents is the cause when a command is not told where events are.
+var errNoEvents = errors.New("name event logs with --data FILE, or daemons with --from URL")
+
+func reportCommand() *cli.Command {
+	return &cli.Command{
+		Name:     "report",
+		Usage:    "report on the service-level objectives",
+		Commands: []*cli.Command{burnCommand()},
+	}
+}
+
+func burnCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "burn",
+		Usage: "report how fast the error budgets are used up",
+		Description: "Examples:\n" +
+			"  rhubarbsaddle report burn --config examples/bancarella --data events.jsonl\n" +
+			"  rhubarbsaddle report burn --config examples/bancarella --from http://127.0.0.1:9100 --html burn.html",
+		Flags: append(eventFlags(),
+			&cli.StringFlag{Name: "config", Usage: "`DIR` of the configuration with the objectives", Required: true},
+			&cli.DurationFlag{Name: "period", Usage: "period of the error budgets; the windows scale with it", Value: burn.DefaultPeriod},
+			&cli.TimestampFlag{
+				Name:   "end",
+				Usage:  "end of the report; the last event if not given",
+				Config: cli.TimestampConfig{Layouts: []string{time.RFC3339}},
+			},
+			&cli.BoolFlag{Name: "json", Usage: "write JSON instead of a table"},
+			&cli.StringFlag{Name: "html", Usage: "also write a page to `FILE`"},
+		),
+		Action: runBurn,
+	}
+}
+
+// eventFlags returns the flags that say where events are read.
+func eventFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringSliceFlag{Name: "data", Usage: "read the event log in `FILE`; may be repeated"},
+		&cli.StringSliceFlag{Name: "from", Usage: "read the event log of the daemon at `URL`; may be repeated"},
+	}
+}
+
+// readEvents reads all event logs that the flags name.
+func readEvents(ctx context.Context, cmd *cli.Command, fn func(observe.Line)) error {
+	files, urls := cmd.StringSlice("data"), cmd.StringSlice("from")
+	if len(files)+len(urls) == 0 {
+		return &UsageError{Err: errNoEvents}
+	}
+	for _, path := range files {
+		if err := observe.ReadFile(path, fn); err != nil {
+			return err
+		}
+	}
+	for _, url := range urls {
+		if err := observe.Fetch(ctx, url+eventsPath, fn); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func runBurn(ctx context.Context, cmd *cli.Command) error {
+	set, err := loadSet(cmd.String("config"))
+	if err != nil {
+		return err
+	}
+	var observations []observe.Observation
+	err = readEvents(ctx, cmd, func(l observe.Line) {
+		if l.Observation != nil {
+			observations = append(observations, *l.Observation)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	report := burn.New(set, observations, burn.Options{Period: cmd.Duration("period"), End: cmd.Timestamp("end")})
+	if path := cmd.String("html"); path != "" {
+		if err := writeFile(path, report.WriteHTML); err != nil {
+			return err
+		}
+	}
+	if cmd.Bool("json") {
+		return report.WriteJSON(cmd.Root().Writer)
+	}
+	return report.WriteTable(cmd.Root().Writer)
+}
+
+// writeFile writes a file through fn.
+func writeFile(path string, fn func(w io.Writer) error) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	if err := fn(file); err != nil {
+		return errors.Join(fmt.Errorf("write report %s: %w", path, err), file.Close())
+	}
+	return file.Close()
+}
