--- /dev/null
+++ b/cli/apply.go
@@ -0,0 +1,52 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/config/load"
+	"github.com/rhubarbsaddle/rhubarbsaddle/config/publish"
+)
+
+func applyCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "apply",
+		Usage:       "put a set of configuration files in force as a whole",
+		ArgsUsage:   "DIR",
+		Description: "Example:\n  rhubarbsaddle apply --store 10.0.0.2:2379 examples/bancarella",
+		Flags:       append(storeFlags(), &cli.StringFlag{Name: "by", Usage: "who applies, for the history"}),
+		Action:      runApply,
+	}
+}
+
+func runApply(ctx context.Context, cmd *cli.Command) error {
+	dir, err := oneArgument(cmd, "DIR")
+	if err != nil {
+		return err
+	}
+	set, err := loadSet(dir)
+	if err != nil {
+		return err
+	}
+	store, err := openStore(cmd)
+	if err != nil {
+		return err
+	}
+	result, err := publish.Apply(ctx, store, set, operatorName(cmd))
+	var faults load.Errors
+	if errors.As(err, &faults) {
+		return &UsageError{Err: err}
+	}
+	if err != nil {
+		return err
+	}
+	verb := "applied"
+	if result.Unchanged {
+		verb = "unchanged,"
+	}
+	fmt.Fprintf(cmd.Root().Writer, "%s generation %d digest %.12s\n", verb, result.Head.Generation, result.Head.Digest)
+	return nil
+}
--- /dev/null
+++ b/cli/store.go
@@ -0,0 +1,59 @@
+package cli
+
+import (
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/config/publish"
+	"github.com/rhubarbsaddle/rhubarbsaddle/platform/etcdjson"
+)
+
+// defaultStorePrefix begins the keys of a deployment unless --prefix is given.
+const defaultStorePrefix = "rhubarbsaddle/"
+
+// storeTimeout bounds one call of the key-value service.
+const storeTimeout = 5 * time.Second
+
+// storeFlags are the flags of the commands that use the key-value service.
+func storeFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringSliceFlag{
+			Name:     "store",
+			Usage:    "address of the key-value service, IP:PORT; may be repeated",
+			Sources:  cli.EnvVars("RHUBARBSADDLE_STORE"),
+			Required: true,
+		},
+		&cli.StringFlag{
+			Name:    "prefix",
+			Usage:   "prefix of the deployment's keys",
+			Sources: cli.EnvVars("RHUBARBSADDLE_PREFIX"),
+			Value:   defaultStorePrefix,
+		},
+	}
+}
+
+// openStore returns a client of the key-value service that the flags name.
+func openStore(cmd *cli.Command) (publish.Store, error) {
+	client, err := etcdjson.New(etcdjson.Options{
+		Endpoints: cmd.StringSlice("store"),
+		Prefix:    cmd.String("prefix"),
+		Timeout:   storeTimeout,
+	})
+	if err != nil {
+		return nil, &UsageError{Err: err}
+	}
+	return publish.Over(client), nil
+}
+
+// operatorName returns who runs the command, for the history.
+func operatorName(cmd *cli.Command) string {
+	if by := cmd.String("by"); by != "" {
+		return by
+	}
+	if user := os.Getenv("USER"); user != "" {
+		return user
+	}
+	return "unknown"
+}
