--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -49,9 +48,10 @@
 }
 
 func TestApplyDiffHistory(t *testing.T) {
-	server := httptest.NewServer(kv.NewServer(kv.Options{}))
+	server := kv.NewServer(kv.Options{})
+	at, err := server.Start("127.0.0.1:0")
+	require.NoError(t, err)
 	defer server.Close()
-	at := strings.TrimPrefix(server.URL, "http://")
 
 	code, out := run("apply", "--store", at, "--by", "anna", example)
 	require.Equal(t, ExitOK, code, out)
