front: callers' side over HTTP

Cause: callers use existing clients of the chat completions API. Change: chat, models, end of program, services under prefixes; program claims in headers or metadata; accounts by key digest; typed refusals; the end of an answer held back until the call is recorded.

--- /dev/null
+++ b/front/account.go
@@ -0,0 +1,78 @@
+package front
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"sync/atomic"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/config"
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+)
+
+// keyring finds accounts by their keys. It is built once for each set.
+type keyring struct {
+	set      *config.Set
+	accounts map[[sha256.Size]byte]*config.Account
+}
+
+func newKeyring(set *config.Set) *keyring {
+	k := &keyring{set: set, accounts: make(map[[sha256.Size]byte]*config.Account)}
+	for i := range set.Accounts {
+		raw, err := hex.DecodeString(set.Accounts[i].KeySHA256)
+		if err != nil || len(raw) != sha256.Size {
+			continue
+		}
+		k.accounts[[sha256.Size]byte(raw)] = &set.Accounts[i]
+	}
+	return k
+}
+
+// find returns the account of a key, or nil. The lookup goes by the key's
+// digest, so that its time tells nothing about the key, and the digests are
+// compared in constant time.
+func (k *keyring) find(key string) *config.Account {
+	digest := sha256.Sum256([]byte(key))
+	account := k.accounts[digest]
+	if account == nil {
+		return nil
+	}
+	want, err := hex.DecodeString(account.KeySHA256)
+	if err != nil || subtle.ConstantTimeCompare(want, digest[:]) != 1 {
+		return nil
+	}
+	return account
+}
+
+// keyrings holds the keyring of the set in force.
+type keyrings struct{ current atomic.Pointer[keyring] }
+
+func (k *keyrings) of(set *config.Set) *keyring {
+	if ring := k.current.Load(); ring != nil && ring.set == set {
+		return ring
+	}
+	ring := newKeyring(set)
+	k.current.Store(ring)
+	return ring
+}
+
+// authenticate returns the set in force and the account of a request.
+func (s *Server) authenticate(r *http.Request) (*config.Set, *config.Account, *Refusal) {
+	set := s.options.Exchange.Config()
+	if set == nil {
+		refusal := refusef("authenticate", reasonNoConfig, "no configuration is in force yet")
+		refusal.retryAfter = core.Second
+		return nil, nil, refusal
+	}
+	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") || key == "" {
+		return nil, nil, refusef("authenticate", core.ReasonUnauthorized, "the request has no bearer key")
+	}
+	account := s.keys.of(set).find(strings.TrimSpace(key))
+	if account == nil {
+		return nil, nil, refusef("authenticate", core.ReasonUnauthorized, "the key belongs to no account")
+	}
+	return set, account, nil
+}
--- a/chat/event.go
+++ b/front/event.go
@@ -1,26 +1,32 @@
-package chat
+package front
 
 import "bytes"
 
 var (
 	dataPrefix = []byte("data:")
-	eventEnd   = []byte("\n\n")
+	doneData   = []byte("[DONE]")
+	// eventEnds are the blank lines that end a server-sent event.
+	eventEnds = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
 )
 
-// CutEvent cuts the first whole event of a stream of server-sent events. It
+// cutEvent cuts the first whole event of a stream of server-sent events. It
 // returns the event with its end, and what follows; ok is false if no event is
 // whole yet.
-func CutEvent(b []byte) (event, rest []byte, ok bool) {
-	i := bytes.Index(b, eventEnd)
-	if i < 0 {
+func cutEvent(b []byte) (event, rest []byte, ok bool) {
+	end := -1
+	for _, mark := range eventEnds {
+		if i := bytes.Index(b, mark); i >= 0 && (end < 0 || i+len(mark) < end) {
+			end = i + len(mark)
+		}
+	}
+	if end < 0 {
 		return nil, b, false
 	}
-	n := i + len(eventEnd)
-	return b[:n], b[n:], true
+	return b[:end], b[end:], true
 }
 
-// EventData returns the data of an event, or nil if it has none.
-func EventData(event []byte) []byte {
+// eventData returns the data of an event, or nil if it has none.
+func eventData(event []byte) []byte {
 	for line := range bytes.Lines(event) {
 		if data, ok := bytes.CutPrefix(line, dataPrefix); ok {
 			return bytes.TrimSpace(data)
@@ -38,10 +44,10 @@
 	[]byte(`"usage": {`),
 }
 
-// EndsAnswer reports whether an event belongs to the end of a streamed answer,
+// endsAnswer reports whether an event belongs to the end of a streamed answer,
 // by which a client takes the answer for whole.
-func EndsAnswer(event []byte) bool {
-	if bytes.Equal(EventData(event), []byte(doneData)) {
+func endsAnswer(event []byte) bool {
+	if bytes.Equal(eventData(event), doneData) {
 		return true
 	}
 	for _, mark := range endMarks {
--- /dev/null
+++ b/front/program.go
@@ -0,0 +1,139 @@
+package front
+
+import (
+	"net/http"
+	"regexp"
+	"slices"
+	"strconv"
+
+	"github.com/google/uuid"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/config"
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+)
+
+// Headers by which a caller names the program of a call. A chat request may
+// give the same values in its metadata, under the names of metadataKeys.
+const (
+	HeaderProgram     = "Rhubarbsaddle-Program"
+	HeaderParent      = "Rhubarbsaddle-Parent"
+	HeaderProgramKind = "Rhubarbsaddle-Program-Kind"
+	HeaderSeq         = "Rhubarbsaddle-Seq"
+	HeaderBudget      = "Rhubarbsaddle-Budget"
+	HeaderHistory     = "Rhubarbsaddle-History"
+	HeaderKey         = "Idempotency-Key"
+)
+
+// historyReset is the value of HeaderHistory that accepts a conversation that
+// does not extend the recorded one.
+const historyReset = "reset"
+
+var metadataKeys = map[string]string{
+	HeaderProgram:     "rhubarbsaddle_program",
+	HeaderParent:      "rhubarbsaddle_parent",
+	HeaderProgramKind: "rhubarbsaddle_program_kind",
+	HeaderSeq:         "rhubarbsaddle_seq",
+	HeaderBudget:      "rhubarbsaddle_budget",
+	HeaderHistory:     "rhubarbsaddle_history",
+}
+
+const (
+	maxKeyBytes = 255
+	// lonePrefix begins the ids of programs that consist of one call.
+	lonePrefix = "call."
+)
+
+// programID matches a program id: names of at most 128 characters, parted by
+// slashes.
+var programID = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}(/[A-Za-z0-9][A-Za-z0-9._-]{0,127}){0,15}$`)
+
+// claim is what a request says about its program.
+type claim struct {
+	program string
+	kind    string
+	seq     uint64
+	budget  uint64
+	reset   bool
+	key     string
+}
+
+// readClaim reads the headers, and metadata where a header is absent.
+func readClaim(h http.Header, metadata map[string]string) (*claim, *Refusal) {
+	get := func(name string) string {
+		if v := h.Get(name); v != "" {
+			return v
+		}
+		return metadata[metadataKeys[name]]
+	}
+	c := &claim{program: get(HeaderProgram), kind: get(HeaderProgramKind), key: h.Get(HeaderKey)}
+	if parent := get(HeaderParent); parent != "" && c.program != "" {
+		c.program = parent + "/" + c.program
+	}
+	if c.program != "" && !programID.MatchString(c.program) {
+		return nil, refusef("read headers", reasonInvalid, "%s: %q is no program id", HeaderProgram, c.program)
+	}
+	if len(c.key) > maxKeyBytes {
+		return nil, refusef("read headers", reasonInvalid, "%s is longer than %d bytes", HeaderKey, maxKeyBytes)
+	}
+	var refusal *Refusal
+	if c.seq, refusal = readNumber(HeaderSeq, get(HeaderSeq)); refusal != nil {
+		return nil, refusal
+	}
+	if c.budget, refusal = readNumber(HeaderBudget, get(HeaderBudget)); refusal != nil {
+		return nil, refusal
+	}
+	switch v := get(HeaderHistory); v {
+	case "":
+	case historyReset:
+		c.reset = true
+	default:
+		return nil, refusef("read headers", reasonInvalid, "%s: %q is not %q", HeaderHistory, v, historyReset)
+	}
+	return c, nil
+}
+
+func readNumber(name, value string) (uint64, *Refusal) {
+	if value == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(value, 10, 63)
+	if err != nil {
+		return 0, refusef("read headers", reasonInvalid, "%s: %q is no number", name, value)
+	}
+	return n, nil
+}
+
+// scope returns the program id within its account, so that the programs of two
+// accounts never meet. Without an id the call makes up a program of its own.
+func (c *claim) scope(account *config.Account) core.ProgramID {
+	name := c.program
+	if name == "" {
+		key := c.key
+		if key == "" {
+			key = uuid.NewString()
+		}
+		name = lonePrefix + key
+	}
+	return core.ProgramID(account.Name + ":" + name)
+}
+
+// kindFor returns the program kind of a call to a pool. A request that names no
+// kind gets the account's first kind that may use the pool.
+func (c *claim) kindFor(set *config.Set, account *config.Account, pool string) (string, *Refusal) {
+	if c.kind == "" {
+		for _, name := range account.Programs {
+			if kind := set.ProgramKind(name); kind != nil && slices.Contains(kind.Pools, pool) {
+				return name, nil
+			}
+		}
+		return "", refusef("choose pool", reasonForbidden, "no program of account %s may use pool %s", account.Name, pool)
+	}
+	kind := set.ProgramKind(c.kind)
+	switch {
+	case kind == nil || !slices.Contains(account.Programs, c.kind):
+		return "", refusef("choose pool", reasonForbidden, "account %s has no program kind %q", account.Name, c.kind)
+	case !slices.Contains(kind.Pools, pool):
+		return "", refusef("choose pool", reasonForbidden, "program kind %s may not use pool %s", c.kind, pool)
+	}
+	return c.kind, nil
+}
