daemon/node: shared shell of entries and sidecars

Cause: both roles need a life, peers, platform, configuration and operators' port. Change: listening socket as lock, reducer loop, VM list, watches, metrics, status.

--- /dev/null
+++ b/daemon/node/follow.go
@@ -0,0 +1,141 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+)
+
+const (
+	// defaultVMPeriod is the time between two readings of the VM list.
+	defaultVMPeriod = time.Second
+	// configPeriod is the time between two readings of the configuration's head.
+	configPeriod = 2 * time.Second
+	// retryPause is the wait after a failed call of the platform.
+	retryPause = 500 * time.Millisecond
+)
+
+// follow starts to read what the platform tells.
+func (n *Node) follow() {
+	n.goRun(n.followVMs)
+	n.goRun(n.followConfig)
+	for _, prefix := range n.options.Watch {
+		n.goRun(func() { n.followStore(prefix) })
+	}
+}
+
+// followVMs posts every reading of the VM list and keeps the peers' addresses.
+func (n *Node) followVMs() {
+	period := time.Duration(n.options.Settings.VMList.Period)
+	if period == 0 {
+		period = defaultVMPeriod
+	}
+	listed := map[core.VM]bool{}
+	for {
+		ctx, cancel := n.storeContext()
+		vms, err := n.options.VMs.List(ctx)
+		cancel()
+		if err != nil {
+			n.log.Warn().Str("step", "vm list").Err(err).Msg("the VM list cannot be read")
+		} else {
+			listed = n.readVMs(vms, listed)
+		}
+		if !n.sleep(period) {
+			return
+		}
+	}
+}
+
+// readVMs posts one reading. It returns the VMs listed.
+func (n *Node) readVMs(vms []core.VMInfo, before map[core.VM]bool) map[core.VM]bool {
+	listed := make(map[core.VM]bool, len(vms))
+	for _, vm := range vms {
+		listed[vm.VM] = true
+		n.mesh.SetAddress(vm.VM, vm.Addr)
+	}
+	for vm := range before {
+		if !listed[vm] {
+			n.mesh.Forget(vm)
+		}
+	}
+	n.Post(core.VMList{VMs: vms})
+	return listed
+}
+
+// followConfig posts every new generation of the configuration.
+func (n *Node) followConfig() {
+	for {
+		n.readConfig()
+		if !n.sleep(configPeriod) {
+			return
+		}
+	}
+}
+
+func (n *Node) readConfig() {
+	ctx, cancel := n.storeContext()
+	defer cancel()
+	applied, err := n.options.Config.Read(ctx, n.Generation())
+	if err != nil {
+		n.log.Warn().Str("step", "read configuration").Err(err).Msg("the configuration cannot be read")
+		return
+	}
+	n.Apply(applied)
+}
+
+// Apply puts a configuration in force unless an equal or later one is.
+func (n *Node) Apply(applied *Applied) {
+	for applied != nil {
+		current := n.applied.Load()
+		if current != nil && applied.Generation <= current.Generation {
+			return
+		}
+		if !n.applied.CompareAndSwap(current, applied) {
+			continue
+		}
+		n.log.Info().Str("step", "apply").Uint64("generation", applied.Generation).Msg("configuration in force")
+		n.Post(core.ConfigApplied{Generation: applied.Generation, Set: applied.Set})
+		return
+	}
+}
+
+// followStore posts the changes of the keys with a prefix. After a break it
+// reads all of them, since changes may have been missed.
+func (n *Node) followStore(prefix string) {
+	for {
+		err := n.watchOnce(prefix)
+		if n.ctx.Err() != nil {
+			return
+		}
+		n.log.Warn().Str("step", "watch").Str("prefix", prefix).Err(err).Msg("the watch broke")
+		if !n.sleep(retryPause) {
+			return
+		}
+	}
+}
+
+func (n *Node) watchOnce(prefix string) error {
+	ctx, cancel := context.WithCancel(n.ctx)
+	defer cancel()
+	readCtx, cancelRead := n.storeContext()
+	entries, err := n.options.Store.Range(readCtx, prefix)
+	cancelRead()
+	if err != nil {
+		return err
+	}
+	n.watched(entries)
+	return n.options.Store.Watch(ctx, prefix, n.watched)
+}
+
+func (n *Node) watched(entries []core.StoreEntry) {
+	if len(entries) == 0 {
+		return
+	}
+	n.Post(core.StoreWatch{Entries: entries})
+	for _, e := range entries {
+		if e.Key == core.ConfigHeadKey {
+			n.goRun(n.readConfig)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/node/serve.go
@@ -0,0 +1,190 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/invariant"
+	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/peer"
+)
+
+const (
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 10 * time.Second
+	// statusTimeout bounds the wait for the reducer's state.
+	statusTimeout = 2 * time.Second
+	// pingTimeout and pingAfter find peers' connections that have gone silent.
+	pingAfter   = 5 * time.Second
+	pingTimeout = 2 * time.Second
+	// maxStreams bounds the answers read over one connection.
+	maxStreams = 10000
+)
+
+// servePeers serves the peer protocol on the listener that makes this life.
+func (n *Node) servePeers(listener net.Listener) {
+	handler := &peer.Handler{
+		Self:    n.Self,
+		Receive: func(from core.Node, msg core.Message) { n.Post(core.Recv{From: from, Msg: msg}) },
+		Learn:   n.mesh.SetAddress,
+		Answers: n.options.Answers,
+	}
+	mux := http.NewServeMux()
+	mux.Handle(handler.HTTP())
+	server := &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: headerTimeout,
+		Protocols:         new(http.Protocols),
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams,
+			SendPingTimeout:      pingAfter,
+			PingTimeout:          pingTimeout,
+		},
+	}
+	server.Protocols.SetUnencryptedHTTP2(true)
+	if n.tls != nil {
+		server.Protocols.SetHTTP2(true)
+		server.TLSConfig = n.tls.Server(true)
+	}
+	n.Serve(server, listener, "peers")
+}
+
+// Serve serves on a listener until the node closes.
+func (n *Node) Serve(server *http.Server, listener net.Listener, name string) {
+	n.servers = append(n.servers, server)
+	n.goRun(func() {
+		var err error
+		if server.TLSConfig != nil {
+			err = server.ServeTLS(listener, "", "")
+		} else {
+			err = server.Serve(listener)
+		}
+		if err != nil && !errors.Is(err, http.ErrServerClosed) {
+			n.fail(&StepError{Step: "serve", Peer: name, Err: err})
+		}
+	})
+}
+
+// serveOperators serves the operators' port, if the settings have one.
+func (n *Node) serveOperators() error {
+	addr := n.options.Settings.Listen.Operators
+	if addr == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return &StepError{Step: "listen", Peer: addr, Err: err}
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /status", n.serveStatus)
+	mux.HandleFunc("GET /healthz", n.serveHealth)
+	mux.HandleFunc("POST /drain", n.serveDrain)
+	mux.Handle("GET /metrics", promhttp.HandlerFor(n.Metrics.registry, promhttp.HandlerOpts{}))
+	n.Serve(&http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       headerTimeout,
+		WriteTimeout:      headerTimeout,
+	}, listener, "operators")
+	return nil
+}
+
+// Status is the state of a node as GET /status shows it.
+type Status struct {
+	VM          string          `json:"vm"`
+	Incarnation uint64          `json:"incarnation"`
+	Role        string          `json:"role"`
+	Domain      string          `json:"domain"`
+	Generation  uint64          `json:"generation"`
+	Uptime      string          `json:"uptime"`
+	Promises    []PromiseStatus `json:"promises"`
+	Violations  []string        `json:"violations,omitempty"`
+	Messages    MessageStatus   `json:"messages"`
+	State       json.RawMessage `json:"state"`
+}
+
+// PromiseStatus counts the checks of one promise.
+type PromiseStatus struct {
+	Promise    string `json:"promise"`
+	Checks     uint64 `json:"checks"`
+	Violations uint64 `json:"violations"`
+}
+
+// MessageStatus counts the messages to peers.
+type MessageStatus struct {
+	Sent    uint64 `json:"sent"`
+	Dropped uint64 `json:"dropped"`
+}
+
+// Status returns the present state.
+func (n *Node) Status(ctx context.Context) (*Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	var state []byte
+	var failed error
+	err := n.loop.Look(ctx, func() { state, failed = json.Marshal(n.options.Status()) })
+	if err != nil || failed != nil {
+		return nil, &StepError{Step: "read state of", Peer: n.Self.String(), Err: errors.Join(err, failed)}
+	}
+	now := n.Clock.Now()
+	s := &Status{
+		VM:          string(n.Self.VM),
+		Incarnation: uint64(n.Self.Inc),
+		Role:        n.options.Settings.Role,
+		Domain:      n.options.Settings.Domain,
+		Generation:  n.Generation(),
+		Uptime:      time.Duration(now.Sub(core.Instant(n.Self.Inc))).Round(time.Second).String(),
+		Violations:  n.Invariants.Texts(),
+		Messages: MessageStatus{
+			Sent:    n.mesh.Stats().Sent.Load(),
+			Dropped: n.mesh.Stats().Dropped.Load(),
+		},
+		State: state,
+	}
+	for p := range invariant.Count {
+		s.Promises = append(s.Promises, PromiseStatus{
+			Promise:    p.String(),
+			Checks:     n.Invariants.Checks(p),
+			Violations: n.Invariants.Violations(p),
+		})
+	}
+	return s, nil
+}
+
+func (n *Node) serveStatus(w http.ResponseWriter, r *http.Request) {
+	status, err := n.Status(r.Context())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// The operator is gone if the write fails.
+	_ = json.NewEncoder(w).Encode(status)
+}
+
+// serveHealth answers 200 while the reducer takes events and a configuration
+// is in force.
+func (n *Node) serveHealth(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), statusTimeout)
+	defer cancel()
+	if err := n.loop.Look(ctx, func() {}); err != nil {
+		http.Error(w, "the reducer takes no events", http.StatusServiceUnavailable)
+		return
+	}
+	if n.Config() == nil {
+		http.Error(w, "no configuration is in force", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (n *Node) serveDrain(w http.ResponseWriter, _ *http.Request) {
+	n.Drain()
+	w.WriteHeader(http.StatusAccepted)
+}
