--- a/rpc/wire/decode.go
+++ b/rpc/wire/decode.go
@@ -115,6 +115,7 @@
 		Programs:    toPrograms(p.GetPrograms()),
 		Escrows:     toEscrows(p.GetEscrows()),
 		NextAttempt: p.GetNextAttempt(),
+		At:          core.Instant(p.GetAt()),
 	}
 	for _, id := range p.GetRemoved() {
 		m.Removed = append(m.Removed, core.ProgramID(id))
--- a/rpc/wire/encode.go
+++ b/rpc/wire/encode.go
@@ -105,6 +105,7 @@
 		Programs:    fromPrograms(m.Programs),
 		Escrows:     fromEscrows(m.Escrows),
 		NextAttempt: m.NextAttempt,
+		At:          int64(m.At),
 	}
 	for _, id := range m.Removed {
 		p.Removed = append(p.Removed, string(id))
--- a/rpc/wire/id.go
+++ b/rpc/wire/id.go
@@ -10,6 +10,11 @@
 	if n == (core.Node{}) {
 		return nil
 	}
+	return encodeNode(n)
+}
+
+// encodeNode returns the wire form of a node in a list, where nil is no value.
+func encodeNode(n core.Node) *peerpb.Node {
 	return &peerpb.Node{Vm: string(n.VM), Inc: uint64(n.Inc)}
 }
 
@@ -43,6 +48,9 @@
 }
 
 func fromRequest(r core.RequestID) *peerpb.RequestID {
+	if r == (core.RequestID{}) {
+		return nil
+	}
 	return &peerpb.RequestID{Edge: FromNode(r.Edge), N: r.N}
 }
 
--- a/rpc/wire/record.go
+++ b/rpc/wire/record.go
@@ -19,6 +19,7 @@
 		Reserved:      r.Reserved,
 		Finish:        fromFinish(&r.Finish),
 		DoneAt:        int64(r.DoneAt),
+		Req:           fromRequest(r.Req),
 	}
 }
 
@@ -36,6 +37,7 @@
 		Reserved:      p.GetReserved(),
 		Finish:        toFinish(p.GetFinish()),
 		DoneAt:        core.Instant(p.GetDoneAt()),
+		Req:           toRequest(p.GetReq()),
 	}
 }
 
@@ -57,6 +59,9 @@
 		Active:        int64(q.Active),
 		Ended:         q.Ended,
 	}
+	for _, node := range q.Served {
+		p.Served = append(p.Served, encodeNode(node))
+	}
 	for i := range q.Calls {
 		p.Calls = append(p.Calls, fromRecord(&q.Calls[i]))
 	}
@@ -81,6 +86,9 @@
 		Active:        core.Instant(p.GetActive()),
 		Ended:         p.GetEnded(),
 	}
+	for _, node := range p.GetServed() {
+		q.Served = append(q.Served, ToNode(node))
+	}
 	for _, r := range p.GetCalls() {
 		q.Calls = append(q.Calls, toRecord(r))
 	}
