--- a/daemon/node/follow.go
+++ b/daemon/node/follow.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/config"
+	"github.com/rhubarbsaddle/rhubarbsaddle/config/publish"
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 )
 
@@ -73,20 +75,25 @@
 	}
 }
 
+// readConfig reads the applied configuration and puts it in force.
 func (n *Node) readConfig() {
 	ctx, cancel := n.storeContext()
 	defer cancel()
-	applied, err := n.options.Config.Read(ctx, n.Generation())
+	head, _, err := publish.ReadHead(ctx, n.options.Store)
+	if err == nil && head.Generation > n.Generation() {
+		var set *config.Set
+		if set, err = publish.ReadSet(ctx, n.options.Store, head); err == nil {
+			n.Apply(&Applied{Generation: head.Generation, Set: set})
+		}
+	}
 	if err != nil {
 		n.log.Warn().Str("step", "read configuration").Err(err).Msg("the configuration cannot be read")
-		return
 	}
-	n.Apply(applied)
 }
 
 // Apply puts a configuration in force unless an equal or later one is.
 func (n *Node) Apply(applied *Applied) {
-	for applied != nil {
+	for {
 		current := n.applied.Load()
 		if current != nil && applied.Generation <= current.Generation {
 			return
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -39,7 +39,6 @@
 	Settings config.Node
 	Store    Store
 	VMs      VMs
-	Config   ConfigSource
 	Log      *log.Logger
 	// Tick is the period of the reducer's ticks; zero means loop.DefaultTick.
 	Tick time.Duration
--- a/daemon/node/ports.go
+++ b/daemon/node/ports.go
@@ -31,9 +31,3 @@
 	Generation uint64
 	Set        *config.Set
 }
-
-// ConfigSource reads the applied configuration. It returns nil if none was
-// applied yet, or if the generation is not above known.
-type ConfigSource interface {
-	Read(ctx context.Context, known uint64) (*Applied, error)
-}
