--- a/front/event.go
+++ b/chat/event.go
@@ -1,18 +1,17 @@
-package front
+package chat
 
 import "bytes"
 
 var (
 	dataPrefix = []byte("data:")
-	doneData   = []byte("[DONE]")
-	// eventEnds are the blank lines that end a server-sent event.
+	// eventEnds are the blank lines that end an event.
 	eventEnds = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
 )
 
-// cutEvent cuts the first whole event of a stream of server-sent events. It
+// CutEvent cuts the first whole event of a stream of server-sent events. It
 // returns the event with its end, and what follows; ok is false if no event is
 // whole yet.
-func cutEvent(b []byte) (event, rest []byte, ok bool) {
+func CutEvent(b []byte) (event, rest []byte, ok bool) {
 	end := -1
 	for _, mark := range eventEnds {
 		if i := bytes.Index(b, mark); i >= 0 && (end < 0 || i+len(mark) < end) {
@@ -25,8 +24,8 @@
 	return b[:end], b[end:], true
 }
 
-// eventData returns the data of an event, or nil if it has none.
-func eventData(event []byte) []byte {
+// EventData returns the data of an event, or nil if it has none.
+func EventData(event []byte) []byte {
 	for line := range bytes.Lines(event) {
 		if data, ok := bytes.CutPrefix(line, dataPrefix); ok {
 			return bytes.TrimSpace(data)
@@ -44,10 +43,10 @@
 	[]byte(`"usage": {`),
 }
 
-// endsAnswer reports whether an event belongs to the end of a streamed answer,
+// EndsAnswer reports whether an event belongs to the end of a streamed answer,
 // by which a client takes the answer for whole.
-func endsAnswer(event []byte) bool {
-	if bytes.Equal(eventData(event), doneData) {
+func EndsAnswer(event []byte) bool {
+	if bytes.Equal(EventData(event), []byte(doneData)) {
 		return true
 	}
 	for _, mark := range endMarks {
--- /dev/null
+++ b/chat/request.go
@@ -0,0 +1,129 @@
+package chat
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+)
+
+// Request is the part of a chat completions request that scheduling needs.
+type Request struct {
+	Model               string            `json:"model"`
+	Messages            []Message         `json:"messages"`
+	Stream              bool              `json:"stream"`
+	MaxTokens           *uint32           `json:"max_tokens"`
+	MaxCompletionTokens *uint32           `json:"max_completion_tokens"`
+	Choices             *uint32           `json:"n"`
+	Metadata            map[string]string `json:"metadata"`
+}
+
+// Message is one message of a conversation.
+type Message struct {
+	Role       string          `json:"role"`
+	Content    json.RawMessage `json:"content"`
+	ToolCalls  []ToolCall      `json:"tool_calls"`
+	ToolCallID string          `json:"tool_call_id"`
+}
+
+// ToolCall is a call of a tool that the model asked for.
+type ToolCall struct {
+	Index    int    `json:"index"`
+	ID       string `json:"id"`
+	Function struct {
+		Name      string `json:"name"`
+		Arguments string `json:"arguments"`
+	} `json:"function"`
+}
+
+// RequestError reports a request body that cannot be used.
+type RequestError struct {
+	// Field is the field at fault, or "body".
+	Field string
+	Err   error
+}
+
+// Error returns the field and the cause.
+func (e *RequestError) Error() string { return fmt.Sprintf("%s: %v", e.Field, e.Err) }
+
+// Unwrap returns the cause.
+func (e *RequestError) Unwrap() error { return e.Err }
+
+// Parse reads the body of a chat completions request.
+func Parse(body []byte) (*Request, error) {
+	var r Request
+	if err := json.Unmarshal(body, &r); err != nil {
+		return nil, &RequestError{Field: "body", Err: err}
+	}
+	if r.Model == "" {
+		return nil, &RequestError{Field: "model", Err: errors.New("is missing")}
+	}
+	if len(r.Messages) == 0 {
+		return nil, &RequestError{Field: "messages", Err: errors.New("is empty")}
+	}
+	if r.Choices != nil && *r.Choices != 1 {
+		return nil, &RequestError{Field: "n", Err: errors.New("must be 1: a program has one history")}
+	}
+	return &r, nil
+}
+
+// OutputLimit returns the most tokens that the request lets the model
+// generate, or fallback if the request sets no limit.
+func (r *Request) OutputLimit(fallback uint32) uint32 {
+	switch {
+	case r.MaxCompletionTokens != nil:
+		return *r.MaxCompletionTokens
+	case r.MaxTokens != nil:
+		return *r.MaxTokens
+	}
+	return fallback
+}
+
+// HasOutputLimit reports whether the request limits the tokens generated.
+func (r *Request) HasOutputLimit() bool {
+	return r.MaxTokens != nil || r.MaxCompletionTokens != nil
+}
+
+// WithOutputLimit returns body with max_tokens set, so that the target keeps
+// to the limit for which budget was reserved. Other fields stay as they are.
+func WithOutputLimit(body []byte, limit uint32) ([]byte, error) {
+	trimmed := bytes.TrimSpace(body)
+	if len(trimmed) < 2 || trimmed[0] != '{' {
+		return nil, &RequestError{Field: "body", Err: errors.New("is no JSON object")}
+	}
+	rest := bytes.TrimSpace(trimmed[1:])
+	separator := ","
+	if rest[0] == '}' {
+		separator = ""
+	}
+	head := fmt.Sprintf(`{"max_tokens":%d%s`, limit, separator)
+	return append([]byte(head), rest...), nil
+}
+
+// Text returns the text of a message's content. Parts that are no text, such as
+// images, count with their JSON form.
+func (m *Message) Text() string {
+	var s string
+	if json.Unmarshal(m.Content, &s) == nil {
+		return s
+	}
+	var parts []json.RawMessage
+	if json.Unmarshal(m.Content, &parts) != nil {
+		return string(m.Content)
+	}
+	var out bytes.Buffer
+	for _, raw := range parts {
+		var part struct {
+			Type string `json:"type"`
+			Text string `json:"text"`
+		}
+		if json.Unmarshal(raw, &part) == nil && part.Type == "text" {
+			out.WriteString(part.Text)
+			continue
+		}
+		if json.Compact(&out, raw) != nil {
+			out.Write(raw)
+		}
+	}
+	return out.String()
+}
--- a/front/chat.go
+++ b/front/chat.go
@@ -1,15 +1,12 @@
 package front
 
 import (
-	"bytes"
-	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/chat"
 	"github.com/rhubarbsaddle/rhubarbsaddle/config"
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
-	"github.com/rhubarbsaddle/rhubarbsaddle/engine/conversation"
 )
 
 const (
@@ -40,7 +37,7 @@
 	if refusal != nil {
 		return core.Call{}, refusal
 	}
-	req, err := conversation.ParseRequest(body)
+	req, err := chat.Parse(body)
 	if err != nil {
 		return core.Call{}, refusef("read request", reasonInvalid, "%v", err)
 	}
@@ -52,9 +49,10 @@
 	if refusal != nil {
 		return core.Call{}, refusal
 	}
-	if req.MaxTokens == 0 {
-		req.MaxTokens = defaultMaxTokens
-		body = withMaxTokens(body, defaultMaxTokens)
+	if !req.HasOutputLimit() {
+		if body, err = chat.WithOutputLimit(body, defaultMaxTokens); err != nil {
+			return core.Call{}, refusef("read request", reasonInvalid, "%v", err)
+		}
 	}
 	return core.Call{
 		Program:      claim.scope(account),
@@ -65,9 +63,9 @@
 		Pool:         core.Pool(pool.Name),
 		Key:          claim.key,
 		Stream:       req.Stream,
-		MaxTokens:    req.MaxTokens,
+		MaxTokens:    req.OutputLimit(defaultMaxTokens),
 		Budget:       claim.budget,
-		Blocks:       conversation.Chain(req.Messages),
+		Blocks:       chat.Blocks(req.Messages),
 		ResetHistory: claim.reset,
 		Timeout:      timeoutOf(pool.CallTimeout),
 		Method:       r.Method,
@@ -103,11 +101,3 @@
 	}
 	return d.Nanos()
 }
-
-// withMaxTokens returns the JSON object in body with max_tokens before its
-// other fields, so that the target keeps to what was reserved.
-func withMaxTokens(body []byte, limit uint32) []byte {
-	rest := bytes.TrimSpace(bytes.TrimSpace(body)[1:])
-	head := fmt.Appendf(nil, `{"max_tokens":%d,`, limit)
-	return slices.Concat(head, rest)
-}
--- a/front/response.go
+++ b/front/response.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/chat"
 	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/answer"
 )
 
@@ -75,11 +76,11 @@
 	}
 	n := 0
 	for !r.holding {
-		event, _, ok := cutEvent(r.pending[n:])
+		event, _, ok := chat.CutEvent(r.pending[n:])
 		if !ok {
 			break
 		}
-		if endsAnswer(event) {
+		if chat.EndsAnswer(event) {
 			r.holding = true
 			break
 		}
