--- a/chat/request.go
+++ b/chat/request.go
@@ -86,18 +86,19 @@
 
 // WithOutputLimit returns body with max_tokens set, so that the target keeps
 // to the limit for which budget was reserved. Other fields stay as they are.
+// The field goes last, because readers take the last of two equal names and
+// the body may hold a null one.
 func WithOutputLimit(body []byte, limit uint32) ([]byte, error) {
 	trimmed := bytes.TrimSpace(body)
-	if len(trimmed) < 2 || trimmed[0] != '{' {
+	if len(trimmed) < 2 || trimmed[0] != '{' || trimmed[len(trimmed)-1] != '}' {
 		return nil, &RequestError{Field: "body", Err: errors.New("is no JSON object")}
 	}
-	rest := bytes.TrimSpace(trimmed[1:])
+	fields := bytes.TrimSpace(trimmed[1 : len(trimmed)-1])
 	separator := ","
-	if rest[0] == '}' {
+	if len(fields) == 0 {
 		separator = ""
 	}
-	head := fmt.Sprintf(`{"max_tokens":%d%s`, limit, separator)
-	return append([]byte(head), rest...), nil
+	return fmt.Appendf(nil, `{%s%s"max_tokens":%d}`, fields, separator, limit), nil
 }
 
 // Text returns the text of a message's content. Parts that are no text, such as
--- /dev/null
+++ b/rpc/peer/peer_test.go
@@ -0,0 +1,179 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/peerpb"
+)
+
+const patience = 20 * time.Second
+
+// receiver is a served Handler that records what it gets.
+type receiver struct {
+	Handler
+	addr string
+
+	mu  sync.Mutex
+	got []core.Message
+}
+
+func serve(t *testing.T, self core.Node, answers Answers) *receiver {
+	r := &receiver{}
+	r.Handler = Handler{
+		Self:    self,
+		Receive: r.record,
+		Learn:   func(core.VM, string) {},
+		Answers: answers,
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	r.addr = listener.Addr().String()
+	mux := http.NewServeMux()
+	mux.Handle(r.HTTP())
+	server := &http.Server{Handler: mux, Protocols: new(http.Protocols)}
+	server.Protocols.SetUnencryptedHTTP2(true)
+	go server.Serve(listener)
+	t.Cleanup(func() { server.Close() })
+	return r
+}
+
+func (r *receiver) record(_ core.Node, msg core.Message) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.got = append(r.got, msg)
+}
+
+func (r *receiver) messages() []core.Message {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]core.Message(nil), r.got...)
+}
+
+func newTestMesh(t *testing.T) *Mesh {
+	m := NewMesh(Options{Self: core.Node{VM: "a", Inc: 1}, Addr: "127.0.0.1:1", CallTimeout: 200 * time.Millisecond})
+	t.Cleanup(m.Close)
+	return m
+}
+
+func withdraw(n uint64) core.Withdraw { return core.Withdraw{Req: core.RequestID{N: n}} }
+
+func TestMessagesReachOnlyTheirIncarnation(t *testing.T) {
+	self := core.Node{VM: "b", Inc: 7}
+	r := serve(t, self, nil)
+	m := newTestMesh(t)
+	m.SetAddress("b", r.addr)
+	m.Send(core.Node{VM: "b", Inc: 6}, withdraw(1))
+	m.Send(core.Node{VM: "b", Inc: 7}, withdraw(2))
+	m.Send(core.Node{VM: "b", Inc: 0}, withdraw(3))
+	m.Send(core.Node{VM: "unknown"}, withdraw(4))
+	require.Eventually(t, func() bool { return len(r.messages()) == 2 }, patience, time.Millisecond)
+	require.Equal(t, []core.Message{withdraw(2), withdraw(3)}, r.messages())
+	require.EqualValues(t, 1, m.Stats().Dropped.Load())
+}
+
+func TestBurstArrivesInOrder(t *testing.T) {
+	r := serve(t, core.Node{VM: "b", Inc: 7}, nil)
+	m := newTestMesh(t)
+	m.SetAddress("b", r.addr)
+	const n = 2000
+	for i := range uint64(n) {
+		m.Send(core.Node{VM: "b"}, withdraw(i))
+	}
+	require.Eventually(t, func() bool { return len(r.messages()) == n }, patience, time.Millisecond)
+	for i, msg := range r.messages() {
+		require.Equal(t, withdraw(uint64(i)), msg)
+	}
+}
+
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	r := serve(t, core.Node{VM: "b", Inc: 7}, nil)
+	between := newRelay(t, r.addr)
+	m := newTestMesh(t)
+	m.SetAddress("b", between.addr())
+	m.Send(core.Node{VM: "b"}, withdraw(1))
+	require.Eventually(t, func() bool { return len(r.messages()) == 1 }, patience, time.Millisecond)
+	between.silence()
+	m.Send(core.Node{VM: "b"}, withdraw(2))
+	require.Eventually(t, func() bool { return len(r.messages()) == 2 }, patience, time.Millisecond)
+	require.EqualValues(t, 2, between.accepted.Load())
+}
+
+// slowAnswer sends a byte at a time, and stalls at stall until go on.
+type slowAnswer struct {
+	data  []byte
+	stall uint64
+	goOn  chan struct{}
+}
+
+func (s *slowAnswer) Serve(ctx context.Context, _ core.AttemptID, offset uint64, send func(*peerpb.AttachResponse) error) error {
+	for i := offset; i < uint64(len(s.data)); i++ {
+		for i == s.stall {
+			select {
+			case <-s.goOn:
+			case <-time.After(HeartbeatPeriod):
+				if err := send(&peerpb.AttachResponse{Offset: i, Heartbeat: true}); err != nil {
+					return err
+				}
+				continue
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+			break
+		}
+		if err := send(&peerpb.AttachResponse{Offset: i, Data: s.data[i : i+1]}); err != nil {
+			return err
+		}
+	}
+	return send(&peerpb.AttachResponse{Offset: uint64(len(s.data)), End: true, Length: uint64(len(s.data))})
+}
+
+func TestSilentStreamIsAttachedAgainAtItsOffset(t *testing.T) {
+	side := core.Node{VM: "b", Inc: 7}
+	served := &slowAnswer{data: []byte("the whole answer"), stall: 5, goOn: make(chan struct{})}
+	r := serve(t, side, served)
+	between := newRelay(t, r.addr)
+	m := newTestMesh(t)
+	m.SetAddress("b", between.addr())
+	var mu sync.Mutex
+	var got []byte
+	done := make(chan error, 1)
+	go func() {
+		done <- m.Read(context.Background(), core.AttemptID{N: 1}, side, func(p []byte) error {
+			mu.Lock()
+			defer mu.Unlock()
+			got = append(got, p...)
+			return nil
+		})
+	}()
+	read := func() string {
+		mu.Lock()
+		defer mu.Unlock()
+		return string(got)
+	}
+	require.Eventually(t, func() bool { return read() == "the w" }, patience, time.Millisecond)
+	between.silence()
+	require.Eventually(t, func() bool { return between.accepted.Load() == 2 }, patience, time.Millisecond)
+	close(served.goOn)
+	require.NoError(t, <-done)
+	require.Equal(t, "the whole answer", read())
+}
+
+func TestAnswerOfAnotherLifeIsLost(t *testing.T) {
+	r := serve(t, core.Node{VM: "b", Inc: 8}, &slowAnswer{})
+	m := newTestMesh(t)
+	m.SetAddress("b", r.addr)
+	err := m.Read(context.Background(), core.AttemptID{N: 1}, core.Node{VM: "b", Inc: 7}, nil)
+	var lost *LostError
+	require.ErrorAs(t, err, &lost)
+	m.Forget("b")
+	err = m.Read(context.Background(), core.AttemptID{N: 1}, core.Node{VM: "b", Inc: 8}, nil)
+	require.ErrorAs(t, err, &lost)
+}
