--- /dev/null
+++ b/daemon/answers/answers_test.go
@@ -0,0 +1,88 @@
+package answers
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/peerpb"
+)
+
+var id = core.AttemptID{Slot: 1, N: 2}
+
+// read serves an answer into a channel of its parts.
+func read(t *testing.T, b *Buffers, offset uint64) (<-chan *peerpb.AttachResponse, <-chan error) {
+	parts := make(chan *peerpb.AttachResponse, 100)
+	done := make(chan error, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() {
+		done <- b.Serve(ctx, id, offset, func(p *peerpb.AttachResponse) error {
+			parts <- p
+			return nil
+		})
+	}()
+	return parts, done
+}
+
+func TestReaderBeforeWriter(t *testing.T) {
+	b := New()
+	parts, done := read(t, b, 0)
+	require.True(t, (<-parts).GetHeartbeat(), "an attempt that is not known yet may still come")
+	b.Append(id, []byte("ab"))
+	for part := range parts {
+		if !part.GetHeartbeat() {
+			require.Equal(t, "ab", string(part.GetData()))
+			break
+		}
+	}
+	b.Finish(id)
+	require.NoError(t, <-done)
+	var last *peerpb.AttachResponse
+	for len(parts) > 0 {
+		last = <-parts
+	}
+	require.True(t, last.GetEnd())
+	require.EqualValues(t, 2, last.GetLength())
+}
+
+func TestReadAtOffset(t *testing.T) {
+	b := New()
+	b.Append(id, []byte("abcdef"))
+	b.Finish(id)
+	parts, done := read(t, b, 4)
+	require.NoError(t, <-done)
+	part := <-parts
+	require.Equal(t, "ef", string(part.GetData()))
+	require.EqualValues(t, 4, part.GetOffset())
+	require.True(t, part.GetEnd())
+	_, done = read(t, b, 7)
+	require.Equal(t, connect.CodeOutOfRange, connect.CodeOf(<-done))
+}
+
+func TestDroppedAnswerRefusesReaders(t *testing.T) {
+	b := New()
+	b.Append(id, []byte("ab"))
+	parts, done := read(t, b, 0)
+	<-parts
+	b.Drop(id)
+	require.Equal(t, connect.CodeNotFound, connect.CodeOf(<-done))
+	_, done = read(t, b, 0)
+	require.Equal(t, connect.CodeNotFound, connect.CodeOf(<-done))
+	b.Append(id, []byte("late"))
+	count, size := b.Size()
+	require.Zero(t, count+size, "a dropped answer keeps no bytes")
+}
+
+func TestUnknownAttemptLeavesNothing(t *testing.T) {
+	b := New()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	require.Error(t, b.Serve(ctx, id, 0, func(*peerpb.AttachResponse) error { return nil }))
+	count, _ := b.Size()
+	require.Zero(t, count)
+}
--- /dev/null
+++ b/front/front_test.go
@@ -0,0 +1,288 @@
+package front
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/config"
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/answer"
+)
+
+const testKey = "secret"
+
+func testSet() *config.Set {
+	digest := sha256.Sum256([]byte(testKey))
+	return &config.Set{
+		Deployment: "test",
+		Pools: []config.Pool{
+			{Name: "small", Kind: config.PoolModel, Model: "m1"},
+			{Name: "other", Kind: config.PoolModel, Model: "m2"},
+			{Name: "booking", Kind: config.PoolTool},
+		},
+		Programs: []config.ProgramKind{{Name: "assistant", Pools: []string{"small", "booking"}}},
+		Accounts: []config.Account{{Name: "acme", KeySHA256: hex.EncodeToString(digest[:]), Programs: []string{"assistant"}}},
+		Tools: []config.Tool{
+			{Name: "booking", Prefix: "/book", Pool: "booking", NonIdempotent: []string{"POST"}},
+		},
+	}
+}
+
+// fakeExchange answers each call with the parts of its script.
+type fakeExchange struct {
+	set    *config.Set
+	call   core.Call
+	ended  core.ProgramID
+	parts  []string
+	finish core.Finish
+}
+
+func (f *fakeExchange) Config() *config.Set { return f.set }
+
+func (f *fakeExchange) Do(_ context.Context, call core.Call, sink Sink) core.Finish {
+	f.call = call
+	for _, p := range f.parts {
+		if _, err := sink.Write([]byte(p)); err != nil {
+			return core.Finish{Outcome: core.OutcomeUnknown, Reason: core.ReasonCanceled}
+		}
+	}
+	return f.finish
+}
+
+func (f *fakeExchange) End(_ context.Context, p core.ProgramID, _ core.Account) core.Finish {
+	f.ended = p
+	return f.finish
+}
+
+func serve(t *testing.T, f *fakeExchange) *httptest.Server {
+	if f.set == nil {
+		f.set = testSet()
+	}
+	server := httptest.NewServer(New(Options{Exchange: f, Limits: config.Limits{BodyBytes: 4096}}))
+	t.Cleanup(server.Close)
+	return server
+}
+
+func client(server *httptest.Server, opts ...option.RequestOption) openai.Client {
+	opts = append([]option.RequestOption{
+		option.WithBaseURL(server.URL + "/v1"), option.WithAPIKey(testKey), option.WithMaxRetries(0),
+	}, opts...)
+	return openai.NewClient(opts...)
+}
+
+func question() openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model:    "m1",
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("hello")},
+	}
+}
+
+func head(contentType string) string {
+	return string(answer.Append(nil, answer.Head{Status: 200, ContentType: contentType}))
+}
+
+const plainAnswer = `{"id":"1","object":"chat.completion","model":"m1","choices":[{"index":0,"message":{"role":"assistant","content":"hi"},"finish_reason":"stop"}]}`
+
+func TestPlainAnswerThroughOfficialClient(t *testing.T) {
+	f := &fakeExchange{
+		parts:  []string{head("application/json")[:9], head("application/json")[9:] + plainAnswer[:20], plainAnswer[20:]},
+		finish: core.Finish{Outcome: core.OutcomeRan},
+	}
+	c := client(serve(t, f), option.WithHeader(HeaderProgram, "p1"), option.WithHeader(HeaderSeq, "3"),
+		option.WithHeader(HeaderBudget, "500"), option.WithHeader(HeaderKey, "k"))
+	got, err := c.Chat.Completions.New(context.Background(), question())
+	require.NoError(t, err)
+	require.Equal(t, "hi", got.Choices[0].Message.Content)
+	require.Equal(t, core.ProgramID("acme:p1"), f.call.Program)
+	require.EqualValues(t, 3, f.call.Seq)
+	require.EqualValues(t, 500, f.call.Budget)
+	require.Equal(t, "k", f.call.Key)
+	require.Equal(t, core.Pool("small"), f.call.Pool)
+	require.Equal(t, "assistant", f.call.ProgramKind)
+	require.Len(t, f.call.Blocks, 1)
+	require.EqualValues(t, defaultMaxTokens, f.call.MaxTokens)
+	require.Contains(t, string(f.call.Body), `"max_tokens":1024`)
+}
+
+var streamEvents = []string{
+	"data: {\"choices\":[{\"index\":0,\"delta\":{\"role\":\"assistant\",\"content\":\"he\"}}]}\n\n",
+	"data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"llo\"}}]}\n\n",
+	"data: {\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n",
+	"data: [DONE]\n\n",
+}
+
+func TestStreamedAnswerThroughOfficialClient(t *testing.T) {
+	f := &fakeExchange{
+		parts:  append([]string{head("text/event-stream")}, streamEvents...),
+		finish: core.Finish{Outcome: core.OutcomeRan},
+	}
+	c := client(serve(t, f))
+	stream := c.Chat.Completions.NewStreaming(context.Background(), question())
+	var acc openai.ChatCompletionAccumulator
+	for stream.Next() {
+		acc.AddChunk(stream.Current())
+	}
+	require.NoError(t, stream.Err())
+	require.Equal(t, "hello", acc.Choices[0].Message.Content)
+	require.Equal(t, "stop", acc.Choices[0].FinishReason)
+	require.True(t, f.call.Stream)
+}
+
+func TestEndOfStreamWaitsForTheRecord(t *testing.T) {
+	w := httptest.NewRecorder()
+	r := newResponse(w, true, testTime)
+	_, err := r.Write([]byte(head("text/event-stream") + strings.Join(streamEvents, "")))
+	require.NoError(t, err)
+	require.Equal(t, strings.Join(streamEvents[:2], ""), w.Body.String())
+	require.False(t, r.Restart(), "a part has reached the caller")
+	r.complete()
+	require.Equal(t, strings.Join(streamEvents, ""), w.Body.String())
+}
+
+func TestRestartBeforeTheFirstEvent(t *testing.T) {
+	w := httptest.NewRecorder()
+	r := newResponse(w, false, testTime)
+	_, err := r.Write([]byte(head("text/plain") + "from the first attempt"))
+	require.NoError(t, err)
+	require.True(t, r.Restart())
+	_, err = r.Write([]byte(head("text/plain") + "second"))
+	require.NoError(t, err)
+	r.complete()
+	require.Equal(t, "second", w.Body.String())
+}
+
+func TestBrokenStreamEndsWithAnError(t *testing.T) {
+	f := &fakeExchange{
+		parts:  []string{head("text/event-stream"), streamEvents[0]},
+		finish: core.Finish{Outcome: core.OutcomeUnknown, Reason: core.ReasonIncarnation},
+	}
+	c := client(serve(t, f))
+	stream := c.Chat.Completions.NewStreaming(context.Background(), question())
+	for stream.Next() {
+		require.Equal(t, "he", stream.Current().Choices[0].Delta.Content)
+	}
+	require.ErrorContains(t, stream.Err(), "target_restarted")
+}
+
+func TestRefusalsAreTyped(t *testing.T) {
+	tests := []struct {
+		finish core.Finish
+		status int
+		want   Refusal
+		after  string
+		retry  string
+	}{
+		{
+			core.Finish{Outcome: core.OutcomeNotRun, Reason: core.ReasonOverload, RetryAfter: 1500 * core.Millisecond},
+			429, Refusal{Type: kindLimit, Code: "overloaded", Outcome: "not_run"}, "2", "true",
+		},
+		{
+			core.Finish{Outcome: core.OutcomeUnknown, Reason: core.ReasonIncarnation, Sidecar: core.Node{VM: "vm9"}},
+			503, Refusal{Type: kindServer, Code: "target_restarted", Outcome: "unknown_outcome", Peer: "vm9"}, "", "false",
+		},
+		{
+			core.Finish{Outcome: core.OutcomeNotRun, Reason: core.ReasonBudget},
+			402, Refusal{Type: kindBudget, Code: "budget_exhausted", Outcome: "not_run"}, "", "false",
+		},
+		{
+			core.Finish{Outcome: core.OutcomeRan, Reason: core.ReasonAnswerLost},
+			502, Refusal{Type: kindServer, Code: "answer_lost", Outcome: "ran"}, "", "false",
+		},
+	}
+	for _, tt := range tests {
+		server := serve(t, &fakeExchange{finish: tt.finish})
+		resp := post(t, server, "/v1/chat/completions", testKey, `{"model":"m1","messages":[{"role":"user","content":"x"}]}`)
+		require.Equal(t, tt.status, resp.StatusCode)
+		require.Equal(t, tt.after, resp.Header.Get("Retry-After"))
+		require.Equal(t, tt.retry, resp.Header.Get("X-Should-Retry"))
+		got := refusalOf(t, resp)
+		require.NotEmpty(t, got.Message)
+		got.Message, got.Step = "", ""
+		require.Equal(t, tt.want, got)
+	}
+}
+
+func post(t *testing.T, server *httptest.Server, path, key, body string) *http.Response {
+	req, err := http.NewRequest(http.MethodPost, server.URL+path, strings.NewReader(body))
+	require.NoError(t, err)
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	resp, err := server.Client().Do(req)
+	require.NoError(t, err)
+	t.Cleanup(func() { resp.Body.Close() })
+	return resp
+}
+
+func refusalOf(t *testing.T, resp *http.Response) Refusal {
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	e := envelope{Error: &Refusal{}}
+	require.NoError(t, json.Unmarshal(body, &e), "%s", body)
+	return *e.Error
+}
+
+func TestBadRequestsAreNotRun(t *testing.T) {
+	ask := `{"model":"m1","messages":[{"role":"user","content":"x"}]}`
+	tests := []struct {
+		name, path, key, body string
+		status                int
+	}{
+		{"no key", "/v1/chat/completions", "", ask, 401},
+		{"wrong key", "/v1/chat/completions", "other", ask, 401},
+		{"no JSON", "/v1/chat/completions", testKey, "{", 400},
+		{"unknown model", "/v1/chat/completions", testKey, `{"model":"zz","messages":[{"role":"user"}]}`, 404},
+		{"model of others", "/v1/chat/completions", testKey, `{"model":"m2","messages":[{"role":"user"}]}`, 403},
+		{"bad program", "/v1/chat/completions", testKey, `{"model":"m1","messages":[{"role":"user"}],"metadata":{"rhubarbsaddle_program":"../x"}}`, 400},
+		{"bad number", "/v1/chat/completions", testKey, `{"model":"m1","messages":[{"role":"user"}],"metadata":{"rhubarbsaddle_seq":"-1"}}`, 400},
+		{"bad kind", "/v1/chat/completions", testKey, `{"model":"m1","messages":[{"role":"user"}],"metadata":{"rhubarbsaddle_program_kind":"zz"}}`, 403},
+		{"large", "/v1/chat/completions", testKey, strings.Repeat("x", 5000), 413},
+		{"unknown path", "/bookings", testKey, ask, 404},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := &fakeExchange{finish: core.Finish{Outcome: core.OutcomeRan}}
+			resp := post(t, serve(t, f), tt.path, tt.key, tt.body)
+			require.Equal(t, tt.status, resp.StatusCode)
+			require.Equal(t, "not_run", refusalOf(t, resp).Outcome)
+			require.Empty(t, f.call.Program, "the call must not be passed on")
+		})
+	}
+}
+
+func TestServiceCall(t *testing.T) {
+	f := &fakeExchange{parts: []string{head("text/plain") + "booked"}, finish: core.Finish{Outcome: core.OutcomeRan}}
+	server := serve(t, f)
+	resp := post(t, server, "/book/pitch?day=1", testKey, "body")
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, "booked", string(body))
+	require.Equal(t, "text/plain", resp.Header.Get("Content-Type"))
+	require.True(t, f.call.NonIdempotent)
+	require.Equal(t, core.CallService, f.call.Kind)
+	require.Equal(t, "/book/pitch?day=1", f.call.Path)
+	require.True(t, strings.HasPrefix(string(f.call.Program), "acme:call."))
+}
+
+func TestModelsAndEnd(t *testing.T) {
+	f := &fakeExchange{finish: core.Finish{Outcome: core.OutcomeRan}}
+	server := serve(t, f)
+	c := client(server)
+	page, err := c.Models.List(context.Background())
+	require.NoError(t, err)
+	require.Len(t, page.Data, 1)
+	require.Equal(t, "m1", page.Data[0].ID)
+	require.NoError(t, c.Delete(context.Background(), "programs/p1/sub", nil, nil))
+	require.Equal(t, core.ProgramID("acme:p1/sub"), f.ended)
+}
--- a/front/models.go
+++ b/front/models.go
@@ -64,7 +64,7 @@
 		return
 	}
 	c := &claim{program: r.PathValue("program")}
-	if !programID.MatchString(c.program) {
+	if !validProgram(c.program) {
 		s.reject(w, "end", began, refusef("read path", reasonInvalid, "%q is no program id", c.program))
 		return
 	}
--- a/front/program.go
+++ b/front/program.go
@@ -5,6 +5,7 @@
 	"regexp"
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/google/uuid"
 
@@ -43,9 +44,28 @@
 	lonePrefix = "call."
 )
 
-// programID matches a program id: names of at most 128 characters, parted by
-// slashes.
-var programID = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}(/[A-Za-z0-9][A-Za-z0-9._-]{0,127}){0,15}$`)
+// Bounds of a program id: names parted by slashes.
+const (
+	maxNameBytes = 128
+	maxNames     = 16
+)
+
+// programName matches one name of a program id.
+var programName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+
+// validProgram reports whether id is a program id.
+func validProgram(id string) bool {
+	names := strings.Split(id, "/")
+	if len(names) > maxNames {
+		return false
+	}
+	for _, name := range names {
+		if len(name) > maxNameBytes || !programName.MatchString(name) {
+			return false
+		}
+	}
+	return true
+}
 
 // claim is what a request says about its program.
 type claim struct {
@@ -69,7 +89,7 @@
 	if parent := get(HeaderParent); parent != "" && c.program != "" {
 		c.program = parent + "/" + c.program
 	}
-	if c.program != "" && !programID.MatchString(c.program) {
+	if c.program != "" && !validProgram(c.program) {
 		return nil, refusef("read headers", reasonInvalid, "%s: %q is no program id", HeaderProgram, c.program)
 	}
 	if len(c.key) > maxKeyBytes {
--- /dev/null
+++ b/front/time_test.go
@@ -0,0 +1,6 @@
+package front
+
+import "time"
+
+// testTime is the arrival of the tests' requests.
+var testTime = time.Unix(1, 0)
