--- a/rpc/wire/decode.go
+++ b/rpc/wire/decode.go
@@ -12,7 +12,11 @@
 func Decode(env *peerpb.Envelope) (core.Message, error) {
 	switch p := env.GetMessage().(type) {
 	case *peerpb.Envelope_Forward:
-		return core.Forward{Req: toRequest(p.Forward.GetReq()), Call: toCall(p.Forward.GetCall())}, nil
+		return core.Forward{
+			Req:   toRequest(p.Forward.GetReq()),
+			Call:  toCall(p.Forward.GetCall()),
+			Epoch: toEpoch(p.Forward.GetEpoch()),
+		}, nil
 	case *peerpb.Envelope_Placed:
 		return core.Placed{
 			Req:     toRequest(p.Placed.GetReq()),
@@ -23,6 +27,7 @@
 		return core.Finished{
 			Req:    toRequest(p.Finished.GetReq()),
 			Finish: toFinish(p.Finished.GetFinish()),
+			Epoch:  toEpoch(p.Finished.GetEpoch()),
 		}, nil
 	case *peerpb.Envelope_Withdraw:
 		return core.Withdraw{Req: toRequest(p.Withdraw.GetReq())}, nil
--- a/rpc/wire/encode.go
+++ b/rpc/wire/encode.go
@@ -27,13 +27,13 @@
 	switch m := msg.(type) {
 	case core.Forward:
 		env.Message = &peerpb.Envelope_Forward{Forward: &peerpb.Forward{
-			Req: fromRequest(m.Req), Call: fromCall(&m.Call)}}
+			Req: fromRequest(m.Req), Call: fromCall(&m.Call), Epoch: fromEpoch(m.Epoch)}}
 	case core.Placed:
 		env.Message = &peerpb.Envelope_Placed{Placed: &peerpb.Placed{
 			Req: fromRequest(m.Req), Attempt: FromAttempt(m.Attempt), Sidecar: FromNode(m.Sidecar)}}
 	case core.Finished:
 		env.Message = &peerpb.Envelope_Finished{Finished: &peerpb.Finished{
-			Req: fromRequest(m.Req), Finish: fromFinish(&m.Finish)}}
+			Req: fromRequest(m.Req), Finish: fromFinish(&m.Finish), Epoch: fromEpoch(m.Epoch)}}
 	case core.Withdraw:
 		env.Message = &peerpb.Envelope_Withdraw{Withdraw: &peerpb.Withdraw{Req: fromRequest(m.Req)}}
 	case core.EndRequest:
