--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -17,6 +17,8 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/node"
 	"github.com/rhubarbsaddle/rhubarbsaddle/front"
 	"github.com/rhubarbsaddle/rhubarbsaddle/invariant"
+	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
+	"github.com/rhubarbsaddle/rhubarbsaddle/platform/vmlist"
 )
 
 // DefaultDrainTimeout bounds a graceful shutdown.
@@ -25,8 +27,8 @@
 // Options are the settings of an entry daemon.
 type Options struct {
 	Settings config.Node
-	Store    node.Store
-	VMs      node.VMs
+	Store    store.Store
+	VMs      vmlist.Source
 	Log      *log.Logger
 	// Tick is the period of the reducer's ticks; zero means the default.
 	Tick time.Duration
--- a/daemon/node/effects.go
+++ b/daemon/node/effects.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
 )
 
 // defaultStoreTimeout bounds a call of the key-value service.
@@ -48,15 +49,19 @@
 func (n *Node) storeRange(e core.StoreRange) {
 	ctx, cancel := n.storeContext()
 	defer cancel()
-	entries, err := n.options.Store.Range(ctx, e.Prefix)
+	entries, _, err := n.options.Store.Range(ctx, e.Prefix)
 	n.storeDone("range", err, core.StoreResult{Op: e.Op, Entries: entries})
 }
 
 func (n *Node) storeSwap(e core.StoreSwap) {
 	ctx, cancel := n.storeContext()
 	defer cancel()
-	swapped, err := n.options.Store.Swap(ctx, e.Key, e.Revision, e.Value)
-	n.storeDone("swap", err, core.StoreResult{Op: e.Op, Swapped: swapped})
+	result, err := n.options.Store.Swap(ctx, store.Swap{Key: e.Key, Revision: e.Revision, Value: e.Value})
+	n.storeDone("swap", err, core.StoreResult{
+		Op:      e.Op,
+		Swapped: result.Swapped,
+		Entries: []core.StoreEntry{result.Current},
+	})
 }
 
 func (n *Node) storeDone(step string, err error, result core.StoreResult) {
--- a/daemon/node/follow.go
+++ b/daemon/node/follow.go
@@ -36,7 +36,7 @@
 	listed := map[core.VM]bool{}
 	for {
 		ctx, cancel := n.storeContext()
-		vms, err := n.options.VMs.List(ctx)
+		vms, err := n.options.VMs.Read(ctx)
 		cancel()
 		if err != nil {
 			n.log.Warn().Str("step", "vm list").Err(err).Msg("the VM list cannot be read")
@@ -79,10 +79,11 @@
 func (n *Node) readConfig() {
 	ctx, cancel := n.storeContext()
 	defer cancel()
-	head, _, err := publish.ReadHead(ctx, n.options.Store)
+	from := publishStore{n.options.Store}
+	head, _, err := publish.ReadHead(ctx, from)
 	if err == nil && head.Generation > n.Generation() {
 		var set *config.Set
-		if set, err = publish.ReadSet(ctx, n.options.Store, head); err == nil {
+		if set, err = publish.ReadSet(ctx, from, head); err == nil {
 			n.Apply(&Applied{Generation: head.Generation, Set: set})
 		}
 	}
@@ -126,13 +127,13 @@
 	ctx, cancel := context.WithCancel(n.ctx)
 	defer cancel()
 	readCtx, cancelRead := n.storeContext()
-	entries, err := n.options.Store.Range(readCtx, prefix)
+	entries, revision, err := n.options.Store.Range(readCtx, prefix)
 	cancelRead()
 	if err != nil {
 		return err
 	}
 	n.watched(entries)
-	return n.options.Store.Watch(ctx, prefix, n.watched)
+	return n.options.Store.Watch(ctx, prefix, revision, n.watched)
 }
 
 func (n *Node) watched(entries []core.StoreEntry) {
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -15,6 +15,8 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/loop"
 	"github.com/rhubarbsaddle/rhubarbsaddle/invariant"
+	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
+	"github.com/rhubarbsaddle/rhubarbsaddle/platform/vmlist"
 	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/peer"
 	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/tlsfile"
 )
@@ -37,8 +39,8 @@
 // Options are the settings of a Node.
 type Options struct {
 	Settings config.Node
-	Store    Store
-	VMs      VMs
+	Store    store.Store
+	VMs      vmlist.Source
 	Log      *log.Logger
 	// Tick is the period of the reducer's ticks; zero means loop.DefaultTick.
 	Tick time.Duration
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -14,6 +14,8 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/node"
 	"github.com/rhubarbsaddle/rhubarbsaddle/engine"
 	"github.com/rhubarbsaddle/rhubarbsaddle/invariant"
+	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
+	"github.com/rhubarbsaddle/rhubarbsaddle/platform/vmlist"
 )
 
 // DefaultDrainTimeout bounds a graceful shutdown: the longest call has to end.
@@ -25,8 +27,8 @@
 // Options are the settings of a sidecar daemon.
 type Options struct {
 	Settings config.Node
-	Store    node.Store
-	VMs      node.VMs
+	Store    store.Store
+	VMs      vmlist.Source
 	// Target is what the sidecar stands beside.
 	Target engine.Target
 	Log    *log.Logger
