--- a/daemon/node/follow.go
+++ b/daemon/node/follow.go
@@ -79,7 +79,7 @@
 func (n *Node) readConfig() {
 	ctx, cancel := n.storeContext()
 	defer cancel()
-	from := publishStore{n.options.Store}
+	from := PublishStore(n.options.Store)
 	head, _, err := publish.ReadHead(ctx, from)
 	if err == nil && head.Generation > n.Generation() {
 		var set *config.Set
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -76,9 +76,11 @@
 	running sync.WaitGroup
 	servers []*http.Server
 	peers   net.Listener
-	stopped chan struct{}
-	once    sync.Once
-	fatal   chan error
+	// operators is the address of the operators' port, or "".
+	operators string
+	stopped   chan struct{}
+	once      sync.Once
+	fatal     chan error
 }
 
 // New takes the listening address and begins a new life, which Start runs.
@@ -167,6 +169,12 @@
 // Mesh returns the node's side towards its peers.
 func (n *Node) Mesh() *peer.Mesh { return n.mesh }
 
+// PeerAddr returns the address that peers use.
+func (n *Node) PeerAddr() string { return n.peers.Addr().String() }
+
+// OperatorAddr returns the address of the operators' port, or "".
+func (n *Node) OperatorAddr() string { return n.operators }
+
 // Log returns the node's logger.
 func (n *Node) Log() *log.Logger { return n.log }
 
--- a/daemon/node/ports.go
+++ b/daemon/node/ports.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/config"
+	"github.com/rhubarbsaddle/rhubarbsaddle/config/publish"
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
 )
@@ -14,7 +15,9 @@
 	Set        *config.Set
 }
 
-// publishStore is the key-value service as package publish uses it.
+// PublishStore returns the key-value service as package publish uses it.
+func PublishStore(s store.Store) publish.Store { return publishStore{s} }
+
 type publishStore struct{ store.Store }
 
 // Range returns the entries of all keys with a prefix.
--- a/daemon/node/serve.go
+++ b/daemon/node/serve.go
@@ -81,6 +81,7 @@
 	if err != nil {
 		return &StepError{Step: "listen", Peer: addr, Err: err}
 	}
+	n.operators = listener.Addr().String()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /status", n.serveStatus)
 	mux.HandleFunc("GET /healthz", n.serveHealth)
--- /dev/null
+++ b/local/local.go
@@ -0,0 +1,174 @@
+// Package local runs a whole deployment on loopback in one process: stand-ins
+// of the platform and of the targets, entries and sidecars. The demo, the path
+// benchmark and the tests of failures use it.
+package local
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/config"
+	"github.com/rhubarbsaddle/rhubarbsaddle/config/publish"
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/node"
+	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
+	vmlistport "github.com/rhubarbsaddle/rhubarbsaddle/platform/vmlist"
+	"github.com/rhubarbsaddle/rhubarbsaddle/standin/vmlist"
+)
+
+// loopback lets the system choose a port.
+const loopback = "127.0.0.1:0"
+
+// Options describe a deployment.
+type Options struct {
+	Set *config.Set
+	// EntriesPerDomain is the number of entries in each failure domain.
+	EntriesPerDomain int
+	// Targets is the number of targets of each pool, by its name.
+	Targets map[string]int
+	// VMLag is how late the VM list shows changes.
+	VMLag time.Duration
+	// EngineStep is the time of an engine's step; zero means the pool's.
+	EngineStep time.Duration
+	// ToolTime is how long a call of a service takes.
+	ToolTime time.Duration
+	Log      *log.Logger
+}
+
+// Deployment is a running deployment.
+type Deployment struct {
+	options Options
+	store   store.Store
+	vmList  *vmlist.Server
+	vmURL   string
+
+	mu       sync.Mutex
+	entries  []*Entry
+	sidecars []*Sidecar
+	models   []*Model
+	tools    []*Tool
+}
+
+// Start starts everything and waits until the deployment serves.
+func Start(ctx context.Context, options Options) (*Deployment, error) {
+	d := &Deployment{options: options, store: newMemStore()}
+	if err := d.start(ctx); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Deployment) start(ctx context.Context) error {
+	d.vmList = vmlist.NewServer(d.options.VMLag)
+	addr, err := d.vmList.Start(loopback)
+	if err != nil {
+		return err
+	}
+	d.vmURL = "http://" + addr + "/vms"
+	if _, err := publish.Apply(ctx, node.PublishStore(d.store), d.options.Set, "local"); err != nil {
+		return err
+	}
+	if err := d.startTargets(); err != nil {
+		return err
+	}
+	for _, domain := range d.options.Set.Domains {
+		for i := range d.options.EntriesPerDomain {
+			vm := fmt.Sprintf("entry-%s-%d", domain.Name, i)
+			if err := d.addEntry(vm, domain.Name); err != nil {
+				return err
+			}
+		}
+	}
+	if err := d.publishVMs(); err != nil {
+		return err
+	}
+	return d.waitReady(ctx)
+}
+
+// publishVMs writes the VM list.
+func (d *Deployment) publishVMs() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var vms []core.VMInfo
+	for _, e := range d.entries {
+		if !e.gone {
+			vms = append(vms, e.info())
+		}
+	}
+	for _, s := range d.sidecars {
+		if !s.gone {
+			vms = append(vms, s.info())
+		}
+	}
+	return d.vmList.Set(vms)
+}
+
+// vmSource reads the VM list as a daemon does.
+func (d *Deployment) vmSource() vmlistport.Source { return vmlistport.HTTP{URL: d.vmURL} }
+
+// errNotReady is the cause when a deployment does not come to serve in time.
+var errNotReady = errors.New("the slots have no owners yet")
+
+// readyPause is the time between two looks at the entries' state.
+const readyPause = 20 * time.Millisecond
+
+// waitReady waits until every entry knows an owner of every slot and all
+// targets.
+func (d *Deployment) waitReady(ctx context.Context) error {
+	for {
+		if d.ready(ctx) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(errNotReady, ctx.Err())
+		case <-time.After(readyPause):
+		}
+	}
+}
+
+func (d *Deployment) ready(ctx context.Context) bool {
+	for _, e := range d.Entries() {
+		if !e.ready(ctx, len(d.sidecars)) {
+			return false
+		}
+	}
+	return true
+}
+
+// Entries returns the entries.
+func (d *Deployment) Entries() []*Entry { return d.entries }
+
+// Sidecars returns the sidecars.
+func (d *Deployment) Sidecars() []*Sidecar { return d.sidecars }
+
+// Models returns the stand-ins of the model engines.
+func (d *Deployment) Models() []*Model { return d.models }
+
+// Tools returns the stand-ins of the tool and plain services.
+func (d *Deployment) Tools() []*Tool { return d.tools }
+
+// Close ends everything.
+func (d *Deployment) Close() {
+	for _, e := range d.entries {
+		e.Kill()
+	}
+	for _, s := range d.sidecars {
+		s.Kill()
+	}
+	for _, m := range d.models {
+		m.Server.Close()
+	}
+	for _, t := range d.tools {
+		t.Server.Close()
+	}
+	if d.vmList != nil {
+		d.vmList.Close()
+	}
+}
--- /dev/null
+++ b/local/target.go
@@ -0,0 +1,89 @@
+package local
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/config"
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/engine/openai"
+	"github.com/rhubarbsaddle/rhubarbsaddle/engine/service"
+	"github.com/rhubarbsaddle/rhubarbsaddle/standin/engine"
+	"github.com/rhubarbsaddle/rhubarbsaddle/standin/tool"
+)
+
+// Model is the stand-in of one model engine.
+type Model struct {
+	Server *engine.Server
+	Pool   string
+	Addr   string
+}
+
+// Tool is the stand-in of one tool or plain service.
+type Tool struct {
+	Server *tool.Server
+	Pool   string
+	Addr   string
+}
+
+// startTargets starts the targets of all pools, spread over the domains.
+func (d *Deployment) startTargets() error {
+	domains := d.options.Set.Domains
+	for p := range d.options.Set.Pools {
+		pool := &d.options.Set.Pools[p]
+		for i := range d.options.Targets[pool.Name] {
+			vm := fmt.Sprintf("%s-%d", pool.Name, i)
+			domain := domains[i%len(domains)].Name
+			if err := d.startTarget(pool, vm, domain); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) startTarget(pool *config.Pool, vm, domain string) error {
+	if pool.Kind == config.PoolModel {
+		server := engine.NewServer(d.engineOptions(pool))
+		addr, err := server.Start(loopback)
+		if err != nil {
+			return err
+		}
+		d.models = append(d.models, &Model{Server: server, Pool: pool.Name, Addr: addr})
+		return d.addSidecar(vm, domain, pool.Name, openai.New(addr, openai.Options{}))
+	}
+	server := tool.NewServer(d.options.ToolTime)
+	addr, err := server.Start(loopback)
+	if err != nil {
+		return err
+	}
+	d.tools = append(d.tools, &Tool{Server: server, Pool: pool.Name, Addr: addr})
+	return d.addSidecar(vm, domain, pool.Name, service.New(addr))
+}
+
+const (
+	// loadLag and eventDelay are how late an engine reports.
+	loadLag    = 200 * time.Millisecond
+	eventDelay = 50 * time.Millisecond
+	// eventGapEvery loses one of so many cache events.
+	eventGapEvery = 50
+)
+
+func (d *Deployment) engineOptions(pool *config.Pool) engine.Options {
+	params := engine.DefaultParams()
+	params.MaxBatch = pool.Engine.MaxBatch
+	params.CacheTokens = pool.Engine.CacheTokens
+	params.PrefillRate = pool.Engine.PrefillRate
+	params.StepTime = core.Duration(pool.Engine.StepTime)
+	if d.options.EngineStep > 0 {
+		params.StepTime = core.Duration(d.options.EngineStep)
+	}
+	return engine.Options{
+		Params:        params,
+		Model:         pool.Model,
+		LoadLag:       loadLag,
+		EventDelay:    eventDelay,
+		EventGapEvery: eventGapEvery,
+		ChecksFence:   pool.ChecksFence,
+	}
+}
