--- a/local/local.go
+++ b/local/local.go
@@ -16,14 +16,24 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/config/publish"
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/node"
+	"github.com/rhubarbsaddle/rhubarbsaddle/platform/etcdjson"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
 	vmlistport "github.com/rhubarbsaddle/rhubarbsaddle/platform/vmlist"
+	"github.com/rhubarbsaddle/rhubarbsaddle/standin/kv"
 	"github.com/rhubarbsaddle/rhubarbsaddle/standin/vmlist"
 )
 
 // loopback lets the system choose a port.
 const loopback = "127.0.0.1:0"
 
+const (
+	// storePrefix stands before the keys of the deployment.
+	storePrefix = "rhubarbsaddle/"
+	// storeWrites and storeReads are the platform's rates, calls a second.
+	storeWrites = 400
+	storeReads  = 2000
+)
+
 // Options describe a deployment.
 type Options struct {
 	Set *config.Set
@@ -43,9 +53,12 @@
 // Deployment is a running deployment.
 type Deployment struct {
 	options Options
+	kv      *kv.Server
 	store   store.Store
 	vmList  *vmlist.Server
 	vmURL   string
+	// storeAddr is the address of the key-value service.
+	storeAddr string
 
 	mu       sync.Mutex
 	entries  []*Entry
@@ -56,7 +69,7 @@
 
 // Start starts everything and waits until the deployment serves.
 func Start(ctx context.Context, options Options) (*Deployment, error) {
-	d := &Deployment{options: options, store: newMemStore()}
+	d := &Deployment{options: options}
 	if err := d.start(ctx); err != nil {
 		d.Close()
 		return nil, err
@@ -65,12 +78,9 @@
 }
 
 func (d *Deployment) start(ctx context.Context) error {
-	d.vmList = vmlist.NewServer(d.options.VMLag)
-	addr, err := d.vmList.Start(loopback)
-	if err != nil {
+	if err := d.startPlatform(); err != nil {
 		return err
 	}
-	d.vmURL = "http://" + addr + "/vms"
 	if _, err := publish.Apply(ctx, node.PublishStore(d.store), d.options.Set, "local"); err != nil {
 		return err
 	}
@@ -91,6 +101,33 @@
 	return d.waitReady(ctx)
 }
 
+// startPlatform starts the key-value service and the VM list.
+func (d *Deployment) startPlatform() error {
+	d.kv = kv.NewServer(kv.Options{WritesPerSecond: storeWrites, ReadsPerSecond: storeReads})
+	addr, err := d.kv.Start(loopback)
+	if err != nil {
+		return err
+	}
+	d.storeAddr = addr
+	d.store, err = etcdjson.New(etcdjson.Options{
+		Endpoints: []string{addr},
+		Prefix:    storePrefix,
+	})
+	if err != nil {
+		return err
+	}
+	d.vmList = vmlist.NewServer(d.options.VMLag)
+	addr, err = d.vmList.Start(loopback)
+	if err != nil {
+		return err
+	}
+	d.vmURL = "http://" + addr + "/vms"
+	return nil
+}
+
+// Platform returns the stand-in of the key-value service.
+func (d *Deployment) Platform() *kv.Server { return d.kv }
+
 // publishVMs writes the VM list.
 func (d *Deployment) publishVMs() error {
 	d.mu.Lock()
@@ -171,4 +208,7 @@
 	if d.vmList != nil {
 		d.vmList.Close()
 	}
+	if d.kv != nil {
+		d.kv.Close()
+	}
 }
