--- a/rpc/wire/decode.go
+++ b/rpc/wire/decode.go
@@ -12,7 +12,11 @@
 func Decode(env *peerpb.Envelope) (core.Message, error) {
 	switch p := env.GetMessage().(type) {
 	case *peerpb.Envelope_Forward:
-		return core.Forward{Req: toRequest(p.Forward.GetReq()), Call: toCall(p.Forward.GetCall())}, nil
+		return core.Forward{
+			Req:   toRequest(p.Forward.GetReq()),
+			Call:  toCall(p.Forward.GetCall()),
+			Epoch: toEpoch(p.Forward.GetEpoch()),
+		}, nil
 	case *peerpb.Envelope_Placed:
 		return core.Placed{
 			Req:     toRequest(p.Placed.GetReq()),
@@ -23,6 +27,7 @@
 		return core.Finished{
 			Req:    toRequest(p.Finished.GetReq()),
 			Finish: toFinish(p.Finished.GetFinish()),
+			Epoch:  toEpoch(p.Finished.GetEpoch()),
 		}, nil
 	case *peerpb.Envelope_Withdraw:
 		return core.Withdraw{Req: toRequest(p.Withdraw.GetReq())}, nil
@@ -115,6 +120,7 @@
 		Programs:    toPrograms(p.GetPrograms()),
 		Escrows:     toEscrows(p.GetEscrows()),
 		NextAttempt: p.GetNextAttempt(),
+		At:          core.Instant(p.GetAt()),
 	}
 	for _, id := range p.GetRemoved() {
 		m.Removed = append(m.Removed, core.ProgramID(id))
