--- a/sim/node.go
+++ b/sim/node.go
@@ -236,3 +236,6 @@
 		done()
 	}
 }
+
+// Inject delivers an event to the present life now, as a faulty peer would.
+func (n *Node) Inject(ev core.Event) { n.event(ev) }
--- /dev/null
+++ b/soak/fault.go
@@ -0,0 +1,71 @@
+package soak
+
+import "fmt"
+
+// Fault names a kind of injected fault.
+type Fault int
+
+// The kinds of fault.
+const (
+	EntryKilled Fault = iota
+	SidecarKilled
+	HomeAndMirrorKilled
+	EntryReplaced
+	SidecarReplaced
+	TargetLeaving
+	StoreDown
+	StoreSlow
+	SwapAnswerLost
+	HolderPaused
+	SidecarPaused
+	ConnectionSilent
+	AllConnectionsSilent
+	DomainCut
+	MessageLost
+	MessageDuplicated
+	MessageDelayed
+	ToolHung
+	EngineHung
+	ProgramLooping
+	ConfigConflict
+	ConfigLate
+	CacheEventLost
+	CacheEventLate
+	LoadReportLate
+	EntryDrained
+	SidecarDrained
+	CallRepeated
+	CallerGone
+	HistoryStale
+	HistoryForeign
+	KeyReused
+	OldCallRepeated
+
+	faultCount
+)
+
+var faultNames = [faultCount]string{
+	"entry_killed", "sidecar_killed", "home_and_mirror_killed", "entry_replaced", "sidecar_replaced",
+	"target_leaving", "store_down", "store_slow", "swap_answer_lost", "holder_paused", "sidecar_paused",
+	"connection_silent", "all_connections_silent", "domain_cut", "message_lost", "message_duplicated",
+	"message_delayed", "tool_hung", "engine_hung", "program_looping", "config_conflict", "config_late",
+	"cache_event_lost", "cache_event_late", "load_report_late", "entry_drained", "sidecar_drained",
+	"call_repeated", "caller_gone", "history_stale", "history_foreign", "key_reused", "old_call_repeated",
+}
+
+// String returns the kind's name as it stands in reports.
+func (f Fault) String() string {
+	if f < 0 || f >= faultCount {
+		return fmt.Sprintf("fault(%d)", int(f))
+	}
+	return faultNames[f]
+}
+
+// Faults lists all kinds.
+func Faults() []Fault {
+	all := make([]Fault, faultCount)
+	for i := range all {
+		all[i] = Fault(i)
+	}
+	return all
+}
--- /dev/null
+++ b/soak/harness.go
@@ -0,0 +1,235 @@
+package soak
+
+import (
+	"fmt"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/invariant"
+	"github.com/rhubarbsaddle/rhubarbsaddle/sim"
+	"github.com/rhubarbsaddle/rhubarbsaddle/standin/engine"
+)
+
+// Reducers make the reducers of the two roles; tests replace or wrap them.
+type Reducers struct {
+	Entry   func(self core.Node, domain core.Domain, seed uint64, rec *invariant.Recorder) core.Reducer
+	Sidecar func(self core.Node, domain core.Domain, pool core.Pool, seed uint64, rec *invariant.Recorder) core.Reducer
+}
+
+// Options sets up a run.
+type Options struct {
+	Seed   uint64
+	Events uint64
+	// Reducers default to the product's.
+	Reducers Reducers
+	// Schedule replaces the random schedule of faults.
+	Schedule []Injection
+	// Calm leaves all faults out.
+	Calm bool
+}
+
+// Injection is one fault of a given schedule.
+type Injection struct {
+	After core.Duration
+	Fault Fault
+	// Pick chooses among the nodes that the fault can hit.
+	Pick uint64
+}
+
+// Rates of the traffic.
+const (
+	arrivalMean = 180 * core.Millisecond
+	// maxPrograms bounds the programs under way.
+	maxPrograms = 60
+	// warmUp is the time before the first program and the first fault.
+	warmUp = 8 * core.Second
+	tick   = 100 * core.Millisecond
+)
+
+// harness is one run.
+type harness struct {
+	opts     Options
+	sim      *sim.Sim
+	reducers *invariant.Recorder
+	obs      *observer
+	faults   [faultCount]uint64
+	inject   *injector
+
+	engines   map[core.VM]*sim.Engine
+	tools     map[core.VM]*sim.Tool
+	startedAt map[core.Node]core.Instant
+	vms       int
+
+	programs  uint64
+	underWay  int
+	tags      uint64
+	configGen uint64
+	// drainTimeouts counts the graceful shutdowns that took too long and were cut.
+	drainTimeouts uint64
+}
+
+// Run executes one run and returns its report.
+func Run(opts Options) *Report {
+	h := newHarness(opts)
+	h.start()
+	h.sim.RunEvents(opts.Events)
+	return h.report()
+}
+
+func newHarness(opts Options) *harness {
+	if opts.Reducers.Entry == nil {
+		opts.Reducers = product()
+	}
+	h := &harness{
+		opts:      opts,
+		reducers:  &invariant.Recorder{},
+		engines:   map[core.VM]*sim.Engine{},
+		tools:     map[core.VM]*sim.Tool{},
+		startedAt: map[core.Node]core.Instant{},
+	}
+	h.obs = newObserver(h)
+	h.sim = sim.New(sim.Options{
+		Seed:      opts.Seed,
+		Tick:      tick,
+		ClockSkew: 10 * core.Second,
+		Hooks: sim.Hooks{
+			Effect:   h.obs.effect,
+			Event:    h.obs.event,
+			Response: h.obs.response,
+		},
+	})
+	h.sim.Store.Swapped = h.obs.swapped
+	h.inject = newInjector(h)
+	return h
+}
+
+// start builds the cluster and schedules traffic and faults.
+func (h *harness) start() {
+	h.apply()
+	for _, d := range domains {
+		for range entriesPerDomain {
+			h.addEntry(d)
+		}
+		for range enginesPerDomain {
+			h.addSidecar(d, modelPool)
+		}
+		for range toolsPerDomain {
+			h.addSidecar(d, toolPool)
+		}
+	}
+	h.sim.After(warmUp, h.arrive)
+	if !h.opts.Calm {
+		h.sim.After(warmUp, h.inject.start)
+	}
+}
+
+// apply puts the next generation of the configuration in force.
+func (h *harness) apply() {
+	h.configGen++
+	generation := h.sim.Apply(settings(h.configGen))
+	since := h.sim.Now()
+	h.sim.After(configGrace, func() { h.obs.inForce(generation, since) })
+}
+
+func (h *harness) nextVM(role string) core.VM {
+	h.vms++
+	return core.VM(fmt.Sprintf("%s-%d", role, h.vms))
+}
+
+func (h *harness) addEntry(d core.Domain) *sim.Node {
+	return h.sim.AddEntry(h.nextVM("entry"), d, func(self core.Node) core.Reducer {
+		h.startedAt[self] = h.sim.Now()
+		return h.opts.Reducers.Entry(self, d, h.sim.Rand().Uint64(), h.reducers)
+	})
+}
+
+func (h *harness) addSidecar(d core.Domain, pool core.Pool) *sim.Node {
+	vm := h.nextVM("sidecar")
+	var node *sim.Node
+	executed := func(x sim.Execution) { h.obs.execution(node, x) }
+	node = h.sim.AddSidecar(vm, d, pool, h.target(vm, pool, executed), func(self core.Node) core.Reducer {
+		h.startedAt[self] = h.sim.Now()
+		return h.opts.Reducers.Sidecar(self, d, pool, h.sim.Rand().Uint64(), h.reducers)
+	})
+	return node
+}
+
+// target makes the back end of a sidecar.
+func (h *harness) target(vm core.VM, pool core.Pool, executed func(sim.Execution)) sim.Target {
+	seed := h.sim.Rand().Uint64()
+	if pool == toolPool {
+		t := sim.NewTool(sim.ToolOptions{Seed: seed, Refuse: 0.01, Fail: 0.01})
+		t.Executed = executed
+		h.tools[vm] = t
+		return t
+	}
+	e := sim.NewEngine(sim.EngineOptions{Seed: seed, Params: engineParams(), LoadPeriod: 2 * core.Second})
+	e.Executed = executed
+	e.Spent = h.obs.spent
+	h.engines[vm] = e
+	return e
+}
+
+func engineParams() engine.Params {
+	return engine.Params{
+		MaxBatch:     16,
+		CacheTokens:  200_000,
+		PrefillRate:  20_000,
+		PrefillChunk: 2048,
+		StepTime:     8 * core.Millisecond,
+	}
+}
+
+// arrive starts a program and schedules the next arrival.
+func (h *harness) arrive() {
+	gap := core.Duration(h.sim.Rand().ExpFloat64() * float64(arrivalMean))
+	h.sim.After(gap, h.arrive)
+	if h.underWay < maxPrograms {
+		h.startProgram()
+	}
+}
+
+// report closes the books of the run.
+func (h *harness) report() *Report {
+	h.collect()
+	r := &Report{
+		Seed:           h.opts.Seed,
+		Events:         h.sim.Events(),
+		VirtualSeconds: float64(h.sim.Now().Sub(core.Instant(core.Hour))) / float64(core.Second),
+		Programs:       h.programs,
+		Calls:          h.tags,
+		Executions:     h.obs.executions,
+		Outcomes:       h.obs.outcomes,
+		Reasons:        h.obs.reasonCounts(),
+		Forgotten:      h.obs.forgotten,
+		Promises:       promiseCounts(h.reducers, h.obs.rec),
+		Texts:          append(h.obs.rec.Texts(), h.reducers.Texts()...),
+	}
+	for i, n := range h.faults {
+		r.Faults = append(r.Faults, FaultCount{Fault(i).String(), n})
+	}
+	for _, p := range r.Promises {
+		r.Violations += p.Violations
+		h.sim.Fold(p.Reducers, p.Observer, p.Violations)
+	}
+	r.Digest = fmt.Sprintf("%016x", h.sim.Digest())
+	return r
+}
+
+// collect adds the faults that the fakes counted themselves.
+func (h *harness) collect() {
+	net := h.sim.NetworkStats()
+	h.faults[MessageLost] = net.Lost
+	h.faults[MessageDuplicated] = net.Duplicated
+	h.faults[MessageDelayed] = net.Delayed
+	h.faults[SwapAnswerLost] = h.sim.Store.Stats().LostAnswers
+	for _, t := range h.tools {
+		h.faults[ToolHung] += t.Hangs
+	}
+	for _, e := range h.engines {
+		st := e.Stats()
+		h.faults[EngineHung] += st.Hangs
+		h.faults[CacheEventLost] += st.Gaps
+		h.faults[CacheEventLate] += st.LateEvents
+		h.faults[LoadReportLate] += st.LateLoads
+	}
+}
