--- a/sim/node.go
+++ b/sim/node.go
@@ -239,3 +239,6 @@
 
 // Inject delivers an event to the present life now, as a faulty peer would.
 func (n *Node) Inject(ev core.Event) { n.event(ev) }
+
+// Sim returns the run that the node belongs to.
+func (n *Node) Sim() *Sim { return n.sim }
--- a/sim/sim.go
+++ b/sim/sim.go
@@ -177,3 +177,41 @@
 
 // Nodes returns all nodes in order of creation, those gone for good included.
 func (s *Sim) Nodes() []*Node { return s.order }
+
+// Observe adds hooks that run after those of Options.
+func (s *Sim) Observe(h Hooks) {
+	first := s.opts.Hooks
+	s.opts.Hooks = Hooks{
+		Effect:   chain2(first.Effect, h.Effect),
+		Event:    chain2(first.Event, h.Event),
+		Response: chain1(first.Response, h.Response),
+	}
+}
+
+// chain1 joins two hooks of one argument; either may be nil.
+func chain1[A any](f, g func(A)) func(A) {
+	switch {
+	case f == nil:
+		return g
+	case g == nil:
+		return f
+	}
+	return func(a A) {
+		f(a)
+		g(a)
+	}
+}
+
+// chain2 joins two hooks of two arguments; either may be nil.
+func chain2[A, B any](f, g func(A, B)) func(A, B) {
+	switch {
+	case f == nil:
+		return g
+	case g == nil:
+		return f
+	}
+	return func(a A, b B) {
+		f(a, b)
+		g(a, b)
+	}
+}
--- a/soak/answers.go
+++ b/soak/answers.go
@@ -30,6 +30,9 @@
 func (o *observer) response(r *sim.Response) {
 	o.responses++
 	o.count(r)
+	if o.h.opts.Response != nil {
+		o.h.opts.Response(r)
+	}
 	o.h.sim.Fold(uint64(r.Finish.Outcome), xxhash.Sum64String(string(r.Finish.Reason)), r.Finish.Length)
 	cut := r.Broken && !r.Req.Edge.IsZero() && o.drained[r.Req.Edge]
 	o.rec.Check(invariant.Drain, !cut, "%s: request of %s cut off by a graceful shutdown", r.Req, r.Call.Program)
--- a/soak/harness.go
+++ b/soak/cluster.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"encoding/json"
 	"fmt"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
@@ -25,6 +26,8 @@
 	Schedule []Injection
 	// Calm leaves all faults out.
 	Calm bool
+	// Response sees every response to a caller; it may be nil.
+	Response func(*sim.Response)
 }
 
 // Injection is one fault of a given schedule.
@@ -45,8 +48,8 @@
 	tick   = 100 * core.Millisecond
 )
 
-// harness is one run.
-type harness struct {
+// Cluster is one run: the nodes, their callers, the observer and the injector.
+type Cluster struct {
 	opts     Options
 	sim      *sim.Sim
 	reducers *invariant.Recorder
@@ -69,17 +72,18 @@
 
 // Run executes one run and returns its report.
 func Run(opts Options) *Report {
-	h := newHarness(opts)
-	h.start()
+	h := NewCluster(opts)
+	h.Start()
 	h.sim.RunEvents(opts.Events)
-	return h.report()
+	return h.Report()
 }
 
-func newHarness(opts Options) *harness {
+// NewCluster returns a run without nodes.
+func NewCluster(opts Options) *Cluster {
 	if opts.Reducers.Entry == nil {
 		opts.Reducers = product()
 	}
-	h := &harness{
+	h := &Cluster{
 		opts:      opts,
 		reducers:  &invariant.Recorder{},
 		engines:   map[core.VM]*sim.Engine{},
@@ -102,18 +106,18 @@
 	return h
 }
 
-// start builds the cluster and schedules traffic and faults.
-func (h *harness) start() {
+// Start builds the cluster and schedules traffic and faults.
+func (h *Cluster) Start() {
 	h.apply()
 	for _, d := range domains {
 		for range entriesPerDomain {
-			h.addEntry(d)
+			h.AddEntry(d)
 		}
 		for range enginesPerDomain {
-			h.addSidecar(d, modelPool)
+			h.AddSidecar(d, modelPool)
 		}
 		for range toolsPerDomain {
-			h.addSidecar(d, toolPool)
+			h.AddSidecar(d, toolPool)
 		}
 	}
 	h.sim.After(warmUp, h.arrive)
@@ -122,27 +126,62 @@
 	}
 }
 
+// Sim returns the kernel of the run.
+func (h *Cluster) Sim() *sim.Sim { return h.sim }
+
+// Running returns the programs with an execution under way beside a sidecar.
+func (h *Cluster) Running(vm core.VM) map[core.ProgramID]bool {
+	programs := map[core.ProgramID]bool{}
+	for _, p := range h.obs.running[vm] {
+		programs[p] = true
+	}
+	return programs
+}
+
+// Homes returns the home of each slot as the key-value service holds it.
+func (h *Cluster) Homes() map[core.SlotID]core.VM {
+	homes := map[core.SlotID]core.VM{}
+	for s := range core.SlotID(slots) {
+		if owner, ok := h.owner(s); ok {
+			homes[s] = owner.Home.Node.VM
+		}
+	}
+	return homes
+}
+
+// owner returns a slot's owner as the key-value service holds it.
+func (h *Cluster) owner(s core.SlotID) (core.SlotOwner, bool) {
+	var owner core.SlotOwner
+	err := json.Unmarshal(h.sim.Store.Get(core.SlotKey(s)).Value, &owner)
+	return owner, err == nil
+}
+
+// Slot returns the slot of a program.
+func (h *Cluster) Slot(p core.ProgramID) core.SlotID { return p.Slot(slots) }
+
 // apply puts the next generation of the configuration in force.
-func (h *harness) apply() {
+func (h *Cluster) apply() {
 	h.configGen++
 	generation := h.sim.Apply(settings(h.configGen))
 	since := h.sim.Now()
 	h.sim.After(configGrace, func() { h.obs.inForce(generation, since) })
 }
 
-func (h *harness) nextVM(role string) core.VM {
+func (h *Cluster) nextVM(role string) core.VM {
 	h.vms++
 	return core.VM(fmt.Sprintf("%s-%d", role, h.vms))
 }
 
-func (h *harness) addEntry(d core.Domain) *sim.Node {
+// AddEntry adds an entry VM to a failure domain.
+func (h *Cluster) AddEntry(d core.Domain) *sim.Node {
 	return h.sim.AddEntry(h.nextVM("entry"), d, func(self core.Node) core.Reducer {
 		h.startedAt[self] = h.sim.Now()
 		return h.opts.Reducers.Entry(self, d, h.sim.Rand().Uint64(), h.reducers)
 	})
 }
 
-func (h *harness) addSidecar(d core.Domain, pool core.Pool) *sim.Node {
+// AddSidecar adds a sidecar VM and its target to a pool.
+func (h *Cluster) AddSidecar(d core.Domain, pool core.Pool) *sim.Node {
 	vm := h.nextVM("sidecar")
 	var node *sim.Node
 	executed := func(x sim.Execution) { h.obs.execution(node, x) }
@@ -154,7 +193,7 @@
 }
 
 // target makes the back end of a sidecar.
-func (h *harness) target(vm core.VM, pool core.Pool, executed func(sim.Execution)) sim.Target {
+func (h *Cluster) target(vm core.VM, pool core.Pool, executed func(sim.Execution)) sim.Target {
 	seed := h.sim.Rand().Uint64()
 	if pool == toolPool {
 		t := sim.NewTool(sim.ToolOptions{Seed: seed, Refuse: 0.01, Fail: 0.01})
@@ -180,7 +219,7 @@
 }
 
 // arrive starts a program and schedules the next arrival.
-func (h *harness) arrive() {
+func (h *Cluster) arrive() {
 	gap := core.Duration(h.sim.Rand().ExpFloat64() * float64(arrivalMean))
 	h.sim.After(gap, h.arrive)
 	if h.underWay < maxPrograms {
@@ -188,8 +227,8 @@
 	}
 }
 
-// report closes the books of the run.
-func (h *harness) report() *Report {
+// Report closes the books of the run.
+func (h *Cluster) Report() *Report {
 	h.collect()
 	r := &Report{
 		Seed:           h.opts.Seed,
@@ -216,7 +255,7 @@
 }
 
 // collect adds the faults that the fakes counted themselves.
-func (h *harness) collect() {
+func (h *Cluster) collect() {
 	net := h.sim.NetworkStats()
 	h.faults[MessageLost] = net.Lost
 	h.faults[MessageDuplicated] = net.Duplicated
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -42,7 +42,7 @@
 
 // injector schedules the faults of a run.
 type injector struct {
-	h        *harness
+	h        *Cluster
 	draining map[*sim.Node]bool
 	// foreign is the conversation of some other program.
 	foreign   []core.Block
@@ -51,7 +51,7 @@
 	picked    bool
 }
 
-func newInjector(h *harness) *injector {
+func newInjector(h *Cluster) *injector {
 	return &injector{h: h, draining: map[*sim.Node]bool{}}
 }
 
@@ -102,7 +102,7 @@
 	case SidecarKilled:
 		return j.kill(j.node(core.RoleSidecar))
 	case HomeAndMirrorKilled:
-		return j.kill(j.node(core.RoleEntry)) && j.kill(j.node(core.RoleEntry))
+		return j.killPair()
 	case EntryReplaced:
 		return j.replaceEntry()
 	case SidecarReplaced:
@@ -165,7 +165,7 @@
 func (j *injector) node(role core.VMRole) *sim.Node {
 	var up []*sim.Node
 	for _, n := range j.h.sim.Nodes() {
-		if n.Role() == role && n.Up() && !n.Paused() && !j.draining[n] {
+		if n.Role() == role && j.killable(n) {
 			up = append(up, n)
 		}
 	}
@@ -180,13 +180,29 @@
 	if n == nil {
 		return false
 	}
-	j.h.end(n)
+	j.h.Kill(n)
 	j.h.sim.After(j.between(50*core.Millisecond, 4*core.Second), n.Start)
 	return true
 }
 
-// end kills a process at once.
-func (h *harness) end(n *sim.Node) {
+// killPair ends the home of a slot and its first mirror at the same instant.
+func (j *injector) killPair() bool {
+	owner, ok := j.h.owner(core.SlotID(j.number(slots)))
+	if !ok || len(owner.Mirrors) == 0 {
+		return false
+	}
+	home, mirror := j.h.sim.Node(owner.Home.Node.VM), j.h.sim.Node(owner.Mirrors[0].Node.VM)
+	if home == nil || mirror == nil || !j.killable(home) || !j.killable(mirror) {
+		return false
+	}
+	return j.kill(home) && j.kill(mirror)
+}
+
+// killable reports whether a process runs and is not stopping.
+func (j *injector) killable(n *sim.Node) bool { return n.Up() && !n.Paused() && !j.draining[n] }
+
+// Kill ends a process at once, without a restart.
+func (h *Cluster) Kill(n *sim.Node) {
 	h.obs.endLife(n)
 	n.Kill()
 }
@@ -197,7 +213,7 @@
 		return false
 	}
 	n.Leave()
-	j.h.sim.After(j.between(core.Second, 5*core.Second), func() { j.h.addEntry(n.Domain()) })
+	j.h.sim.After(j.between(core.Second, 5*core.Second), func() { j.h.AddEntry(n.Domain()) })
 	return true
 }
 
@@ -208,7 +224,7 @@
 	}
 	j.h.obs.endLife(n)
 	n.Leave()
-	j.h.sim.After(j.between(core.Second, 5*core.Second), func() { j.h.addSidecar(n.Domain(), n.Pool()) })
+	j.h.sim.After(j.between(core.Second, 5*core.Second), func() { j.h.AddSidecar(n.Domain(), n.Pool()) })
 	return true
 }
 
@@ -223,7 +239,7 @@
 	}
 	j.h.obs.leaving[n.ID().VM] = j.h.sim.Now()
 	j.h.sim.VMs.Leaving(n)
-	j.h.addSidecar(n.Domain(), n.Pool())
+	j.h.AddSidecar(n.Domain(), n.Pool())
 	j.h.sim.After(30*core.Second, func() {
 		j.h.obs.endLife(n)
 		n.Leave()
@@ -364,7 +380,7 @@
 	j.h.sim.After(45*core.Second, func() {
 		if n.ID() == life && n.Up() && j.draining[n] {
 			j.h.drainTimeouts++
-			j.h.end(n)
+			j.h.Kill(n)
 			restart()
 		}
 	})
--- /dev/null
+++ b/soak/mutant_test.go
@@ -0,0 +1,322 @@
+package soak
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/invariant"
+)
+
+// wrapper changes what a reducer is given or what it does. Either function may
+// be nil.
+type wrapper struct {
+	inner  core.Reducer
+	event  func(ev core.Event) (core.Event, []core.Effect)
+	effect func(e core.Effect) core.Effect
+	// after runs after each step and returns further effects.
+	after func(ev core.Event, now core.Instant) []core.Effect
+}
+
+func (w *wrapper) Step(ev core.Event, now core.Instant) []core.Effect {
+	var out []core.Effect
+	if w.event != nil {
+		var extra []core.Effect
+		ev, extra = w.event(ev)
+		out = append(out, extra...)
+	}
+	if ev != nil {
+		out = append(out, w.change(w.inner.Step(ev, now))...)
+	}
+	if w.after != nil {
+		out = append(out, w.after(ev, now)...)
+	}
+	return out
+}
+
+func (w *wrapper) change(effects []core.Effect) []core.Effect {
+	if w.effect == nil {
+		return effects
+	}
+	var out []core.Effect
+	for _, e := range effects {
+		if e = w.effect(e); e != nil {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// mutateEntry wraps the entries of the product.
+func mutateEntry(wrap func(w *wrapper, self core.Node)) Reducers {
+	r := product()
+	inner := r.Entry
+	r.Entry = func(self core.Node, d core.Domain, seed uint64, rec *invariant.Recorder) core.Reducer {
+		w := &wrapper{inner: inner(self, d, seed, rec)}
+		wrap(w, self)
+		return w
+	}
+	return r
+}
+
+// mutateSidecar wraps the sidecars of the product.
+func mutateSidecar(wrap func(w *wrapper, self core.Node)) Reducers {
+	r := product()
+	inner := r.Sidecar
+	r.Sidecar = func(self core.Node, d core.Domain, pool core.Pool, seed uint64, rec *invariant.Recorder) core.Reducer {
+		w := &wrapper{inner: inner(self, d, pool, seed, rec)}
+		wrap(w, self)
+		return w
+	}
+	return r
+}
+
+// message applies a change to every message received.
+func message(change func(m core.Message) core.Message) func(core.Event) (core.Event, []core.Effect) {
+	return func(ev core.Event) (core.Event, []core.Effect) {
+		if r, ok := ev.(core.Recv); ok {
+			r.Msg = change(r.Msg)
+			return r, nil
+		}
+		return ev, nil
+	}
+}
+
+// withoutTombstone answers a query for an unknown attempt without remembering
+// the refusal.
+func withoutTombstone(w *wrapper, _ core.Node) {
+	seen := map[core.AttemptID]bool{}
+	w.event = func(ev core.Event) (core.Event, []core.Effect) {
+		r, ok := ev.(core.Recv)
+		if !ok {
+			return ev, nil
+		}
+		switch m := r.Msg.(type) {
+		case core.Dispatch:
+			seen[m.Attempt] = true
+		case core.QueryAttempt:
+			if !seen[m.Attempt] {
+				res := core.Result{Attempt: m.Attempt, State: core.AttemptRefused, Reason: core.ReasonTombstone, Epoch: m.Epoch}
+				return nil, []core.Effect{core.Send{To: r.From, Msg: res}}
+			}
+		case core.CancelAttempt:
+			if !seen[m.Attempt] {
+				return nil, nil
+			}
+		}
+		return ev, nil
+	}
+}
+
+// withoutCallTable runs every copy of a dispatch as an attempt of its own.
+func withoutCallTable(w *wrapper, _ core.Node) {
+	const alias = 1 << 40
+	copies := map[core.AttemptID]uint64{}
+	w.event = message(func(m core.Message) core.Message {
+		if d, ok := m.(core.Dispatch); ok {
+			copies[d.Attempt]++
+			d.Attempt.N += alias * (copies[d.Attempt] - 1)
+			return d
+		}
+		return m
+	})
+}
+
+// withoutMirrorFence makes a mirror accept the writes that it refuses.
+func withoutMirrorFence(w *wrapper, _ core.Node) {
+	w.effect = func(e core.Effect) core.Effect {
+		s, ok := e.(core.Send)
+		if !ok {
+			return e
+		}
+		if ack, ok := s.Msg.(core.MirrorAck); ok && !ack.OK && !ack.NeedImage {
+			ack.OK = true
+			ack.Promised = ack.Epoch
+			s.Msg = ack
+			return s
+		}
+		return e
+	}
+}
+
+// withoutMirroring keeps the writes of a home away from its mirrors and
+// acknowledges them itself, but for those with the whole image.
+func withoutMirroring(w *wrapper, _ core.Node) {
+	var acks []core.Recv
+	w.effect = func(e core.Effect) core.Effect {
+		s, ok := e.(core.Send)
+		if !ok {
+			return e
+		}
+		if m, ok := s.Msg.(core.MirrorWrite); ok && m.Image == nil {
+			ack := core.MirrorAck{Slot: m.Slot, Epoch: m.Epoch, Index: m.Index, OK: true, Promised: m.Epoch}
+			acks = append(acks, core.Recv{From: s.To, Msg: ack})
+			return nil
+		}
+		return e
+	}
+	w.after = func(_ core.Event, now core.Instant) []core.Effect {
+		var out []core.Effect
+		for len(acks) > 0 {
+			ack := acks[0]
+			acks = acks[1:]
+			out = append(out, w.change(w.inner.Step(ack, now))...)
+		}
+		return out
+	}
+}
+
+// withoutLeaving hides that VMs leave.
+func withoutLeaving(w *wrapper, _ core.Node) {
+	w.event = func(ev core.Event) (core.Event, []core.Effect) {
+		l, ok := ev.(core.VMList)
+		if !ok {
+			return ev, nil
+		}
+		vms := append([]core.VMInfo(nil), l.VMs...)
+		for i := range vms {
+			vms[i].Leaving = false
+		}
+		return core.VMList{VMs: vms}, nil
+	}
+}
+
+// withoutDrain stops at once when a graceful shutdown is asked for.
+func withoutDrain(w *wrapper, _ core.Node) {
+	w.after = func(ev core.Event, _ core.Instant) []core.Effect {
+		if _, ok := ev.(core.DrainRequested); ok {
+			return []core.Effect{core.Stopped{}}
+		}
+		return nil
+	}
+}
+
+// withoutRelease never tells the target to drop blocks.
+func withoutRelease(w *wrapper, _ core.Node) {
+	w.effect = func(e core.Effect) core.Effect {
+		if _, ok := e.(core.ReleaseCache); ok {
+			return nil
+		}
+		return e
+	}
+}
+
+// withoutUsage reports that attempts have cost nothing.
+func withoutUsage(w *wrapper, _ core.Node) {
+	w.event = message(func(m core.Message) core.Message {
+		if r, ok := m.(core.Result); ok {
+			r.Usage = core.Usage{}
+			return r
+		}
+		return m
+	})
+}
+
+// withoutHistoryCheck accepts any conversation.
+func withoutHistoryCheck(w *wrapper, _ core.Node) {
+	w.event = func(ev core.Event) (core.Event, []core.Effect) {
+		if c, ok := ev.(core.CallArrived); ok {
+			c.Call.ResetHistory = true
+			return c, nil
+		}
+		return ev, nil
+	}
+}
+
+// withCrossedAnswers exchanges the final words of every two requests.
+func withCrossedAnswers(w *wrapper, _ core.Node) {
+	var kept *core.Reply
+	w.effect = func(e core.Effect) core.Effect {
+		r, ok := e.(core.Reply)
+		if !ok || r.Finish.Outcome != core.OutcomeRan || r.Finish.Attempt.IsZero() {
+			return e
+		}
+		if kept == nil {
+			kept = &r
+			return e
+		}
+		r.Finish = kept.Finish
+		kept = nil
+		return r
+	}
+}
+
+// withFalseRefusals tells callers that calls of unknown outcome did not run.
+func withFalseRefusals(w *wrapper, _ core.Node) {
+	w.effect = func(e core.Effect) core.Effect {
+		if r, ok := e.(core.Reply); ok && r.Finish.Outcome == core.OutcomeUnknown {
+			r.Finish.Outcome = core.OutcomeNotRun
+			return r
+		}
+		return e
+	}
+}
+
+// withOldConfiguration announces a generation that goes back now and then.
+func withOldConfiguration(w *wrapper, _ core.Node) {
+	n := 0
+	w.effect = func(e core.Effect) core.Effect {
+		s, ok := e.(core.Send)
+		if !ok {
+			return e
+		}
+		if hb, ok := s.Msg.(core.Heartbeat); ok && hb.Generation > 1 {
+			n++
+			hb.Generation -= uint64(n % 2)
+			s.Msg = hb
+			return s
+		}
+		return e
+	}
+}
+
+// TestEveryMutantIsCaught takes one safety rule away at a time and expects the
+// observer to see the promise broken.
+func TestEveryMutantIsCaught(t *testing.T) {
+	tests := []struct {
+		name     string
+		reducers Reducers
+		broken   invariant.Promise
+	}{
+		{"no tombstone", mutateSidecar(withoutTombstone), invariant.NotRun},
+		{"no call table", mutateSidecar(withoutCallTable), invariant.AtMostOnce},
+		{"no mirror fence", mutateEntry(withoutMirrorFence), invariant.AtMostOnce},
+		{"no mirroring", mutateEntry(withoutMirroring), invariant.AtMostOnce},
+		{"leaving ignored", both(withoutLeaving), invariant.LeavingTarget},
+		{"drain ignored", mutateSidecar(withoutDrain), invariant.Drain},
+		{"entry drain ignored", mutateEntry(withoutDrain), invariant.Drain},
+		{"no release", mutateSidecar(withoutRelease), invariant.CacheReleased},
+		{"usage not counted", mutateEntry(withoutUsage), invariant.Budget},
+		{"history not checked", mutateEntry(withoutHistoryCheck), invariant.History},
+		{"answers crossed", mutateEntry(withCrossedAnswers), invariant.WholeAnswer},
+		{"unknown told as not run", mutateEntry(withFalseRefusals), invariant.NotRun},
+		{"configuration goes back", mutateEntry(withOldConfiguration), invariant.ConfigForward},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			require.NotZero(t, violationsUntilCaught(tt.reducers, tt.broken))
+		})
+	}
+}
+
+func both(wrap func(*wrapper, core.Node)) Reducers {
+	return Reducers{Entry: mutateEntry(wrap).Entry, Sidecar: mutateSidecar(wrap).Sidecar}
+}
+
+// violationsUntilCaught runs up to three seeds and returns the violations of a
+// promise in the first that has any.
+func violationsUntilCaught(r Reducers, p invariant.Promise) uint64 {
+	for seed := range uint64(3) {
+		c := NewCluster(Options{Seed: seed, Reducers: r})
+		c.Start()
+		for events := uint64(20_000); events <= 200_000; events += 20_000 {
+			c.sim.RunEvents(events)
+			if n := c.obs.rec.Violations(p); n > 0 {
+				return n
+			}
+		}
+	}
+	return 0
+}
--- a/soak/observer.go
+++ b/soak/observer.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
@@ -49,14 +51,13 @@
 	// engines are the sidecar lives that executed model calls of the tree.
 	engines map[core.Node]bool
 	digests map[uint64]bool
-	ended   bool
 	// created is the version of the slot's owner when the program began.
 	created uint64
 }
 
 // observer checks the promises from outside, with knowledge of everything.
 type observer struct {
-	h   *harness
+	h   *Cluster
 	rec *invariant.Recorder
 
 	calls    map[callID]*callState
@@ -70,7 +71,7 @@
 	owner    map[uint64]core.ProgramID
 	accounts map[core.Account]uint64
 	// running holds the executions under way by sidecar.
-	running map[core.VM]map[core.AttemptID]bool
+	running map[core.VM]map[core.AttemptID]core.ProgramID
 	leaving map[core.VM]core.Instant
 	resumed map[core.VM]core.Instant
 	// drained holds the lives that stopped after a graceful shutdown.
@@ -87,7 +88,7 @@
 	reasons    map[ReasonCount]uint64
 }
 
-func newObserver(h *harness) *observer {
+func newObserver(h *Cluster) *observer {
 	return &observer{
 		h: h, rec: &invariant.Recorder{},
 		calls:       map[callID]*callState{},
@@ -97,7 +98,7 @@
 		refused:     map[uint64]bool{},
 		owner:       map[uint64]core.ProgramID{},
 		accounts:    map[core.Account]uint64{},
-		running:     map[core.VM]map[core.AttemptID]bool{},
+		running:     map[core.VM]map[core.AttemptID]core.ProgramID{},
 		leaving:     map[core.VM]core.Instant{},
 		resumed:     map[core.VM]core.Instant{},
 		drained:     map[core.Node]bool{},
@@ -206,9 +207,9 @@
 		o.program(c.Program.Root()).engines[n.ID()] = true
 	}
 	if o.running[n.ID().VM] == nil {
-		o.running[n.ID().VM] = map[core.AttemptID]bool{}
+		o.running[n.ID().VM] = map[core.AttemptID]core.ProgramID{}
 	}
-	o.running[n.ID().VM][x.Attempt] = true
+	o.running[n.ID().VM][x.Attempt] = c.Program
 }
 
 // endLife forgets the executions that a life had under way.
@@ -286,10 +287,7 @@
 }
 
 func (o *observer) slotVersion(s core.SlotID) uint64 {
-	var owner core.SlotOwner
-	if json.Unmarshal(o.h.sim.Store.Get(core.SlotKey(s)).Value, &owner) != nil {
-		return 0
-	}
+	owner, _ := o.h.owner(s)
 	return owner.Epoch.Version
 }
 
@@ -306,3 +304,14 @@
 	o.rec.Check(invariant.Budget, o.accounts[c.Account] <= smallBudget, "%s: account %s has spent %d of %d",
 		a, c.Account, o.accounts[c.Account], smallBudget)
 }
+
+// reasonCounts returns the refusals by outcome and reason.
+func (o *observer) reasonCounts() []ReasonCount {
+	keys := slices.SortedFunc(maps.Keys(o.reasons), func(a, b ReasonCount) int {
+		return strings.Compare(a.Outcome+string(a.Reason), b.Outcome+string(b.Reason))
+	})
+	for i := range keys {
+		keys[i].Count = o.reasons[keys[i]]
+	}
+	return keys
+}
--- a/soak/product.go
+++ b/soak/product.go
@@ -1,18 +1,21 @@
 package soak
 
 import (
-	"maps"
-	"slices"
-	"strings"
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/core/entry"
+	"github.com/rhubarbsaddle/rhubarbsaddle/core/sidecar"
+	"github.com/rhubarbsaddle/rhubarbsaddle/invariant"
 )
 
-// reasonCounts returns the refusals by outcome and reason.
-func (o *observer) reasonCounts() []ReasonCount {
-	keys := slices.SortedFunc(maps.Keys(o.reasons), func(a, b ReasonCount) int {
-		return strings.Compare(a.Outcome+string(a.Reason), b.Outcome+string(b.Reason))
-	})
-	for i := range keys {
-		keys[i].Count = o.reasons[keys[i]]
-	}
-	return keys
+// product returns the reducers of the product.
+func product() Reducers {
+	return Reducers{Entry: newEntry, Sidecar: newSidecar}
+}
+
+func newEntry(self core.Node, domain core.Domain, seed uint64, rec *invariant.Recorder) core.Reducer {
+	return entry.New(entry.Options{Self: self, Domain: domain, Seed: seed, Invariants: rec})
+}
+
+func newSidecar(self core.Node, domain core.Domain, pool core.Pool, seed uint64, rec *invariant.Recorder) core.Reducer {
+	return sidecar.New(sidecar.Options{Self: self, Domain: domain, Pool: pool, Seed: seed, Invariants: rec})
 }
--- a/soak/program.go
+++ b/soak/program.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -41,7 +42,7 @@
 
 // program is one agent program and its caller.
 type program struct {
-	h       *harness
+	h       *Cluster
 	id      core.ProgramID
 	account core.Account
 	budget  uint64
@@ -53,16 +54,16 @@
 	answered []int
 	// reset makes the next model call replace the recorded conversation, since
 	// the caller does not know an answer that the record may contain.
-	reset bool
-	tries    int
-	ends     int
-	subs     int
-	booking  core.Call
-	done     func()
+	reset   bool
+	tries   int
+	ends    int
+	subs    int
+	booking core.Call
+	done    func()
 }
 
 // startProgram begins a root program.
-func (h *harness) startProgram() {
+func (h *Cluster) startProgram() {
 	h.programs++
 	h.underWay++
 	rng := h.sim.Rand()
@@ -122,6 +123,7 @@
 	c.ResetHistory = p.reset
 	c.Stream = true
 	p.mistake(&c)
+	c.Body = strconv.AppendUint(nil, c.Blocks[len(c.Blocks)-1].Digest, 16)
 	p.send(c, p.answeredModel)
 }
 
@@ -173,7 +175,7 @@
 
 // edge chooses an entry as the balancer does: one that takes connections, but
 // for the odd one that has died since.
-func (h *harness) edge() core.VM {
+func (h *Cluster) edge() core.VM {
 	var up []core.VM
 	for _, n := range h.sim.Nodes() {
 		if n.Role() == core.RoleEntry && !n.Gone() && n.Up() && !h.inject.draining[n] {
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,77 @@
+package soak
+
+import (
+	"flag"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+)
+
+// requireWhole fails the test with the texts of a report's violations.
+func requireWhole(t require.TestingT, r *Report) {
+	require.Empty(t, r.Texts, "seed %d, %d events", r.Seed, r.Events)
+	require.Zero(t, r.Violations)
+}
+
+// TestSeeds runs a fixed set of seeds under all faults.
+func TestSeeds(t *testing.T) {
+	const events = 100_000
+	for seed := uint64(1); seed <= 8; seed++ {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			r := Run(Options{Seed: seed, Events: events})
+			requireWhole(t, r)
+			require.NotZero(t, r.Outcomes.Ran)
+		})
+	}
+}
+
+// TestSeedsReplay checks that a seed gives the same run twice and another seed
+// another run.
+func TestSeedsReplay(t *testing.T) {
+	run := func(seed uint64) string { return Run(Options{Seed: seed, Events: 40_000}).Digest }
+	require.Equal(t, run(11), run(11))
+	require.NotEqual(t, run(11), run(12))
+}
+
+// TestCalmClusterServesEverything checks the callers and the observer: without
+// faults nothing is refused but what callers get wrong, and nothing is unknown.
+func TestCalmClusterServesEverything(t *testing.T) {
+	r := Run(Options{Seed: 1, Events: 60_000, Calm: true})
+	requireWhole(t, r)
+	require.Zero(t, r.Forgotten)
+	require.Greater(t, r.Outcomes.Ran, uint64(100))
+	require.Zero(t, r.Outcomes.AnswerLost)
+}
+
+// TestRandomSchedules lets rapid choose the faults, their order and their
+// times, and shrink a schedule that breaks a promise.
+func TestRandomSchedules(t *testing.T) {
+	require.NoError(t, flag.Set("rapid.checks", "12"))
+	injection := rapid.Custom(func(t *rapid.T) Injection {
+		return Injection{
+			After: rapid.Int64Range(0, 20).Draw(t, "after") * core.Second,
+			Fault: rapid.SampledFrom(scheduled()).Draw(t, "fault"),
+			Pick:  rapid.Uint64Range(0, 1000).Draw(t, "pick"),
+		}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		schedule := rapid.SliceOfN(injection, 1, 12).Draw(t, "schedule")
+		seed := rapid.Uint64Range(1, 1000).Draw(t, "seed")
+		requireWhole(t, Run(Options{Seed: seed, Events: 20_000, Schedule: schedule}))
+	})
+}
+
+// scheduled lists the kinds of fault that a schedule can contain.
+func scheduled() []Fault {
+	var kinds []Fault
+	for _, f := range Faults() {
+		if _, ok := meanBetween[f]; ok {
+			kinds = append(kinds, f)
+		}
+	}
+	return kinds
+}
