soak: budgets of programs whose slot was forgotten; VM list changes show in order

The VM list showed a leaving mark before the VM itself, which lost it: a fault of the fake. A program whose slot lost all its copies may be begun again by its caller with its budget; the bound counts the losses.

--- a/sim/caller.go
+++ b/sim/caller.go
@@ -123,8 +123,16 @@
 	}
 }
 
-// OpenRequests returns the number of requests without a response.
-func (n *Node) OpenRequests() int { return len(n.requests) }
+// OpenRequests returns the number of requests without a final word.
+func (n *Node) OpenRequests() int {
+	open := 0
+	for _, r := range n.requests {
+		if !r.replied {
+			open++
+		}
+	}
+	return open
+}
 
 // reply gives a request its final word; an answer that is kept at a sidecar is
 // read to its end first.
--- a/sim/node.go
+++ b/sim/node.go
@@ -227,8 +227,25 @@
 	}
 }
 
-// stop ends the process after a graceful shutdown.
+// lingerPeriod is the time between two looks of a stopping shell at the
+// transfers that are still open.
+const lingerPeriod = 50 * core.Millisecond
+
+// stop ends the process after a graceful shutdown: once the reducer has
+// stopped, the shell completes the transfers that are open and exits.
 func (n *Node) stop() {
+	life := n.id.Inc
+	if !n.up {
+		return
+	}
+	if n.transferring() {
+		n.sim.After(lingerPeriod, func() {
+			if n.id.Inc == life {
+				n.stop()
+			}
+		})
+		return
+	}
 	done := n.stopped
 	n.stopped = nil
 	n.Kill()
@@ -237,6 +254,27 @@
 	}
 }
 
+// transferring reports whether a response of this edge, or an answer read from
+// this sidecar, is still on its way.
+func (n *Node) transferring() bool {
+	for _, r := range n.requests {
+		if r.replied {
+			return true
+		}
+	}
+	if n.target == nil {
+		return false
+	}
+	for _, edge := range n.sim.order {
+		for _, r := range edge.requests {
+			if r.sidecar == n.id && r.answer == nil && n.target.answers[r.attempt] != nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Inject delivers an event to the present life now, as a faulty peer would.
 func (n *Node) Inject(ev core.Event) { n.event(ev) }
 
--- a/sim/vmlist.go
+++ b/sim/vmlist.go
@@ -18,6 +18,8 @@
 type VMRegistry struct {
 	sim  *Sim
 	list []core.VMInfo
+	// changed is when the last change shows; changes show in order.
+	changed core.Instant
 }
 
 func newVMRegistry(s *Sim) *VMRegistry { return &VMRegistry{sim: s} }
@@ -56,7 +58,8 @@
 		r.informAll()
 		return
 	}
-	r.sim.After(r.sim.rng.Int64N(vmListLag), func() {
+	r.changed = max(r.changed, r.sim.now.Add(r.sim.rng.Int64N(vmListLag)))
+	r.sim.At(r.changed, func() {
 		edit()
 		r.informAll()
 	})
--- a/soak/answers.go
+++ b/soak/answers.go
@@ -35,6 +35,7 @@
 	}
 	o.h.sim.Fold(uint64(r.Finish.Outcome), xxhash.Sum64String(string(r.Finish.Reason)), r.Finish.Length)
 	cut := r.Broken && !r.Req.Edge.IsZero() && o.drained[r.Req.Edge]
+	cut = cut || r.Cut && o.drained[r.Finish.Sidecar]
 	o.rec.Check(invariant.Drain, !cut, "%s: request of %s cut off by a graceful shutdown", r.Req, r.Call.Program)
 	if r.End {
 		return
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -45,7 +45,7 @@
 	maxPrograms = 60
 	// warmUp is the time before the first program and the first fault.
 	warmUp = 8 * core.Second
-	tick   = 100 * core.Millisecond
+	tick   = 200 * core.Millisecond
 )
 
 // Cluster is one run: the nodes, their callers, the observer and the injector.
--- a/soak/observer.go
+++ b/soak/observer.go
@@ -17,9 +17,10 @@
 	leavingGrace = 5 * core.Second
 	// configGrace is the time in which a configuration is in force everywhere.
 	configGrace = 7 * core.Second
-	// releaseGrace is the time after the end of a program in which all engines
-	// that live have dropped its memory.
-	releaseGrace = 60 * core.Second
+	// releaseGrace is the time after the end of a program in which every sidecar
+	// that has lived since has released its memory, at the latest because the
+	// program has been idle for longer than the configuration allows.
+	releaseGrace = 90 * core.Second
 )
 
 // callID names one call of a program.
@@ -51,8 +52,10 @@
 	// engines are the sidecar lives that executed model calls of the tree.
 	engines map[core.Node]bool
 	digests map[uint64]bool
-	// created is the version of the slot's owner when the program began.
+	// created is the version of the slot's owner when the program began, and
+	// forgets the times that the slot had lost its memory until then.
 	created uint64
+	forgets uint64
 }
 
 // observer checks the promises from outside, with knowledge of everything.
@@ -80,6 +83,8 @@
 	generations map[core.Node]uint64
 	// remembers holds the version since which each slot has forgotten nothing.
 	remembers map[core.SlotID]uint64
+	// forgets counts how often each slot has lost its memory.
+	forgets map[core.SlotID]uint64
 
 	executions uint64
 	responses  uint64
@@ -104,6 +109,7 @@
 		drained:     map[core.Node]bool{},
 		generations: map[core.Node]uint64{},
 		remembers:   map[core.SlotID]uint64{},
+		forgets:     map[core.SlotID]uint64{},
 		reasons:     map[ReasonCount]uint64{},
 	}
 }
@@ -132,6 +138,7 @@
 	p := o.program(id)
 	p.budget = budget
 	p.created = o.slotVersion(id.Slot(slots))
+	p.forgets = o.forgets[id.Slot(slots)]
 }
 
 // effect sees every effect of every life.
@@ -282,6 +289,7 @@
 		o.remembers[owner.Slot] = owner.Remembers
 		if owner.Remembers > 1 {
 			o.forgotten++
+			o.forgets[owner.Slot]++
 		}
 	}
 }
@@ -291,12 +299,15 @@
 	return owner.Epoch.Version
 }
 
-// spent checks the budgets of the program and of its account.
+// spent checks the budgets of the program and of its account. A program whose
+// slot has lost its memory with all copies may be begun again by its caller,
+// with its budget.
 func (o *observer) spent(a core.AttemptID, c *core.Call, tokens uint64) {
 	root := o.program(c.Program.Root())
 	root.spent += tokens
-	o.rec.Check(invariant.Budget, root.spent <= root.budget, "%s: program %s has spent %d of %d",
-		a, c.Program.Root(), root.spent, root.budget)
+	budget := root.budget * (1 + o.forgets[c.Program.Slot(slots)] - root.forgets)
+	o.rec.Check(invariant.Budget, root.spent <= budget, "%s: program %s has spent %d of %d",
+		a, c.Program.Root(), root.spent, budget)
 	o.accounts[c.Account] += tokens
 	if c.Account != accounts[len(accounts)-1] {
 		return
--- a/soak/program.go
+++ b/soak/program.go
@@ -193,14 +193,16 @@
 	h := p.h
 	r := h.sim.Rand().Float64()
 	switch {
-	case r < staleShare && len(p.answered) > 0:
+	case len(p.answered) == 0 || p.reset:
+		// The record holds no conversation that the mistake would contradict.
+	case r < staleShare:
 		h.faults[HistoryStale]++
 		c.Blocks = p.blocks[:p.answered[len(p.answered)-1]]
 	case r < staleShare+foreignShare && h.inject.foreign != nil && h.inject.foreignOf != p.id:
 		h.faults[HistoryForeign]++
 		c.Blocks = h.inject.foreign
 	}
-	if len(p.answered) > 0 && c.Blocks != nil {
+	if len(p.answered) > 0 {
 		h.inject.foreign, h.inject.foreignOf = p.blocks, p.id
 	}
 }
--- a/soak/settings.go
+++ b/soak/settings.go
@@ -48,7 +48,7 @@
 			Mirrors:         mirrors,
 			Heartbeat:       duration(200 * time.Millisecond),
 			SuspectAfter:    duration(1500 * time.Millisecond),
-			AnswerRetention: duration(time.Minute),
+			AnswerRetention: duration(30 * time.Second),
 		},
 		Pools: []config.Pool{
 			{
@@ -67,7 +67,7 @@
 		Programs: []config.ProgramKind{{
 			Name: agentKind, Pools: []string{string(modelPool), string(toolPool)},
 			BudgetTokens: programLimit, MaxTurns: maxTurns, MaxDepth: maxDepth,
-			MaxAge: duration(10 * time.Minute), MaxIdle: duration(2 * time.Minute),
+			MaxAge: duration(10 * time.Minute), MaxIdle: duration(time.Minute),
 			Deadline: duration(30 * time.Second),
 		}},
 	}
