--- a/soak/answers.go
+++ b/soak/answers.go
@@ -34,8 +34,7 @@
 		o.h.opts.Response(r)
 	}
 	o.h.sim.Fold(uint64(r.Finish.Outcome), xxhash.Sum64String(string(r.Finish.Reason)), r.Finish.Length)
-	cut := r.Broken && !r.Req.Edge.IsZero() && o.drained[r.Req.Edge]
-	cut = cut || r.Cut && o.drained[r.Finish.Sidecar]
+	cut := r.Broken && o.stoppedSince(r.Req.Edge, r.SentAt) || r.Cut && o.stoppedSince(r.Finish.Sidecar, r.SentAt)
 	o.rec.Check(invariant.Drain, !cut, "%s: request of %s cut off by a graceful shutdown", r.Req, r.Call.Program)
 	if r.End {
 		return
@@ -54,6 +53,12 @@
 	}
 }
 
+// stoppedSince reports whether a life has stopped gracefully after an instant.
+func (o *observer) stoppedSince(n core.Node, t core.Instant) bool {
+	at, ok := o.drained[n]
+	return ok && at >= t
+}
+
 func (o *observer) count(r *sim.Response) {
 	switch {
 	case r.Broken:
--- a/soak/observer.go
+++ b/soak/observer.go
@@ -77,8 +77,8 @@
 	running map[core.VM]map[core.AttemptID]core.ProgramID
 	leaving map[core.VM]core.Instant
 	resumed map[core.VM]core.Instant
-	// drained holds the lives that stopped after a graceful shutdown.
-	drained map[core.Node]bool
+	// drained holds when a life stopped after a graceful shutdown.
+	drained map[core.Node]core.Instant
 	// generations holds the configuration that each life last announced.
 	generations map[core.Node]uint64
 	// remembers holds the version since which each slot has forgotten nothing.
@@ -106,7 +106,7 @@
 		running:     map[core.VM]map[core.AttemptID]core.ProgramID{},
 		leaving:     map[core.VM]core.Instant{},
 		resumed:     map[core.VM]core.Instant{},
-		drained:     map[core.Node]bool{},
+		drained:     map[core.Node]core.Instant{},
 		generations: map[core.Node]uint64{},
 		remembers:   map[core.SlotID]uint64{},
 		forgets:     map[core.SlotID]uint64{},
@@ -187,7 +187,7 @@
 
 // stopped checks that a graceful shutdown cuts off nothing.
 func (o *observer) stopped(n *sim.Node) {
-	o.drained[n.ID()] = true
+	o.drained[n.ID()] = o.h.sim.Now()
 	if n.Role() == core.RoleEntry {
 		o.rec.Check(invariant.Drain, n.OpenRequests() == 0, "%s stopped with %d requests in flight", n.ID(), n.OpenRequests())
 		return
--- a/soak/program.go
+++ b/soak/program.go
@@ -209,7 +209,8 @@
 
 // answeredModel takes the response to a model call.
 func (p *program) answeredModel(r *sim.Response) {
-	if p.again(r, p.model) {
+	lost := r.Cut && p.tries > 1
+	if !lost && p.again(r, p.model) {
 		return
 	}
 	if r.Finish.Outcome != core.OutcomeRan || r.Answer == nil {
@@ -296,7 +297,8 @@
 
 func (p *program) callTool(c core.Call) {
 	p.send(c, func(r *sim.Response) {
-		if p.again(r, func() { p.callTool(c) }) {
+		lost := r.Cut && p.tries > 1
+		if !lost && p.again(r, func() { p.callTool(c) }) {
 			return
 		}
 		p.mischief()
