core: promise request and reply

Between entries, for the rule that a change of owner needs the promise of all members of the version but one.

--- a/core/message.go
+++ b/core/message.go
@@ -89,6 +89,26 @@
 // SlotQuery asks a peer for its whole slot map.
 type SlotQuery struct{}
 
+// PromiseRequest asks a member of a slot to refuse all writes below an epoch.
+// A member that wants to change the slot's owner collects promises before it
+// swaps the entry.
+type PromiseRequest struct {
+	Slot  SlotID
+	Epoch Epoch
+}
+
+// PromiseReply answers a PromiseRequest.
+type PromiseReply struct {
+	Slot SlotID
+	// Epoch is the one that was asked for.
+	Epoch Epoch
+	OK    bool
+	// Promised is the highest epoch that the member has promised.
+	Promised Epoch
+	// Eligible says that the member has an image with all acknowledged writes.
+	Eligible bool
+}
+
 // Handover offers a slot to a mirror in a planned change of owner.
 type Handover struct {
 	Slot  SlotID
@@ -201,22 +221,24 @@
 // LoadReport is sent by a sidecar to the entries that said Hello.
 type LoadReport struct{ Load Load }
 
-func (Forward) message()       {}
-func (Placed) message()        {}
-func (Finished) message()      {}
-func (Withdraw) message()      {}
-func (EndRequest) message()    {}
-func (MirrorWrite) message()   {}
-func (MirrorAck) message()     {}
-func (Heartbeat) message()     {}
-func (SlotUpdate) message()    {}
-func (SlotQuery) message()     {}
-func (Handover) message()      {}
-func (Dispatch) message()      {}
-func (QueryAttempt) message()  {}
-func (CancelAttempt) message() {}
-func (AckResult) message()     {}
-func (EndProgram) message()    {}
-func (Hello) message()         {}
-func (Result) message()        {}
-func (LoadReport) message()    {}
+func (Forward) message()        {}
+func (Placed) message()         {}
+func (Finished) message()       {}
+func (Withdraw) message()       {}
+func (EndRequest) message()     {}
+func (MirrorWrite) message()    {}
+func (MirrorAck) message()      {}
+func (Heartbeat) message()      {}
+func (SlotUpdate) message()     {}
+func (SlotQuery) message()      {}
+func (PromiseRequest) message() {}
+func (PromiseReply) message()   {}
+func (Handover) message()       {}
+func (Dispatch) message()       {}
+func (QueryAttempt) message()   {}
+func (CancelAttempt) message()  {}
+func (AckResult) message()      {}
+func (EndProgram) message()     {}
+func (Hello) message()          {}
+func (Result) message()         {}
+func (LoadReport) message()     {}
