--- /dev/null
+++ b/daemon/node/ports.go
@@ -0,0 +1,33 @@
+package node
+
+import (
+	"context"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/config"
+	"github.com/rhubarbsaddle/rhubarbsaddle/config/publish"
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
+)
+
+// Applied is a configuration in force.
+type Applied struct {
+	Generation uint64
+	Set        *config.Set
+}
+
+// PublishStore returns the key-value service as package publish uses it.
+func PublishStore(s store.Store) publish.Store { return publishStore{s} }
+
+type publishStore struct{ store.Store }
+
+// Range returns the entries of all keys with a prefix.
+func (s publishStore) Range(ctx context.Context, prefix string) ([]core.StoreEntry, error) {
+	entries, _, err := s.Store.Range(ctx, prefix)
+	return entries, err
+}
+
+// Swap writes a key if its revision is still revision.
+func (s publishStore) Swap(ctx context.Context, key string, revision int64, value []byte) (bool, error) {
+	result, err := s.Store.Swap(ctx, store.Swap{Key: key, Revision: revision, Value: value})
+	return result.Swapped, err
+}
