--- /dev/null
+++ b/metrics/messages.go
@@ -0,0 +1,68 @@
+package metrics
+
+import "github.com/rhubarbsaddle/rhubarbsaddle/core"
+
+// messageName returns the name of a message's type.
+func messageName(m core.Message) string {
+	switch m.(type) {
+	case core.Forward:
+		return "forward"
+	case core.Placed:
+		return "placed"
+	case core.Finished:
+		return "finished"
+	case core.Withdraw:
+		return "withdraw"
+	case core.EndRequest:
+		return "end_request"
+	case core.MirrorWrite:
+		return "mirror_write"
+	case core.MirrorAck:
+		return "mirror_ack"
+	case core.Heartbeat:
+		return "heartbeat"
+	case core.SlotUpdate:
+		return "slot_update"
+	case core.SlotQuery:
+		return "slot_query"
+	case core.Handover:
+		return "handover"
+	case core.Dispatch:
+		return "dispatch"
+	case core.QueryAttempt:
+		return "query_attempt"
+	case core.CancelAttempt:
+		return "cancel_attempt"
+	case core.AckResult:
+		return "ack_result"
+	case core.EndProgram:
+		return "end_program"
+	case core.Hello:
+		return "hello"
+	case core.Result:
+		return "result"
+	case core.LoadReport:
+		return "load_report"
+	case core.PromiseRequest:
+		return "promise_request"
+	case core.PromiseReply:
+		return "promise_reply"
+	}
+	return other
+}
+
+// messageNames returns the names of all messages.
+func messageNames() []string {
+	all := []core.Message{
+		core.Forward{}, core.Placed{}, core.Finished{}, core.Withdraw{}, core.EndRequest{},
+		core.MirrorWrite{}, core.MirrorAck{}, core.Heartbeat{}, core.SlotUpdate{}, core.SlotQuery{},
+		core.Handover{}, core.Dispatch{}, core.QueryAttempt{}, core.CancelAttempt{}, core.AckResult{},
+		core.EndProgram{}, core.Hello{}, core.Result{}, core.LoadReport{},
+		core.PromiseRequest{}, core.PromiseReply{},
+	}
+	names := make([]string, 0, len(all)+1)
+	for _, m := range all {
+		names = append(names, messageName(m))
+	}
+	return append(names, other)
+}
