sidecar: decide first_token when an attempt's first output arrives

Cause: the explanation of a program cannot tell prefill from decode without it. Change: one more Decision from onProgress; nothing else reads or depends on it.

--- a/core/sidecar/run.go
+++ b/core/sidecar/run.go
@@ -15,9 +15,17 @@
 
 // onProgress counts the tokens generated so far.
 func (s *Sidecar) onProgress(ev core.TargetProgress) {
-	if a := s.runningAttempt(ev.Attempt); a != nil {
-		a.output += ev.Tokens
+	a := s.runningAttempt(ev.Attempt)
+	if a == nil {
+		return
+	}
+	if a.output == 0 && ev.Tokens > 0 {
+		s.emit(core.Decision{
+			Step: "first_token", Program: a.call.Program, Seq: a.call.Seq, Attempt: a.id,
+			Target: s.opts.Self, Slot: a.slot, Wait: s.now.Sub(a.startedAt),
+		})
 	}
+	a.output += ev.Tokens
 }
 
 // onFinished records the answer of an attempt.
