report/explain, cli: explain where a program's time went

Cause: operators must see why a program was slow and why its calls ran where they did. Change: parts of each call from the decision logs, each measured by one process, the targets chosen with their cost and refusals; table and JSON.

--- /dev/null
+++ b/cli/explain.go
@@ -0,0 +1,49 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/observe"
+	"github.com/rhubarbsaddle/rhubarbsaddle/report/explain"
+)
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "show where a program's time went and why its calls ran where they did",
+		ArgsUsage: "PROGRAM",
+		Description: "Examples:\n" +
+			"  rhubarbsaddle explain --data events.jsonl haggle-1\n" +
+			"  rhubarbsaddle explain --from http://127.0.0.1:9100 --json haggle-1",
+		Flags:  append(eventFlags(), &cli.BoolFlag{Name: "json", Usage: "write JSON instead of a table"}),
+		Action: runExplain,
+	}
+}
+
+func runExplain(ctx context.Context, cmd *cli.Command) error {
+	program, err := oneArgument(cmd, "PROGRAM")
+	if err != nil {
+		return err
+	}
+	var decisions []observe.Decision
+	err = readEvents(ctx, cmd, func(l observe.Line) {
+		if l.Decision != nil {
+			decisions = append(decisions, *l.Decision)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	report := explain.New(core.ProgramID(program), decisions)
+	if len(report.Calls) == 0 {
+		return fmt.Errorf("explain %s: the event logs tell of no call that has ended", program)
+	}
+	if cmd.Bool("json") {
+		return report.WriteJSON(cmd.Root().Writer)
+	}
+	return report.WriteTable(cmd.Root().Writer)
+}
--- /dev/null
+++ b/cli/explain_test.go
@@ -0,0 +1,33 @@
+package cli
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/observe"
+)
+
+func TestExplain(t *testing.T) {
+	log, path := eventLog(t)
+	require.NoError(t, log.Decide(observe.Decision{Step: "place", Program: "p1", Seq: 1, Target: "s1#1", WaitSeconds: 0.25}))
+	require.NoError(t, log.Decide(observe.Decision{Step: "finish", Program: "p1", Seq: 1, WaitSeconds: 1}))
+	tests := []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{"--data", path, "p1"}, ExitOK, "p1#1"},
+		{[]string{"--data", path, "--json", "p1"}, ExitOK, `"home_seconds": 0.25`},
+		{[]string{"--data", path, "p2"}, ExitFailed, "tell of no call that has ended"},
+		{[]string{"--data", path}, ExitUsage, "PROGRAM"},
+		{[]string{"p1"}, ExitUsage, "name event logs"},
+	}
+	for _, tt := range tests {
+		var out bytes.Buffer
+		args := append([]string{"rhubarbsaddle", "explain"}, tt.args...)
+		require.Equal(t, tt.code, Run(t.Context(), args, &out, &out), out.String())
+		require.Contains(t, out.String(), tt.want)
+	}
+}
--- a/cli/root.go
+++ b/cli/root.go
@@ -35,6 +35,7 @@
 	return []*cli.Command{
 		checkCommand(),
 		reportCommand(),
+		explainCommand(),
 		diffCommand(),
 		applyCommand(),
 		historyCommand(),
--- /dev/null
+++ b/report/explain/explain.go
@@ -0,0 +1,237 @@
+// Package explain shows where the time of one program went and why its calls
+// ran where they did, from the decision logs of the daemons.
+//
+// The clocks of two VMs are never compared within a call: each part of a call's
+// time was measured by one process.
+package explain
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/observe"
+)
+
+// Steps of the decisions that tell about a call.
+const (
+	stepPlace      = "place"
+	stepQueue      = "queue"
+	stepFirstToken = "first_token"
+	stepRun        = "run"
+	stepRefuse     = "refuse"
+	stepFinish     = "finish"
+)
+
+// Parts splits a time, in seconds.
+type Parts struct {
+	// Home is the wait at the home before the first target was chosen.
+	Home float64 `json:"home_seconds"`
+	// Queue is the wait at the sidecar of the attempt that counted.
+	Queue float64 `json:"queue_seconds"`
+	// Prefill lasts until the first token, Decode from there to the last. A model
+	// call without a first token in the log has all of its time in Decode.
+	Prefill float64 `json:"prefill_seconds"`
+	Decode  float64 `json:"decode_seconds"`
+	// Tool is the execution of calls that are no model calls.
+	Tool float64 `json:"tool_seconds"`
+	// Retry is the time from the first choice of a target to the last one.
+	Retry float64 `json:"retry_seconds"`
+	// Other is the rest: replication, messages, and waiting for outcomes.
+	Other float64 `json:"other_seconds"`
+}
+
+// add adds the parts of a call.
+func (p *Parts) add(q Parts) {
+	p.Home += q.Home
+	p.Queue += q.Queue
+	p.Prefill += q.Prefill
+	p.Decode += q.Decode
+	p.Tool += q.Tool
+	p.Retry += q.Retry
+	p.Other += q.Other
+}
+
+// known returns the sum of all parts but Other.
+func (p *Parts) known() float64 {
+	return p.Home + p.Queue + p.Prefill + p.Decode + p.Tool + p.Retry
+}
+
+// Report explains a program and its sub-agents.
+type Report struct {
+	Program core.ProgramID `json:"program"`
+	Start   time.Time      `json:"start"`
+	// SpanSeconds lasts from the first call's arrival to the last call's end.
+	SpanSeconds float64 `json:"span_seconds"`
+	// OutsideSeconds is the part of the span in which no call was under way.
+	OutsideSeconds float64 `json:"outside_seconds"`
+	// Parts sums the calls; calls of sub-agents that overlap count each.
+	Parts Parts  `json:"parts"`
+	Calls []Call `json:"calls"`
+}
+
+// Call explains one call.
+type Call struct {
+	Program      core.ProgramID `json:"program"`
+	Seq          uint64         `json:"seq"`
+	End          time.Time      `json:"end"`
+	TotalSeconds float64        `json:"total_seconds"`
+	Parts        Parts          `json:"parts"`
+	// Reason is why the call failed; empty if it ran.
+	Reason       core.Reason `json:"reason,omitempty"`
+	PromptTokens uint32      `json:"prompt_tokens"`
+	CachedTokens uint32      `json:"cached_tokens"`
+	OutputTokens uint32      `json:"output_tokens"`
+	// Choices are the targets chosen, in order.
+	Choices []Choice `json:"choices"`
+}
+
+// Choice is one choice of a target and what became of it.
+type Choice struct {
+	Target      string  `json:"target"`
+	CostSeconds float64 `json:"cost_seconds"`
+	// Refused is why the sidecar refused the attempt; empty if it did not.
+	Refused core.Reason `json:"refused,omitempty"`
+}
+
+// callKey names a call.
+type callKey struct {
+	program core.ProgramID
+	seq     uint64
+}
+
+// New explains a program and its sub-agents. The decisions of all daemons may
+// come in any order. A call that has not ended is left out.
+func New(program core.ProgramID, decisions []observe.Decision) *Report {
+	report := &Report{Program: program}
+	calls := group(program, decisions)
+	for _, k := range slices.Collect(maps.Keys(calls)) {
+		if call, ended := newCall(k, calls[k]); ended {
+			report.Calls = append(report.Calls, call)
+			report.Parts.add(call.Parts)
+		}
+	}
+	slices.SortFunc(report.Calls, func(a, b Call) int {
+		return cmp.Or(a.End.Compare(b.End), cmp.Compare(a.Program, b.Program), cmp.Compare(a.Seq, b.Seq))
+	})
+	report.setSpan()
+	return report
+}
+
+// group returns the decisions of a program and its sub-agents by call, each in
+// order of time.
+func group(program core.ProgramID, decisions []observe.Decision) map[callKey][]observe.Decision {
+	calls := make(map[callKey][]observe.Decision)
+	for _, d := range decisions {
+		if d.Program != program && !strings.HasPrefix(string(d.Program), string(program)+"/") {
+			continue
+		}
+		k := callKey{program: d.Program, seq: d.Seq}
+		calls[k] = append(calls[k], d)
+	}
+	for _, list := range calls {
+		slices.SortStableFunc(list, func(a, b observe.Decision) int { return a.Time.Compare(b.Time) })
+	}
+	return calls
+}
+
+// newCall explains one call; false means that it has not ended.
+func newCall(k callKey, decisions []observe.Decision) (Call, bool) {
+	end := slices.IndexFunc(decisions, func(d observe.Decision) bool { return d.Step == stepFinish })
+	if end < 0 {
+		return Call{}, false
+	}
+	finish := decisions[end]
+	call := Call{
+		Program:      k.program,
+		Seq:          k.seq,
+		End:          finish.Time,
+		TotalSeconds: finish.WaitSeconds,
+		Reason:       finish.Reason,
+		PromptTokens: finish.PromptTokens,
+		CachedTokens: finish.CachedTokens,
+		OutputTokens: finish.OutputTokens,
+	}
+	call.setChoices(decisions)
+	call.setRun(decisions, finish.Attempt)
+	call.Parts.Other = max(call.TotalSeconds-call.Parts.known(), 0)
+	return call, true
+}
+
+// setChoices lists the targets chosen and the time spent on all but the last.
+func (c *Call) setChoices(decisions []observe.Decision) {
+	for _, d := range decisions {
+		switch d.Step {
+		case stepPlace:
+			if len(c.Choices) == 0 {
+				c.Parts.Home = d.WaitSeconds
+			}
+			c.Parts.Retry = max(d.WaitSeconds-c.Parts.Home, 0)
+			c.Choices = append(c.Choices, Choice{Target: d.Target, CostSeconds: d.CostSeconds})
+		case stepRefuse:
+			c.refused(d)
+		}
+	}
+}
+
+// refused notes a refusal at the choice that it answers.
+func (c *Call) refused(d observe.Decision) {
+	for i := range slices.Backward(c.Choices) {
+		if c.Choices[i].Target == d.Target {
+			c.Choices[i].Refused = d.Reason
+			return
+		}
+	}
+}
+
+// setRun splits the time of the attempt that counted.
+func (c *Call) setRun(decisions []observe.Decision, attempt string) {
+	var run, first float64
+	for _, d := range decisions {
+		if attempt == "" || d.Attempt != attempt {
+			continue
+		}
+		switch d.Step {
+		case stepQueue:
+			c.Parts.Queue = d.WaitSeconds
+		case stepFirstToken:
+			first = d.WaitSeconds
+		case stepRun:
+			run = d.WaitSeconds
+		}
+	}
+	if c.PromptTokens == 0 {
+		c.Parts.Tool = run
+		return
+	}
+	c.Parts.Prefill = min(first, run)
+	c.Parts.Decode = run - c.Parts.Prefill
+}
+
+// setSpan sets the program's span and the time outside of all calls.
+func (r *Report) setSpan() {
+	if len(r.Calls) == 0 {
+		return
+	}
+	type interval struct{ start, end time.Time }
+	intervals := make([]interval, 0, len(r.Calls))
+	for _, c := range r.Calls {
+		total := time.Duration(c.TotalSeconds * float64(time.Second))
+		intervals = append(intervals, interval{c.End.Add(-total), c.End})
+	}
+	slices.SortFunc(intervals, func(a, b interval) int { return a.start.Compare(b.start) })
+	r.Start = intervals[0].start
+	end := r.Start
+	for _, i := range intervals {
+		if gap := i.start.Sub(end); gap > 0 {
+			r.OutsideSeconds += gap.Seconds()
+		}
+		if i.end.After(end) {
+			end = i.end
+		}
+	}
+	r.SpanSeconds = end.Sub(r.Start).Seconds()
+}
