--- /dev/null
+++ b/cli/operators.go
@@ -0,0 +1,68 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+// operatorTimeout bounds a request to an operators' port.
+const operatorTimeout = 5 * time.Second
+
+// maxStatusBytes bounds the answer of an operators' port.
+const maxStatusBytes = 64 << 20
+
+// OperatorError reports a request to an operators' port that failed.
+type OperatorError struct {
+	Step string
+	// Peer is the address of the port.
+	Peer string
+	Err  error
+}
+
+// Error returns the step, the peer and the cause.
+func (e *OperatorError) Error() string { return fmt.Sprintf("%s %s: %v", e.Step, e.Peer, e.Err) }
+
+// Unwrap returns the cause.
+func (e *OperatorError) Unwrap() error { return e.Err }
+
+// nodeFlag lists the operators' ports that a command talks to.
+func nodeFlag() cli.Flag {
+	return &cli.StringSliceFlag{
+		Name:     "node",
+		Usage:    "address of an operators' port, `IP:PORT`; may be repeated",
+		Sources:  cli.EnvVars("RHUBARBSADDLE_NODES"),
+		Required: true,
+	}
+}
+
+// operatorCall sends a request to an operators' port and decodes the answer
+// into out unless out is nil.
+func operatorCall(ctx context.Context, step, method, addr, path string, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, nil)
+	if err != nil {
+		return &OperatorError{Step: step, Peer: addr, Err: err}
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return &OperatorError{Step: step, Peer: addr, Err: err}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusBadRequest {
+		return &OperatorError{Step: step, Peer: addr, Err: fmt.Errorf("status %s", resp.Status)}
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(out); err != nil {
+		return &OperatorError{Step: step, Peer: addr, Err: err}
+	}
+	return nil
+}
--- a/cli/root.go
+++ b/cli/root.go
@@ -34,6 +34,10 @@
 func commands() []*cli.Command {
 	return []*cli.Command{
 		checkCommand(),
+		statusCommand(),
+		drainCommand(),
+		entryCommand(),
+		sidecarCommand(),
 	}
 }
 
--- a/config/check.go
+++ b/config/check.go
@@ -235,6 +235,7 @@
 	c.oneOf("log.level", n.Log.Level, []string{"debug", "info", "warn", "error"})
 	if n.Role == "sidecar" {
 		c.required("target.pool", n.Target.Pool)
+		c.oneOf("target.kind", string(n.Target.Kind), []string{string(PoolModel), string(PoolTool), string(PoolService)})
 		c.addrPort("target.address", n.Target.Address, true)
 	}
 	return c.problems
--- a/config/default.go
+++ b/config/default.go
@@ -89,6 +89,9 @@
 	n.Store.Timeout = orDefault(n.Store.Timeout, DefaultStoreTimeout)
 	n.VMList.Period = orDefault(n.VMList.Period, DefaultVMListPeriod)
 	n.Log.Level = orDefault(n.Log.Level, DefaultLogLevel)
+	if n.Role == "sidecar" {
+		n.Target.Kind = orDefault(n.Target.Kind, PoolModel)
+	}
 	n.Limits.BodyBytes = orDefault(n.Limits.BodyBytes, DefaultBodyBytes)
 	n.Limits.HeaderBytes = orDefault(n.Limits.HeaderBytes, DefaultHeaderBytes)
 	n.Limits.ReadTimeout = orDefault(n.Limits.ReadTimeout, DefaultReadTimeout)
--- a/config/load/load_test.go
+++ b/config/load/load_test.go
@@ -84,6 +84,7 @@
 		{"unknown role", "role: entry", "role: router", `node.yaml:3: role: "router" is not known`},
 		{"no VM list", "vm_list", "log: {level: info}\n#", "vm_list: needs exactly one source"},
 		{"sidecar without target", "role: entry", "role: sidecar", "target.pool: is missing"},
+		{"target of unknown kind", "role: entry", "role: sidecar\ntarget: {pool: a, kind: disk, address: \"127.0.0.1:1\"}", `target.kind: "disk" is not known`},
 		{"broken YAML", "role: entry", "role: [entry", "node.yaml"},
 	}
 	for _, tt := range tests {
--- a/config/node.go
+++ b/config/node.go
@@ -57,8 +57,10 @@
 
 // Target is what a sidecar stands beside.
 type Target struct {
-	Pool    string `yaml:"pool"`
-	Address string `yaml:"address"`
+	Pool string `yaml:"pool"`
+	// Kind is the kind of the pool, which tells the protocol of the target.
+	Kind    PoolKind `yaml:"kind"`
+	Address string   `yaml:"address"`
 }
 
 // Limits bounds what outside input may cost.
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -115,7 +116,7 @@
 	n.Metrics = newMetrics(n)
 	n.mesh = peer.NewMesh(peer.Options{
 		Self:    n.Self,
-		Addr:    peers.Addr().String(),
+		Addr:    replyAddr(peers.Addr()),
 		TLS:     files,
 		OnError: n.peerFailed,
 	})
@@ -169,6 +170,16 @@
 // Mesh returns the node's side towards its peers.
 func (n *Node) Mesh() *peer.Mesh { return n.mesh }
 
+// replyAddr returns the address that peers may answer to before the VM list
+// shows this VM; "" if the process listens on all addresses.
+func replyAddr(addr net.Addr) string {
+	at, err := netip.ParseAddrPort(addr.String())
+	if err != nil || at.Addr().IsUnspecified() {
+		return ""
+	}
+	return at.String()
+}
+
 // PeerAddr returns the address that peers use.
 func (n *Node) PeerAddr() string { return n.peers.Addr().String() }
 
