core: a forward says whether an earlier home may have run the call

A home that does not know yet whether it may write, or that began without the slot's memory, must not answer as not run what another home may have run.

--- a/core/entry/dispatch.go
+++ b/core/entry/dispatch.go
@@ -184,6 +184,9 @@
 		e.stepDown(s, r.Epoch)
 		return
 	}
+	if !s.home.ready {
+		return
+	}
 	c := s.home.attempts[r.Attempt]
 	if c == nil {
 		e.staleResult(s, from, r)
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -165,6 +165,10 @@
 		e.slotUpdate(m)
 	case core.Handover:
 		e.handover(from, m)
+	case core.PromiseRequest:
+		e.promiseRequest(from, m)
+	case core.PromiseReply:
+		e.promiseReply(from, m)
 	case core.MirrorWrite:
 		e.mirrorWrite(from, m)
 	case core.MirrorAck:
--- a/core/entry/home.go
+++ b/core/entry/home.go
@@ -30,6 +30,10 @@
 	if s == nil || !e.answerable(s, from, f.Epoch) {
 		return
 	}
+	if !s.home.ready {
+		s.home.early = append(s.home.early, core.Recv{From: from, Msg: f})
+		return
+	}
 	if t, ok := e.refusals[f.Req]; ok {
 		e.answer(s, f.Req, t.finish)
 		return
--- a/core/entry/maintain.go
+++ b/core/entry/maintain.go
@@ -24,7 +24,7 @@
 	order := ranked(s.id, cs)
 	heir := e.heir(order)
 	want := e.wanted(s, order, heir)
-	if s.owner.Epoch.Rank > 0 || !sameMembers(want, s.owner.Mirrors) {
+	if s.frozen() || s.owner.Epoch.Rank > 0 || !sameMembers(want, s.owner.Mirrors) {
 		e.remember(s, want, cs)
 		return
 	}
@@ -37,7 +37,7 @@
 func (e *Entry) remember(s *slot, mirrors []core.Member, cs []candidate) {
 	o := e.nextOwner(s, nil, cs)
 	o.Mirrors = mirrors
-	e.propose(s, o)
+	e.propose(s, o, false)
 }
 
 // heir returns the entry that the slot should move to, or nil.
@@ -86,12 +86,11 @@
 // this entry's own: a mirror that lives gets the time to take over first, and a
 // home that hears none of several peers never goes on alone.
 func (e *Entry) keepSilent(s *slot, want []core.Member, count int) []core.Member {
-	alone := len(e.members.peers) > 1 && len(e.candidates()) <= 1
 	for _, m := range s.owner.Mirrors {
 		if len(want) >= count {
 			break
 		}
-		waiting := alone || e.silence(m.Node) < aloneAfter*e.times.suspect
+		waiting := e.alone() || e.silence(m.Node) < aloneAfter*e.times.suspect
 		if e.silent(m.Node) && waiting && !e.members.dead(m.Node) && !e.leavingEntry(m.Node) {
 			want = append(want, m)
 		}
@@ -99,6 +98,20 @@
 	return want
 }
 
+// alone reports whether this entry hears none of several peers: it is then more
+// likely cut off itself than left as the only one.
+func (e *Entry) alone() bool {
+	if len(e.members.peers) < 2 {
+		return false
+	}
+	for _, p := range e.members.peers {
+		if e.alive(p) {
+			return false
+		}
+	}
+	return true
+}
+
 // member returns a candidate as a mirror of the slot, new or as it stands.
 func (s *slot) member(c *candidate) core.Member {
 	for _, m := range s.owner.Mirrors {
--- a/core/entry/members.go
+++ b/core/entry/members.go
@@ -33,8 +33,6 @@
 	leaving  bool
 	draining bool
 	asked    core.Instant
-	// agreedAt is when the peer's slot map was last seen equal to this entry's.
-	agreedAt core.Instant
 }
 
 func newMembers() members {
@@ -154,11 +152,7 @@
 	e.members.observe(from, e.now)
 	p.domain = h.Domain
 	p.draining = h.Draining
-	if h.MapSum == e.mapSum() {
-		p.agreedAt = e.now
-		return
-	}
-	if e.now.Sub(p.asked) >= e.times.heartbeat {
+	if h.MapSum != e.mapSum() && e.now.Sub(p.asked) >= e.times.heartbeat {
 		p.asked = e.now
 		e.send(from, core.SlotQuery{})
 	}
--- a/core/entry/mirror.go
+++ b/core/entry/mirror.go
@@ -20,6 +20,10 @@
 	escrows map[core.Account]bool
 	// force asks for a write even if nothing changed.
 	force bool
+	// ready says that the first write of this home is complete; early holds the
+	// requests that came before.
+	ready bool
+	early []core.Recv
 	after []pending
 	lanes map[core.ProgramID]*lane
 	// grants are the escrow grants that are asked for.
@@ -67,7 +71,7 @@
 // flush sends one write with all changes of the step to every mirror.
 func (e *Entry) flush(s *slot) {
 	h := s.home
-	if h == nil {
+	if h == nil || s.frozen() {
 		return
 	}
 	if !h.force && len(h.changed)+len(h.removed)+len(h.escrows) == 0 {
@@ -99,6 +103,10 @@
 	e.advance(s)
 }
 
+// frozen reports whether the home has promised a higher epoch for a change of
+// owner that it proposes itself. It writes again in the new epoch.
+func (s *slot) frozen() bool { return s.home.epoch.Less(s.promised) }
+
 // sendWrite sends a write, or the whole image if the mirror has none of this
 // epoch.
 func (e *Entry) sendWrite(s *slot, l *link, w core.MirrorWrite) {
@@ -129,26 +137,40 @@
 	})
 }
 
-// advance runs the steps whose write every mirror has acknowledged. A mirror
-// that is dead by evidence does not count.
+// advance runs the steps whose write is complete.
 func (e *Entry) advance(s *slot) {
 	h := s.home
-	acked := s.image.index
-	for _, l := range h.links {
-		if !e.members.dead(l.member.Node) {
-			acked = min(acked, l.acked)
-		}
+	if s.frozen() {
+		return
 	}
+	acked := e.acknowledged(s)
 	for len(h.after) > 0 && h.after[0].index <= acked {
 		next := h.after[0]
 		h.after = h.after[1:]
 		next.run()
-		if s.home != h {
+		if s.home != h || s.frozen() {
 			return
 		}
 	}
 }
 
+// acknowledged returns the index of the last complete write: every mirror that
+// is not dead by evidence has it, and at least one mirror if there is any. With
+// the second condition no member can go on alone with an old set of members.
+func (e *Entry) acknowledged(s *slot) uint64 {
+	all, most := s.image.index, uint64(0)
+	for _, l := range s.home.links {
+		most = max(most, l.acked)
+		if !e.members.dead(l.member.Node) {
+			all = min(all, l.acked)
+		}
+	}
+	if len(s.home.links) > 0 {
+		return min(all, most)
+	}
+	return all
+}
+
 // mirrorAck takes in a mirror's answer to a write.
 func (e *Entry) mirrorAck(from core.Node, a core.MirrorAck) {
 	s := e.slot(a.Slot)
@@ -156,7 +178,10 @@
 		return
 	}
 	if s.home.epoch.Less(a.Promised) {
-		e.stepDown(s, a.Promised)
+		// A frozen home has asked for the promise itself.
+		if !s.frozen() || s.promised.Less(a.Promised) {
+			e.stepDown(s, a.Promised)
+		}
 		return
 	}
 	if a.Epoch != s.home.epoch {
@@ -179,6 +204,9 @@
 
 // tickLinks sends the image again to mirrors that owe an acknowledgement.
 func (e *Entry) tickLinks(s *slot) {
+	if s.frozen() {
+		return
+	}
 	for _, l := range s.home.links {
 		late := l.acked < s.image.index && e.now.Sub(l.sentAt) >= 2*e.times.heartbeat
 		if late && !e.members.dead(l.member.Node) {
@@ -250,6 +278,8 @@
 	s.image.remembers = max(s.image.remembers, s.owner.Remembers)
 	if old != nil {
 		h.since = old.since
+		h.ready = old.ready
+		h.early = old.early
 		h.lanes = old.lanes
 		h.after = old.after
 		h.grants = old.grants
@@ -262,7 +292,20 @@
 	}
 	if old == nil {
 		s.image.rebase()
-		e.reopen(s)
+		e.durable(s, func() { e.serve(s) })
+	}
+}
+
+// serve begins to serve the slot once the first write of a new home is complete:
+// only then it is certain that no other home can write.
+func (e *Entry) serve(s *slot) {
+	h := s.home
+	h.ready = true
+	e.reopen(s)
+	early := h.early
+	h.early = nil
+	for _, m := range early {
+		e.receive(m.From, m.Msg)
 	}
 }
 
--- a/core/entry/slot.go
+++ b/core/entry/slot.go
@@ -24,13 +24,9 @@
 	proposal *proposal
 	// ownerless is when the slot's home was first seen missing or silent.
 	ownerless core.Instant
-	// evidenceAt is when the home's death was first known.
-	evidenceAt core.Instant
-	changedAt  core.Instant
-	offeredAt  core.Instant
-	expiredAt  core.Instant
-	// emptyAt is when the store first confirmed that no member takes over.
-	emptyAt core.Instant
+	changedAt core.Instant
+	offeredAt core.Instant
+	expiredAt core.Instant
 	// forgotAt is when this entry took the slot over without its memory.
 	forgotAt core.Instant
 	requests map[core.RequestID]*request
--- a/core/entry/slotmap.go
+++ b/core/entry/slotmap.go
@@ -109,7 +109,7 @@
 		if s.home != nil {
 			e.tickLinks(s)
 		}
-		if s.home != nil {
+		if s.home != nil && s.home.ready {
 			e.tickCalls(s)
 		}
 	}
@@ -138,7 +138,7 @@
 	if len(order) == 0 || order[0].node != e.self {
 		return
 	}
-	e.propose(s, e.newOwner(s, order, nil))
+	e.propose(s, e.newOwner(s, order, nil), true)
 }
 
 // newOwner returns an owner entry of the next version with this entry as home.
@@ -164,8 +164,6 @@
 	s.owner = o
 	s.changedAt = e.now
 	s.ownerless = 0
-	s.evidenceAt = 0
-	s.emptyAt = 0
 	if s.promised.Less(o.Epoch) {
 		s.promised = o.Epoch
 	}
--- a/core/entry/store.go
+++ b/core/entry/store.go
@@ -2,17 +2,12 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"strconv"
 	"strings"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 )
 
-// maxProposals bounds the owner changes under way at once, which spreads the
-// load of a start or a takeover of many slots on the key-value service.
-const maxProposals = 16
-
 // store is the state of the operations on the key-value service.
 type store struct {
 	next uint64
@@ -50,18 +45,6 @@
 	proposal string
 }
 
-// proposal is an owner change under way. Its swap may take effect although its
-// answer is lost, so only a reading settles it.
-type proposal struct {
-	owner core.SlotOwner
-	// readBack says that the swap was sent and its effect is not known.
-	readBack bool
-	// promise says that the epoch is promised before the swap.
-	promise bool
-	busy    bool
-	triedAt core.Instant
-}
-
 func newStore() store { return store{ops: map[uint64]storeOp{}} }
 
 func (e *Entry) newOp(op storeOp) uint64 {
@@ -158,108 +141,3 @@
 	}
 	e.adopt(s, o)
 }
-
-// propose starts a change of a slot's owner. It reads the entry first unless
-// its revision is known.
-func (e *Entry) propose(s *slot, o core.SlotOwner) {
-	e.startProposal(s, &proposal{owner: o})
-}
-
-func (e *Entry) startProposal(s *slot, p *proposal) {
-	if s.proposal != nil || e.store.proposals >= maxProposals {
-		return
-	}
-	if e.store.failed && e.now.Sub(e.store.failedAt) < e.times.heartbeat {
-		return
-	}
-	e.store.next++
-	p.owner.Proposal = fmt.Sprintf("%s/%d", e.self, e.store.next)
-	s.proposal = p
-	e.store.proposals++
-	if s.revisionOf+1 == p.owner.Epoch.Version && !p.promise {
-		e.swapOwner(s)
-		return
-	}
-	e.readOwner(s, opOwnerGet)
-}
-
-func (e *Entry) endProposal(s *slot) {
-	s.proposal = nil
-	e.store.proposals--
-}
-
-func (e *Entry) readOwner(s *slot, kind opKind) {
-	s.proposal.busy = true
-	s.proposal.triedAt = e.now
-	e.emit(core.StoreGet{Op: e.newOp(storeOp{kind: kind, slot: s.id}), Key: core.SlotKey(s.id)})
-}
-
-// swapOwner writes the proposed owner. A proposer that is not the home promises
-// the new epoch first: from then on it acknowledges nothing of an older one.
-func (e *Entry) swapOwner(s *slot) {
-	p := s.proposal
-	if p.promise && s.promised.Less(p.owner.Epoch) {
-		s.promised = p.owner.Epoch
-	}
-	value, err := json.Marshal(p.owner)
-	if err != nil {
-		e.endProposal(s)
-		return
-	}
-	p.busy = true
-	p.readBack = true
-	p.triedAt = e.now
-	e.emit(core.StoreSwap{
-		Op:       e.newOp(storeOp{kind: opOwnerSwap, slot: s.id}),
-		Key:      core.SlotKey(s.id),
-		Revision: s.revision,
-		Value:    value,
-	})
-}
-
-// ownerRead continues a proposal that needed the entry's revision.
-func (e *Entry) ownerRead(s *slot, r core.StoreResult) {
-	if r.Err {
-		e.endProposal(s)
-		return
-	}
-	e.storeWatch(r.Entries)
-	next := s.proposal.owner.Epoch.Version
-	if s.owner.Epoch.Version >= next || s.revisionOf+1 != next {
-		e.endProposal(s)
-		return
-	}
-	e.swapOwner(s)
-}
-
-// ownerSwapped ends a proposal whose swap succeeded and reads the entry back in
-// all other cases.
-func (e *Entry) ownerSwapped(s *slot, r core.StoreResult) {
-	s.proposal.busy = false
-	if r.Err || !r.Swapped {
-		e.readOwner(s, opOwnerReadBack)
-		return
-	}
-	o := s.proposal.owner
-	e.endProposal(s)
-	e.storeWatch(r.Entries)
-	e.adopt(s, o)
-}
-
-// ownerReadBack settles a proposal by what the entry holds now.
-func (e *Entry) ownerReadBack(s *slot, r core.StoreResult) {
-	s.proposal.busy = false
-	if r.Err {
-		return
-	}
-	e.endProposal(s)
-	e.storeWatch(r.Entries)
-}
-
-// tickProposal repeats a reading back that failed.
-func (e *Entry) tickProposal(s *slot) {
-	p := s.proposal
-	if p.readBack && !p.busy && e.now.Sub(p.triedAt) >= e.times.heartbeat {
-		e.readOwner(s, opOwnerReadBack)
-	}
-}
--- a/core/entry/takeover.go
+++ b/core/entry/takeover.go
@@ -6,14 +6,6 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 )
 
-// forgetAfter is the time in units of the suspicion time for which no member
-// may have taken a slot over before an entry without its memory does.
-const forgetAfter = 3
-
-// otherFactor prolongs that time while a member of the slot is alive, which
-// should take the slot over itself.
-const otherFactor = 10
-
 // takeover drives a slot whose home is another entry, or is this one although it
 // had to step down.
 func (e *Entry) takeover(s *slot, cs []candidate) {
@@ -21,23 +13,20 @@
 	dead := e.members.dead(home)
 	if !dead && home != e.self && !e.silent(home) {
 		s.ownerless = 0
-		s.evidenceAt = 0
-		s.emptyAt = 0
 		return
 	}
 	if s.ownerless == 0 {
 		s.ownerless = e.now
 	}
-	if dead && s.evidenceAt == 0 {
-		s.evidenceAt = e.now
-	}
 	place, eligible := e.succession(s)
+	waited := e.now.Sub(s.ownerless)
 	switch {
 	case !eligible:
 		e.takeEmpty(s, cs)
 	case dead && e.firstAlive(s, place):
 		e.takeByEvidence(s, place, cs)
-	case e.now.Sub(s.ownerless) >= int64(place)*e.times.heartbeat:
+	case home == e.self && waited < e.times.suspect, !dead && e.alone():
+	case waited >= int64(place)*e.times.heartbeat:
 		e.takeBySwap(s, cs)
 	}
 }
@@ -71,32 +60,16 @@
 // takeByEvidence takes over at once: through the key-value service while it
 // answers, else by raising the rank.
 func (e *Entry) takeByEvidence(s *slot, place int, cs []candidate) {
-	if !e.store.failed {
-		e.takeBySwap(s, cs)
-		return
-	}
-	if s.promised.Version == s.owner.Epoch.Version && e.agreed(s) {
+	if e.store.failed && s.promised.Version == s.owner.Epoch.Version {
 		e.takeByRank(s, place)
 		return
 	}
 	e.takeBySwap(s, cs)
 }
 
-// agreed reports whether every other entry that may be alive has shown since
-// the evidence that it knows no newer owner. Without this a mirror that its home
-// had replaced, unnoticed, could take over with an old image.
-func (e *Entry) agreed(s *slot) bool {
-	for _, p := range e.members.sorted() {
-		if p.agreedAt <= s.evidenceAt {
-			return false
-		}
-	}
-	return true
-}
-
-// takeByRank takes the slot over without the key-value service. The members
-// that are not dead by evidence must acknowledge every write, and refuse if
-// they have promised a higher epoch.
+// takeByRank takes the slot over without the key-value service. The other
+// members stay the same: those that are not dead by evidence must acknowledge
+// every write, and refuse if they have promised a higher epoch.
 func (e *Entry) takeByRank(s *slot, place int) {
 	o := s.owner
 	rank := max(o.Epoch.Rank, s.promised.Rank) + uint32(place) + 1
@@ -104,7 +77,7 @@
 	o.Home = s.members()[place]
 	o.Mirrors = nil
 	for i, m := range s.members() {
-		if i != place && !e.members.dead(m.Node) {
+		if i != place {
 			o.Mirrors = append(o.Mirrors, m)
 		}
 	}
@@ -112,10 +85,10 @@
 	e.adopt(s, o)
 }
 
-// takeBySwap promises the next version and swaps the entry to it.
+// takeBySwap collects promises for the next version and swaps the entry to it.
 func (e *Entry) takeBySwap(s *slot, cs []candidate) {
 	o := e.nextOwner(s, e.survivors(s), cs)
-	e.startProposal(s, &proposal{owner: o, promise: true})
+	e.propose(s, o, false)
 	if s.proposal != nil {
 		e.decideTakeover(s, "swap")
 	}
@@ -154,25 +127,17 @@
 	return o
 }
 
-// takeEmpty claims a slot whose members are all gone, without its memory, if
-// this entry is the first live one. Members that are merely silent get time to
-// come back.
+// takeEmpty claims a slot of which no member has the memory any more. An entry
+// that never was a member does so only if all members are dead by evidence; a
+// member without an image finds out from the others.
 func (e *Entry) takeEmpty(s *slot, cs []candidate) {
 	order := ranked(s.id, cs)
-	if len(order) == 0 || order[0].node != e.self || !e.store.ranged {
+	member := slices.ContainsFunc(s.members(), func(m core.Member) bool { return m.Node == e.self })
+	first := len(order) > 0 && order[0].node == e.self
+	if !e.store.ranged || !member && !(first && e.allDead(s)) {
 		return
 	}
-	wait := forgetAfter * e.times.suspect
-	if e.otherSound(s) {
-		wait *= otherFactor
-	}
-	if !e.allDead(s) && e.now.Sub(s.ownerless) < wait {
-		return
-	}
-	if !e.allDead(s) && !e.confirmedEmpty(s, wait) {
-		return
-	}
-	e.startProposal(s, &proposal{owner: e.newOwner(s, order, nil), promise: true})
+	e.propose(s, e.newOwner(s, order, nil), true)
 }
 
 // allDead reports evidence that no member of the slot lives.
@@ -182,28 +147,6 @@
 	})
 }
 
-// otherSound reports whether another member of the slot is alive.
-func (e *Entry) otherSound(s *slot) bool {
-	return slices.ContainsFunc(s.members(), func(m core.Member) bool {
-		return m.Node != e.self && e.sound(m.Node)
-	})
-}
-
-// confirmedEmpty reports whether the key-value service has answered for a while
-// and no member has taken the slot over through it.
-func (e *Entry) confirmedEmpty(s *slot, wait core.Duration) bool {
-	if e.store.failed {
-		s.emptyAt = 0
-	} else if s.emptyAt == 0 {
-		s.emptyAt = e.now
-	}
-	if s.emptyAt > 0 && e.now.Sub(s.emptyAt) >= wait {
-		return true
-	}
-	e.store.rangeDue = true
-	return false
-}
-
 // unremembered reports whether a call's program is unknown and may be older
 // than the slot's memory.
 func (e *Entry) unremembered(s *slot, call *core.Call) bool {
--- a/core/message.go
+++ b/core/message.go
@@ -12,6 +12,9 @@
 	// epoch before its own time: a late copy must not run a call that another
 	// home has refused.
 	Epoch Epoch
+	// Again says that the request was forwarded in another epoch before, so that
+	// an earlier home may have run the call.
+	Again bool
 }
 
 // Placed tells the edge where the answer of a request will appear, so that it
