--- a/core/entry/call_test.go
+++ b/core/entry/call_test.go
@@ -284,3 +284,19 @@
 	c.advance(3 * core.Second)
 	require.Contains(t, c.procs["m1"].side.ended, core.ProgramID("p"))
 }
+
+// TestReservationsOfSubAgentsCount runs two sub-agents whose reservations do
+// not fit into their root's budget together.
+func TestReservationsOfSubAgentsCount(t *testing.T) {
+	c := newCluster(t, 3)
+	c.settled()
+	c.procs["m1"].side.hold = true
+	one, two := turn("p/a", 1), turn("p/b", 1)
+	one.MaxTokens, two.MaxTokens = 590, 590
+	first := c.call(c.procs["e0"], one)
+	c.advance(50 * core.Millisecond)
+	f := c.reply(c.call(c.procs["e1"], two))
+	require.Equal(t, core.ReasonBudget, f.Reason)
+	c.procs["m1"].side.release()
+	require.Equal(t, core.OutcomeRan, c.reply(first).Outcome)
+}
--- a/core/entry/edge.go
+++ b/core/entry/edge.go
@@ -21,7 +21,9 @@
 	// home is where the request was last sent; zero if it never was.
 	home core.Node
 	// epoch is the owner's when the request was last sent.
-	epoch  core.Epoch
+	epoch core.Epoch
+	// again says that the request was sent in more than one epoch.
+	again  bool
 	sentAt core.Instant
 	period core.Duration
 	// attempt is the attempt whose stream the caller reads.
@@ -89,6 +91,7 @@
 	if home.IsZero() || e.members.dead(home) {
 		return
 	}
+	r.again = r.again || !r.home.IsZero() && r.epoch != r.slot.owner.Epoch
 	r.home = home
 	r.epoch = r.slot.owner.Epoch
 	r.sentAt = e.now
@@ -96,7 +99,7 @@
 		e.send(home, core.EndRequest{Req: r.id, Program: r.program, Account: r.account})
 		return
 	}
-	e.send(home, core.Forward{Req: r.id, Call: *r.call, Epoch: r.epoch})
+	e.send(home, core.Forward{Req: r.id, Call: *r.call, Epoch: r.epoch, Again: r.again})
 }
 
 // forwardAll sends the requests of a slot whose home changed to the new one.
--- a/core/entry/home.go
+++ b/core/entry/home.go
@@ -31,10 +31,10 @@
 		return
 	}
 	if !s.home.ready {
-		s.home.early = append(s.home.early, core.Recv{From: from, Msg: f})
+		e.wait(s, from, f)
 		return
 	}
-	if t, ok := e.refusals[f.Req]; ok {
+	if t, ok := e.refusals[f.Req]; ok && !t.epoch.Less(s.home.since) {
 		e.answer(s, f.Req, t.finish)
 		return
 	}
@@ -51,7 +51,7 @@
 		e.durable(s, func() { e.answer(s, f.Req, fin) })
 		return
 	}
-	if call.NonIdempotent && e.unremembered(s, &call) {
+	if f.Again && e.forgetful(s) || call.NonIdempotent && e.unremembered(s, &call) {
 		// The lost home may have run it.
 		e.answer(s, f.Req, core.Finish{Outcome: core.OutcomeUnknown, Reason: core.ReasonForgotten})
 		return
@@ -63,6 +63,30 @@
 	e.enqueue(s, f.Req, &call)
 }
 
+// wait keeps a call until the first write of a new home is complete. If that
+// takes long, the calls that no earlier home can have run are refused.
+func (e *Entry) wait(s *slot, from core.Node, f core.Forward) {
+	if e.now.Sub(s.changedAt) >= 2*e.times.suspect && !f.Again {
+		e.answer(s, f.Req, refusal(core.ReasonNoOwner, retryHint))
+		return
+	}
+	known := slices.ContainsFunc(s.home.early, func(m core.Recv) bool {
+		return m.Msg.(core.Forward).Req == f.Req
+	})
+	if !known {
+		s.home.early = append(s.home.early, core.Recv{From: from, Msg: f})
+	}
+}
+
+// tickEarly looks again at the calls that wait for a home that is not ready.
+func (e *Entry) tickEarly(s *slot) {
+	early := s.home.early
+	s.home.early = nil
+	for _, m := range early {
+		e.receive(m.From, m.Msg)
+	}
+}
+
 // answerable reports whether this entry is the home to answer a request that
 // was forwarded in an epoch. If it is not, the sender learns the owner.
 func (e *Entry) answerable(s *slot, from core.Node, epoch core.Epoch) bool {
@@ -83,7 +107,10 @@
 // not run must not run.
 type refusedRequest struct {
 	finish core.Finish
-	at     core.Instant
+	// epoch is the home's. In a later time as home the tombstone says nothing: a
+	// home in between may have run the call.
+	epoch core.Epoch
+	at    core.Instant
 }
 
 // answer sends a final word to the edge of a request.
@@ -92,7 +119,7 @@
 		if _, ok := e.refusals[req]; !ok {
 			e.emit(core.Decision{Step: "refuse", Slot: s.id, Reason: f.Reason})
 		}
-		e.refusals[req] = refusedRequest{f, e.now}
+		e.refusals[req] = refusedRequest{f, s.home.epoch, e.now}
 	}
 	e.send(req.Edge, core.Finished{Req: req, Finish: f, Epoch: s.home.epoch})
 }
--- a/core/entry/proposal.go
+++ b/core/entry/proposal.go
@@ -51,6 +51,7 @@
 	o.Proposal = fmt.Sprintf("%s/%d", e.self, e.store.next)
 	s.proposal = &proposal{
 		owner:    o,
+		stage:    stageRead,
 		empty:    empty,
 		started:  e.now,
 		promises: map[core.Node]core.PromiseReply{},
--- a/core/entry/slotmap.go
+++ b/core/entry/slotmap.go
@@ -109,8 +109,12 @@
 		if s.home != nil {
 			e.tickLinks(s)
 		}
-		if s.home != nil && s.home.ready {
+		switch {
+		case s.home == nil:
+		case s.home.ready:
 			e.tickCalls(s)
+		default:
+			e.tickEarly(s)
 		}
 	}
 }
--- a/core/entry/takeover.go
+++ b/core/entry/takeover.go
@@ -150,8 +150,12 @@
 // unremembered reports whether a call's program is unknown and may be older
 // than the slot's memory.
 func (e *Entry) unremembered(s *slot, call *core.Call) bool {
-	return s.image.programs[call.Program.Root()] == nil &&
-		s.image.remembers > 1 && e.now.Sub(s.forgotAt) < e.horizon()
+	return s.image.programs[call.Program.Root()] == nil && e.forgetful(s)
+}
+
+// forgetful reports whether programs can be older than the slot's memory.
+func (e *Entry) forgetful(s *slot) bool {
+	return s.image.remembers > 1 && e.now.Sub(s.forgotAt) < e.horizon()
 }
 
 // horizon returns the greatest age of a program.
--- a/core/entry/takeover_test.go
+++ b/core/entry/takeover_test.go
@@ -254,3 +254,69 @@
 	}
 	require.Equal(t, 1, c.procs["t1"].side.executed["k"])
 }
+
+// TestPromiseHoldsWhileTheSwapIsUncertain loses the answer of a swap and the
+// key-value service with it. Neither home may go on until the swap is settled.
+func TestPromiseHoldsWhileTheSwapIsUncertain(t *testing.T) {
+	for _, mirrors := range []int{1, 2} {
+		c := newCluster(t, 3, mirrors)
+		c.settled()
+		home := c.homeOf("p")
+		home.paused = true
+		c.downAfterSwap = core.SlotKey(core.ProgramID("p").Slot(c.set.Ownership.Slots))
+		c.until("a swap without an answer", func() bool { return c.kvDown })
+		c.resume(home.node.VM)
+		req := c.call(home, booking("p", 1, "k"))
+		c.advance(2 * core.Second)
+		require.Zero(t, c.procs["t1"].side.executed["k"])
+		c.kvDown = false
+		f := c.reply(req)
+		if f.Outcome == core.OutcomeNotRun {
+			f = c.reply(c.call(home, booking("p", 1, "k")))
+		}
+		require.Equal(t, core.OutcomeRan, f.Outcome, "%s", f.Reason)
+		require.Equal(t, 1, c.procs["t1"].side.executed["k"])
+	}
+}
+
+func TestEligibleMirrors(t *testing.T) {
+	tests := []struct {
+		name  string
+		valid bool
+		image uint64
+		since uint64
+		want  bool
+	}{
+		{"image of the version that it joined in", true, 3, 3, true},
+		{"image of a later version", true, 5, 3, true},
+		{"image from before it left and joined again", true, 2, 3, false},
+		{"no image", false, 0, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := New(Options{Self: core.Node{VM: "e", Inc: 1}})
+			s := &slot{image: image{valid: tt.valid, epoch: core.Epoch{Version: tt.image}}}
+			require.Equal(t, tt.want, e.eligible(s, core.Member{Node: e.self, Since: tt.since}))
+		})
+	}
+}
+
+// TestAgesGoOnAtAnotherClock moves a program to a home whose clock differs.
+func TestAgesGoOnAtAnotherClock(t *testing.T) {
+	c := newCluster(t, 3)
+	for i, p := range c.sorted() {
+		p.offset = core.Duration(i) * 7 * core.Hour
+	}
+	c.advance(core.Second)
+	c.settled()
+	home := c.homeOf("p")
+	c.reply(c.call(home, turn("p", 1)))
+	began := c.now
+	c.advance(5 * core.Second)
+	c.remove(home.node.VM)
+	c.settled()
+	next := c.homeOf("p")
+	p := next.entry.slotOf("p").image.programs["p"]
+	require.InDelta(t, int64(began.Add(next.offset)), int64(p.Started), float64(core.Second))
+	require.InDelta(t, int64(began.Add(next.offset)), int64(p.Calls[0].DoneAt), float64(core.Second))
+}
