--- a/cli/root.go
+++ b/cli/root.go
@@ -38,6 +38,10 @@
 		drainCommand(),
 		entryCommand(),
 		sidecarCommand(),
+		diffCommand(),
+		applyCommand(),
+		historyCommand(),
+		benchCommand(),
 	}
 }
 
@@ -52,10 +56,8 @@
 		Writer:                stdout,
 		ErrWriter:             stderr,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return &UsageError{Err: err}
-		},
 	}
+	markUsageErrors(root)
 	err := root.Run(ctx, args)
 	if err == nil {
 		return ExitOK
@@ -67,3 +69,13 @@
 	}
 	return ExitFailed
 }
+
+// markUsageErrors makes a wrong flag of any command an error of usage.
+func markUsageErrors(cmd *cli.Command) {
+	cmd.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return &UsageError{Err: err}
+	}
+	for _, sub := range cmd.Commands {
+		markUsageErrors(sub)
+	}
+}
