daemon: configuration from peers in an outage; the log notes changes of the platform's health only

Cause: a process restarted while the key-value service is down had no configuration, and 10,000 sidecars would poll the service beyond its rates. Change: FetchConfig between peers; entries read the service first, sidecars entries first. Test with real sockets and the service in outage. Conclusion: entry and sidecar restarted in an outage come into force at generation 1 and a call succeeds.

--- a/daemon/node/effects.go
+++ b/daemon/node/effects.go
@@ -66,8 +66,8 @@
 
 func (n *Node) storeDone(step string, err error, result core.StoreResult) {
 	n.Metrics.storeCalls.WithLabelValues(step, outcomeLabel(err)).Inc()
+	n.health.note("store "+step, err)
 	if err != nil {
-		n.log.Warn().Str("step", "store "+step).Err(err).Msg("key-value service failed")
 		result.Err = true
 		result.Entries = nil
 	}
--- a/daemon/node/follow.go
+++ b/daemon/node/follow.go
@@ -4,16 +4,12 @@
 	"context"
 	"time"
 
-	"github.com/rhubarbsaddle/rhubarbsaddle/config"
-	"github.com/rhubarbsaddle/rhubarbsaddle/config/publish"
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 )
 
 const (
 	// defaultVMPeriod is the time between two readings of the VM list.
 	defaultVMPeriod = time.Second
-	// configPeriod is the time between two readings of the configuration's head.
-	configPeriod = 2 * time.Second
 	// retryPause is the wait after a failed call of the platform.
 	retryPause = 500 * time.Millisecond
 )
@@ -38,9 +34,8 @@
 		ctx, cancel := n.storeContext()
 		vms, err := n.options.VMs.Read(ctx)
 		cancel()
-		if err != nil {
-			n.log.Warn().Str("step", "vm list").Err(err).Msg("the VM list cannot be read")
-		} else {
+		n.health.note("read VM list", err)
+		if err == nil {
 			listed = n.readVMs(vms, listed)
 		}
 		if !n.sleep(period) {
@@ -61,53 +56,11 @@
 			n.mesh.Forget(vm)
 		}
 	}
+	n.vms.Store(&vms)
 	n.Post(core.VMList{VMs: vms})
 	return listed
 }
 
-// followConfig posts every new generation of the configuration.
-func (n *Node) followConfig() {
-	for {
-		n.readConfig()
-		if !n.sleep(configPeriod) {
-			return
-		}
-	}
-}
-
-// readConfig reads the applied configuration and puts it in force.
-func (n *Node) readConfig() {
-	ctx, cancel := n.storeContext()
-	defer cancel()
-	from := PublishStore(n.options.Store)
-	head, _, err := publish.ReadHead(ctx, from)
-	if err == nil && head.Generation > n.Generation() {
-		var set *config.Set
-		if set, err = publish.ReadSet(ctx, from, head); err == nil {
-			n.Apply(&Applied{Generation: head.Generation, Set: set})
-		}
-	}
-	if err != nil {
-		n.log.Warn().Str("step", "read configuration").Err(err).Msg("the configuration cannot be read")
-	}
-}
-
-// Apply puts a configuration in force unless an equal or later one is.
-func (n *Node) Apply(applied *Applied) {
-	for {
-		current := n.applied.Load()
-		if current != nil && applied.Generation <= current.Generation {
-			return
-		}
-		if !n.applied.CompareAndSwap(current, applied) {
-			continue
-		}
-		n.log.Info().Str("step", "apply").Uint64("generation", applied.Generation).Msg("configuration in force")
-		n.Post(core.ConfigApplied{Generation: applied.Generation, Set: applied.Set})
-		return
-	}
-}
-
 // followStore posts the changes of the keys with a prefix. After a break it
 // reads all of them, since changes may have been missed.
 func (n *Node) followStore(prefix string) {
@@ -116,7 +69,7 @@
 		if n.ctx.Err() != nil {
 			return
 		}
-		n.log.Warn().Str("step", "watch").Str("prefix", prefix).Err(err).Msg("the watch broke")
+		n.health.note("watch "+prefix, err)
 		if !n.sleep(retryPause) {
 			return
 		}
@@ -132,6 +85,7 @@
 	if err != nil {
 		return err
 	}
+	n.health.note("watch "+prefix, nil)
 	n.watched(entries)
 	return n.options.Store.Watch(ctx, prefix, revision, n.watched)
 }
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -54,6 +54,8 @@
 	Status func() any
 	// Answers is where a sidecar keeps its answers; nil for an entry.
 	Answers peer.Answers
+	// ConfigFromPeers makes other entries the first source of the configuration.
+	ConfigFromPeers bool
 	// Watch names the prefixes of the key-value service that are watched.
 	Watch []string
 }
@@ -70,7 +72,10 @@
 	tls     *tlsfile.Files
 	mesh    *peer.Mesh
 	loop    *loop.Loop
+	health  *health
 	applied atomic.Pointer[Applied]
+	// vms is the last reading of the VM list.
+	vms atomic.Pointer[[]core.VMInfo]
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -113,6 +118,7 @@
 		stopped:    make(chan struct{}),
 		fatal:      make(chan error, 1),
 	}
+	n.health = newHealth(n.log)
 	n.Metrics = newMetrics(n)
 	n.mesh = peer.NewMesh(peer.Options{
 		Self:    n.Self,
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -73,6 +73,9 @@
 		Run:     d.run,
 		Status:  func() any { return d.reducer.Status() },
 		Answers: d.buffers,
+		// A deployment has many more sidecars than the key-value service has
+		// reads for.
+		ConfigFromPeers: true,
 	})
 	if err != nil {
 		return nil, err
--- a/local/local.go
+++ b/local/local.go
@@ -15,6 +15,7 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/config"
 	"github.com/rhubarbsaddle/rhubarbsaddle/config/publish"
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/core/entry"
 	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/node"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform/etcdjson"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
@@ -171,12 +172,28 @@
 }
 
 func (d *Deployment) ready(ctx context.Context) bool {
+	acting := 0
 	for _, e := range d.Entries() {
-		if !e.ready(ctx, len(d.sidecars)) {
+		state, ok := e.state(ctx)
+		if !ok || len(state.Targets) < len(d.sidecars) {
 			return false
 		}
+		acting += d.actingFor(state)
 	}
-	return true
+	return acting == int(d.options.Set.Ownership.Slots)
+}
+
+// actingFor counts the slots that an entry acts as the home of, with all the
+// mirrors that the configuration asks for.
+func (d *Deployment) actingFor(state *entry.Status) int {
+	mirrors := min(d.options.Set.Ownership.Mirrors, len(d.entries)-1)
+	n := 0
+	for _, s := range state.Slots {
+		if s.Acting && len(s.Mirrors) >= mirrors {
+			n++
+		}
+	}
+	return n
 }
 
 // Entries returns the entries.
--- /dev/null
+++ b/local/outage_test.go
@@ -0,0 +1,27 @@
+package local
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3/option"
+	"github.com/stretchr/testify/require"
+)
+
+func TestRestartInOutageLearnsTheConfigurationFromPeers(t *testing.T) {
+	d := start(t, smallOptions(t))
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	d.Platform().Outage(true)
+	entry, side := d.Entries()[0], d.Sidecars()[0]
+	entry.Kill()
+	side.Kill()
+	require.NoError(t, entry.Start())
+	require.NoError(t, side.Start())
+	require.Eventually(t, func() bool {
+		return entry.Daemon().Node().Generation() == 1 && side.Daemon().Node().Generation() == 1
+	}, patience, 10*time.Millisecond)
+	_, err := clientOf(d.Entries()[1], option.WithAPIKey(walkInKey)).Chat.Completions.New(ctx, ask("hello"))
+	require.NoError(t, err, refusalCode(err))
+}
--- a/local/path_test.go
+++ b/local/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"testing"
@@ -20,6 +21,9 @@
 	patience = 60 * time.Second
 	// circuitKey is the key of the account circuit of the example.
 	circuitKey = "circuit-demo-key"
+	// walkInKey is the key of the account walk-in, which has no budget of its
+	// own to be counted in the key-value service.
+	walkInKey = "walk-in-demo-key"
 )
 
 // small returns the first example with few slots.
@@ -27,6 +31,7 @@
 	set, err := load.Set("../examples/bancarella")
 	require.NoError(t, err)
 	set.Ownership.Slots = 8
+	set.Ownership.Mirrors = 2
 	return set
 }
 
@@ -138,6 +143,15 @@
 	return nil
 }
 
+// refusalCode returns the code of a refusal, for messages.
+func refusalCode(err error) string {
+	var refused *openai.Error
+	if errors.As(err, &refused) {
+		return refused.Code
+	}
+	return ""
+}
+
 type statusError struct{ status string }
 
 func (e *statusError) Error() string { return e.status }
--- a/local/vm.go
+++ b/local/vm.go
@@ -10,7 +10,6 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 	entryreducer "github.com/rhubarbsaddle/rhubarbsaddle/core/entry"
 	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/entry"
-	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/node"
 	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/sidecar"
 	"github.com/rhubarbsaddle/rhubarbsaddle/engine"
 )
@@ -121,31 +120,21 @@
 	}
 }
 
-// ready reports whether the entry knows the owners of all slots and a number of
-// targets.
-func (e *Entry) ready(ctx context.Context, targets int) bool {
+// state returns the state of the entry's reducer.
+func (e *Entry) state(ctx context.Context) (*entryreducer.Status, bool) {
 	daemon := e.Daemon()
-	if daemon == nil || daemon.Config() == nil {
-		return false
+	if daemon == nil {
+		return nil, false
 	}
 	status, err := daemon.Node().Status(ctx)
 	if err != nil {
-		return false
+		return nil, false
 	}
-	return ownsAll(status, targets)
-}
-
-func ownsAll(status *node.Status, targets int) bool {
 	var state entryreducer.Status
-	if json.Unmarshal(status.State, &state) != nil || len(state.Slots) == 0 || len(state.Targets) < targets {
-		return false
-	}
-	for _, s := range state.Slots {
-		if s.Home.IsZero() {
-			return false
-		}
+	if json.Unmarshal(status.State, &state) != nil {
+		return nil, false
 	}
-	return true
+	return &state, true
 }
 
 func (d *Deployment) addSidecar(vm, domain, pool string, target engine.Target) error {
--- a/rpc/peer/attach.go
+++ b/rpc/peer/attach.go
@@ -72,6 +72,9 @@
 	offset  uint64
 }
 
+// errNoAddress is the cause when a VM is not on the list.
+var errNoAddress = errors.New("its address is not known")
+
 // errSilent ends a stream that brought neither data nor heartbeat in time.
 var errSilent = errors.New("stream is silent")
 
@@ -79,7 +82,7 @@
 func (r *reader) attach(ctx context.Context) (done bool, err error) {
 	addr := r.mesh.address(string(r.sidecar.VM))
 	if addr == "" {
-		return true, &LostError{Attempt: r.attempt, Sidecar: r.sidecar, Err: errors.New("no address")}
+		return true, &LostError{Attempt: r.attempt, Sidecar: r.sidecar, Err: errNoAddress}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/rpc/peer/handler.go
+++ b/rpc/peer/handler.go
@@ -30,6 +30,9 @@
 	Learn func(vm core.VM, addr string)
 	// Answers is nil for an entry.
 	Answers Answers
+	// Config returns the configuration in force if its generation is above
+	// known, as canonical text; else only the generation.
+	Config func(known uint64) (generation uint64, set []byte, err error)
 }
 
 // HTTP returns the path and the handler to serve.
@@ -71,4 +74,16 @@
 	return h.Answers.Serve(ctx, wire.ToAttempt(req.GetAttempt()), req.GetOffset(), stream.Send)
 }
 
+// FetchConfig answers with the configuration in force.
+func (h *Handler) FetchConfig(_ context.Context, req *peerpb.FetchConfigRequest) (*peerpb.FetchConfigResponse, error) {
+	if h.Config == nil {
+		return nil, connect.NewError(connect.CodeUnimplemented, errors.New("no configuration is kept here"))
+	}
+	generation, set, err := h.Config(req.GetGeneration())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return &peerpb.FetchConfigResponse{Generation: generation, Set: set}, nil
+}
+
 var _ peerpbconnect.PeerServiceHandler = (*Handler)(nil)
--- a/rpc/peerpb/peerpbconnect/peer.connect.go
+++ b/rpc/peerpb/peerpbconnect/peer.connect.go
@@ -40,6 +40,8 @@
 	PeerServiceDeliverProcedure = "/rhubarbsaddle.peer.v1.PeerService/Deliver"
 	// PeerServiceAttachProcedure is the fully-qualified name of the PeerService's Attach RPC.
 	PeerServiceAttachProcedure = "/rhubarbsaddle.peer.v1.PeerService/Attach"
+	// PeerServiceFetchConfigProcedure is the fully-qualified name of the PeerService's FetchConfig RPC.
+	PeerServiceFetchConfigProcedure = "/rhubarbsaddle.peer.v1.PeerService/FetchConfig"
 )
 
 // PeerServiceClient is a client for the rhubarbsaddle.peer.v1.PeerService service.
@@ -48,6 +50,9 @@
 	Deliver(context.Context, *peerpb.DeliverRequest) (*peerpb.DeliverResponse, error)
 	// Attach reads the answer of an attempt from the sidecar that keeps it.
 	Attach(context.Context, *peerpb.AttachRequest) (*connect.ServerStreamForClient[peerpb.AttachResponse], error)
+	// FetchConfig reads the configuration in force at the receiver, for a process
+	// that cannot or need not read it from the key-value service.
+	FetchConfig(context.Context, *peerpb.FetchConfigRequest) (*peerpb.FetchConfigResponse, error)
 }
 
 // NewPeerServiceClient constructs a client for the rhubarbsaddle.peer.v1.PeerService service. By
@@ -73,13 +78,20 @@
 			connect.WithSchema(peerServiceMethods.ByName("Attach")),
 			connect.WithClientOptions(opts...),
 		),
+		fetchConfig: connect.NewClient[peerpb.FetchConfigRequest, peerpb.FetchConfigResponse](
+			httpClient,
+			baseURL+PeerServiceFetchConfigProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("FetchConfig")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	deliver *connect.Client[peerpb.DeliverRequest, peerpb.DeliverResponse]
-	attach  *connect.Client[peerpb.AttachRequest, peerpb.AttachResponse]
+	deliver     *connect.Client[peerpb.DeliverRequest, peerpb.DeliverResponse]
+	attach      *connect.Client[peerpb.AttachRequest, peerpb.AttachResponse]
+	fetchConfig *connect.Client[peerpb.FetchConfigRequest, peerpb.FetchConfigResponse]
 }
 
 // Deliver calls rhubarbsaddle.peer.v1.PeerService.Deliver.
@@ -96,12 +108,24 @@
 	return c.attach.CallServerStream(ctx, connect.NewRequest(req))
 }
 
+// FetchConfig calls rhubarbsaddle.peer.v1.PeerService.FetchConfig.
+func (c *peerServiceClient) FetchConfig(ctx context.Context, req *peerpb.FetchConfigRequest) (*peerpb.FetchConfigResponse, error) {
+	response, err := c.fetchConfig.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // PeerServiceHandler is an implementation of the rhubarbsaddle.peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Deliver passes a batch of messages to the receiver's reducer.
 	Deliver(context.Context, *peerpb.DeliverRequest) (*peerpb.DeliverResponse, error)
 	// Attach reads the answer of an attempt from the sidecar that keeps it.
 	Attach(context.Context, *peerpb.AttachRequest, *connect.ServerStream[peerpb.AttachResponse]) error
+	// FetchConfig reads the configuration in force at the receiver, for a process
+	// that cannot or need not read it from the key-value service.
+	FetchConfig(context.Context, *peerpb.FetchConfigRequest) (*peerpb.FetchConfigResponse, error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -123,12 +147,20 @@
 		connect.WithSchema(peerServiceMethods.ByName("Attach")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceFetchConfigHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceFetchConfigProcedure,
+		svc.FetchConfig,
+		connect.WithSchema(peerServiceMethods.ByName("FetchConfig")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/rhubarbsaddle.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceDeliverProcedure:
 			peerServiceDeliverHandler.ServeHTTP(w, r)
 		case PeerServiceAttachProcedure:
 			peerServiceAttachHandler.ServeHTTP(w, r)
+		case PeerServiceFetchConfigProcedure:
+			peerServiceFetchConfigHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -145,3 +177,7 @@
 func (UnimplementedPeerServiceHandler) Attach(context.Context, *peerpb.AttachRequest, *connect.ServerStream[peerpb.AttachResponse]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbsaddle.peer.v1.PeerService.Attach is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) FetchConfig(context.Context, *peerpb.FetchConfigRequest) (*peerpb.FetchConfigResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbsaddle.peer.v1.PeerService.FetchConfig is not implemented"))
+}
