rpc: promises and forwards again; the round trip covers every message of core

Cause: two messages and two fields were added to core, and a message that wire does not know would be dropped in silence. Change: the test reads the list of messages from core and compares.

--- a/cli/daemon_test.go
+++ b/cli/daemon_test.go
@@ -52,7 +52,7 @@
 	return file
 }
 
-func run(args ...string) (int, string, string) {
+func runCommand(args ...string) (int, string, string) {
 	var out, err bytes.Buffer
 	code := Run(context.Background(), append([]string{"rhubarbsaddle"}, args...), &out, &err)
 	return code, out.String(), err.String()
@@ -64,21 +64,21 @@
 	ended := make(chan int, 1)
 	logs := make(chan string, 1)
 	go func() {
-		code, _, log := run("entry", "--settings", file)
+		code, _, log := runCommand("entry", "--settings", file)
 		logs <- log
 		ended <- code
 	}()
 	require.Eventually(t, func() bool {
-		code, _, _ := run("status", "--node", operators)
+		code, _, _ := runCommand("status", "--node", operators)
 		return code == ExitOK
 	}, patience, 10*time.Millisecond)
-	_, table, _ := run("status", "--node", operators, "--slots")
+	_, table, _ := runCommand("status", "--node", operators, "--slots")
 	require.Contains(t, table, "entry-1")
-	_, text, _ := run("status", "--json", "--node", operators)
+	_, text, _ := runCommand("status", "--json", "--node", operators)
 	var all []nodeStatus
 	require.NoError(t, json.Unmarshal([]byte(text), &all))
 	require.Equal(t, "milano-a", all[0].Status.Domain)
-	code, _, _ := run("drain", "--node", operators)
+	code, _, _ := runCommand("drain", "--node", operators)
 	require.Equal(t, ExitOK, code)
 	select {
 	case code := <-ended:
@@ -93,16 +93,16 @@
 
 func TestDaemonRefusesSettingsOfAnotherRole(t *testing.T) {
 	file := writeSettings(t, freeAddr(t))
-	code, _, text := run("sidecar", "--settings", file)
+	code, _, text := runCommand("sidecar", "--settings", file)
 	require.Equal(t, ExitUsage, code)
 	require.Contains(t, text, "role is entry")
 }
 
 func TestUnreachableNodeFails(t *testing.T) {
-	code, table, text := run("status", "--node", freeAddr(t))
+	code, table, text := runCommand("status", "--node", freeAddr(t))
 	require.Equal(t, ExitFailed, code)
 	require.Contains(t, table, "unreachable")
 	require.Contains(t, text, "status 127.0.0.1")
-	code, _, _ = run("drain", "--node", freeAddr(t))
+	code, _, _ = runCommand("drain", "--node", freeAddr(t))
 	require.Equal(t, ExitFailed, code)
 }
--- a/rpc/wire/decode.go
+++ b/rpc/wire/decode.go
@@ -16,6 +16,7 @@
 			Req:   toRequest(p.Forward.GetReq()),
 			Call:  toCall(p.Forward.GetCall()),
 			Epoch: toEpoch(p.Forward.GetEpoch()),
+			Again: p.Forward.GetAgain(),
 		}, nil
 	case *peerpb.Envelope_Placed:
 		return core.Placed{
@@ -86,6 +87,19 @@
 			Slot:  core.SlotID(p.Handover.GetSlot()),
 			Epoch: toEpoch(p.Handover.GetEpoch()),
 		}
+	case *peerpb.Envelope_PromiseRequest:
+		return core.PromiseRequest{
+			Slot:  core.SlotID(p.PromiseRequest.GetSlot()),
+			Epoch: toEpoch(p.PromiseRequest.GetEpoch()),
+		}
+	case *peerpb.Envelope_PromiseReply:
+		return core.PromiseReply{
+			Slot:     core.SlotID(p.PromiseReply.GetSlot()),
+			Epoch:    toEpoch(p.PromiseReply.GetEpoch()),
+			OK:       p.PromiseReply.GetOk(),
+			Promised: toEpoch(p.PromiseReply.GetPromised()),
+			Eligible: p.PromiseReply.GetEligible(),
+		}
 	case *peerpb.Envelope_Dispatch:
 		return toDispatch(p.Dispatch)
 	case *peerpb.Envelope_QueryAttempt:
--- a/rpc/wire/encode.go
+++ b/rpc/wire/encode.go
@@ -27,7 +27,7 @@
 	switch m := msg.(type) {
 	case core.Forward:
 		env.Message = &peerpb.Envelope_Forward{Forward: &peerpb.Forward{
-			Req: fromRequest(m.Req), Call: fromCall(&m.Call), Epoch: fromEpoch(m.Epoch)}}
+			Req: fromRequest(m.Req), Call: fromCall(&m.Call), Epoch: fromEpoch(m.Epoch), Again: m.Again}}
 	case core.Placed:
 		env.Message = &peerpb.Envelope_Placed{Placed: &peerpb.Placed{
 			Req: fromRequest(m.Req), Attempt: FromAttempt(m.Attempt), Sidecar: FromNode(m.Sidecar)}}
@@ -78,6 +78,13 @@
 	case core.Handover:
 		env.Message = &peerpb.Envelope_Handover{Handover: &peerpb.Handover{
 			Slot: uint32(m.Slot), Epoch: fromEpoch(m.Epoch)}}
+	case core.PromiseRequest:
+		env.Message = &peerpb.Envelope_PromiseRequest{PromiseRequest: &peerpb.PromiseRequest{
+			Slot: uint32(m.Slot), Epoch: fromEpoch(m.Epoch)}}
+	case core.PromiseReply:
+		env.Message = &peerpb.Envelope_PromiseReply{PromiseReply: &peerpb.PromiseReply{
+			Slot: uint32(m.Slot), Epoch: fromEpoch(m.Epoch), Ok: m.OK, Promised: fromEpoch(m.Promised),
+			Eligible: m.Eligible}}
 	case core.Dispatch:
 		env.Message = &peerpb.Envelope_Dispatch{Dispatch: fromDispatch(&m)}
 	case core.QueryAttempt:
--- a/rpc/wire/wire_test.go
+++ b/rpc/wire/wire_test.go
@@ -1,6 +1,10 @@
 package wire
 
 import (
+	"maps"
+	"os"
+	"regexp"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -27,29 +31,42 @@
 	require.Equal(t, core.Message(msg), got)
 }
 
+var roundTrips = map[string]func(*rapid.T){
+	"Forward":        roundTrip[core.Forward],
+	"Placed":         roundTrip[core.Placed],
+	"Finished":       roundTrip[core.Finished],
+	"Withdraw":       roundTrip[core.Withdraw],
+	"EndRequest":     roundTrip[core.EndRequest],
+	"MirrorWrite":    roundTrip[core.MirrorWrite],
+	"MirrorAck":      roundTrip[core.MirrorAck],
+	"Heartbeat":      roundTrip[core.Heartbeat],
+	"SlotUpdate":     roundTrip[core.SlotUpdate],
+	"SlotQuery":      roundTrip[core.SlotQuery],
+	"Handover":       roundTrip[core.Handover],
+	"Dispatch":       roundTrip[core.Dispatch],
+	"QueryAttempt":   roundTrip[core.QueryAttempt],
+	"CancelAttempt":  roundTrip[core.CancelAttempt],
+	"AckResult":      roundTrip[core.AckResult],
+	"EndProgram":     roundTrip[core.EndProgram],
+	"Hello":          roundTrip[core.Hello],
+	"Result":         roundTrip[core.Result],
+	"LoadReport":     roundTrip[core.LoadReport],
+	"PromiseRequest": roundTrip[core.PromiseRequest],
+	"PromiseReply":   roundTrip[core.PromiseReply],
+}
+
+// messageMethod matches the method that makes a type a message.
+var messageMethod = regexp.MustCompile(`(?m)^func \((\w+)\) +message\(\)`)
+
 func TestRoundTripOfEveryMessage(t *testing.T) {
-	tests := map[string]func(*rapid.T){
-		"Forward":       roundTrip[core.Forward],
-		"Placed":        roundTrip[core.Placed],
-		"Finished":      roundTrip[core.Finished],
-		"Withdraw":      roundTrip[core.Withdraw],
-		"EndRequest":    roundTrip[core.EndRequest],
-		"MirrorWrite":   roundTrip[core.MirrorWrite],
-		"MirrorAck":     roundTrip[core.MirrorAck],
-		"Heartbeat":     roundTrip[core.Heartbeat],
-		"SlotUpdate":    roundTrip[core.SlotUpdate],
-		"SlotQuery":     roundTrip[core.SlotQuery],
-		"Handover":      roundTrip[core.Handover],
-		"Dispatch":      roundTrip[core.Dispatch],
-		"QueryAttempt":  roundTrip[core.QueryAttempt],
-		"CancelAttempt": roundTrip[core.CancelAttempt],
-		"AckResult":     roundTrip[core.AckResult],
-		"EndProgram":    roundTrip[core.EndProgram],
-		"Hello":         roundTrip[core.Hello],
-		"Result":        roundTrip[core.Result],
-		"LoadReport":    roundTrip[core.LoadReport],
+	source, err := os.ReadFile("../../core/message.go")
+	require.NoError(t, err)
+	var names []string
+	for _, match := range messageMethod.FindAllSubmatch(source, -1) {
+		names = append(names, string(match[1]))
 	}
-	for name, check := range tests {
+	require.ElementsMatch(t, names, slices.Collect(maps.Keys(roundTrips)))
+	for name, check := range roundTrips {
 		t.Run(name, func(t *testing.T) { rapid.Check(t, check) })
 	}
 }
