--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,6 +54,8 @@
 	Status func() any
 	// Answers is where a sidecar keeps its answers; nil for an entry.
 	Answers peer.Answers
+	// ConfigFromPeers makes other entries the first source of the configuration.
+	ConfigFromPeers bool
 	// Watch names the prefixes of the key-value service that are watched.
 	Watch []string
 }
@@ -69,7 +72,10 @@
 	tls     *tlsfile.Files
 	mesh    *peer.Mesh
 	loop    *loop.Loop
+	health  *health
 	applied atomic.Pointer[Applied]
+	// vms is the last reading of the VM list.
+	vms atomic.Pointer[[]core.VMInfo]
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -112,10 +118,11 @@
 		stopped:    make(chan struct{}),
 		fatal:      make(chan error, 1),
 	}
+	n.health = newHealth(n.log)
 	n.Metrics = newMetrics(n)
 	n.mesh = peer.NewMesh(peer.Options{
 		Self:    n.Self,
-		Addr:    peers.Addr().String(),
+		Addr:    replyAddr(peers.Addr()),
 		TLS:     files,
 		OnError: n.peerFailed,
 	})
@@ -169,6 +176,16 @@
 // Mesh returns the node's side towards its peers.
 func (n *Node) Mesh() *peer.Mesh { return n.mesh }
 
+// replyAddr returns the address that peers may answer to before the VM list
+// shows this VM; "" if the process listens on all addresses.
+func replyAddr(addr net.Addr) string {
+	at, err := netip.ParseAddrPort(addr.String())
+	if err != nil || at.Addr().IsUnspecified() {
+		return ""
+	}
+	return at.String()
+}
+
 // PeerAddr returns the address that peers use.
 func (n *Node) PeerAddr() string { return n.peers.Addr().String() }
 
