--- a/core/effect.go
+++ b/core/effect.go
@@ -89,6 +89,12 @@
 	// Wait is the time spent in the step that ended, in nanoseconds.
 	Wait  Duration
 	Usage Usage
+	// Kind and Account are those of the program, with "finish" and "end".
+	Kind    string
+	Account Account
+	// History is the part of the prompt, in tokens, that the program's earlier
+	// calls have computed before; with "finish".
+	History uint32
 }
 
 func (Send) effect()         {}
