entry: decisions for program latency and recomputed history

Cause: only the home knows when a program began and what its calls computed before. Change: the step end when a root program ends after its last answer; kind, account and history in finish. Nothing but the log and the metrics reads them.

--- a/core/entry/cluster_test.go
+++ b/core/entry/cluster_test.go
@@ -58,6 +58,7 @@
 	replies       map[core.RequestID][]core.Finish
 	attached      map[core.RequestID][]core.AttemptID
 	nextReq       uint64
+	decisions     []core.Decision
 	// cut drops the messages for which it returns true.
 	cut  func(from, to core.VM, m core.Message) bool
 	seen func(from core.Node, m core.Message)
@@ -213,6 +214,8 @@
 			c.swap(p, ef)
 		case core.Stopped:
 			p.stopped = true
+		case core.Decision:
+			c.decisions = append(c.decisions, ef)
 		}
 	}
 }
--- a/core/entry/dispatch.go
+++ b/core/entry/dispatch.go
@@ -235,6 +235,7 @@
 	e.settle(s, c.program, rec, r.Usage.Total())
 	e.finishRecord(p, rec, f)
 	if rec.Kind == core.CallModel {
+		c.history = historyTokens(p, c.body)
 		e.recordHistory(p, c.body, r)
 		p.Turns++
 		p.Last = c.target
@@ -243,6 +244,19 @@
 	e.close(s, c, f)
 }
 
+// historyTokens returns the length of the part of a prompt that a program's
+// earlier calls have computed.
+func historyTokens(p *core.Program, call *core.Call) uint32 {
+	if call == nil || call.ResetHistory {
+		return 0
+	}
+	var sum uint32
+	for _, b := range call.Blocks[:min(int(p.HistoryBlocks), len(call.Blocks))] {
+		sum += b.Tokens
+	}
+	return sum
+}
+
 func (e *Entry) finishRecord(p *core.Program, rec *core.CallRecord, f core.Finish) {
 	rec.Phase = core.PhaseDone
 	rec.Finish = f
--- a/core/entry/home.go
+++ b/core/entry/home.go
@@ -295,9 +295,15 @@
 // mirror has the record.
 func (e *Entry) close(s *slot, c *openCall, f core.Finish) {
 	c.state = stateClosing
+	var kind string
+	var account core.Account
+	if p := s.image.programs[c.program]; p != nil {
+		kind, account = p.Kind, p.Account
+	}
 	e.emit(core.Decision{
 		Step: "finish", Program: c.program, Seq: c.seq, Attempt: c.attempt, Target: c.target,
 		Slot: s.id, Reason: f.Reason, Wait: e.now.Sub(c.arrived), Usage: f.Usage,
+		Kind: kind, Account: account, History: c.history,
 	})
 	e.durable(s, func() { e.closed(s, c, f) })
 }
--- a/core/entry/lane.go
+++ b/core/entry/lane.go
@@ -45,6 +45,8 @@
 	// reported is the number of load reports of the target at the dispatch.
 	reported uint64
 	tokens   uint64
+	// history is the part of the prompt computed by earlier calls, in tokens.
+	history  uint32
 	askedAt  core.Instant
 	seen     bool
 	canceled bool
--- a/core/entry/records.go
+++ b/core/entry/records.go
@@ -95,6 +95,7 @@
 // end marks a tree as ended, stops its calls and releases the engine memory
 // that is held for it.
 func (e *Entry) end(s *slot, top core.ProgramID) {
+	e.noteLatency(s, top)
 	for _, id := range tree(s, top) {
 		p := s.edit(id)
 		p.Ended = true
@@ -108,6 +109,19 @@
 	e.durable(s, func() { e.sendEnd(s, top) })
 }
 
+// noteLatency reports the time from a root program's first call to its last
+// answer. A program that is ended while a call is open has no last answer.
+func (e *Entry) noteLatency(s *slot, top core.ProgramID) {
+	p := s.image.programs[top]
+	if p == nil || p.Ended || p.NextSeq == 1 || top != top.Root() || e.busy(s, top) {
+		return
+	}
+	e.emit(core.Decision{
+		Step: "end", Program: top, Slot: s.id, Wait: e.lastActive(s, top).Sub(p.Started),
+		Kind: p.Kind, Account: p.Account,
+	})
+}
+
 func (e *Entry) endLane(s *slot, l *lane) {
 	for _, c := range slices.Clone(l.waiting) {
 		e.refuse(s, c, core.ReasonEnded, 0)
