entry: a dispatch names the position of its call

Cause: the sidecar logged and ordered calls whose position the home had chosen as position 0; explain could not join its decisions with the home's. Change: the dispatched copy of the call carries the position.

--- a/core/entry/decision_test.go
+++ b/core/entry/decision_test.go
@@ -55,3 +55,16 @@
 	c.reply(c.end(c.procs["e0"], "p"))
 	require.Empty(t, c.taken("end"))
 }
+
+// TestDispatchNamesThePosition sends a call whose position the home chooses.
+func TestDispatchNamesThePosition(t *testing.T) {
+	c := newCluster(t, 1)
+	c.settled()
+	at := c.procs["e0"]
+	c.reply(c.call(at, turn("p", 1)))
+	second := turn("p", 2)
+	second.Seq = 0
+	c.reply(c.call(at, second))
+	side := c.procs["m1"].side
+	require.EqualValues(t, 2, side.calls[side.order[1]].Seq)
+}
--- a/core/entry/dispatch.go
+++ b/core/entry/dispatch.go
@@ -127,12 +127,15 @@
 	c.state = stateSent
 	c.askedAt = e.now
 	c.seen = false
+	call := *c.body
+	// The caller may have left the position to the home.
+	call.Seq = c.seq
 	e.send(c.target, core.Dispatch{
 		Slot:     s.id,
 		Epoch:    s.home.epoch,
 		Attempt:  c.attempt,
 		Target:   c.target,
-		Call:     *c.body,
+		Call:     call,
 		Attained: root.Attained,
 		Turns:    p.Turns,
 		Started:  root.Started,
