daemon, front, observe, metrics: daemons feed the event log and the metrics

Cause: report burn and explain need running daemons that write events, and there were two sets of metrics. Change: nodes use package metrics, keep an event log (a file where there is a data folder), serve it at /events, and derive the observations of every objective; the first output of an attempt is reported at once. Metric names that changed: promise_checks/violations are invariant_checks/violations, config_generation is config_generation_number. Conclusion: a test of the local deployment sees an observation of all five measures, both reports and the metrics page.

--- a/chat/chat_test.go
+++ b/chat/chat_test.go
@@ -100,6 +100,22 @@
 	}
 }
 
+func TestHasText(t *testing.T) {
+	tests := []struct {
+		event string
+		want  bool
+	}{
+		{`data: {"choices":[{"delta":{"role":"assistant","content":""}}]}`, false},
+		{`data: {"choices":[{"delta":{"content":"x"}}]}`, true},
+		{`data: {"choices":[{"delta":{"content": "x"}}]}`, true},
+		{`data: {"choices":[{"delta":{"tool_calls":[{"function":{"arguments":"\"content\":\"x\""}}]}}]}`, false},
+		{`: heartbeat`, false},
+	}
+	for _, tt := range tests {
+		require.Equal(t, tt.want, HasText([]byte(tt.event)), tt.event)
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"a"}]}]}`))
 	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":5}],"max_tokens":null}`))
--- a/chat/event.go
+++ b/chat/event.go
@@ -56,3 +56,20 @@
 	}
 	return false
 }
+
+// textMarks begin the content of a chunk; emptyMarks are those of a chunk
+// without text. Inside of a text the quotes would be escaped.
+var (
+	textMarks  = [][]byte{[]byte(`"content":"`), []byte(`"content": "`)}
+	emptyMarks = [][]byte{[]byte(`"content":""`), []byte(`"content": ""`)}
+)
+
+// HasText reports whether an event of a streamed answer brings text.
+func HasText(event []byte) bool {
+	for i, mark := range textMarks {
+		if bytes.Contains(event, mark) && !bytes.Contains(event, emptyMarks[i]) {
+			return true
+		}
+	}
+	return false
+}
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -6,7 +6,6 @@
 
 	"github.com/urfave/cli/v3"
 
-	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 	"github.com/rhubarbsaddle/rhubarbsaddle/observe"
 	"github.com/rhubarbsaddle/rhubarbsaddle/report/explain"
 )
@@ -38,12 +37,29 @@
 	if err != nil {
 		return err
 	}
-	report := explain.New(core.ProgramID(program), decisions)
-	if len(report.Calls) == 0 {
-		return fmt.Errorf("explain %s: the event logs tell of no call that has ended", program)
+	report, err := explainProgram(program, decisions)
+	if err != nil {
+		return err
 	}
 	if cmd.Bool("json") {
 		return report.WriteJSON(cmd.Root().Writer)
 	}
 	return report.WriteTable(cmd.Root().Writer)
 }
+
+// explainProgram explains the one program that a name stands for.
+func explainProgram(name string, decisions []observe.Decision) (*explain.Report, error) {
+	ids := explain.Resolve(name, decisions)
+	switch len(ids) {
+	case 0:
+		return nil, fmt.Errorf("explain %s: the event logs do not tell of this program", name)
+	case 1:
+	default:
+		return nil, fmt.Errorf("explain %s: several accounts have this program, give one of %v", name, ids)
+	}
+	report := explain.New(ids[0], decisions)
+	if len(report.Calls) == 0 {
+		return nil, fmt.Errorf("explain %s: the event logs tell of no call that has ended", ids[0])
+	}
+	return report, nil
+}
--- a/cli/explain_test.go
+++ b/cli/explain_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 	"github.com/rhubarbsaddle/rhubarbsaddle/observe"
 )
 
@@ -13,6 +14,9 @@
 	log, path := eventLog(t)
 	require.NoError(t, log.Decide(observe.Decision{Step: "place", Program: "p1", Seq: 1, Target: "s1#1", WaitSeconds: 0.25}))
 	require.NoError(t, log.Decide(observe.Decision{Step: "finish", Program: "p1", Seq: 1, WaitSeconds: 1}))
+	for _, id := range []core.ProgramID{"a:p3", "b:p4", "a:p4"} {
+		require.NoError(t, log.Decide(observe.Decision{Step: "place", Program: id, Seq: 1}))
+	}
 	tests := []struct {
 		args []string
 		code int
@@ -20,7 +24,9 @@
 	}{
 		{[]string{"--data", path, "p1"}, ExitOK, "p1#1"},
 		{[]string{"--data", path, "--json", "p1"}, ExitOK, `"home_seconds": 0.25`},
-		{[]string{"--data", path, "p2"}, ExitFailed, "tell of no call that has ended"},
+		{[]string{"--data", path, "p2"}, ExitFailed, "do not tell of this program"},
+		{[]string{"--data", path, "p3"}, ExitFailed, "tell of no call that has ended"},
+		{[]string{"--data", path, "p4"}, ExitFailed, "several accounts have this program, give one of [a:p4 b:p4]"},
 		{[]string{"--data", path}, ExitUsage, "PROGRAM"},
 		{[]string{"p1"}, ExitUsage, "name event logs"},
 	}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/node"
 	"github.com/rhubarbsaddle/rhubarbsaddle/front"
 	"github.com/rhubarbsaddle/rhubarbsaddle/invariant"
+	"github.com/rhubarbsaddle/rhubarbsaddle/observe"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform/vmlist"
 )
@@ -99,7 +100,7 @@
 		Limits:   settings.Limits,
 		Log:      d.node.Log(),
 		Observe: func(o front.Observation) {
-			d.node.Metrics.Request(o.Route, o.Outcome, o.Reason, o.Elapsed, o.FirstByte)
+			d.observe(o)
 		},
 	}).HTTPServer()
 	if files := d.node.TLS(); files != nil {
@@ -110,6 +111,15 @@
 	return nil
 }
 
+// observe records a finished request of a caller.
+func (d *Daemon) observe(o front.Observation) {
+	d.node.Metrics.Request(o.Route, o.Outcome, o.Reason, o.Elapsed, o.FirstByte)
+	r := observe.Request{Call: o.Call, Finish: o.Finish, FirstToken: o.FirstToken, LastToken: o.LastToken}
+	for _, obs := range observe.FromRequest(time.Now(), r, d.node.DomainOf(o.Finish.Sidecar.VM)) {
+		d.node.Observe(obs)
+	}
+}
+
 // Close ends the life at once, as a crash would.
 func (d *Daemon) Close() { d.node.Close() }
 
--- a/daemon/node/config.go
+++ b/daemon/node/config.go
@@ -133,6 +133,7 @@
 		if !n.applied.CompareAndSwap(current, applied) {
 			continue
 		}
+		n.Metrics.Generation(applied.Generation)
 		n.log.Info().Str("step", "apply").Uint64("generation", applied.Generation).Msg("configuration in force")
 		n.Post(core.ConfigApplied{Generation: applied.Generation, Set: applied.Set})
 		return
--- a/daemon/node/effects.go
+++ b/daemon/node/effects.go
@@ -13,6 +13,7 @@
 
 // run takes an effect of the reducer. It runs in the reducer's actor.
 func (n *Node) run(eff core.Effect) {
+	n.Metrics.Effect(eff)
 	switch e := eff.(type) {
 	case core.Send:
 		n.mesh.Send(e.To, e.Msg)
@@ -65,7 +66,7 @@
 }
 
 func (n *Node) storeDone(step string, err error, result core.StoreResult) {
-	n.Metrics.storeCalls.WithLabelValues(step, outcomeLabel(err)).Inc()
+	n.Metrics.StoreCall(step, err)
 	n.health.note("store "+step, err)
 	if err != nil {
 		result.Err = true
@@ -75,7 +76,7 @@
 }
 
 func (n *Node) decided(d core.Decision) {
-	n.Metrics.decided(d)
+	n.record(d)
 	if n.log.Level > 1 {
 		return
 	}
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/loop"
 	"github.com/rhubarbsaddle/rhubarbsaddle/invariant"
+	"github.com/rhubarbsaddle/rhubarbsaddle/observe"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform/vmlist"
 	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/peer"
@@ -66,6 +67,8 @@
 	Clock      *loop.Clock
 	Invariants *invariant.Recorder
 	Metrics    *Metrics
+	// Events is the log of observations and decisions.
+	Events *observe.Log
 
 	options Options
 	log     *log.Logger
@@ -119,7 +122,11 @@
 		fatal:      make(chan error, 1),
 	}
 	n.health = newHealth(n.log)
-	n.Metrics = newMetrics(n)
+	if err := n.openRecords(); err != nil {
+		cancel()
+		peers.Close()
+		return nil, err
+	}
 	n.mesh = peer.NewMesh(peer.Options{
 		Self:    n.Self,
 		Addr:    replyAddr(peers.Addr()),
@@ -226,6 +233,9 @@
 		n.loop.Stop()
 	}
 	n.running.Wait()
+	if err := n.Events.Close(); err != nil {
+		n.log.Warn().Str("step", "close").Err(err).Msg("the event log was not closed")
+	}
 }
 
 func (n *Node) fail(err error) {
@@ -237,7 +247,7 @@
 }
 
 func (n *Node) peerFailed(err error) {
-	n.Metrics.peerErrors.Inc()
+	n.Metrics.PeerError()
 	n.log.Debug().Str("step", "peer").Err(err).Msg("call to a peer failed")
 }
 
--- a/daemon/node/serve.go
+++ b/daemon/node/serve.go
@@ -87,6 +87,7 @@
 	mux.HandleFunc("GET /status", n.serveStatus)
 	mux.HandleFunc("GET /healthz", n.serveHealth)
 	mux.HandleFunc("POST /drain", n.serveDrain)
+	mux.Handle("GET /events", n.Events)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(n.Metrics.registry, promhttp.HandlerOpts{}))
 	n.Serve(&http.Server{
 		Handler:           mux,
--- a/daemon/sidecar/attempt.go
+++ b/daemon/sidecar/attempt.go
@@ -97,6 +97,8 @@
 	// tokens counts the output since the last progress event, at reported.
 	tokens   uint32
 	reported time.Time
+	// begun is set once the first output was reported, which is not held back.
+	begun bool
 }
 
 // Head keeps the head of the answer.
@@ -114,9 +116,10 @@
 	w.daemon.buffers.Append(w.attempt, body)
 	w.length += uint64(len(body))
 	w.tokens += tokens
-	if w.tokens > 0 && time.Since(w.reported) >= progressPeriod {
+	if w.tokens > 0 && (!w.begun || time.Since(w.reported) >= progressPeriod) {
 		w.daemon.node.Post(core.TargetProgress{Attempt: w.attempt, Tokens: w.tokens})
 		w.tokens = 0
+		w.begun = true
 		w.reported = time.Now()
 	}
 	return nil
--- a/front/response.go
+++ b/front/response.go
@@ -28,6 +28,9 @@
 	sent      bool
 	status    int
 	firstByte time.Duration
+	// firstToken and lastToken are the times of the first and the last text.
+	firstToken time.Duration
+	lastToken  time.Duration
 }
 
 func newResponse(w http.ResponseWriter, stream bool, began time.Time) *response {
@@ -84,6 +87,7 @@
 			r.holding = true
 			break
 		}
+		r.noteText(event)
 		n += len(event)
 	}
 	if n == 0 {
@@ -96,6 +100,17 @@
 	return r.control.Flush()
 }
 
+// noteText notes the time of an event that brings text.
+func (r *response) noteText(event []byte) {
+	if !chat.HasText(event) {
+		return
+	}
+	r.lastToken = time.Since(r.began)
+	if r.firstToken == 0 {
+		r.firstToken = r.lastToken
+	}
+}
+
 // pass writes a part of the body to the caller, after the header if it is the
 // first.
 func (r *response) pass(p []byte) error {
--- a/front/run.go
+++ b/front/run.go
@@ -27,12 +27,18 @@
 	} else {
 		sink.fail(refuse(route, finish))
 	}
+	call.Body = nil
+	call.Blocks = nil
 	s.observe(Observation{
-		Route:     route,
-		Status:    sink.status,
-		Outcome:   finish.Outcome,
-		Reason:    finish.Reason,
-		Elapsed:   time.Since(began),
-		FirstByte: sink.firstByte,
+		Route:      route,
+		Status:     sink.status,
+		Outcome:    finish.Outcome,
+		Reason:     finish.Reason,
+		Elapsed:    time.Since(began),
+		FirstByte:  sink.firstByte,
+		FirstToken: sink.firstToken,
+		LastToken:  sink.lastToken,
+		Call:       call,
+		Finish:     finish,
 	})
 }
--- a/front/server.go
+++ b/front/server.go
@@ -42,6 +42,15 @@
 	Elapsed time.Duration
 	// FirstByte is the time until the first part of the answer, zero if none.
 	FirstByte time.Duration
+	// FirstToken and LastToken are the times until the first and the last text of
+	// a streamed answer, zero if there was none.
+	FirstToken time.Duration
+	LastToken  time.Duration
+	// Call is the call as far as the request could be read, without its body and
+	// blocks.
+	Call core.Call
+	// Finish is the final word on a call that was passed on.
+	Finish core.Finish
 }
 
 // Server is the HTTP handler for callers.
--- /dev/null
+++ b/local/report_test.go
@@ -0,0 +1,110 @@
+package local
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3/option"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/front"
+	"github.com/rhubarbsaddle/rhubarbsaddle/observe"
+	"github.com/rhubarbsaddle/rhubarbsaddle/report/burn"
+	"github.com/rhubarbsaddle/rhubarbsaddle/report/explain"
+)
+
+// events reads the event logs of all daemons over their operators' ports.
+func events(ctx context.Context, t *testing.T, d *Deployment) (observations []observe.Observation, decisions []observe.Decision) {
+	var addrs []string
+	for _, e := range d.Entries() {
+		addrs = append(addrs, e.Operators())
+	}
+	for _, s := range d.Sidecars() {
+		addrs = append(addrs, s.Operators())
+	}
+	for _, addr := range addrs {
+		require.NoError(t, observe.Fetch(ctx, "http://"+addr+"/events", func(l observe.Line) {
+			if l.Observation != nil {
+				observations = append(observations, *l.Observation)
+			}
+			if l.Decision != nil {
+				decisions = append(decisions, *l.Decision)
+			}
+		}))
+	}
+	return observations, decisions
+}
+
+// TestReportsOfRunningDaemons runs two turns and a tool call of one program.
+func TestReportsOfRunningDaemons(t *testing.T) {
+	options := smallOptions(t)
+	d := start(t, options)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	c := clientOf(d.Entries()[0], option.WithHeader(front.HeaderProgram, "p1"), option.WithHeader(front.HeaderProgramKind, "haggle"))
+	conversation := []string{"hello"}
+	for range 2 {
+		stream := c.Chat.Completions.NewStreaming(ctx, ask(conversation...))
+		var said string
+		for stream.Next() {
+			if choices := stream.Current().Choices; len(choices) > 0 {
+				said += choices[0].Delta.Content
+			}
+		}
+		require.NoError(t, stream.Err())
+		conversation = append(conversation, said, "more")
+	}
+	require.NoError(t, c.Delete(ctx, "programs/p1", nil, nil))
+
+	var observations []observe.Observation
+	var decisions []observe.Decision
+	complete := func() bool {
+		observations, decisions = events(ctx, t, d)
+		seen := map[observe.Measure]bool{}
+		for _, o := range observations {
+			seen[o.Measure] = true
+		}
+		return len(seen) == 5
+	}
+	require.Eventually(t, complete, patience, 50*time.Millisecond, "an observation of every measure")
+
+	report := burn.New(options.Set, observations, burn.Options{})
+	measures := map[observe.Measure]burn.Objective{}
+	for _, o := range report.Objectives {
+		require.Equal(t, "haggle", o.Kind)
+		measures[o.Measure] = o
+	}
+	require.Len(t, measures, 5)
+	require.Equal(t, 2, measures[observe.FirstToken].Events)
+	require.Equal(t, 1.0, measures[observe.Refused].GoodShare)
+	require.Equal(t, 1, measures[observe.ProgramLatency].Events)
+
+	program := decisions[0].Program
+	for _, d := range decisions {
+		if d.Step == "end" {
+			program = d.Program
+		}
+	}
+	told := explain.New(program, decisions)
+	var table bytes.Buffer
+	require.NoError(t, told.WriteTable(&table))
+	t.Log(table.String())
+	require.Len(t, told.Calls, 2)
+	for _, call := range told.Calls {
+		require.Len(t, call.Choices, 1)
+		require.Positive(t, call.Parts.Prefill)
+		require.NotZero(t, call.PromptTokens)
+	}
+
+	resp, err := http.Get("http://" + d.Sidecars()[0].Operators() + "/metrics")
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	var page bytes.Buffer
+	_, err = page.ReadFrom(resp.Body)
+	require.NoError(t, err)
+	require.Contains(t, page.String(), "rhubarbsaddle_target_limit_calls")
+	require.Contains(t, page.String(), `rhubarbsaddle_invariant_violations_total{promise="at_most_once"} 0`)
+}
--- a/metrics/labels.go
+++ b/metrics/labels.go
@@ -15,7 +15,7 @@
 const none = "none"
 
 // steps are the steps of decisions.
-var steps = []string{"place", "queue", "first_token", "run", "finish", "refuse", "takeover", other}
+var steps = []string{"place", "queue", "first_token", "run", "finish", "refuse", "takeover", "end", other}
 
 // reasons are the reasons of refusals and failures.
 var reasons = []string{
@@ -27,6 +27,8 @@
 	string(core.ReasonEnded), string(core.ReasonForgotten), string(core.ReasonUnauthorized),
 	string(core.ReasonTarget), string(core.ReasonTombstone), string(core.ReasonAnswerLost),
 	string(core.ReasonKeyReuse),
+	// Reasons of requests that were not passed on, of package front.
+	"invalid_request", "request_too_large", "not_found", "no_configuration", "forbidden",
 	other,
 }
 
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -94,6 +94,9 @@
 		m.decision(e)
 	case core.Send:
 		m.messages.WithLabelValues(messageName(e.Msg)).Inc()
+		if report, ok := e.Msg.(core.LoadReport); ok {
+			m.Load(report.Load)
+		}
 	case core.Reply:
 		m.replies.WithLabelValues(e.Finish.Outcome.String(), reasonLabel(e.Finish.Reason)).Inc()
 	case core.StartTarget:
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -54,7 +54,7 @@
 	m.PeerError()
 	m.Request("chat", core.OutcomeRan, "", time.Second, time.Millisecond)
 	m.Observe(observe.Observation{Measure: observe.Refused, Good: true})
-	m.Load(core.Load{Waiting: 1, StepTime: 5 * core.Millisecond})
+	m.Effect(core.Send{Msg: core.LoadReport{Load: core.Load{Waiting: 1, StepTime: 5 * core.Millisecond}}})
 	m.Generation(7)
 	return registry
 }
--- /dev/null
+++ b/observe/derive.go
@@ -0,0 +1,113 @@
+package observe
+
+import (
+	"time"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+)
+
+// Steps of the decisions that tell of objectives.
+const (
+	stepFinish = "finish"
+	stepEnd    = "end"
+)
+
+// FromDecision returns what a decision of a home tells of the objectives: the
+// latency of a program that ended, and how much of the history that a call
+// brought back was still in the target's prefix cache.
+func FromDecision(at time.Time, d core.Decision, domain core.Domain) []Observation {
+	base := Observation{
+		Time:    at,
+		Kind:    d.Kind,
+		Account: d.Account,
+		Target:  d.Target.VM,
+		Domain:  domain,
+	}
+	switch {
+	case d.Step == stepEnd:
+		base.Measure = ProgramLatency
+		base.Value = seconds(d.Wait)
+		base.Good = true
+		return []Observation{base}
+	case d.Step == stepFinish && d.History > 0:
+		return cacheUse(base, d)
+	}
+	return nil
+}
+
+// cacheUse returns the reused and the recomputed part of a call's history.
+func cacheUse(base Observation, d core.Decision) []Observation {
+	base.Measure = WastedCache
+	reused := min(d.Usage.CachedTokens, d.History)
+	var out []Observation
+	if reused > 0 {
+		base.Value = float64(reused)
+		base.Good = true
+		out = append(out, base)
+	}
+	if recomputed := d.History - reused; recomputed > 0 {
+		base.Value = float64(recomputed)
+		base.Good = false
+		out = append(out, base)
+	}
+	return out
+}
+
+// Request is what an edge knows of a finished request of a caller.
+type Request struct {
+	Call   core.Call
+	Finish core.Finish
+	// FirstToken and LastToken are the times until the first and the last text of
+	// a streamed answer, zero if there was none.
+	FirstToken time.Duration
+	LastToken  time.Duration
+}
+
+// callerReasons are refusals that the caller brought about; they are no failure
+// of the service.
+var callerReasons = map[core.Reason]bool{
+	core.ReasonBudget:       true,
+	core.ReasonHistory:      true,
+	core.ReasonSequence:     true,
+	core.ReasonLimit:        true,
+	core.ReasonCanceled:     true,
+	core.ReasonEnded:        true,
+	core.ReasonUnauthorized: true,
+	core.ReasonKeyReuse:     true,
+}
+
+// FromRequest returns what a finished request tells of the objectives.
+func FromRequest(at time.Time, r Request, domain core.Domain) []Observation {
+	if r.Call.ProgramKind == "" || callerReasons[r.Finish.Reason] {
+		return nil
+	}
+	base := Observation{
+		Time:    at,
+		Kind:    r.Call.ProgramKind,
+		Account: r.Call.Account,
+		Target:  r.Finish.Sidecar.VM,
+		Domain:  domain,
+		Good:    true,
+	}
+	refused := base
+	refused.Measure = Refused
+	refused.Good = r.Finish.Outcome == core.OutcomeRan && r.Finish.Reason == ""
+	out := []Observation{refused}
+	if r.FirstToken <= 0 {
+		return out
+	}
+	first := base
+	first.Measure = FirstToken
+	first.Value = r.FirstToken.Seconds()
+	out = append(out, first)
+	if steps := int64(r.Finish.Usage.OutputTokens) - 1; steps > 0 && r.LastToken > r.FirstToken {
+		between := base
+		between.Measure = BetweenTokens
+		between.Value = (r.LastToken - r.FirstToken).Seconds() / float64(steps)
+		out = append(out, between)
+	}
+	return out
+}
+
+// seconds returns a duration in seconds.
+func seconds(d core.Duration) float64 { return float64(d) / float64(core.Second) }
--- a/report/explain/explain.go
+++ b/report/explain/explain.go
@@ -121,6 +121,24 @@
 	return report
 }
 
+// Resolve returns the ids of the root programs that a name may stand for: the
+// exact id, else all ids that end with the name after their account.
+func Resolve(name string, decisions []observe.Decision) []core.ProgramID {
+	found := make(map[core.ProgramID]struct{})
+	for _, d := range decisions {
+		if d.Program == core.ProgramID(name) {
+			return []core.ProgramID{d.Program}
+		}
+		if strings.HasSuffix(string(d.Program), accountEnd+name) {
+			found[d.Program] = struct{}{}
+		}
+	}
+	return slices.Sorted(maps.Keys(found))
+}
+
+// accountEnd separates the account from the caller's own name in a program id.
+const accountEnd = ":"
+
 // group returns the decisions of a program and its sub-agents by call, each in
 // order of time.
 func group(program core.ProgramID, decisions []observe.Decision) map[callKey][]observe.Decision {
