local: daemons in this process or in processes of their own; lone service calls are no programs

Cause: the demo needs both ways with one code, and core/entry counts a call with a program kind as a program under way. Conclusion: go test -race ./local ./front passes.

--- a/front/service.go
+++ b/front/service.go
@@ -45,6 +45,7 @@
 	callKind := core.CallTool
 	if claim.program == "" {
 		callKind = core.CallService
+		kind = ""
 	}
 	return core.Call{
 		Program:       claim.scope(account),
--- a/local/local.go
+++ b/local/local.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,6 +51,10 @@
 	// ToolTime is how long a call of a service takes.
 	ToolTime time.Duration
 	Log      *log.Logger
+	// Binary, if set, is the program whose subcommands run the daemons in
+	// processes of their own; their settings and logs go into Folder.
+	Binary string
+	Folder string
 }
 
 // Deployment is a running deployment.
@@ -62,8 +68,8 @@
 	storeAddr string
 
 	mu       sync.Mutex
-	entries  []*Entry
-	sidecars []*Sidecar
+	entries  []*VM
+	sidecars []*VM
 	models   []*Model
 	tools    []*Tool
 }
@@ -90,10 +96,12 @@
 	}
 	for _, domain := range d.options.Set.Domains {
 		for i := range d.options.EntriesPerDomain {
-			vm := fmt.Sprintf("entry-%s-%d", domain.Name, i)
-			if err := d.addEntry(vm, domain.Name); err != nil {
+			name := fmt.Sprintf("entry-%s-%d", domain.Name, i)
+			vm := d.newVM(name, domain.Name, core.RoleEntry)
+			if err := vm.Start(); err != nil {
 				return err
 			}
+			d.entries = append(d.entries, vm)
 		}
 	}
 	if err := d.publishVMs(); err != nil {
@@ -134,14 +142,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var vms []core.VMInfo
-	for _, e := range d.entries {
-		if !e.gone {
-			vms = append(vms, e.info())
-		}
-	}
-	for _, s := range d.sidecars {
-		if !s.gone {
-			vms = append(vms, s.info())
+	for _, vm := range slices.Concat(d.entries, d.sidecars) {
+		if info, listed := vm.info(); listed {
+			vms = append(vms, info)
 		}
 	}
 	return d.vmList.Set(vms)
@@ -174,11 +177,15 @@
 func (d *Deployment) ready(ctx context.Context) bool {
 	acting := 0
 	for _, e := range d.Entries() {
-		state, ok := e.state(ctx)
-		if !ok || len(state.Targets) < len(d.sidecars) {
+		status, err := e.Status(ctx)
+		if err != nil {
 			return false
 		}
-		acting += d.actingFor(state)
+		var state entry.Status
+		if json.Unmarshal(status.State, &state) != nil || len(state.Targets) < len(d.sidecars) {
+			return false
+		}
+		acting += d.actingFor(&state)
 	}
 	return acting == int(d.options.Set.Ownership.Slots)
 }
@@ -197,10 +204,10 @@
 }
 
 // Entries returns the entries.
-func (d *Deployment) Entries() []*Entry { return d.entries }
+func (d *Deployment) Entries() []*VM { return d.entries }
 
 // Sidecars returns the sidecars.
-func (d *Deployment) Sidecars() []*Sidecar { return d.sidecars }
+func (d *Deployment) Sidecars() []*VM { return d.sidecars }
 
 // Models returns the stand-ins of the model engines.
 func (d *Deployment) Models() []*Model { return d.models }
@@ -210,11 +217,8 @@
 
 // Close ends everything.
 func (d *Deployment) Close() {
-	for _, e := range d.entries {
-		e.Kill()
-	}
-	for _, s := range d.sidecars {
-		s.Kill()
+	for _, vm := range slices.Concat(d.entries, d.sidecars) {
+		vm.Kill()
 	}
 	for _, m := range d.models {
 		m.Server.Close()
--- a/local/outage_test.go
+++ b/local/outage_test.go
@@ -20,7 +20,7 @@
 	require.NoError(t, entry.Start())
 	require.NoError(t, side.Start())
 	require.Eventually(t, func() bool {
-		return entry.Daemon().Node().Generation() == 1 && side.Daemon().Node().Generation() == 1
+		return entry.Node().Generation() == 1 && side.Node().Generation() == 1
 	}, patience, 10*time.Millisecond)
 	_, err := clientOf(d.Entries()[1], option.WithAPIKey(walkInKey)).Chat.Completions.New(ctx, ask("hello"))
 	require.NoError(t, err, refusalCode(err))
--- a/local/path_test.go
+++ b/local/path_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -41,14 +42,9 @@
 	d, err := Start(ctx, options)
 	require.NoError(t, err)
 	t.Cleanup(func() {
-		for _, e := range d.Entries() {
-			if daemon := e.Daemon(); daemon != nil {
-				require.Empty(t, daemon.Node().Invariants.Texts())
-			}
-		}
-		for _, s := range d.Sidecars() {
-			if daemon := s.Daemon(); daemon != nil {
-				require.Empty(t, daemon.Node().Invariants.Texts())
+		for _, vm := range slices.Concat(d.Entries(), d.Sidecars()) {
+			if n := vm.Node(); n != nil {
+				require.Empty(t, n.Invariants.Texts())
 			}
 		}
 		d.Close()
@@ -66,7 +62,7 @@
 	}
 }
 
-func clientOf(e *Entry, opts ...option.RequestOption) *openai.Client {
+func clientOf(e *VM, opts ...option.RequestOption) *openai.Client {
 	opts = append([]option.RequestOption{
 		option.WithBaseURL(e.URL() + "/v1"), option.WithAPIKey(circuitKey),
 	}, opts...)
@@ -125,7 +121,7 @@
 }
 
 // callTool books a pitch once.
-func callTool(ctx context.Context, e *Entry, key string) error {
+func callTool(ctx context.Context, e *VM, key string) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, e.URL()+"/pitches/7", strings.NewReader("book"))
 	if err != nil {
 		return err
--- /dev/null
+++ b/local/process.go
@@ -0,0 +1,97 @@
+package local
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+)
+
+// process is a life in a process of its own.
+type process struct {
+	cmd  *exec.Cmd
+	log  *os.File
+	done chan struct{}
+	err  error
+}
+
+// startProcess starts the daemon's subcommand of the binary.
+func (v *VM) startProcess() (life, error) {
+	if err := v.choosePorts(); err != nil {
+		return nil, err
+	}
+	text, err := yaml.Marshal(v.settings)
+	if err != nil {
+		return nil, err
+	}
+	base := filepath.Join(v.deployment.options.Folder, v.settings.VM)
+	if err := os.WriteFile(base+".yaml", text, 0o600); err != nil {
+		return nil, err
+	}
+	log, err := os.OpenFile(base+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	p := &process{log: log, done: make(chan struct{})}
+	p.cmd = exec.Command(v.deployment.options.Binary, v.settings.Role, "--settings", base+".yaml")
+	p.cmd.Stderr = log
+	if err := p.cmd.Start(); err != nil {
+		log.Close()
+		return nil, err
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		log.Close()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// choosePorts replaces the addresses without a port by free ones.
+func (v *VM) choosePorts() error {
+	addrs := []*string{&v.settings.Listen.Peers, &v.settings.Listen.Operators}
+	if v.role == core.RoleEntry {
+		addrs = append(addrs, &v.settings.Listen.Callers)
+	}
+	for _, addr := range addrs {
+		if *addr != loopback {
+			continue
+		}
+		l, err := net.Listen("tcp", loopback)
+		if err != nil {
+			return err
+		}
+		*addr = l.Addr().String()
+		if err := l.Close(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Close kills the process.
+func (p *process) Close() {
+	// The process has ended by itself if the kill fails.
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// Drain asks the process to shut down and waits until it has.
+func (p *process) Drain(ctx context.Context) error {
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-p.done:
+		return p.err
+	case <-ctx.Done():
+		p.Close()
+		return ctx.Err()
+	}
+}
--- a/local/target.go
+++ b/local/target.go
@@ -6,6 +6,7 @@
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/config"
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	port "github.com/rhubarbsaddle/rhubarbsaddle/engine"
 	"github.com/rhubarbsaddle/rhubarbsaddle/engine/openai"
 	"github.com/rhubarbsaddle/rhubarbsaddle/engine/service"
 	"github.com/rhubarbsaddle/rhubarbsaddle/standin/engine"
@@ -50,7 +51,7 @@
 			return err
 		}
 		d.models = append(d.models, &Model{Server: server, Pool: pool.Name, Addr: addr})
-		return d.addSidecar(vm, domain, pool.Name, openai.New(addr, openai.Options{}))
+		return d.addSidecar(vm, domain, pool, addr, openai.New(addr, openai.Options{}))
 	}
 	server := tool.NewServer(d.options.ToolTime)
 	addr, err := server.Start(loopback)
@@ -58,7 +59,18 @@
 		return err
 	}
 	d.tools = append(d.tools, &Tool{Server: server, Pool: pool.Name, Addr: addr})
-	return d.addSidecar(vm, domain, pool.Name, service.New(addr))
+	return d.addSidecar(vm, domain, pool, addr, service.New(addr))
+}
+
+func (d *Deployment) addSidecar(name, domain string, pool *config.Pool, addr string, target port.Target) error {
+	vm := d.newVM(name, domain, core.RoleSidecar)
+	vm.target = target
+	vm.settings.Target = config.Target{Pool: pool.Name, Kind: pool.Kind, Address: addr}
+	if err := vm.Start(); err != nil {
+		return err
+	}
+	d.sidecars = append(d.sidecars, vm)
+	return nil
 }
 
 const (
--- a/local/vm.go
+++ b/local/vm.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/config"
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
-	entryreducer "github.com/rhubarbsaddle/rhubarbsaddle/core/entry"
 	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/entry"
+	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/node"
 	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/sidecar"
 	"github.com/rhubarbsaddle/rhubarbsaddle/engine"
 )
@@ -17,189 +18,209 @@
 // vmPeriod is the time between two readings of the VM list.
 const vmPeriod = 200 * time.Millisecond
 
-// Entry is an entry VM.
-type Entry struct {
-	deployment *Deployment
-	settings   config.Node
-	gone       bool
-
-	mu     sync.Mutex
-	daemon *entry.Daemon
+// life is one life of a daemon, in this process or in one of its own.
+type life interface {
+	// Close ends the life as a crash does.
+	Close()
+	// Drain shuts the life down gracefully.
+	Drain(ctx context.Context) error
 }
 
-// Sidecar is the VM of a target.
-type Sidecar struct {
+// VM runs an entry or a sidecar, one life after another.
+type VM struct {
 	deployment *Deployment
+	role       core.VMRole
 	settings   config.Node
 	target     engine.Target
-	gone       bool
 
-	mu     sync.Mutex
-	daemon *sidecar.Daemon
+	mu      sync.Mutex
+	life    life
+	leaving bool
+	gone    bool
 }
 
-func (d *Deployment) nodeSettings(vm, domain, role string) config.Node {
-	return config.Node{
-		VM:     vm,
+func (d *Deployment) newVM(name, domain string, role core.VMRole) *VM {
+	vm := &VM{deployment: d, role: role}
+	vm.settings = config.Node{
+		VM:     name,
 		Domain: domain,
-		Role:   role,
+		Role:   "entry",
 		Listen: config.Listen{Callers: loopback, Peers: loopback, Operators: loopback},
+		Store:  config.Store{Endpoints: []string{d.storeAddr}, Prefix: storePrefix},
 		VMList: config.VMList{URL: d.vmURL, Period: config.Duration(vmPeriod)},
 	}
+	if role == core.RoleSidecar {
+		vm.settings.Role = "sidecar"
+		vm.settings.Listen.Callers = ""
+	}
+	vm.settings.ApplyDefaults()
+	return vm
 }
 
-func (d *Deployment) addEntry(vm, domain string) error {
-	e := &Entry{deployment: d, settings: d.nodeSettings(vm, domain, "entry")}
-	if err := e.Start(); err != nil {
+// Start starts a life, at the addresses of the last one.
+func (v *VM) Start() error {
+	l, err := v.begin()
+	if err != nil {
 		return err
 	}
-	d.entries = append(d.entries, e)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.life = l
 	return nil
 }
 
-// Start starts a life of the entry, at the addresses of the last one.
-func (e *Entry) Start() error {
+func (v *VM) begin() (life, error) {
+	if v.deployment.options.Binary != "" {
+		return v.startProcess()
+	}
+	if v.role == core.RoleSidecar {
+		return v.startSidecar()
+	}
+	return v.startEntry()
+}
+
+func (v *VM) startEntry() (life, error) {
 	d, err := entry.Start(entry.Options{
-		Settings: e.settings,
-		Store:    e.deployment.store,
-		VMs:      e.deployment.vmSource(),
-		Log:      e.deployment.options.Log,
+		Settings: v.settings,
+		Store:    v.deployment.store,
+		VMs:      v.deployment.vmSource(),
+		Log:      v.deployment.options.Log,
 	})
 	if err != nil {
-		return err
+		return nil, err
 	}
-	e.settings.Listen.Peers = d.Node().PeerAddr()
-	e.settings.Listen.Operators = d.Node().OperatorAddr()
-	e.settings.Listen.Callers = d.Addr()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.daemon = d
-	return nil
+	v.keepAddresses(d.Node())
+	v.settings.Listen.Callers = d.Addr()
+	return d, nil
 }
 
-// VM returns the VM's id.
-func (e *Entry) VM() string { return e.settings.VM }
+func (v *VM) startSidecar() (life, error) {
+	d, err := sidecar.Start(sidecar.Options{
+		Settings: v.settings,
+		Store:    v.deployment.store,
+		VMs:      v.deployment.vmSource(),
+		Target:   v.target,
+		Log:      v.deployment.options.Log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	v.keepAddresses(d.Node())
+	return d, nil
+}
 
-// URL returns the base URL of the callers' API.
-func (e *Entry) URL() string { return "http://" + e.settings.Listen.Callers }
+func (v *VM) keepAddresses(n *node.Node) {
+	v.settings.Listen.Peers = n.PeerAddr()
+	v.settings.Listen.Operators = n.OperatorAddr()
+}
 
-// Operators returns the address of the operators' port.
-func (e *Entry) Operators() string { return e.settings.Listen.Operators }
+// Name returns the VM's id.
+func (v *VM) Name() string { return v.settings.VM }
 
-// Daemon returns the life that runs, or nil.
-func (e *Entry) Daemon() *entry.Daemon {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.daemon
-}
+// Pool returns the pool of a sidecar's target.
+func (v *VM) Pool() string { return v.settings.Target.Pool }
 
-// Kill ends the life as a crash does.
-func (e *Entry) Kill() {
-	e.mu.Lock()
-	d := e.daemon
-	e.daemon = nil
-	e.mu.Unlock()
-	if d != nil {
-		d.Close()
+// URL returns the base URL of an entry's API for callers.
+func (v *VM) URL() string { return "http://" + v.settings.Listen.Callers }
+
+// Operators returns the address of the operators' port.
+func (v *VM) Operators() string { return v.settings.Listen.Operators }
+
+// Alive reports whether a life runs.
+func (v *VM) Alive() bool { return v.current() != nil }
+
+// Node returns the shared shell of the life that runs in this process, or nil.
+func (v *VM) Node() *node.Node {
+	switch l := v.current().(type) {
+	case *entry.Daemon:
+		return l.Node()
+	case *sidecar.Daemon:
+		return l.Node()
 	}
+	return nil
 }
 
-// Remove kills the entry and takes its VM off the VM list.
-func (e *Entry) Remove() error {
-	e.Kill()
-	e.gone = true
-	return e.deployment.publishVMs()
+func (v *VM) current() life {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.life
 }
 
-func (e *Entry) info() core.VMInfo {
-	return core.VMInfo{
-		VM:     core.VM(e.settings.VM),
-		Domain: core.Domain(e.settings.Domain),
-		Role:   core.RoleEntry,
-		Addr:   e.settings.Listen.Peers,
-	}
+func (v *VM) end() life {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	l := v.life
+	v.life = nil
+	return l
 }
 
-// state returns the state of the entry's reducer.
-func (e *Entry) state(ctx context.Context) (*entryreducer.Status, bool) {
-	daemon := e.Daemon()
-	if daemon == nil {
-		return nil, false
-	}
-	status, err := daemon.Node().Status(ctx)
-	if err != nil {
-		return nil, false
-	}
-	var state entryreducer.Status
-	if json.Unmarshal(status.State, &state) != nil {
-		return nil, false
+// Kill ends the life as a crash does.
+func (v *VM) Kill() {
+	if l := v.end(); l != nil {
+		l.Close()
 	}
-	return &state, true
 }
 
-func (d *Deployment) addSidecar(vm, domain, pool string, target engine.Target) error {
-	s := &Sidecar{deployment: d, settings: d.nodeSettings(vm, domain, "sidecar"), target: target}
-	s.settings.Target.Pool = pool
-	if err := s.Start(); err != nil {
-		return err
+// Drain shuts the life down gracefully.
+func (v *VM) Drain(ctx context.Context) error {
+	l := v.current()
+	if l == nil {
+		return nil
 	}
-	d.sidecars = append(d.sidecars, s)
-	return nil
+	err := l.Drain(ctx)
+	v.end()
+	return err
 }
 
-// Start starts a life of the sidecar, at the addresses of the last one.
-func (s *Sidecar) Start() error {
-	d, err := sidecar.Start(sidecar.Options{
-		Settings: s.settings,
-		Store:    s.deployment.store,
-		VMs:      s.deployment.vmSource(),
-		Target:   s.target,
-		Log:      s.deployment.options.Log,
-	})
-	if err != nil {
-		return err
-	}
-	s.settings.Listen.Peers = d.Node().PeerAddr()
-	s.settings.Listen.Operators = d.Node().OperatorAddr()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.daemon = d
-	return nil
+// Remove takes the VM off the VM list.
+func (v *VM) Remove() error {
+	v.mu.Lock()
+	v.gone = true
+	v.mu.Unlock()
+	return v.deployment.publishVMs()
 }
 
-// VM returns the VM's id.
-func (s *Sidecar) VM() string { return s.settings.VM }
-
-// Pool returns the pool of the target.
-func (s *Sidecar) Pool() string { return s.settings.Target.Pool }
-
-// Operators returns the address of the operators' port.
-func (s *Sidecar) Operators() string { return s.settings.Listen.Operators }
-
-// Daemon returns the life that runs, or nil.
-func (s *Sidecar) Daemon() *sidecar.Daemon {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.daemon
+// Leave shows the VM as leaving in the VM list.
+func (v *VM) Leave() error {
+	v.mu.Lock()
+	v.leaving = true
+	v.mu.Unlock()
+	return v.deployment.publishVMs()
 }
 
-// Kill ends the life as a crash does.
-func (s *Sidecar) Kill() {
-	s.mu.Lock()
-	d := s.daemon
-	s.daemon = nil
-	s.mu.Unlock()
-	if d != nil {
-		d.Close()
-	}
+// info returns the VM's line of the VM list; ok is false if it has none.
+func (v *VM) info() (vm core.VMInfo, ok bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return core.VMInfo{
+		VM:      core.VM(v.settings.VM),
+		Domain:  core.Domain(v.settings.Domain),
+		Role:    v.role,
+		Pool:    core.Pool(v.settings.Target.Pool),
+		Leaving: v.leaving,
+		Addr:    v.settings.Listen.Peers,
+	}, !v.gone
 }
 
-func (s *Sidecar) info() core.VMInfo {
-	return core.VMInfo{
-		VM:     core.VM(s.settings.VM),
-		Domain: core.Domain(s.settings.Domain),
-		Role:   core.RoleSidecar,
-		Pool:   core.Pool(s.settings.Target.Pool),
-		Addr:   s.settings.Listen.Peers,
+// statusTimeout bounds a request for the state of a daemon.
+const statusTimeout = 2 * time.Second
+
+// Status asks the life for its state, as an operator does.
+func (v *VM) Status(ctx context.Context) (*node.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.Operators()+"/status", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var status node.Status
+	if err := json.NewDecoder(resp.Body).Decode(&status); err != nil {
+		return nil, err
 	}
+	return &status, nil
 }
