demo: both example deployments with programs, retries and failures

Change: scripted programs through the official client over a balancer, sub- agents, bookings, budgets; an entry killed for good, a sidecar killed and restarted; table, exit code, observations. A daemon that closes shuts its sockets first: before, callers of a killed entry were told draining (unknown_outcome), which a crash never says. Conclusion: whole path holds with an entry and a sidecar killed.

--- a/cli/root.go
+++ b/cli/root.go
@@ -36,6 +36,7 @@
 		checkCommand(),
 		statusCommand(),
 		drainCommand(),
+		demoCommand(),
 		entryCommand(),
 		sidecarCommand(),
 		diffCommand(),
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -216,10 +216,11 @@
 // Close ends the life at once, as a crash would: sockets are closed and all
 // state is lost.
 func (n *Node) Close() {
-	n.cancel()
+	// Sockets go first, so that nothing is said to anybody any more.
 	for _, s := range n.servers {
 		s.Close()
 	}
+	n.cancel()
 	n.peers.Close()
 	n.mesh.Close()
 	if n.loop != nil {
--- /dev/null
+++ b/demo/demo_test.go
@@ -0,0 +1,61 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestDemoKeepsThePromises(t *testing.T) {
+	var out bytes.Buffer
+	results, err := Run(context.Background(), Options{
+		Examples: "../examples",
+		Seed:     1,
+		Programs: 8,
+		Span:     time.Second,
+		Out:      &out,
+	})
+	require.NoError(t, err)
+	require.NoError(t, Judge(results), out.String())
+	for _, r := range results {
+		require.Len(t, r.Injected, 2, "an entry and a sidecar were killed")
+		require.NotZero(t, r.Whole)
+		require.Len(t, r.Observations, 8)
+	}
+}
+
+func TestJudgeOfToolCalls(t *testing.T) {
+	tests := []struct {
+		name       string
+		call       toolCall
+		executions int
+		broken     bool
+	}{
+		{"answered once", toolCall{nonIdempotent: true, outcome: "ran"}, 1, false},
+		{"executed twice", toolCall{nonIdempotent: true, outcome: "ran"}, 2, true},
+		{"idempotent twice", toolCall{outcome: "ran"}, 2, false},
+		{"answered without execution", toolCall{outcome: "ran"}, 0, true},
+		{"refused and executed", toolCall{nonIdempotent: true, outcome: "not_run"}, 1, true},
+		{"unknown", toolCall{nonIdempotent: true, outcome: "unknown_outcome"}, 1, false},
+	}
+	for _, tt := range tests {
+		require.Equal(t, tt.broken, judge(tt.call, tt.executions) != "", tt.name)
+	}
+}
+
+func TestJudgeRefusesUnfinishedPrograms(t *testing.T) {
+	require.NoError(t, Judge([]*Result{{Programs: 2, Finished: 2}}))
+	require.Error(t, Judge([]*Result{{Programs: 2, Finished: 1}}))
+	require.Error(t, Judge([]*Result{{Programs: 2, Finished: 2, Broken: []string{"x"}}}))
+}
+
+func TestShapesDependOnTheSeedOnly(t *testing.T) {
+	s := scenarios()[0]
+	draw := func(seed uint64) []shape { return s.shapes(rand.New(rand.NewPCG(seed, 0)), 20, time.Second) }
+	require.Equal(t, draw(1), draw(1))
+	require.NotEqual(t, draw(1), draw(2))
+}
--- /dev/null
+++ b/demo/judge.go
@@ -0,0 +1,59 @@
+package demo
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/observe"
+)
+
+// BrokenError reports that promises were broken.
+type BrokenError struct {
+	Deployment string
+	Count      int
+	First      string
+}
+
+// Error returns the deployment and the first broken promise.
+func (e *BrokenError) Error() string {
+	return fmt.Sprintf("demo: %s: %d promises or programs broken, first: %s", e.Deployment, e.Count, e.First)
+}
+
+// Judge returns an error if anything was broken.
+func Judge(results []*Result) error {
+	var all error
+	for _, r := range results {
+		if len(r.Broken) > 0 {
+			all = errors.Join(all, &BrokenError{Deployment: r.Deployment, Count: len(r.Broken), First: r.Broken[0]})
+			continue
+		}
+		if r.Finished != r.Programs {
+			all = errors.Join(all, &BrokenError{
+				Deployment: r.Deployment,
+				Count:      r.Programs - r.Finished,
+				First:      "programs did not finish",
+			})
+		}
+	}
+	return all
+}
+
+// WriteObservations appends the observations of all deployments to a file;
+// an empty path writes none.
+func WriteObservations(path string, results []*Result) error {
+	if path == "" {
+		return nil
+	}
+	log, err := observe.NewLog(observe.LogOptions{Path: path})
+	if err != nil {
+		return err
+	}
+	for _, r := range results {
+		for _, o := range r.Observations {
+			if err := log.Observe(o); err != nil {
+				return err
+			}
+		}
+	}
+	return log.Close()
+}
--- /dev/null
+++ b/demo/run.go
@@ -0,0 +1,164 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/config/load"
+	"github.com/rhubarbsaddle/rhubarbsaddle/local"
+)
+
+// Options are the settings of a demo run.
+type Options struct {
+	// Examples is the folder of the example sets.
+	Examples string
+	Seed     uint64
+	// Programs is the number of programs of each deployment.
+	Programs int
+	// Span is the time over which the programs arrive.
+	Span time.Duration
+	// Binary, if set, runs the daemons as processes of their own.
+	Binary string
+	// Folder takes the processes' settings and logs.
+	Folder string
+	// Out takes the progress and the table.
+	Out io.Writer
+	// Terminal rewrites the progress line in place.
+	Terminal bool
+}
+
+const (
+	// startTimeout bounds the start of a deployment.
+	startTimeout = 20 * time.Second
+	// engineStep is the time of an engine's step.
+	engineStep = 2 * time.Millisecond
+	// toolTime is the time of a service's execution.
+	toolTime = 10 * time.Millisecond
+	// vmLag is how late the VM list shows changes.
+	vmLag = time.Second
+)
+
+// Run runs the demo and prints its table. The result says what was broken.
+func Run(ctx context.Context, o Options) ([]*Result, error) {
+	fmt.Fprintf(o.Out, "seed %d, %d programs for each deployment\n", o.Seed, o.Programs)
+	var runs []*run
+	for i, s := range scenarios() {
+		runs = append(runs, newRun(o, s, uint64(i)))
+	}
+	defer func() {
+		for _, r := range runs {
+			r.close()
+		}
+	}()
+	if err := startAll(ctx, runs); err != nil {
+		return nil, err
+	}
+	stop := showProgress(o, runs)
+	var all sync.WaitGroup
+	for _, r := range runs {
+		all.Go(func() { r.drive(ctx) })
+	}
+	all.Wait()
+	stop()
+	var results []*Result
+	for _, r := range runs {
+		results = append(results, r.result(ctx))
+	}
+	return results, printTable(o.Out, results)
+}
+
+func startAll(ctx context.Context, runs []*run) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	for _, r := range runs {
+		group.Go(func() error { return r.start(ctx) })
+	}
+	return group.Wait()
+}
+
+// run is one deployment of the demo.
+type run struct {
+	options    Options
+	scenario   scenario
+	rng        *rand.Rand
+	stats      *stats
+	deployment *local.Deployment
+	faults     faults
+}
+
+func newRun(o Options, s scenario, stream uint64) *run {
+	return &run{options: o, scenario: s, rng: rand.New(rand.NewPCG(o.Seed, stream)), stats: &stats{}}
+}
+
+func (r *run) start(ctx context.Context) error {
+	set, err := load.Set(filepath.Join(r.options.Examples, r.scenario.folder))
+	if err != nil {
+		return err
+	}
+	folder := ""
+	if r.options.Binary != "" {
+		folder = filepath.Join(r.options.Folder, r.scenario.folder)
+		if err := os.MkdirAll(folder, 0o700); err != nil {
+			return err
+		}
+	}
+	r.deployment, err = local.Start(ctx, local.Options{
+		Set:              set,
+		EntriesPerDomain: 1,
+		Targets:          r.scenario.targets,
+		VMLag:            vmLag,
+		EngineStep:       engineStep,
+		ToolTime:         toolTime,
+		Binary:           r.options.Binary,
+		Folder:           folder,
+	})
+	return err
+}
+
+func (r *run) close() {
+	if r.deployment != nil {
+		r.deployment.Close()
+	}
+}
+
+// drive runs all programs and the failures half-way.
+func (r *run) drive(ctx context.Context) {
+	c := newCaller(&r.scenario, newBalancer(r.deployment), r.stats)
+	shapes := r.scenario.shapes(r.rng, r.options.Programs, r.options.Span)
+	halfWay := make(chan struct{})
+	var once sync.Once
+	var all sync.WaitGroup
+	for i, sh := range shapes {
+		p := &program{
+			caller: c,
+			id:     fmt.Sprintf("%s-%d-%d", sh.kind.name, r.options.Seed, i),
+			shape:  sh,
+		}
+		if sh.tight {
+			p.budget = tightBudget
+		}
+		all.Go(func() {
+			time.Sleep(sh.arrival)
+			if err := p.run(ctx); err != nil {
+				r.stats.failed(p.id, err)
+			}
+			if int(r.stats.ended.Add(1)) >= len(shapes)/2 {
+				once.Do(func() { close(halfWay) })
+			}
+		})
+	}
+	all.Go(func() {
+		<-halfWay
+		r.faults.inject(ctx, r.deployment)
+	})
+	all.Wait()
+}
