--- a/core/entry/dispatch.go
+++ b/core/entry/dispatch.go
@@ -15,6 +15,11 @@
 	if c.body == nil {
 		return
 	}
+	// Other calls of the tree may have reserved since this one was checked.
+	if !e.holdsReservation(s, c) && !e.affordable(s, c.body) {
+		e.giveUp(s, c, core.ReasonBudget, 0)
+		return
+	}
 	if !e.escrowed(s, c) {
 		return
 	}
--- a/core/entry/edge.go
+++ b/core/entry/edge.go
@@ -63,6 +63,10 @@
 		e.reply(r, refusal(core.ReasonNoOwner, retryHint))
 		return
 	}
+	if e.drain.stopped {
+		e.reply(r, refusal(core.ReasonDraining, retryHint))
+		return
+	}
 	r.slot = s
 	r.period = e.times.suspect
 	e.requests[r.id] = r
--- a/core/entry/status.go
+++ b/core/entry/status.go
@@ -34,7 +34,11 @@
 	Home    core.Node
 	Mirrors []core.Node
 	// Acting says that this entry acts as the home.
-	Acting    bool
+	Acting bool
+	// Ready says that its first write is complete, so that it serves.
+	Ready bool
+	// Changing says that this entry is changing the slot's owner.
+	Changing  bool
 	Remembers uint64
 	Programs  int
 	OpenCalls int
@@ -109,6 +113,7 @@
 		Epoch:     s.owner.Epoch,
 		Home:      s.homeNode(),
 		Acting:    s.home != nil,
+		Changing:  s.proposal != nil,
 		Remembers: s.owner.Remembers,
 	}
 	for _, m := range s.owner.Mirrors {
@@ -119,6 +124,7 @@
 	}
 	switch home := s.homeNode(); {
 	case s.home != nil:
+		ss.Ready = s.home.ready
 		ss.Programs = len(s.image.programs)
 		ss.OpenCalls = len(s.openCalls())
 		st.Home++
