--- a/core/entry/call_test.go
+++ b/core/entry/call_test.go
@@ -300,3 +300,22 @@
 	c.procs["m1"].side.release()
 	require.Equal(t, core.OutcomeRan, c.reply(first).Outcome)
 }
+
+// TestEndIsToldAgain loses the first message about a program's end.
+func TestEndIsToldAgain(t *testing.T) {
+	c := newCluster(t, 3)
+	c.settled()
+	c.reply(c.call(c.procs["e0"], turn("p", 1)))
+	lost := 0
+	c.cut = func(_, _ core.VM, m core.Message) bool {
+		_, end := m.(core.EndProgram)
+		if end {
+			lost++
+		}
+		return end && lost == 1
+	}
+	require.Equal(t, core.OutcomeRan, c.reply(c.end(c.procs["e1"], "p")).Outcome)
+	require.Empty(t, c.procs["m1"].side.ended)
+	c.advance(5 * core.Second)
+	require.Contains(t, c.procs["m1"].side.ended, core.ProgramID("p"))
+}
--- a/core/entry/records.go
+++ b/core/entry/records.go
@@ -147,12 +147,21 @@
 		switch idle := e.now.Sub(e.lastActive(s, p.ID)); {
 		case p.Ended && idle >= e.times.retention:
 			e.forgetTree(s, p.ID)
+		case p.Ended && e.repeatsEnd(idle):
+			e.sendEnd(s, p.ID)
 		case !p.Ended && (idle >= e.maxIdle(p) || e.now.Sub(p.Started) >= e.maxAge(p)):
 			e.end(s, p.ID)
 		}
 	}
 }
 
+// repeatsEnd reports whether the end of a program is told again at this look.
+// The message may be lost, and nobody acknowledges it; the waits double.
+func (e *Entry) repeatsEnd(idle core.Duration) bool {
+	looks := idle / expirePeriod
+	return looks > 0 && looks&(looks-1) == 0
+}
+
 // busy reports whether a call of a tree is open.
 func (e *Entry) busy(s *slot, top core.ProgramID) bool {
 	for id := range s.home.lanes {
