--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -44,12 +44,17 @@
 	targets  targets
 	requests map[core.RequestID]*request
 	slots    []*slot
-	store    store
-	places   map[core.Pool]place.Policy
-	budgets  map[retryKey]*retry.Budget
-	drain    drain
+	// mapSum is the sum of the epochs of all owners known.
+	mapSum  uint64
+	store   store
+	places  map[core.Pool]place.Policy
+	budgets map[retryKey]*retry.Budget
+	drain   drain
 	// offeredAt is when a slot was last offered to another entry.
 	offeredAt core.Instant
+	// counts are the programs under way by account, as of countedAt.
+	counts    map[core.Account]int
+	countedAt core.Instant
 	// refusals holds the requests answered as not run.
 	refusals map[core.RequestID]refusedRequest
 }
--- a/core/entry/limits.go
+++ b/core/entry/limits.go
@@ -55,23 +55,29 @@
 	if !shed.Admit(e.poolLoad(call.Pool), call.Account, e.shares(counts)) {
 		return core.ReasonOverload
 	}
+	counts[call.Account]++
 	return ""
 }
 
-// programCounts returns the programs under way at this home, by account.
+// programCounts returns the programs under way at this home, by account. They
+// are counted anew every period; admissions and ends between are added.
 func (e *Entry) programCounts() map[core.Account]int {
-	counts := map[core.Account]int{}
+	if e.counts != nil && e.now.Sub(e.countedAt) < expirePeriod {
+		return e.counts
+	}
+	e.counts = map[core.Account]int{}
+	e.countedAt = e.now
 	for _, s := range e.slots {
 		if s.home == nil {
 			continue
 		}
 		for id, p := range s.image.programs {
 			if id.Root() == id && !p.Ended && p.Kind != "" {
-				counts[p.Account]++
+				e.counts[p.Account]++
 			}
 		}
 	}
-	return counts
+	return e.counts
 }
 
 func (e *Entry) shares(counts map[core.Account]int) []shed.Share {
--- a/core/entry/members.go
+++ b/core/entry/members.go
@@ -152,7 +152,7 @@
 	e.members.observe(from, e.now)
 	p.domain = h.Domain
 	p.draining = h.Draining
-	if h.MapSum != e.mapSum() && e.now.Sub(p.asked) >= e.times.heartbeat {
+	if h.MapSum != e.mapSum && e.now.Sub(p.asked) >= e.times.heartbeat {
 		p.asked = e.now
 		e.send(from, core.SlotQuery{})
 	}
@@ -168,7 +168,7 @@
 	h := core.Heartbeat{
 		Domain:     e.domain,
 		Generation: e.generation,
-		MapSum:     e.mapSum(),
+		MapSum:     e.mapSum,
 		Draining:   e.drain.requested,
 	}
 	for _, p := range e.members.sorted() {
--- a/core/entry/records.go
+++ b/core/entry/records.go
@@ -95,6 +95,9 @@
 // end marks a tree as ended, stops its calls and releases the engine memory
 // that is held for it.
 func (e *Entry) end(s *slot, top core.ProgramID) {
+	if p := s.image.programs[top]; p != nil && top.Root() == top && !p.Ended && e.counts[p.Account] > 0 {
+		e.counts[p.Account]--
+	}
 	for _, id := range tree(s, top) {
 		p := s.edit(id)
 		p.Ended = true
@@ -137,48 +140,43 @@
 		return
 	}
 	s.expiredAt = e.now
-	for _, p := range sortedPrograms(s) {
-		if p.ID != p.ID.Root() || s.image.programs[p.ID] == nil {
-			continue
-		}
-		if e.busy(s, p.ID) {
-			continue
-		}
-		switch idle := e.now.Sub(e.lastActive(s, p.ID)); {
-		case p.Ended && idle >= e.times.retention:
-			e.forgetTree(s, p.ID)
-		case p.Ended && e.repeatsEnd(idle):
-			e.sendEnd(s, p.ID)
-		case !p.Ended && (idle >= e.maxIdle(p) || e.now.Sub(p.Started) >= e.maxAge(p)):
-			e.end(s, p.ID)
+	active := s.lastActive()
+	for id := range s.home.lanes {
+		delete(active, id.Root())
+	}
+	for _, root := range slices.Sorted(maps.Keys(active)) {
+		if p := s.image.programs[root]; p != nil {
+			e.expireTree(s, p, e.now.Sub(active[root]))
 		}
 	}
 }
 
-// repeatsEnd reports whether the end of a program is told again at this look.
-// The message may be lost, and nobody acknowledges it; the waits double.
-func (e *Entry) repeatsEnd(idle core.Duration) bool {
-	looks := idle / expirePeriod
-	return looks > 0 && looks&(looks-1) == 0
+// lastActive returns when each tree last made progress, by root.
+func (s *slot) lastActive() map[core.ProgramID]core.Instant {
+	active := map[core.ProgramID]core.Instant{}
+	for id, p := range s.image.programs {
+		active[id.Root()] = max(active[id.Root()], p.Active)
+	}
+	return active
 }
 
-// busy reports whether a call of a tree is open.
-func (e *Entry) busy(s *slot, top core.ProgramID) bool {
-	for id := range s.home.lanes {
-		if inTree(id, top) {
-			return true
-		}
+func (e *Entry) expireTree(s *slot, root *core.Program, idle core.Duration) {
+	tooOld := e.now.Sub(root.Started) >= e.maxAge(root)
+	switch {
+	case root.Ended && idle >= e.times.retention:
+		e.forgetTree(s, root.ID)
+	case root.Ended && repeatsEnd(idle):
+		e.sendEnd(s, root.ID)
+	case !root.Ended && (tooOld || idle >= e.maxIdle(root)):
+		e.end(s, root.ID)
 	}
-	return false
 }
 
-// lastActive returns when the tree last made progress.
-func (e *Entry) lastActive(s *slot, top core.ProgramID) core.Instant {
-	var last core.Instant
-	for _, id := range tree(s, top) {
-		last = max(last, s.image.programs[id].Active)
-	}
-	return last
+// repeatsEnd reports whether the end of a program is told again at this look.
+// The message may be lost, and nobody acknowledges it; the waits double.
+func repeatsEnd(idle core.Duration) bool {
+	looks := idle / expirePeriod
+	return looks > 0 && looks&(looks-1) == 0
 }
 
 // forgetTree releases the memory once more, in case the first message was lost,
--- a/core/entry/slotmap.go
+++ b/core/entry/slotmap.go
@@ -165,6 +165,7 @@
 	if !s.owner.Epoch.Less(o.Epoch) {
 		return
 	}
+	e.mapSum += mapTerm(o.Epoch) - mapTerm(s.owner.Epoch)
 	s.owner = o
 	s.changedAt = e.now
 	s.ownerless = 0
@@ -239,12 +240,5 @@
 	}
 }
 
-// mapSum returns the sum of all versions and ranks known, which tells two maps
-// apart in a heartbeat.
-func (e *Entry) mapSum() uint64 {
-	var sum uint64
-	for _, s := range e.slots {
-		sum += s.owner.Epoch.Version<<20 + uint64(s.owner.Epoch.Rank)
-	}
-	return sum
-}
+// mapTerm is a slot's part of the sum that tells two maps apart in a heartbeat.
+func mapTerm(epoch core.Epoch) uint64 { return epoch.Version<<20 + uint64(epoch.Rank) }
--- a/core/entry/status.go
+++ b/core/entry/status.go
@@ -92,7 +92,7 @@
 			Silence:  e.silence(p.node),
 		})
 	}
-	for _, t := range e.targets.sorted() {
+	for _, t := range e.targets.list {
 		st.Targets = append(st.Targets, TargetStatus{
 			Node:     t.node,
 			Pool:     t.pool,
--- a/core/entry/targets.go
+++ b/core/entry/targets.go
@@ -26,7 +26,9 @@
 }
 
 type targets struct {
-	byVM    map[core.VM]*target
+	byVM map[core.VM]*target
+	// list holds the targets by VM.
+	list    []*target
 	helloAt core.Instant
 }
 
@@ -38,17 +40,21 @@
 	if t == nil {
 		t = &target{node: core.Node{VM: vm.VM}}
 		ts.byVM[vm.VM] = t
+		ts.sort()
 	}
 	t.pool = vm.Pool
 	t.domain = vm.Domain
 	t.leaving = vm.Leaving
 }
 
-func (ts *targets) remove(vm core.VM) { delete(ts.byVM, vm) }
+func (ts *targets) remove(vm core.VM) {
+	delete(ts.byVM, vm)
+	ts.sort()
+}
 
-// sorted returns the targets by VM.
-func (ts *targets) sorted() []*target {
-	return slices.SortedFunc(maps.Values(ts.byVM), func(a, b *target) int {
+// sort rebuilds the list after a target came or went.
+func (ts *targets) sort() {
+	ts.list = slices.SortedFunc(maps.Values(ts.byVM), func(a, b *target) int {
 		return cmp.Compare(a.node.VM, b.node.VM)
 	})
 }
@@ -59,7 +65,7 @@
 		return
 	}
 	e.targets.helloAt = e.now
-	for _, t := range e.targets.sorted() {
+	for _, t := range e.targets.list {
 		e.send(core.Node{VM: t.node.VM}, core.Hello{})
 	}
 }
@@ -92,7 +98,7 @@
 // pool returns the usable targets of a pool by VM.
 func (e *Entry) pool(pool core.Pool) []*target {
 	var ts []*target
-	for _, t := range e.targets.sorted() {
+	for _, t := range e.targets.list {
 		if e.usable(t, pool) {
 			ts = append(ts, t)
 		}
