entry: tests for promises, silent mirrors, members without an image, calls in flight when the home is lost

The guard of a home frozen by its own proposal survives as a mutant: the mirrors' promises stop the same writes.

--- a/core/entry/call_test.go
+++ b/core/entry/call_test.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/config"
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 )
 
@@ -319,3 +321,18 @@
 	c.advance(5 * core.Second)
 	require.Contains(t, c.procs["m1"].side.ended, core.ProgramID("p"))
 }
+
+// BenchmarkTurn measures one turn of a program through three entries, a mirror
+// and a fake sidecar: all reducer steps and the pump.
+func BenchmarkTurn(b *testing.B) {
+	c := newCluster(&testing.T{}, 3)
+	c.check.Panic = false
+	c.set.Programs[0] = config.ProgramKind{Name: "kind"}
+	c.settled()
+	call := turn("p", 1)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		call.Program = core.ProgramID(strconv.Itoa(i))
+		c.call(c.procs["e0"], call)
+	}
+}
--- a/core/entry/takeover_test.go
+++ b/core/entry/takeover_test.go
@@ -147,22 +147,24 @@
 	}
 }
 
-// TestSilentMirror keeps a home from writing while its mirror is silent, until
-// the mirror is replaced.
+// TestSilentMirror keeps a home from writing while one of its mirrors is silent,
+// until the mirror is replaced.
 func TestSilentMirror(t *testing.T) {
-	c := newCluster(t, 3)
-	c.settled()
-	home, mirror := c.homeOf("p"), c.mirrorOf("p")
-	c.reply(c.call(home, turn("p", 1)))
-	mirror.paused = true
-	c.kvDown = true
-	req := c.call(home, booking("p", 2, "k"))
-	c.advance(2 * core.Second)
-	require.Empty(t, c.replies[req])
-	require.Zero(t, c.procs["t1"].side.executed["k"], "a dispatch without a mirrored ticket")
-	c.kvDown = false
-	require.Equal(t, core.OutcomeRan, c.reply(req).Outcome)
-	require.NotEqual(t, mirror, c.mirrorOf("p"))
+	for _, mirrors := range []int{1, 2} {
+		c := newCluster(t, 2+mirrors, mirrors)
+		c.settled()
+		home, mirror := c.homeOf("p"), c.mirrorOf("p")
+		c.reply(c.call(home, turn("p", 1)))
+		mirror.paused = true
+		c.kvDown = true
+		req := c.call(home, booking("p", 2, "k"))
+		c.advance(2 * core.Second)
+		require.Empty(t, c.replies[req])
+		require.Zero(t, c.procs["t1"].side.executed["k"], "a dispatch without a mirrored ticket")
+		c.kvDown = false
+		require.Equal(t, core.OutcomeRan, c.reply(req).Outcome)
+		require.NotEqual(t, mirror, c.mirrorOf("p"))
+	}
 }
 
 // TestDeadMirrorDuringOutage lets a home go on without a mirror that is dead by
@@ -265,6 +267,12 @@
 		home.paused = true
 		c.downAfterSwap = core.SlotKey(core.ProgramID("p").Slot(c.set.Ownership.Slots))
 		c.until("a swap without an answer", func() bool { return c.kvDown })
+		// The old home must be stopped by its mirrors, not by a request to promise.
+		home.backlog = nil
+		c.cut = func(_, to core.VM, m core.Message) bool {
+			_, ask := m.(core.PromiseRequest)
+			return ask && to == home.node.VM
+		}
 		c.resume(home.node.VM)
 		req := c.call(home, booking("p", 1, "k"))
 		c.advance(2 * core.Second)
@@ -320,3 +328,102 @@
 	require.InDelta(t, int64(began.Add(next.offset)), int64(p.Started), float64(core.Second))
 	require.InDelta(t, int64(began.Add(next.offset)), int64(p.Calls[0].DoneAt), float64(core.Second))
 }
+
+// TestSwapNeedsPromises keeps a mirror that reaches no other member from taking
+// a slot with two mirrors over by a swap.
+func TestSwapNeedsPromises(t *testing.T) {
+	c := newCluster(t, 3, 2)
+	c.settled()
+	home := c.homeOf("p")
+	key := core.SlotKey(core.ProgramID("p").Slot(c.set.Ownership.Slots))
+	c.cut = func(_, _ core.VM, m core.Message) bool {
+		_, ask := m.(core.PromiseRequest)
+		return ask
+	}
+	before := c.kv[key].Revision
+	home.paused = true
+	c.advance(3 * core.Second)
+	require.Equal(t, before, c.kv[key].Revision)
+	c.cut = nil
+	c.settled()
+	require.Greater(t, c.kv[key].Revision, before)
+}
+
+// TestCutOffMirrorDoesNotTakeOver cuts one entry off from the others, but not
+// from the key-value service. The slots of the others stay where they are.
+func TestCutOffMirrorDoesNotTakeOver(t *testing.T) {
+	for _, vm := range []core.VM{"e0", "e1", "e2"} {
+		c := newCluster(t, 3)
+		c.settled()
+		homes := map[core.SlotID]*proc{}
+		for s := range core.SlotID(c.set.Ownership.Slots) {
+			homes[s] = c.homes(s)[0]
+		}
+		c.cut = func(from, to core.VM, _ core.Message) bool { return from != to && (from == vm || to == vm) }
+		c.advance(2 * core.Second)
+		for s, home := range homes {
+			if home.node.VM != vm {
+				require.Equal(t, []*proc{home}, c.homes(s), "slot %d, %s cut off", s, vm)
+			}
+		}
+	}
+}
+
+// TestMemberWithoutImageLeavesTheSlotToOthers takes the image of one mirror away
+// before the home ends. The other mirror must bring the memory on.
+func TestMemberWithoutImageLeavesTheSlotToOthers(t *testing.T) {
+	c := newCluster(t, 3, 2)
+	c.settled()
+	home := c.homeOf("p")
+	c.reply(c.call(home, turn("p", 1)))
+	first := c.other(home, nil)
+	first.entry.slotOf("p").image.valid = false
+	c.remove(home.node.VM)
+	c.settled()
+	next := c.homeOf("p")
+	require.NotEqual(t, first, next)
+	require.EqualValues(t, 1, next.entry.slotOf("p").image.remembers)
+	require.NotNil(t, next.entry.slotOf("p").image.programs["p"])
+}
+
+// TestCallsInFlightWhenTheHomeIsLost loses the home while the target executes a
+// call. What may have run is never answered as not run.
+func TestCallsInFlightWhenTheHomeIsLost(t *testing.T) {
+	t.Run("with all mirrors", func(t *testing.T) {
+		c := newCluster(t, 3)
+		c.settled()
+		home, mirror := c.homeOf("p"), c.mirrorOf("p")
+		edge := c.other(home, mirror)
+		c.procs["m1"].side.hold = true
+		req := c.call(edge, turn("p", 1))
+		c.advance(50 * core.Millisecond)
+		require.Len(t, c.procs["m1"].side.order, 1)
+		home.down, mirror.down = true, true
+		c.unlisted[home.node.VM] = true
+		c.remove(mirror.node.VM)
+		f := c.reply(req)
+		require.Equal(t, core.OutcomeUnknown, f.Outcome)
+		require.Equal(t, core.ReasonForgotten, f.Reason)
+	})
+	t.Run("during an outage, with one mirror left", func(t *testing.T) {
+		c := newCluster(t, 3)
+		c.settled()
+		home, mirror := c.homeOf("p"), c.mirrorOf("p")
+		edge := c.other(home, mirror)
+		c.procs["t1"].side.hold = true
+		req := c.call(edge, booking("p", 1, "k"))
+		c.advance(50 * core.Millisecond)
+		c.kvDown = true
+		c.remove(home.node.VM)
+		c.advance(5 * core.Second)
+		require.Empty(t, c.replies[req])
+		fresh := c.call(edge, turn("p2", 1))
+		if core.ProgramID("p2").Slot(4) == core.ProgramID("p").Slot(4) {
+			require.Equal(t, core.ReasonNoOwner, c.reply(fresh).Reason)
+		}
+		c.kvDown = false
+		c.procs["t1"].side.release()
+		require.Equal(t, core.OutcomeRan, c.reply(req).Outcome)
+		require.Equal(t, 1, c.procs["t1"].side.executed["k"])
+	})
+}
