--- a/cli/root.go
+++ b/cli/root.go
@@ -38,6 +38,7 @@
 		explainCommand(),
 		statusCommand(),
 		drainCommand(),
+		demoCommand(),
 		entryCommand(),
 		sidecarCommand(),
 		diffCommand(),
