--- a/cli/demo.go
+++ b/cli/demo.go
@@ -26,6 +26,7 @@
 			&cli.IntFlag{Name: "programs", Usage: "number of programs of each deployment", Value: 80},
 			&cli.DurationFlag{Name: "span", Usage: "time over which the programs arrive", Value: 12 * time.Second},
 			&cli.BoolFlag{Name: "processes", Usage: "run each daemon as a process of its own"},
+			&cli.StringFlag{Name: "data", Usage: "`FOLDER` for the processes' event logs, for report burn and explain"},
 			&cli.StringFlag{Name: "observations", Usage: "`FILE` to write the observations to, for report burn"},
 		},
 		Action: runDemo,
@@ -38,6 +39,7 @@
 		Seed:     cmd.Uint64("seed"),
 		Programs: cmd.Int("programs"),
 		Span:     cmd.Duration("span"),
+		Data:     cmd.String("data"),
 		Out:      cmd.Root().Writer,
 		Terminal: isTerminal(cmd),
 	}
--- a/cli/report.go
+++ b/cli/report.go
@@ -53,17 +53,21 @@
 // eventFlags returns the flags that say where events are read.
 func eventFlags() []cli.Flag {
 	return []cli.Flag{
-		&cli.StringSliceFlag{Name: "data", Usage: "read the event log in `FILE`; may be repeated"},
+		&cli.StringSliceFlag{Name: "data", Usage: "read the event log in `FILE`, or all of a folder; may be repeated"},
 		&cli.StringSliceFlag{Name: "from", Usage: "read the event log of the daemon at `URL`; may be repeated"},
 	}
 }
 
 // readEvents reads all event logs that the flags name.
 func readEvents(ctx context.Context, cmd *cli.Command, fn func(observe.Line)) error {
-	files, urls := cmd.StringSlice("data"), cmd.StringSlice("from")
-	if len(files)+len(urls) == 0 {
+	paths, urls := cmd.StringSlice("data"), cmd.StringSlice("from")
+	if len(paths)+len(urls) == 0 {
 		return &UsageError{Err: errNoEvents}
 	}
+	files, err := observe.Files(paths)
+	if err != nil {
+		return err
+	}
 	for _, path := range files {
 		if err := observe.ReadFile(path, fn); err != nil {
 			return err
--- a/demo/run.go
+++ b/demo/run.go
@@ -29,6 +29,9 @@
 	Binary string
 	// Folder takes the processes' settings and logs.
 	Folder string
+	// Data, if set, takes a folder with the processes' event logs for each
+	// deployment.
+	Data string
 	// Out takes the progress and the table.
 	Out io.Writer
 	// Terminal rewrites the progress line in place.
@@ -111,6 +114,13 @@
 			return err
 		}
 	}
+	data := ""
+	if r.options.Data != "" {
+		data = filepath.Join(r.options.Data, r.scenario.folder)
+		if err := os.MkdirAll(data, 0o750); err != nil {
+			return err
+		}
+	}
 	r.deployment, err = local.Start(ctx, local.Options{
 		Set:              set,
 		EntriesPerDomain: 1,
@@ -118,6 +128,7 @@
 		VMLag:            vmLag,
 		EngineStep:       engineStep,
 		ToolTime:         toolTime,
+		Data:             data,
 		Binary:           r.options.Binary,
 		Folder:           folder,
 	})
--- a/local/local.go
+++ b/local/local.go
@@ -50,7 +50,10 @@
 	EngineStep time.Duration
 	// ToolTime is how long a call of a service takes.
 	ToolTime time.Duration
-	Log      *log.Logger
+	// Data is the data folder of all processes; it takes their event logs. Empty
+	// keeps these in memory.
+	Data string
+	Log  *log.Logger
 	// Binary, if set, is the program whose subcommands run the daemons in
 	// processes of their own; their settings and logs go into Folder.
 	Binary string
--- a/local/report_test.go
+++ b/local/report_test.go
@@ -41,6 +41,7 @@
 // TestReportsOfRunningDaemons runs two turns and a tool call of one program.
 func TestReportsOfRunningDaemons(t *testing.T) {
 	options := smallOptions(t)
+	options.Data = t.TempDir()
 	d := start(t, options)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
@@ -71,6 +72,18 @@
 	}
 	require.Eventually(t, complete, patience, 50*time.Millisecond, "an observation of every measure")
 
+	files, err := observe.Files([]string{options.Data})
+	require.NoError(t, err)
+	saved := 0
+	for _, file := range files {
+		require.NoError(t, observe.ReadFile(file, func(l observe.Line) {
+			if l.Observation != nil {
+				saved++
+			}
+		}))
+	}
+	require.GreaterOrEqual(t, saved, len(observations), "the data folder keeps what the daemons serve")
+
 	report := burn.New(options.Set, observations, burn.Options{})
 	measures := map[observe.Measure]burn.Objective{}
 	for _, o := range report.Objectives {
--- a/local/vm.go
+++ b/local/vm.go
@@ -48,6 +48,7 @@
 		Listen: config.Listen{Callers: loopback, Peers: loopback, Operators: loopback},
 		Store:  config.Store{Endpoints: []string{d.storeAddr}, Prefix: storePrefix},
 		VMList: config.VMList{URL: d.vmURL, Period: config.Duration(vmPeriod)},
+		Data:   d.options.Data,
 	}
 	if role == core.RoleSidecar {
 		vm.settings.Role = "sidecar"
--- a/observe/read.go
+++ b/observe/read.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"os"
+	"path/filepath"
 	"time"
 )
 
@@ -61,6 +62,30 @@
 	}
 }
 
+// logPattern matches the names of logs and of full logs kept beside them.
+const logPattern = "*.jsonl*"
+
+// Files returns the paths of logs, with each folder replaced by its logs.
+func Files(paths []string) ([]string, error) {
+	var files []string
+	for _, path := range paths {
+		info, err := os.Stat(path)
+		if err != nil {
+			return nil, &ReadError{Step: "open", Peer: path, Err: err}
+		}
+		if !info.IsDir() {
+			files = append(files, path)
+			continue
+		}
+		found, err := filepath.Glob(filepath.Join(path, logPattern))
+		if err != nil {
+			return nil, &ReadError{Step: "open", Peer: path, Err: err}
+		}
+		files = append(files, found...)
+	}
+	return files, nil
+}
+
 // ReadFile reads the log in a file.
 func ReadFile(path string, fn func(Line)) error {
 	file, err := os.Open(path)
--- a/report/explain/write.go
+++ b/report/explain/write.go
@@ -40,6 +40,9 @@
 	return strings.Join(cells, "\t")
 }
 
+// incarnationStart separates a VM from its process's incarnation in a target.
+const incarnationStart = "#"
+
 // Why says which targets were chosen, at which estimated cost, and what became
 // of each.
 func (c *Call) Why() string {
@@ -48,7 +51,8 @@
 	}
 	var parts []string
 	for _, choice := range c.Choices {
-		text := fmt.Sprintf("%s at the least cost, %s", choice.Target, span(choice.CostSeconds))
+		vm, _, _ := strings.Cut(choice.Target, incarnationStart)
+		text := fmt.Sprintf("%s at the least cost, %s", vm, span(choice.CostSeconds))
 		if choice.Refused != "" {
 			text += ", refused: " + string(choice.Refused)
 		}
