--- a/cli/drain.go
+++ b/cli/drain.go
@@ -23,7 +23,7 @@
 func runDrain(ctx context.Context, cmd *cli.Command) error {
 	var failed error
 	for _, addr := range cmd.StringSlice("node") {
-		err := operatorCall(ctx, "drain", http.MethodPost, addr, "/drain", nil)
+		err := operatorCall(ctx, cmd, "drain", http.MethodPost, addr, "/drain", nil)
 		if err != nil {
 			failed = errors.Join(failed, err)
 			continue
--- a/cli/operators.go
+++ b/cli/operators.go
@@ -43,14 +43,18 @@
 
 // operatorCall sends a request to an operators' port and decodes the answer
 // into out unless out is nil.
-func operatorCall(ctx context.Context, step, method, addr, path string, out any) error {
+func operatorCall(ctx context.Context, cmd *cli.Command, step, method, addr, path string, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, nil)
+	client, scheme, err := operatorClient(cmd)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, scheme+"://"+addr+path, nil)
 	if err != nil {
 		return &OperatorError{Step: step, Peer: addr, Err: err}
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return &OperatorError{Step: step, Peer: addr, Err: err}
 	}
--- a/cli/report.go
+++ b/cli/report.go
@@ -73,8 +73,12 @@
 			return err
 		}
 	}
+	client, _, err := operatorClient(cmd)
+	if err != nil {
+		return err
+	}
 	for _, url := range urls {
-		if err := observe.Fetch(ctx, url+eventsPath, fn); err != nil {
+		if err := observe.Fetch(ctx, client, url+eventsPath, fn); err != nil {
 			return err
 		}
 	}
--- a/cli/root.go
+++ b/cli/root.go
@@ -56,6 +56,7 @@
 		Version:               Version,
 		EnableShellCompletion: true,
 		Commands:              commands(),
+		Flags:                 tlsFlags(),
 		Writer:                stdout,
 		ErrWriter:             stderr,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
--- a/cli/status.go
+++ b/cli/status.go
@@ -46,7 +46,7 @@
 	for _, addr := range cmd.StringSlice("node") {
 		one := nodeStatus{Node: addr}
 		var status node.Status
-		if err := operatorCall(ctx, "status", http.MethodGet, addr, "/status", &status); err != nil {
+		if err := operatorCall(ctx, cmd, "status", http.MethodGet, addr, "/status", &status); err != nil {
 			one.Error = err.Error()
 			failed = errors.Join(failed, err)
 		} else {
--- /dev/null
+++ b/daemon/node/security_test.go
@@ -0,0 +1,104 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/config"
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/invariant"
+	"github.com/rhubarbsaddle/rhubarbsaddle/platform/etcdjson"
+	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/tlsfile"
+	"github.com/rhubarbsaddle/rhubarbsaddle/standin/ca"
+	"github.com/rhubarbsaddle/rhubarbsaddle/standin/kv"
+)
+
+// idle is a reducer that does nothing.
+type idle struct{}
+
+func (idle) Step(core.Event, core.Instant) []core.Effect { return nil }
+
+// noVMs is a VM list without VMs.
+type noVMs struct{}
+
+func (noVMs) Read(context.Context) ([]core.VMInfo, error) { return nil, nil }
+
+// startNode starts a node with certificate files.
+func startNode(t *testing.T, files config.TLS) *Node {
+	platform := kv.NewServer(kv.Options{})
+	addr, err := platform.Start("127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = platform.Close() })
+	client, err := etcdjson.New(etcdjson.Options{Endpoints: []string{addr}})
+	require.NoError(t, err)
+	n, err := New(Options{
+		Settings: config.Node{
+			VM: "e1", Domain: "d", Role: "entry", TLS: files,
+			Listen: config.Listen{Peers: "127.0.0.1:0", Operators: "127.0.0.1:0"},
+		},
+		Store:   client,
+		VMs:     noVMs{},
+		Reducer: func(core.Node, *invariant.Recorder) core.Reducer { return idle{} },
+		Run:     func(core.Effect) {},
+		Status:  func() any { return nil },
+	})
+	require.NoError(t, err)
+	require.NoError(t, n.Start())
+	t.Cleanup(n.Close)
+	return n
+}
+
+func newCA(t *testing.T) *ca.CA {
+	authority, err := ca.New(t.TempDir())
+	require.NoError(t, err)
+	return authority
+}
+
+func issue(t *testing.T, authority *ca.CA, name string) config.TLS {
+	files, err := authority.Issue(name)
+	require.NoError(t, err)
+	return files
+}
+
+func TestPortsAskForCertificates(t *testing.T) {
+	own, foreign := newCA(t), newCA(t)
+	n := startNode(t, issue(t, own, "server"))
+	load := func(authority *ca.CA) *tls.Config {
+		files, err := tlsfile.Load(issue(t, authority, "client"))
+		require.NoError(t, err)
+		return files.Client()
+	}
+	right := load(own)
+	none := right.Clone()
+	none.Certificates = nil
+	wrong := right.Clone()
+	wrong.Certificates = load(foreign).Certificates
+	get := func(addr string, c *tls.Config) (int, error) {
+		client := &http.Client{Transport: &http.Transport{TLSClientConfig: c, ForceAttemptHTTP2: true}}
+		resp, err := client.Get("https://" + addr + "/healthz")
+		if err != nil {
+			return 0, err
+		}
+		return resp.StatusCode, resp.Body.Close()
+	}
+	for _, addr := range []string{n.OperatorAddr(), n.PeerAddr()} {
+		_, err := get(addr, right)
+		require.NoError(t, err)
+		for _, c := range []*tls.Config{none, wrong} {
+			_, err := get(addr, c)
+			require.Error(t, err)
+		}
+		resp, err := http.Get("http://" + addr + "/healthz")
+		if err == nil {
+			require.Equal(t, http.StatusBadRequest, resp.StatusCode, "plain text")
+			require.NoError(t, resp.Body.Close())
+		}
+	}
+	status, err := get(n.OperatorAddr(), right)
+	require.NoError(t, err)
+	require.NotEqual(t, http.StatusNotFound, status)
+}
--- a/daemon/node/serve.go
+++ b/daemon/node/serve.go
@@ -89,12 +89,17 @@
 	mux.HandleFunc("POST /drain", n.serveDrain)
 	mux.Handle("GET /events", n.Events)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(n.Metrics.registry, promhttp.HandlerOpts{}))
-	n.Serve(&http.Server{
+	server := &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       headerTimeout,
 		WriteTimeout:      headerTimeout,
-	}, listener, "operators")
+	}
+	if n.tls != nil {
+		// An operator can drain the process, so they show a certificate as peers do.
+		server.TLSConfig = n.tls.Server(true)
+	}
+	n.Serve(server, listener, "operators")
 	return nil
 }
 
--- a/local/report_test.go
+++ b/local/report_test.go
@@ -26,7 +26,7 @@
 		addrs = append(addrs, s.Operators())
 	}
 	for _, addr := range addrs {
-		require.NoError(t, observe.Fetch(ctx, "http://"+addr+"/events", func(l observe.Line) {
+		require.NoError(t, observe.Fetch(ctx, http.DefaultClient, "http://"+addr+"/events", func(l observe.Line) {
 			if l.Observation != nil {
 				observations = append(observations, *l.Observation)
 			}
--- a/observe/observe_test.go
+++ b/observe/observe_test.go
@@ -34,7 +34,7 @@
 	want := []Line{{Observation: &observation}, {Decision: &decision}}
 	var fromFile, fromDaemon []Line
 	require.NoError(t, ReadFile(path, func(l Line) { fromFile = append(fromFile, l) }))
-	require.NoError(t, Fetch(t.Context(), server.URL, func(l Line) { fromDaemon = append(fromDaemon, l) }))
+	require.NoError(t, Fetch(t.Context(), server.Client(), server.URL, func(l Line) { fromDaemon = append(fromDaemon, l) }))
 	require.Equal(t, want, fromFile)
 	require.Equal(t, want, fromDaemon)
 	require.NoError(t, log.Close())
--- a/observe/read.go
+++ b/observe/read.go
@@ -97,14 +97,14 @@
 }
 
 // Fetch reads the log that a daemon keeps in memory.
-func Fetch(ctx context.Context, url string, fn func(Line)) error {
+func Fetch(ctx context.Context, client *http.Client, url string, fn func(Line)) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return &ReadError{Step: "fetch", Peer: url, Err: err}
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return &ReadError{Step: "fetch", Peer: url, Err: err}
 	}
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -219,5 +219,16 @@
 	return s.executions[name]
 }
 
+// Total returns the number of executions of all attempts.
+func (s *Server) Total() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sum := 0
+	for _, n := range s.executions {
+		sum += n
+	}
+	return sum
+}
+
 // nextName returns a name for a request without an attempt id.
 func (s *Server) nextName() string { return "anonymous-" + strconv.FormatUint(s.jobs, 10) }
