--- /dev/null
+++ b/bench/policy/deployment.go
@@ -0,0 +1,232 @@
+package policy
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/config"
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/standin/engine"
+)
+
+// Engine is the kind of engine of a pool.
+type Engine struct{ engine.Params }
+
+// fullStep returns the time of a decode step of a full batch.
+func (e Engine) fullStep() time.Duration {
+	return time.Duration(e.StepTime + e.StepPerSequence*core.Duration(e.MaxBatch))
+}
+
+// Pool is a pool of equal engines.
+type Pool struct {
+	Name    core.Pool
+	Engines int
+	Engine  Engine
+}
+
+// Deployment is a deployment at today's size with its programs.
+type Deployment struct {
+	Name    string
+	Domains []core.Domain
+	// Entries is the number of entry VMs.
+	Entries int
+	// Remote is the one-way latency between failure domains.
+	Remote core.Duration
+	Pools  []Pool
+	Kinds  []Kind
+	// Deadline is the program latency up to which a program counts as goodput.
+	Deadline map[string]core.Duration
+	// Product is the policy that the deployment uses.
+	Product config.Policy
+}
+
+func (d *Deployment) pool(name core.Pool) *Pool {
+	for i := range d.Pools {
+		if d.Pools[i].Name == name {
+			return &d.Pools[i]
+		}
+	}
+	return nil
+}
+
+// UnknownDeploymentError reports a deployment that the tool does not have.
+type UnknownDeploymentError struct{ Name string }
+
+// Error returns the text of the error with the names that exist.
+func (e *UnknownDeploymentError) Error() string {
+	return fmt.Sprintf("deployment %q is unknown; write bancarella or manizales", e.Name)
+}
+
+// FindDeployment returns a deployment by name.
+func FindDeployment(name string) (*Deployment, error) {
+	switch name {
+	case "bancarella":
+		return bancarella(), nil
+	case "manizales":
+		return manizales(), nil
+	}
+	return nil, &UnknownDeploymentError{Name: name}
+}
+
+// bancarella: assistants that haggle over pitches in chains of tool calls, and
+// engines that draft applications, some of them as sub-agents.
+func bancarella() *Deployment {
+	params := engine.DefaultParams()
+	params.CacheTokens = 240_000
+	return &Deployment{
+		Name:    "bancarella",
+		Domains: []core.Domain{"milano-a", "milano-b", "torino-c"},
+		Entries: 3,
+		Remote:  900 * core.Microsecond,
+		Pools: []Pool{
+			{Name: "assistant", Engines: 20, Engine: Engine{params}},
+			{Name: "booking", Engines: 10, Engine: Engine{params}},
+		},
+		Kinds: []Kind{
+			{
+				Name: "haggle", Pool: "assistant", Share: 0.7, System: 800,
+				Turns:  Pareto{Min: 3, Max: 60, Alpha: 1.4},
+				First:  LogNormal{Median: 1500, Sigma: 0.8, Max: 20_000},
+				Growth: LogNormal{Median: 300, Sigma: 0.8, Max: 4000},
+				Output: LogNormal{Median: 120, Sigma: 0.7, Max: 1000},
+				Pause:  LogNormal{Median: 0.5, Sigma: 1, Max: 20},
+				Child:  "draft", ChildChance: 0.12,
+			},
+			{
+				Name: "draft", Pool: "booking", Share: 0.3, System: 600,
+				Turns:  Pareto{Min: 2, Max: 30, Alpha: 1.8},
+				First:  LogNormal{Median: 1200, Sigma: 0.6, Max: 10_000},
+				Growth: LogNormal{Median: 400, Sigma: 0.7, Max: 4000},
+				Output: LogNormal{Median: 200, Sigma: 0.6, Max: 1000},
+				Pause:  LogNormal{Median: 0.3, Sigma: 0.8, Max: 10},
+			},
+		},
+		Deadline: map[string]core.Duration{"haggle": 2 * core.Minute, "draft": core.Minute},
+		Product: config.Policy{
+			Order: "las", Placement: "cost", Admission: "cache",
+			Retention: "learned", Concurrency: "adaptive", CacheWeight: 1,
+		},
+	}
+}
+
+// manizales: companions with long conversations that pause for a person, on a
+// small pool, and guides with short ones.
+func manizales() *Deployment {
+	companion := engine.DefaultParams()
+	guide := engine.DefaultParams()
+	guide.CacheTokens = 200_000
+	return &Deployment{
+		Name:    "manizales",
+		Domains: []core.Domain{"chipre", "palermo", "la-enea", "villamaria"},
+		Entries: 4,
+		Remote:  500 * core.Microsecond,
+		Pools: []Pool{
+			{Name: "companion", Engines: 10, Engine: Engine{companion}},
+			{Name: "guide", Engines: 8, Engine: Engine{guide}},
+		},
+		Kinds: []Kind{
+			{
+				Name: "companion", Pool: "companion", Share: 0.5, System: 1000,
+				Turns:  Pareto{Min: 4, Max: 40, Alpha: 1.5},
+				First:  LogNormal{Median: 6000, Sigma: 0.8, Max: 60_000},
+				Growth: LogNormal{Median: 150, Sigma: 0.7, Max: 2000},
+				Output: LogNormal{Median: 90, Sigma: 0.6, Max: 800},
+				Pause:  LogNormal{Median: 4, Sigma: 0.8, Max: 60},
+				Child:  "guide", ChildChance: 0.1,
+			},
+			{
+				Name: "guide", Pool: "guide", Share: 0.5, System: 700,
+				Turns:  Pareto{Min: 2, Max: 20, Alpha: 1.8},
+				First:  LogNormal{Median: 900, Sigma: 0.7, Max: 8000},
+				Growth: LogNormal{Median: 250, Sigma: 0.7, Max: 3000},
+				Output: LogNormal{Median: 100, Sigma: 0.6, Max: 800},
+				Pause:  LogNormal{Median: 0.8, Sigma: 1, Max: 20},
+			},
+		},
+		Deadline: map[string]core.Duration{"companion": 6 * core.Minute, "guide": core.Minute},
+		Product: config.Policy{
+			Order: "las", Placement: "cost", Admission: "cache",
+			Retention: "learned", Concurrency: "adaptive", CacheWeight: 2,
+		},
+	}
+}
+
+// capacitySamples is the number of shapes from which the capacity is computed.
+const capacitySamples = 20_000
+
+// Capacity returns the arrival rate, in programs a second, at which the first
+// pool is full: its compute when every token is computed once in full batches,
+// or its memory when programs in progress hold theirs over pauses.
+func (d *Deployment) Capacity() float64 {
+	g := newGenerator(d.Kinds, 1)
+	sum := map[core.Pool]*work{}
+	for range capacitySamples {
+		addWork(sum, d, g.next())
+	}
+	rate := 0.0
+	for _, p := range d.Pools {
+		w := sum[p.Name]
+		engines := float64(p.Engines) * capacitySamples
+		compute := engines / w.compute
+		memory := engines * float64(p.Engine.CacheTokens) / w.tokenSeconds
+		for _, r := range []float64{compute, memory} {
+			if rate == 0 || r < rate {
+				rate = r
+			}
+		}
+	}
+	return rate
+}
+
+// settings returns the configuration of a run.
+func (d *Deployment) settings(p config.Policy) *config.Set {
+	set := &config.Set{Deployment: d.Name}
+	set.Ownership = config.Ownership{
+		Slots: 64, Mirrors: 1,
+		Heartbeat:       config.Duration(200 * time.Millisecond),
+		SuspectAfter:    config.Duration(2 * time.Second),
+		AnswerRetention: config.Duration(30 * time.Second),
+	}
+	for _, name := range d.Domains {
+		set.Domains = append(set.Domains, config.Domain{Name: string(name)})
+	}
+	for _, pool := range d.Pools {
+		set.Pools = append(set.Pools, pool.settings(p))
+	}
+	for _, k := range d.Kinds {
+		set.Programs = append(set.Programs, d.kindSettings(&k))
+	}
+	set.Accounts = []config.Account{{Name: account, Weight: 1}}
+	for _, k := range d.Kinds {
+		set.Accounts[0].Programs = append(set.Accounts[0].Programs, k.Name)
+	}
+	return set
+}
+
+// account is the account of all programs of a run.
+const account = "bench"
+
+func (p *Pool) settings(policy config.Policy) config.Pool {
+	e := p.Engine
+	return config.Pool{
+		Name: string(p.Name), Kind: config.PoolModel, Model: string(p.Name), Policy: policy,
+		CallTimeout: config.Duration(callTimeout),
+		Retry:       config.Retry{Ratio: 0.1, Burst: 100, Backoff: config.Duration(50 * time.Millisecond)},
+		Engine: config.Engine{
+			MaxBatch: e.MaxBatch, CacheTokens: e.CacheTokens,
+			PrefillRate: e.PrefillRate, StepTime: config.Duration(e.fullStep()),
+		},
+	}
+}
+
+func (d *Deployment) kindSettings(k *Kind) config.ProgramKind {
+	kind := config.ProgramKind{
+		Name: k.Name, BudgetTokens: 1 << 40, MaxTurns: 1000, MaxDepth: 3,
+		MaxAge: config.Duration(24 * time.Hour), MaxIdle: config.Duration(10 * time.Minute),
+		Deadline: config.Duration(d.Deadline[k.Name]),
+	}
+	for _, p := range d.Pools {
+		kind.Pools = append(kind.Pools, string(p.Name))
+	}
+	return kind
+}
