place: recomputed tokens count 16 times; the batch's slow-down counts less

Cause: at 90% load the cost policy moved programs between engines to even out batches, and 19% of the prompt tokens were computed again. Change: the cost separates fresh tokens from tokens lost by a move, the latter weighed by 16; queue time counts only beyond the limit.

--- a/bench/policy/driver.go
+++ b/bench/policy/driver.go
@@ -200,3 +200,14 @@
 	}
 	return sum, sum > 0
 }
+
+// underWay reports whether a program that arrived since an instant has not
+// ended.
+func (v *driver) underWay(since core.Instant) bool {
+	for _, r := range v.live {
+		if r.arrived >= since {
+			return true
+		}
+	}
+	return false
+}
--- a/bench/policy/home.go
+++ b/bench/policy/home.go
@@ -21,6 +21,9 @@
 	ViewExact
 )
 
+// helloPeriod is the time between two requests for load reports.
+const helloPeriod = 2 * core.Second
+
 // home is a thin entry for the policies alone: it places, dispatches and
 // settles, without mirrors, budgets or takeover.
 type home struct {
@@ -36,6 +39,7 @@
 	programs map[core.ProgramID]*track
 	open     map[core.AttemptID]*pending
 	next     uint64
+	greeted  core.Instant
 	out      []core.Effect
 }
 
@@ -97,7 +101,7 @@
 	h.out = nil
 	switch ev := ev.(type) {
 	case core.Tick:
-		h.hello()
+		h.hello(now)
 	case core.CallArrived:
 		h.dispatch(ev, now)
 	case core.EndArrived:
@@ -111,7 +115,11 @@
 func (h *home) emit(e core.Effect) { h.out = append(h.out, e) }
 
 // hello asks all targets for load reports.
-func (h *home) hello() {
+func (h *home) hello(now core.Instant) {
+	if now.Sub(h.greeted) < helloPeriod {
+		return
+	}
+	h.greeted = now
 	for _, p := range sortedPools(h.targets) {
 		for _, s := range h.targets[p] {
 			h.emit(core.Send{To: s.target.Node, Msg: core.Hello{}})
@@ -233,6 +241,11 @@
 	if t == nil {
 		return
 	}
+	if !t.last.IsZero() && t.last != p.target {
+		h.emit(core.Send{To: t.last, Msg: core.EndProgram{
+			Slot: core.SlotID(h.rngSlot()), Epoch: core.Epoch{Version: 1}, Program: p.call.Program, Moved: true,
+		}})
+	}
 	t.last = p.target
 	t.tokens = r.Usage.PromptTokens + r.Usage.OutputTokens
 	t.attained += uint64(r.Usage.PromptTokens-r.Usage.CachedTokens) + uint64(r.Usage.OutputTokens)
--- a/policy/place/cost.go
+++ b/policy/place/cost.go
@@ -16,6 +16,9 @@
 	// remoteCost is what leaving the entry's failure domain costs a call: a
 	// network round trip.
 	remoteCost = 2 * core.Millisecond
+	// defaultWeight counts a token that is computed again for more than its own
+	// time, because its prefill slows the whole batch.
+	defaultWeight = 16
 	// serviceSteps is the assumed length of a call in decode steps while
 	// nothing better is known.
 	serviceSteps = 100
@@ -32,7 +35,7 @@
 	if cfg.CacheWeight > 0 {
 		return cost{weight: cfg.CacheWeight}
 	}
-	return cost{weight: 1}
+	return cost{weight: defaultWeight}
 }
 
 // Choose returns the target with the lowest estimate; ties are broken at
@@ -58,26 +61,27 @@
 
 // estimate returns the expected delay of a call at a target.
 func (p cost) estimate(req *Request, t *Target) core.Duration {
-	total := prefillTime(t, p.uncached(req, t)) + queueTime(t) + batchTime(req, t)
-	total += core.Duration(p.weight * float64(prefillTime(t, overflow(req, t))))
+	total := prefillTime(t, freshTokens(req)) + queueTime(t) + batchTime(req, t)
+	again := float64(prefillTime(t, lostTokens(req, t)+overflow(req, t)))
+	total += core.Duration(p.weight * again)
 	if !t.Local {
 		total += remoteCost
 	}
 	return total
 }
 
-// uncached returns the prompt tokens that the target would have to compute,
-// scaled by the weight of the cache where the tokens were computed elsewhere.
-func (p cost) uncached(req *Request, t *Target) uint64 {
-	prompt := uint64(req.PromptTokens)
-	if req.Last.IsZero() {
-		return prompt
-	}
-	kept := min(uint64(req.LastTokens), prompt)
-	if t.Node == req.Last {
-		return prompt - kept
+// freshTokens returns the prompt tokens that no target has computed.
+func freshTokens(req *Request) uint64 {
+	return uint64(req.PromptTokens - min(req.LastTokens, req.PromptTokens))
+}
+
+// lostTokens returns the tokens that would be computed again because the call
+// leaves the target that has them cached.
+func lostTokens(req *Request, t *Target) uint64 {
+	if req.Last.IsZero() || t.Node == req.Last {
+		return 0
 	}
-	return prompt - kept + uint64(p.weight*float64(kept))
+	return uint64(min(req.LastTokens, req.PromptTokens))
 }
 
 // overflow returns the tokens of other programs that the call would push out
@@ -95,12 +99,12 @@
 
 // queueTime returns the expected wait for a place in the target's batch.
 func queueTime(t *Target) core.Duration {
-	wait := prefillTime(t, t.Load.WaitingTokens+t.OwnTokens)
 	if t.Load.Limit == 0 || outstanding(t) < t.Load.Limit {
-		return wait
+		return 0
 	}
 	ahead := core.Duration(outstanding(t) - t.Load.Limit + 1)
-	return wait + ahead*serviceSteps*stepTime(t)/core.Duration(t.Load.Limit)
+	service := serviceSteps * stepTime(t) / core.Duration(t.Load.Limit)
+	return ahead*service + prefillTime(t, t.OwnTokens)
 }
 
 // batchTime returns the time that the call's decode steps take longer in the
@@ -111,7 +115,7 @@
 	}
 	steps := min(core.Duration(req.MaxTokens), serviceSteps)
 	share := min(outstanding(t), t.Load.Limit)
-	return steps * stepTime(t) * core.Duration(share) / core.Duration(2*t.Load.Limit)
+	return steps * stepTime(t) * core.Duration(share) / core.Duration(4*t.Load.Limit)
 }
 
 // prefillTime returns the time that the target computes a number of tokens in.
