--- a/cli/root.go
+++ b/cli/root.go
@@ -34,6 +34,10 @@
 func commands() []*cli.Command {
 	return []*cli.Command{
 		checkCommand(),
+		diffCommand(),
+		applyCommand(),
+		historyCommand(),
+		benchCommand(),
 	}
 }
 
@@ -48,10 +52,8 @@
 		Writer:                stdout,
 		ErrWriter:             stderr,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return &UsageError{Err: err}
-		},
 	}
+	markUsageErrors(root)
 	err := root.Run(ctx, args)
 	if err == nil {
 		return ExitOK
@@ -63,3 +65,13 @@
 	}
 	return ExitFailed
 }
+
+// markUsageErrors makes a wrong flag of any command an error of usage.
+func markUsageErrors(cmd *cli.Command) {
+	cmd.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return &UsageError{Err: err}
+	}
+	for _, sub := range cmd.Commands {
+		markUsageErrors(sub)
+	}
+}
