--- a/core/entry/records.go
+++ b/core/entry/records.go
@@ -33,11 +33,12 @@
 // tree returns the programs of the tree under top by id.
 func tree(s *slot, top core.ProgramID) []core.ProgramID {
 	var ids []core.ProgramID
-	for _, id := range slices.Sorted(maps.Keys(s.image.programs)) {
+	for id := range s.image.programs {
 		if inTree(id, top) {
 			ids = append(ids, id)
 		}
 	}
+	slices.Sort(ids)
 	return ids
 }
 
@@ -137,14 +138,12 @@
 		return
 	}
 	s.expiredAt = e.now
+	busy, active := busyRoots(s), lastActive(s)
 	for _, p := range sortedPrograms(s) {
-		if p.ID != p.ID.Root() || s.image.programs[p.ID] == nil {
-			continue
-		}
-		if e.busy(s, p.ID) {
+		if p.ID != p.ID.Root() || busy[p.ID] {
 			continue
 		}
-		switch idle := e.now.Sub(e.lastActive(s, p.ID)); {
+		switch idle := e.now.Sub(active[p.ID]); {
 		case p.Ended && idle >= e.times.retention:
 			e.forgetTree(s, p.ID)
 		case !p.Ended && (idle >= e.maxIdle(p) || e.now.Sub(p.Started) >= e.maxAge(p)):
@@ -153,23 +152,23 @@
 	}
 }
 
-// busy reports whether a call of a tree is open.
-func (e *Entry) busy(s *slot, top core.ProgramID) bool {
+// busyRoots returns the roots of the trees with an open call.
+func busyRoots(s *slot) map[core.ProgramID]bool {
+	busy := map[core.ProgramID]bool{}
 	for id := range s.home.lanes {
-		if inTree(id, top) {
-			return true
-		}
+		busy[id.Root()] = true
 	}
-	return false
+	return busy
 }
 
-// lastActive returns when the tree last made progress.
-func (e *Entry) lastActive(s *slot, top core.ProgramID) core.Instant {
-	var last core.Instant
-	for _, id := range tree(s, top) {
-		last = max(last, s.image.programs[id].Active)
+// lastActive returns when each tree last made progress, by its root.
+func lastActive(s *slot) map[core.ProgramID]core.Instant {
+	active := map[core.ProgramID]core.Instant{}
+	for id, p := range s.image.programs {
+		root := id.Root()
+		active[root] = max(active[root], p.Active)
 	}
-	return last
+	return active
 }
 
 // forgetTree releases the memory once more, in case the first message was lost,
