--- /dev/null
+++ b/spec/ownership/big_test.go
@@ -0,0 +1,24 @@
+package ownership
+
+import (
+	"testing"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/spec/search"
+)
+
+func TestBig(t *testing.T) {
+	for _, b := range []Bounds{
+		{Nodes: 3, Members: 2, Targets: 2, Calls: 2, Budget: 1, Versions: 2, Crashes: 1, TargetCrashes: 0, Claims: 1},
+		{Nodes: 3, Members: 2, Targets: 2, Calls: 2, Budget: 2, Versions: 2, Crashes: 1, TargetCrashes: 0, Claims: 1},
+		{Nodes: 3, Members: 2, Targets: 2, Calls: 2, Budget: 1, Versions: 2, Crashes: 1, TargetCrashes: 1, Claims: 1},
+		{Nodes: 3, Members: 3, Targets: 1, Calls: 1, Budget: 1, Versions: 2, Crashes: 1, TargetCrashes: 0, Claims: 1},
+		{Nodes: 3, Members: 3, Targets: 1, Calls: 1, Budget: 1, Versions: 2, Crashes: 0, TargetCrashes: 1, Claims: 0},
+	} {
+		m := NewModel(AllRules(), b)
+		r := search.Explore(m, 12_000_000)
+		t.Logf("%+v states %d transitions %d depth %d complete %v overflows %d messages %d", b, r.States, r.Transitions, r.Depth, r.Complete, m.Overflows(), len(m.ids))
+		if r.Violation != nil {
+			t.Error(r.Violation)
+		}
+	}
+}
--- a/spec/ownership/deliver.go
+++ b/spec/ownership/deliver.go
@@ -15,9 +15,11 @@
 		if msg.Kind == kindQuery {
 			name = "query"
 		}
-		m.do(s, emit, fmt.Sprintf("target %v gets %s of call %d attempt %v epoch %v", msg.To, name, msg.Call, msg.Attempt, msg.E), func(s *state) {
-			m.targetReceives(s, msg)
-		})
+		what := fmt.Sprintf("target %v gets %s of call %d attempt %v epoch %v", msg.To, name, msg.Call, msg.Attempt, msg.E)
+		m.do(s, emit, what, func(s *state) { m.targetReceives(s, msg, true) })
+		if msg.Kind == kindDispatch {
+			m.do(s, emit, what+" and refuses it", func(s *state) { m.targetReceives(s, msg, false) })
+		}
 	default:
 		if s.dead(msg.To) {
 			return
@@ -102,8 +104,9 @@
 	}
 }
 
-// targetReceives is a sidecar's side of dispatches and queries.
-func (m *Model) targetReceives(s *state, msg *message) {
+// targetReceives is a sidecar's side of dispatches and queries. A sidecar that
+// does not accept a dispatch, since it is overloaded, refuses it for ever.
+func (m *Model) targetReceives(s *state, msg *message, accept bool) {
 	t := &s.Targets[msg.To.N]
 	if t.Inc != msg.To.Inc && m.Rules.BindLife {
 		return
@@ -116,7 +119,7 @@
 		t.Fence = msg.E
 	}
 	stale := m.Rules.TargetFence && msg.E.less(t.Fence)
-	if row.St == attemptNone && msg.Kind == kindDispatch && !stale {
+	if row.St == attemptNone && msg.Kind == kindDispatch && accept && !stale {
 		*row = attempt{E: msg.Attempt, St: attemptDone}
 		s.Executed[msg.Call]++
 	}
--- a/spec/ownership/model.go
+++ b/spec/ownership/model.go
@@ -3,23 +3,32 @@
 import (
 	"errors"
 	"fmt"
+	"sync"
+	"sync/atomic"
 )
 
 // Model is the transition system of the protocol.
 type Model struct {
 	Rules  Rules
 	Bounds Bounds
-	// Overflows counts messages that found no room in a state; an exploration
-	// with overflows is not exhaustive.
-	Overflows int
 
-	ids      map[message]uint16
+	overflows atomic.Int64
+	mu        sync.RWMutex
+	ids       map[message]uint16
+	// messages has room for every number, so that it never moves.
 	messages []message
 }
 
+// maxDistinct bounds the distinct messages of an exploration.
+const maxDistinct = 1 << 16
+
+// Overflows counts messages that found no room in a state; an exploration with
+// overflows is not exhaustive.
+func (m *Model) Overflows() int { return int(m.overflows.Load()) }
+
 // NewModel returns the protocol under rules and bounds.
 func NewModel(rules Rules, bounds Bounds) *Model {
-	return &Model{Rules: rules, Bounds: bounds, ids: map[message]uint16{}}
+	return &Model{Rules: rules, Bounds: bounds, ids: map[message]uint16{}, messages: make([]message, maxDistinct)}
 }
 
 // Errors of the invariants.
@@ -103,8 +112,7 @@
 		m.targetCrash(&s, uint8(t), emit)
 	}
 	for i := range s.Count {
-		msg := m.messages[s.Messages[i]]
-		m.deliver(&s, &msg, emit)
+		m.deliver(&s, m.message(s.Messages[i]), emit)
 	}
 }
 
--- a/spec/ownership/model_test.go
+++ b/spec/ownership/model_test.go
@@ -22,7 +22,7 @@
 		}
 		m := NewModel(AllRules(), b)
 		r := search.Explore(m, 3_000_000)
-		t.Logf("%+v states %d transitions %d depth %d complete %v overflows %d messages %d", b, r.States, r.Transitions, r.Depth, r.Complete, m.Overflows, len(m.messages))
+		t.Logf("%+v states %d transitions %d depth %d complete %v overflows %d messages %d", b, r.States, r.Transitions, r.Depth, r.Complete, m.Overflows(), len(m.ids))
 		if r.Violation != nil {
 			t.Error(r.Violation)
 		}
--- a/spec/ownership/rules.go
+++ b/spec/ownership/rules.go
@@ -31,12 +31,11 @@
 	// FreshRank: leaving a member out takes a new rank, so that every OK counted
 	// is later than the evidence.
 	FreshRank bool
-	// OwnPromise: whoever proposes a swap acknowledges nothing older meanwhile.
-	OwnPromise bool
 	// OthersPromise: before a swap at most one other member may be neither dead
 	// nor have promised.
 	OthersPromise bool
-	// SettleSwap: a swap whose answer was lost is settled by reading back.
+	// SettleSwap: a swap whose answer was lost is settled by reading back; it is
+	// not taken as won.
 	SettleSwap bool
 	// Eligible: only a member without a break since its image may take over.
 	Eligible bool
@@ -53,7 +52,7 @@
 	return Rules{
 		MirrorFence: true, TargetFence: true, BindLife: true, Tombstone: true,
 		NoResend: true, MirrorFirst: true, SecondMember: true, Evidence: true,
-		FreshRank: true, OwnPromise: true, OthersPromise: true, SettleSwap: true,
+		FreshRank: true, OthersPromise: true, SettleSwap: true,
 		Eligible: true, ReserveBudget: true, AskOutcome: true, KnowForgotten: true,
 	}
 }
--- a/spec/ownership/state.go
+++ b/spec/ownership/state.go
@@ -7,7 +7,7 @@
 	maxTargets  = 2
 	maxCalls    = 2
 	maxAttempts = 2
-	maxVersions = 4
+	maxVersions = 5
 	maxMessages = 28
 )
 
@@ -173,7 +173,7 @@
 		return
 	}
 	if s.Count == maxMessages {
-		m.Overflows++
+		m.overflows.Add(1)
 		return
 	}
 	copy(s.Messages[at+1:], s.Messages[at:s.Count])
@@ -183,20 +183,32 @@
 
 // intern returns the number of a message.
 func (m *Model) intern(msg message) uint16 {
+	m.mu.RLock()
 	id, ok := m.ids[msg]
-	if !ok {
-		id = uint16(len(m.messages))
-		m.ids[msg] = id
-		m.messages = append(m.messages, msg)
+	m.mu.RUnlock()
+	if ok {
+		return id
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	id, ok = m.ids[msg]
+	if ok {
+		return id
+	}
+	id = uint16(len(m.ids))
+	m.ids[msg] = id
+	m.messages[id] = msg
 	return id
 }
 
+// message returns the message with a number that intern has given out.
+func (m *Model) message(id uint16) *message { return &m.messages[id] }
+
 // prune removes the messages that no receiver will ever act on.
 func (m *Model) prune(s *state) {
 	kept := uint8(0)
 	for i := range s.Count {
-		if m.inert(s, &m.messages[s.Messages[i]]) {
+		if m.inert(s, m.message(s.Messages[i])) {
 			continue
 		}
 		s.Messages[kept] = s.Messages[i]
@@ -224,10 +236,8 @@
 	case kindWrite:
 		return m.Rules.MirrorFence && (msg.E.less(n.Promise) || msg.E == n.Sync && msg.Idx < n.SyncIdx)
 	case kindAck:
-		return msg.E.less(n.Promise) && m.Rules.SettleSwap
-	case kindAskPromise:
 		return msg.E.less(n.Promise)
-	case kindPromise:
+	case kindAskPromise, kindPromise:
 		return msg.E.less(n.Promise)
 	case kindResult:
 		return n.Image[msg.Call].Phase > phaseTicket
--- a/spec/ownership/takeover.go
+++ b/spec/ownership/takeover.go
@@ -93,9 +93,7 @@
 		n := &s.Nodes[i]
 		n.Swap = v + 1
 		n.Promises = 0
-		if m.Rules.OwnPromise {
-			n.Promise = next
-		}
+		n.Promise = next
 		e := &s.Entries[v]
 		for k := range e.Size {
 			to := e.Members[k].Life
@@ -248,10 +246,13 @@
 func (m *Model) mutantSteps(s *state, i uint8, emit func(string, state)) {
 	n := &s.Nodes[i]
 	if !m.Rules.SettleSwap && n.Swap != 0 {
-		m.do(s, emit, fmt.Sprintf("node %d takes its swap as failed", i), func(s *state) {
+		m.do(s, emit, fmt.Sprintf("node %d takes its swap as won", i), func(s *state) {
 			n := &s.Nodes[i]
+			e := epoch{V: n.Swap}
 			n.Swap = 0
-			n.Promise = n.Sync
+			n.Known = e.V
+			n.Required = 0
+			m.becomeHome(s, i, e)
 		})
 	}
 	if m.Rules.AskOutcome || !n.Home || !n.Served || n.Pending {
--- a/spec/search/search.go
+++ b/spec/search/search.go
@@ -5,10 +5,14 @@
 import (
 	"fmt"
 	"hash/maphash"
+	"runtime"
 	"strings"
+	"sync"
+	"sync/atomic"
 )
 
-// System is a transition system with an invariant.
+// System is a transition system with an invariant. Its methods are called from
+// several goroutines.
 type System[S comparable] interface {
 	// Init returns the initial state.
 	Init() S
@@ -54,86 +58,142 @@
 // equal 128-bit fingerprints.
 type key [2]uint64
 
-// node is a state of the exploration with the way it was reached.
-type node[S comparable] struct {
-	state  S
-	parent int32
-	depth  int32
-	action string
+// shards divides the set of visited states, to keep workers out of each
+// other's way.
+const shards = 64
+
+// shard maps visited states to the states that they were first reached from.
+type shard struct {
+	mu      sync.Mutex
+	parents map[key]key
 }
 
-// explorer holds the visited states and the queue, which is the tail of nodes.
+// explorer holds the visited states. Only the frontier is kept whole; a trace
+// is found again by replaying the fingerprints of its states.
 type explorer[S comparable] struct {
-	sys    System[S]
-	seeds  [2]maphash.Seed
-	seen   map[key]struct{}
-	nodes  []node[S]
-	report Report[S]
+	sys         System[S]
+	seeds       [2]maphash.Seed
+	shards      [shards]shard
+	states      atomic.Int64
+	transitions atomic.Int64
+
+	mu   sync.Mutex
+	bad  key
+	fail error
 }
 
-// Explore examines up to limit states.
+// Explore examines the states level by level, until a level ends with more
+// than limit states known.
 func Explore[S comparable](sys System[S], limit int) Report[S] {
-	e := &explorer[S]{
-		sys:   sys,
-		seeds: [2]maphash.Seed{maphash.MakeSeed(), maphash.MakeSeed()},
-		seen:  map[key]struct{}{},
+	e := &explorer[S]{sys: sys, seeds: [2]maphash.Seed{maphash.MakeSeed(), maphash.MakeSeed()}}
+	for i := range e.shards {
+		e.shards[i].parents = map[key]key{}
 	}
-	e.visit(sys.Init(), -1, "init")
-	for i := 0; i < len(e.nodes) && e.report.Violation == nil; i++ {
-		if len(e.nodes) > limit {
-			return e.finish(false)
+	init := sys.Init()
+	var frontier []S
+	e.visit(init, key{}, &frontier)
+	depth := 0
+	for len(frontier) > 0 && e.fail == nil && int(e.states.Load()) <= limit {
+		frontier = e.level(frontier)
+		if len(frontier) > 0 {
+			depth++
 		}
-		e.expand(i)
 	}
-	return e.finish(e.report.Violation == nil)
+	report := Report[S]{
+		States:      int(e.states.Load()),
+		Transitions: int(e.transitions.Load()),
+		Depth:       depth,
+		Complete:    len(frontier) == 0 && e.fail == nil,
+	}
+	if e.fail != nil {
+		report.Violation = e.trace(init)
+	}
+	return report
 }
 
-func (e *explorer[S]) finish(complete bool) Report[S] {
-	e.report.States = len(e.nodes)
-	e.report.Complete = complete
-	return e.report
+// level expands a frontier and returns the next one.
+func (e *explorer[S]) level(frontier []S) []S {
+	workers := runtime.GOMAXPROCS(0)
+	parts := make([][]S, workers)
+	var next atomic.Int64
+	var wg sync.WaitGroup
+	for w := range workers {
+		wg.Go(func() {
+			for i := next.Add(1) - 1; i < int64(len(frontier)); i = next.Add(1) - 1 {
+				e.expand(frontier[i], &parts[w])
+			}
+		})
+	}
+	wg.Wait()
+	var all []S
+	for _, p := range parts {
+		all = append(all, p...)
+	}
+	return all
 }
 
-// expand visits all successors of the state at index i.
-func (e *explorer[S]) expand(i int) {
-	e.sys.Next(e.nodes[i].state, func(action string, next S) {
-		e.report.Transitions++
-		if e.report.Violation == nil {
-			e.visit(next, int32(i), action)
-		}
+// expand visits all successors of a state.
+func (e *explorer[S]) expand(s S, found *[]S) {
+	from := e.key(s)
+	e.sys.Next(s, func(_ string, next S) {
+		e.transitions.Add(1)
+		e.visit(next, from, found)
 	})
 }
 
+func (e *explorer[S]) key(s S) key {
+	return key{maphash.Comparable(e.seeds[0], s), maphash.Comparable(e.seeds[1], s)}
+}
+
 // visit records a state unless it is known, and checks it.
-func (e *explorer[S]) visit(s S, parent int32, action string) {
-	k := key{maphash.Comparable(e.seeds[0], s), maphash.Comparable(e.seeds[1], s)}
-	if _, ok := e.seen[k]; ok {
+func (e *explorer[S]) visit(s S, from key, found *[]S) {
+	k := e.key(s)
+	if !e.add(k, from) {
 		return
 	}
-	e.seen[k] = struct{}{}
-	n := node[S]{state: s, parent: parent, action: action}
-	if parent >= 0 {
-		n.depth = e.nodes[parent].depth + 1
-	}
-	e.report.Depth = max(e.report.Depth, int(n.depth))
-	e.nodes = append(e.nodes, n)
+	e.states.Add(1)
+	*found = append(*found, s)
 	if err := e.sys.Check(s); err != nil {
-		e.report.Violation = e.trace(len(e.nodes)-1, err)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.bad, e.fail = k, err
 	}
 }
 
-// trace follows the parents of the state at index i back to the initial state.
-func (e *explorer[S]) trace(i int, err error) *Violation[S] {
-	v := &Violation[S]{Err: err}
-	depth := int(e.nodes[i].depth)
-	v.Actions = make([]string, depth)
-	v.States = make([]S, depth+1)
-	for at := i; at >= 0; at = int(e.nodes[at].parent) {
-		d := int(e.nodes[at].depth)
-		v.States[d] = e.nodes[at].state
-		if d > 0 {
-			v.Actions[d-1] = e.nodes[at].action
-		}
+// add records the parent of a state and reports whether the state is new.
+func (e *explorer[S]) add(k, from key) bool {
+	sh := &e.shards[k[0]%shards]
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if _, ok := sh.parents[k]; ok {
+		return false
+	}
+	sh.parents[k] = from
+	return true
+}
+
+// trace replays the way from the initial state to the violation.
+func (e *explorer[S]) trace(init S) *Violation[S] {
+	var way []key
+	for k := e.bad; k != e.key(init); k = e.shards[k[0]%shards].parents[k] {
+		way = append(way, k)
+	}
+	v := &Violation[S]{Err: e.fail, States: []S{init}}
+	for i := len(way) - 1; i >= 0; i-- {
+		e.replay(v, way[i])
 	}
 	return v
 }
+
+// replay appends the step to the state with a fingerprint.
+func (e *explorer[S]) replay(v *Violation[S], to key) {
+	done := false
+	e.sys.Next(v.States[len(v.States)-1], func(action string, next S) {
+		if done || e.key(next) != to {
+			return
+		}
+		done = true
+		v.Actions = append(v.Actions, action)
+		v.States = append(v.States, next)
+	})
+}
--- a/spec/search/search_test.go
+++ b/spec/search/search_test.go
@@ -48,3 +48,12 @@
 	report := Explore(counter{bound: 1000, bad: -1}, 10)
 	require.False(t, report.Complete)
 }
+
+func TestWalkFindsDeepViolation(t *testing.T) {
+	v, paths := Walk(counter{bound: 1000, bad: 500}, 1, 100, 1000)
+	require.NotNil(t, v)
+	require.LessOrEqual(t, paths, 100)
+	require.Equal(t, 500, v.States[len(v.States)-1])
+	again, _ := Walk(counter{bound: 1000, bad: 500}, 1, 100, 1000)
+	require.Equal(t, v, again)
+}
