--- a/core/entry/times.go
+++ b/core/entry/times.go
@@ -32,7 +32,7 @@
 	retryHint = 1 * core.Second
 	// targetSilence is the age of a load report beyond which a target gets no
 	// new dispatch.
-	targetSilence = 5 * core.Second
+	targetSilence = 3 * core.Second
 	// helloPeriod is the period of the subscription to load reports.
 	helloPeriod = 1 * core.Second
 )
