--- a/core/entry/dispatch.go
+++ b/core/entry/dispatch.go
@@ -162,10 +162,6 @@
 		e.lost(s, c, core.ReasonIncarnation)
 		return
 	}
-	if e.abandons(c) {
-		e.lost(s, c, core.ReasonTimeout)
-		return
-	}
 	wait := queryAfter
 	if c.seen {
 		wait = pollAfter
@@ -182,15 +178,6 @@
 	})
 }
 
-// abandons reports whether a call that may be repeated should not wait longer
-// for a target that has gone silent. The attempt counts as spent.
-func (e *Entry) abandons(c *openCall) bool {
-	t := e.targets.byVM[c.target.VM]
-	return c.body != nil && !c.body.NonIdempotent && !c.canceled &&
-		t != nil && t.node == c.target && t.reports > 0 && e.now.Sub(t.reportedAt) >= targetSilence &&
-		len(e.pool(c.body.Pool)) > 0
-}
-
 // result takes in the state of an attempt. A second report changes nothing.
 func (e *Entry) result(from core.Node, r core.Result) {
 	e.loadReport(from, r.Load)
