--- a/core/record.go
+++ b/core/record.go
@@ -28,6 +28,8 @@
 	// used again for another request.
 	Fingerprint uint64
 	Attempt     AttemptID
+	// MayHaveRun says that an earlier attempt was lost and may have run.
+	MayHaveRun bool
 	// Target is the sidecar life that the ticket is bound to.
 	Target Node
 	// Reserved is the part of the budget held for the call, in tokens.
