--- a/core/entry/call_test.go
+++ b/core/entry/call_test.go
@@ -336,3 +336,17 @@
 		c.call(c.procs["e0"], call)
 	}
 }
+
+// TestRefusedAfterALostAttempt loses the first attempt of an idempotent call and
+// refuses all others. The call may have run.
+func TestRefusedAfterALostAttempt(t *testing.T) {
+	c := newCluster(t, 3)
+	c.settled()
+	c.procs["m1"].side.lose = 1
+	c.procs["m1"].side.refuse = 1000
+	f := c.reply(c.call(c.procs["e0"], turn("p", 1)))
+	require.Equal(t, core.OutcomeUnknown, f.Outcome, "%s", f.Reason)
+	p := c.homeOf("p").entry.slotOf("p").image.programs["p"]
+	require.EqualValues(t, 20, p.Spent, "the reservation of the lost attempt")
+	require.Zero(t, p.Reserved)
+}
--- a/core/entry/dispatch.go
+++ b/core/entry/dispatch.go
@@ -77,7 +77,7 @@
 		p.NextSeq = c.seq + 1
 		e.retryBudget(c.body).Deposit()
 	}
-	e.check.Check(invariant.AtMostOnce, !c.body.NonIdempotent || r.Attempt.IsZero(),
+	e.check.Check(invariant.AtMostOnce, !c.body.NonIdempotent || r.Attempt.IsZero() && !r.MayHaveRun,
 		"%s: second ticket for call %d of %s", e.self, c.seq, c.program)
 	if r.Reserved == 0 {
 		e.reserve(s, r, c.body)
@@ -329,8 +329,8 @@
 	p := s.edit(c.program)
 	rec := findRecord(p, c.seq)
 	e.settle(s, c.program, rec, rec.Reserved)
-	// The attempt stays in the record: the call may have run.
 	rec.Phase = core.PhaseReserved
+	rec.MayHaveRun = true
 	c.state = stateReady
 	c.readyAt = e.now
 	switch {
@@ -354,7 +354,8 @@
 	}
 	p = s.edit(c.program)
 	rec := findRecord(p, c.seq)
-	if !rec.Attempt.IsZero() {
+	if rec.MayHaveRun {
+		e.settle(s, c.program, rec, 0)
 		f := core.Finish{Outcome: core.OutcomeUnknown, Reason: reason, RetryAfter: after}
 		e.finishRecord(p, rec, f)
 		e.close(s, c, f)
--- a/core/entry/sidecar_test.go
+++ b/core/entry/sidecar_test.go
@@ -14,6 +14,8 @@
 	hold bool
 	// refuse is the number of dispatches to refuse.
 	refuse int
+	// lose is the number of dispatches whose outcome is lost.
+	lose int
 	table  map[core.AttemptID]core.Result
 	owners map[core.AttemptID]core.Node
 	calls  map[core.AttemptID]core.Call
@@ -77,6 +79,10 @@
 		r.State, r.Reason = core.AttemptRefused, core.ReasonStaleEpoch
 	case d.Target != f.node:
 		r.State, r.Reason = core.AttemptRefused, core.ReasonIncarnation
+	case f.lose > 0:
+		f.lose--
+		f.executed[d.Call.Key]++
+		r.State, r.Reason = core.AttemptLost, core.ReasonTarget
 	case f.refuse > 0:
 		f.refuse--
 		r.State, r.Reason = core.AttemptRefused, core.ReasonOverload
