--- a/core/entry/dispatch.go
+++ b/core/entry/dispatch.go
@@ -132,12 +132,15 @@
 	c.state = stateSent
 	c.askedAt = e.now
 	c.seen = false
+	call := *c.body
+	// The caller may have left the position to the home.
+	call.Seq = c.seq
 	e.send(c.target, core.Dispatch{
 		Slot:     s.id,
 		Epoch:    s.home.epoch,
 		Attempt:  c.attempt,
 		Target:   c.target,
-		Call:     *c.body,
+		Call:     call,
 		Attained: root.Attained,
 		Turns:    p.Turns,
 		Started:  root.Started,
@@ -240,6 +243,7 @@
 	e.settle(s, c.program, rec, r.Usage.Total())
 	e.finishRecord(p, rec, f)
 	if rec.Kind == core.CallModel {
+		c.history = historyTokens(p, c.body)
 		e.recordHistory(p, c.body, r)
 		p.Turns++
 		e.releaseMoved(s, p, c.target)
@@ -258,6 +262,19 @@
 	e.send(p.Last, core.EndProgram{Slot: s.id, Epoch: s.home.epoch, Program: p.ID, Moved: true})
 }
 
+// historyTokens returns the length of the part of a prompt that a program's
+// earlier calls have computed.
+func historyTokens(p *core.Program, call *core.Call) uint32 {
+	if call == nil || call.ResetHistory {
+		return 0
+	}
+	var sum uint32
+	for _, b := range call.Blocks[:min(int(p.HistoryBlocks), len(call.Blocks))] {
+		sum += b.Tokens
+	}
+	return sum
+}
+
 func (e *Entry) finishRecord(p *core.Program, rec *core.CallRecord, f core.Finish) {
 	rec.Phase = core.PhaseDone
 	rec.Finish = f
