sidecar: drain keeps awaited answers; orphans go after the configured idle time

Blocks of an earlier life, and of answers that nobody acknowledged, kept an ended program's prefix for 15 minutes whatever the configuration says (cache_released). The test of the orphans now uses the configured five minutes in place of the constant; TestDrainKeepsAnswers fails before.

--- a/core/sidecar/drain.go
+++ b/core/sidecar/drain.go
@@ -1,12 +1,14 @@
 package sidecar
 
 import (
+	"slices"
+
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 	"github.com/rhubarbsaddle/rhubarbsaddle/invariant"
 )
 
-// drainGrace bounds the wait, after the last attempt has finished, for the
-// acknowledgements of results whose answers are kept here.
+// drainGrace is the shortest wait for the acknowledgement of a result. An
+// answer is kept for as long as its caller may wait for it.
 const drainGrace = 10 * core.Second
 
 // drain is the progress of a graceful shutdown.
@@ -15,9 +17,6 @@
 	requested bool
 	leaving   bool
 	stopped   bool
-	// idleSince is when the last attempt had finished.
-	idleSince core.Instant
-	idle      bool
 }
 
 // refusing reports that no new work is accepted.
@@ -53,14 +52,19 @@
 	if !d.requested || d.stopped || len(s.queue.running) > 0 {
 		return
 	}
-	if !d.idle {
-		d.idle = true
-		d.idleSince = s.now
-	}
-	if len(s.table.unacked) > 0 && s.now.Sub(d.idleSince) < drainGrace {
+	if slices.ContainsFunc(s.table.unacked, s.awaited) {
 		return
 	}
 	d.stopped = true
 	s.check(invariant.Drain, len(s.queue.waiting) == 0, "stopped with %d calls waiting", len(s.queue.waiting))
 	s.emit(core.Stopped{})
 }
+
+// awaited reports whether an edge may still wait for an attempt's result.
+func (s *Sidecar) awaited(a *attempt) bool {
+	wait := drainGrace
+	if a.state == core.AttemptDone {
+		wait = max(wait, a.call.Timeout)
+	}
+	return s.now.Sub(a.doneAt) < wait
+}
--- a/core/sidecar/reconcile.go
+++ b/core/sidecar/reconcile.go
@@ -81,6 +81,7 @@
 func (s *Sidecar) releaseOrphans(listed []uint64) {
 	c := &s.cache
 	claimed := c.claims()
+	rest := s.settings.longestIdle()
 	seen := make(map[uint64]core.Instant, len(c.orphans))
 	var old []uint64
 	for _, d := range listed {
@@ -91,7 +92,7 @@
 		if !ok {
 			since = s.now
 		}
-		if s.now.Sub(since) > defaultMaxIdle {
+		if s.now.Sub(since) > rest {
 			old = append(old, d)
 			continue
 		}
--- a/core/sidecar/settings.go
+++ b/core/sidecar/settings.go
@@ -99,3 +99,15 @@
 	}
 	return defaultMaxIdle
 }
+
+// longestIdle returns how long a program of any kind may rest.
+func (st *settings) longestIdle() core.Duration {
+	if len(st.kinds) == 0 {
+		return defaultMaxIdle
+	}
+	var longest core.Duration
+	for kind := range st.kinds {
+		longest = max(longest, st.maxIdle(kind))
+	}
+	return longest
+}
--- a/core/sidecar/sidecar_test.go
+++ b/core/sidecar/sidecar_test.go
@@ -106,7 +106,7 @@
 	b.step(core.CacheListing{Digests: []uint64{1, 77}})
 	again := effects[core.ReleaseCache](b.out)
 	require.Equal(t, []core.ReleaseCache{{Program: "a", Digests: []uint64{1}}}, again, "a lost release is repeated")
-	b.now = b.now.Add(defaultMaxIdle + core.Second)
+	b.now = b.now.Add(5*core.Minute + core.Second)
 	b.step(core.CacheListing{Digests: []uint64{77}})
 	require.Equal(t, []core.ReleaseCache{{Digests: []uint64{77}}}, effects[core.ReleaseCache](b.out))
 }
@@ -128,6 +128,17 @@
 	require.Equal(t, 1, len(b.ran))
 }
 
+func TestDrainKeepsAnswersThatCallersAwait(t *testing.T) {
+	b := newBench(t, 1)
+	d := dispatch(1, "a", 10)
+	d.Call.Timeout = 30 * core.Second
+	b.recv(home1, d)
+	b.step(core.DrainRequested{})
+	b.finish(attemptID(1))
+	require.Empty(t, effects[core.Stopped](b.after(29*core.Second)))
+	require.Len(t, effects[core.Stopped](b.after(2*core.Second)), 1)
+}
+
 func TestLeavingVMRefusesNewWork(t *testing.T) {
 	b := newBench(t, 1)
 	b.recv(home1, core.Hello{})
