--- a/chat/event.go
+++ b/chat/event.go
@@ -4,19 +4,24 @@
 
 var (
 	dataPrefix = []byte("data:")
-	eventEnd   = []byte("\n\n")
+	// eventEnds are the blank lines that end an event.
+	eventEnds = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
 )
 
 // CutEvent cuts the first whole event of a stream of server-sent events. It
 // returns the event with its end, and what follows; ok is false if no event is
 // whole yet.
 func CutEvent(b []byte) (event, rest []byte, ok bool) {
-	i := bytes.Index(b, eventEnd)
-	if i < 0 {
+	end := -1
+	for _, mark := range eventEnds {
+		if i := bytes.Index(b, mark); i >= 0 && (end < 0 || i+len(mark) < end) {
+			end = i + len(mark)
+		}
+	}
+	if end < 0 {
 		return nil, b, false
 	}
-	n := i + len(eventEnd)
-	return b[:n], b[n:], true
+	return b[:end], b[end:], true
 }
 
 // EventData returns the data of an event, or nil if it has none.
