--- a/soak/answers.go
+++ b/soak/answers.go
@@ -156,13 +156,19 @@
 		if !p.engines[n.ID()] || !n.Up() || n.Paused() {
 			continue
 		}
-		held := 0
-		for _, d := range o.h.engines[n.ID().VM].Model().Listing() {
-			if p.digests[d] {
-				held++
-			}
-		}
+		held := o.held(n, p)
 		o.rec.Check(invariant.CacheReleased, held == 0, "%s holds %d blocks of %s, which ended %d s ago",
 			n.ID(), held, root, releaseGrace/core.Second)
 	}
 }
+
+// held counts the blocks of a program in the cache of a sidecar's engine.
+func (o *observer) held(n *sim.Node, p *programState) int {
+	held := 0
+	for _, d := range o.h.engines[n.ID().VM].Model().Listing() {
+		if p.digests[d] {
+			held++
+		}
+	}
+	return held
+}
--- a/soak/mutant_test.go
+++ b/soak/mutant_test.go
@@ -140,6 +140,47 @@
 	}
 }
 
+// withoutSidecarFence hides the epochs of homes from a sidecar.
+func withoutSidecarFence(w *wrapper, _ core.Node) {
+	w.event = message(func(m core.Message) core.Message {
+		switch m := m.(type) {
+		case core.Dispatch:
+			m.Epoch = core.Epoch{}
+			return m
+		case core.QueryAttempt:
+			m.Epoch = core.Epoch{}
+			return m
+		case core.CancelAttempt:
+			m.Epoch = core.Epoch{}
+			return m
+		}
+		return m
+	})
+}
+
+// withoutNews lets an entry learn only now and then that a slot has another
+// owner, as on a bad network; the fences alone then stop old homes.
+func withoutNews(w *wrapper, _ core.Node) {
+	const heard = 12
+	n := 0
+	w.event = func(ev core.Event) (core.Event, []core.Effect) {
+		news := false
+		switch ev := ev.(type) {
+		case core.StoreWatch:
+			news = true
+		case core.Recv:
+			_, news = ev.Msg.(core.SlotUpdate)
+		}
+		if news {
+			n++
+		}
+		if news && n%heard != 0 {
+			return nil, nil
+		}
+		return ev, nil
+	}
+}
+
 // withoutMirroring keeps the writes of a home away from its mirrors and
 // acknowledges them itself, but for those with the whole image.
 func withoutMirroring(w *wrapper, _ core.Node) {
@@ -281,7 +322,10 @@
 	}{
 		{"no tombstone", mutateSidecar(withoutTombstone), invariant.NotRun},
 		{"no call table", mutateSidecar(withoutCallTable), invariant.AtMostOnce},
-		{"no mirror fence", mutateEntry(withoutMirrorFence), invariant.AtMostOnce},
+		{"no fences", Reducers{
+			Entry:   mutateEntry(compose(withoutMirrorFence, withoutNews)).Entry,
+			Sidecar: mutateSidecar(withoutSidecarFence).Sidecar,
+		}, invariant.AtMostOnce},
 		{"no mirroring", mutateEntry(withoutMirroring), invariant.AtMostOnce},
 		{"leaving ignored", both(withoutLeaving), invariant.LeavingTarget},
 		{"drain ignored", mutateSidecar(withoutDrain), invariant.Drain},
@@ -301,6 +345,20 @@
 	}
 }
 
+// compose applies two wrappers that change different things.
+func compose(a, b func(*wrapper, core.Node)) func(*wrapper, core.Node) {
+	return func(w *wrapper, n core.Node) {
+		a(w, n)
+		b(w, n)
+	}
+}
+
+// TestFencesAlone keeps the news of new owners from the entries: the promises
+// hold all the same.
+func TestFencesAlone(t *testing.T) {
+	requireWhole(t, Run(Options{Seed: 3, Events: 100_000, Reducers: mutateEntry(withoutNews)}))
+}
+
 func both(wrap func(*wrapper, core.Node)) Reducers {
 	return Reducers{Entry: mutateEntry(wrap).Entry, Sidecar: mutateSidecar(wrap).Sidecar}
 }
--- a/soak/observer.go
+++ b/soak/observer.go
@@ -22,6 +22,9 @@
 	// program has been idle for as long as the configuration allows (a minute),
 	// seen by two audits of the engine's listing, a minute each.
 	releaseGrace = 200 * core.Second
+	// promptGrace is the time in which a sidecar that was told the end of a
+	// program releases the memory that it knows of.
+	promptGrace = 2 * core.Second
 )
 
 // callID names one call of a program.
@@ -53,6 +56,10 @@
 	// engines are the sidecar lives that executed model calls of the tree.
 	engines map[core.Node]bool
 	digests map[uint64]bool
+	// branched means that the engines may hold blocks of the tree that its
+	// sidecars do not know: of an attempt that failed or ran twice, of an earlier
+	// life, or of an answer that the caller never got.
+	branched bool
 	// created is the version of the slot's owner when the program began, and
 	// forgets the times that the slot had lost its memory until then.
 	created uint64
@@ -212,7 +219,7 @@
 	if c.Kind == core.CallModel {
 		o.checkHistory(x)
 		o.program(c.Program).turns++
-		o.program(c.Program.Root()).engines[n.ID()] = true
+		o.noteEngine(n, c)
 	}
 	if o.running[n.ID().VM] == nil {
 		o.running[n.ID().VM] = map[core.AttemptID]core.ProgramID{}
@@ -229,8 +236,51 @@
 	case core.TargetFinished:
 		delete(o.running[n.ID().VM], ev.Attempt)
 	case core.TargetFailed:
+		o.program(o.running[n.ID().VM][ev.Attempt].Root()).branched = true
 		delete(o.running[n.ID().VM], ev.Attempt)
+	case core.Recv:
+		if end, ok := ev.Msg.(core.EndProgram); ok {
+			o.told(n, end)
+		}
+	}
+}
+
+// noteEngine notes which life executes a model call.
+func (o *observer) noteEngine(n *sim.Node, c *core.Call) {
+	root := o.program(c.Program.Root())
+	for other := range root.engines {
+		root.branched = root.branched || other.VM == n.ID().VM && other != n.ID()
+	}
+	root.engines[n.ID()] = true
+	root.branched = root.branched || c.ResetHistory || o.call(c).executions > 1
+}
+
+// told checks, soon after a sidecar was told the end of a program, that the
+// engine has dropped the memory that the sidecar knows of.
+func (o *observer) told(n *sim.Node, end core.EndProgram) {
+	life := n.ID()
+	p := o.program(end.Program)
+	if !p.engines[life] || end.Epoch.Version < o.slotVersion(end.Slot) {
+		return
+	}
+	o.h.sim.After(promptGrace, func() {
+		if p.branched || n.ID() != life || !n.Up() || n.Paused() || o.busy(n, end.Program) {
+			return
+		}
+		held := o.held(n, p)
+		o.rec.Check(invariant.CacheReleased, held == 0, "%s holds %d blocks of %s, the end of which it was told",
+			life, held, end.Program)
+	})
+}
+
+// busy reports whether an attempt of a tree is at a target.
+func (o *observer) busy(n *sim.Node, root core.ProgramID) bool {
+	for _, id := range o.running[n.ID().VM] {
+		if id.Root() == root {
+			return true
+		}
 	}
+	return false
 }
 
 func (o *observer) checkOnce(x sim.Execution) {
--- a/soak/program.go
+++ b/soak/program.go
@@ -213,7 +213,8 @@
 	if !lost && p.again(r, p.model) {
 		return
 	}
-	if r.Finish.Outcome != core.OutcomeRan || r.Answer == nil {
+	own := r.Answer != nil && r.Answer.Call.Program == p.id && r.Answer.Call.Seq == p.seq
+	if r.Finish.Outcome != core.OutcomeRan || !own {
 		p.afterUnknown(r)
 		return
 	}
