sidecar: a drain leaves time to read the last answers

The drain test expected the stop at the acknowledgement; it now expects it after the grace and not before.

--- a/core/sidecar/drain.go
+++ b/core/sidecar/drain.go
@@ -7,8 +7,10 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/invariant"
 )
 
-// drainGrace is the shortest wait for the acknowledgement of a result. An
-// answer is kept for as long as its caller may wait for it.
+// drainGrace is the shortest wait for the acknowledgement of a result, and for
+// the edges to read the answers kept here, which takes them longer than their
+// home's acknowledgement when the home has changed. An answer that was not
+// acknowledged is kept for as long as its caller may wait for it.
 const drainGrace = 10 * core.Second
 
 // drain is the progress of a graceful shutdown.
@@ -52,7 +54,7 @@
 	if !d.requested || d.stopped || len(s.queue.running) > 0 {
 		return
 	}
-	if slices.ContainsFunc(s.table.unacked, s.awaited) {
+	if slices.ContainsFunc(s.table.unacked, s.awaited) || s.unread() {
 		return
 	}
 	d.stopped = true
@@ -68,3 +70,9 @@
 	}
 	return s.now.Sub(a.doneAt) < wait
 }
+
+// unread reports whether an answer was finished so recently that its edge may
+// not have read it, acknowledged or not.
+func (s *Sidecar) unread() bool {
+	return s.table.answered && s.now.Sub(s.table.answeredAt) < drainGrace
+}
--- a/core/sidecar/sidecar_test.go
+++ b/core/sidecar/sidecar_test.go
@@ -124,7 +124,9 @@
 	for n := range uint64(3) {
 		b.recv(home1, core.AckResult{Attempt: attemptID(n + 1)})
 	}
-	require.Len(t, effects[core.Stopped](b.out), 1)
+	require.Empty(t, effects[core.Stopped](b.out), "the edge may not have read the answer")
+	require.Empty(t, effects[core.Stopped](b.after(drainGrace-1)))
+	require.Len(t, effects[core.Stopped](b.after(1)), 1)
 	require.Equal(t, 1, len(b.ran))
 }
 
--- a/core/sidecar/table.go
+++ b/core/sidecar/table.go
@@ -99,6 +99,9 @@
 	// retiring holds acknowledged attempts and tombstones, oldest first.
 	retiring []retired
 	turns    uint64
+	// answeredAt is when the last answer was finished that edges read from here.
+	answeredAt core.Instant
+	answered   bool
 }
 
 func newTable() table {
@@ -123,6 +126,10 @@
 	a.call.Body = nil
 	a.call.Blocks = nil
 	s.table.unacked = append(s.table.unacked, a)
+	if state == core.AttemptDone && a.answer == nil {
+		s.table.answered = true
+		s.table.answeredAt = s.now
+	}
 	s.sendResult(a.home, a)
 }
 
