--- a/sim/engine.go
+++ b/sim/engine.go
@@ -37,6 +37,9 @@
 // bytesPerToken sizes the answers of engines.
 const bytesPerToken = 4
 
+// progressTokens is the number of tokens between two reports of progress.
+const progressTokens = 64
+
 // EngineStats counts the faults of an engine's reports.
 type EngineStats struct{ Gaps, LateEvents, LateLoads, Hangs uint64 }
 
@@ -45,7 +48,9 @@
 	call      core.Call
 	digest    uint64
 	generated uint32
-	started   bool
+	// reported is the part of generated that was told in progress reports.
+	reported uint32
+	started  bool
 }
 
 // Engine adapts the stand-in's engine model to Target.
@@ -138,6 +143,7 @@
 	if e.jobs[a] == nil {
 		return
 	}
+	e.progress(now, a, job, 1)
 	e.model.Cancel(a, now)
 	e.leave(a, job, job.partial())
 	e.add(now, core.TargetFailed{Attempt: a, Sent: true, Reason: core.ReasonCanceled})
@@ -229,7 +235,7 @@
 	case engine.Tokens:
 		if j := e.jobs[h.ID]; j != nil {
 			j.generated += h.N
-			e.add(now, core.TargetProgress{Attempt: h.ID, Tokens: h.N})
+			e.progress(now, h.ID, j, progressTokens)
 		}
 	case engine.Finished:
 		e.finished(now, h)
@@ -243,6 +249,16 @@
 	}
 }
 
+// progress reports the tokens generated since the last report if there are at
+// least so many.
+func (e *Engine) progress(now core.Instant, a core.AttemptID, j *engineJob, least uint32) {
+	if j.generated-j.reported < least {
+		return
+	}
+	e.add(now, core.TargetProgress{Attempt: a, Tokens: j.generated - j.reported})
+	j.reported = j.generated
+}
+
 func (e *Engine) finished(now core.Instant, h engine.Finished) {
 	job := e.jobs[h.ID]
 	if job == nil {
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -49,6 +49,8 @@
 	foreignOf core.ProgramID
 	pick      uint64
 	picked    bool
+	// stopped ends the random schedule.
+	stopped bool
 }
 
 func newInjector(h *Cluster) *injector {
@@ -72,6 +74,9 @@
 func (j *injector) plan(f Fault, mean core.Duration) {
 	gap := core.Duration(j.h.sim.Rand().ExpFloat64() * float64(mean))
 	j.h.sim.After(gap, func() {
+		if j.stopped {
+			return
+		}
 		j.do(f)
 		j.plan(f, mean)
 	})
@@ -122,7 +127,7 @@
 	case ConnectionSilent:
 		return j.silence()
 	case AllConnectionsSilent:
-		j.h.sim.SilenceAll(3 * core.Second)
+		j.h.sim.SilenceAll(2 * core.Second)
 		return true
 	case DomainCut:
 		return j.cut()
@@ -181,7 +186,7 @@
 		return false
 	}
 	j.h.Kill(n)
-	j.h.sim.After(j.between(50*core.Millisecond, 4*core.Second), n.Start)
+	j.h.sim.After(j.between(50*core.Millisecond, 2*core.Second), n.Start)
 	return true
 }
 
@@ -213,7 +218,7 @@
 		return false
 	}
 	n.Leave()
-	j.h.sim.After(j.between(core.Second, 5*core.Second), func() { j.h.AddEntry(n.Domain()) })
+	j.h.sim.After(j.between(200*core.Millisecond, 2*core.Second), func() { j.h.AddEntry(n.Domain()) })
 	return true
 }
 
@@ -224,7 +229,7 @@
 	}
 	j.h.obs.endLife(n)
 	n.Leave()
-	j.h.sim.After(j.between(core.Second, 5*core.Second), func() { j.h.AddSidecar(n.Domain(), n.Pool()) })
+	j.h.sim.After(j.between(200*core.Millisecond, 2*core.Second), func() { j.h.AddSidecar(n.Domain(), n.Pool()) })
 	return true
 }
 
@@ -250,14 +255,14 @@
 func (j *injector) storeDown() bool {
 	st := j.h.sim.Store
 	st.SetDown(true)
-	j.h.sim.After(j.between(core.Second, 6*core.Second), func() { st.SetDown(false) })
+	j.h.sim.After(j.between(500*core.Millisecond, 4*core.Second), func() { st.SetDown(false) })
 	return true
 }
 
 func (j *injector) storeSlow() bool {
 	st := j.h.sim.Store
-	st.SetSlow(j.between(100*core.Millisecond, 3*core.Second))
-	j.h.sim.After(j.between(core.Second, 6*core.Second), func() { st.SetSlow(0) })
+	st.SetSlow(j.between(100*core.Millisecond, 2*core.Second))
+	j.h.sim.After(j.between(500*core.Millisecond, 4*core.Second), func() { st.SetSlow(0) })
 	return true
 }
 
@@ -274,7 +279,7 @@
 	if n == nil {
 		return false
 	}
-	d := j.between(500*core.Millisecond, 7*core.Second)
+	d := j.between(500*core.Millisecond, 5*core.Second)
 	n.Pause(d)
 	j.h.obs.resumed[n.ID().VM] = j.h.sim.Now().Add(d)
 	return true
@@ -285,14 +290,14 @@
 	if a == nil || b == nil || a == b {
 		return false
 	}
-	j.h.sim.Silence(a, b, j.between(core.Second, 6*core.Second))
+	j.h.sim.Silence(a, b, j.between(core.Second, 4*core.Second))
 	return true
 }
 
 func (j *injector) cut() bool {
 	d := domains[j.number(len(domains))]
 	j.h.sim.CutDomain(d)
-	j.h.sim.After(j.between(core.Second, 8*core.Second), func() { j.h.sim.HealDomain(d) })
+	j.h.sim.After(j.between(core.Second, 5*core.Second), func() { j.h.sim.HealDomain(d) })
 	return true
 }
 
--- a/soak/settings.go
+++ b/soak/settings.go
@@ -46,8 +46,8 @@
 		Ownership: config.Ownership{
 			Slots:           slots,
 			Mirrors:         mirrors,
-			Heartbeat:       duration(200 * time.Millisecond),
-			SuspectAfter:    duration(1500 * time.Millisecond),
+			Heartbeat:       duration(250 * time.Millisecond),
+			SuspectAfter:    duration(time.Second),
 			AnswerRetention: duration(30 * time.Second),
 		},
 		Pools: []config.Pool{
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -75,3 +75,31 @@
 	}
 	return kinds
 }
+
+// TestRecoversWhenFaultsEnd checks that no fault leaves a slot without a home
+// for good: a while after the last one, calls are served as in a calm cluster.
+func TestRecoversWhenFaultsEnd(t *testing.T) {
+	const (
+		heal  = 60 * core.Second
+		watch = 30 * core.Second
+	)
+	for seed := uint64(21); seed <= 24; seed++ {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			c := NewCluster(Options{Seed: seed})
+			c.Start()
+			c.sim.RunEvents(60_000)
+			c.inject.stopped = true
+			c.sim.Run(c.sim.Now().Add(heal))
+			before := c.obs.outcomes
+			noOwner := c.obs.refusals(core.ReasonNoOwner)
+			c.sim.Run(c.sim.Now().Add(watch))
+			require.Greater(t, c.obs.outcomes.Ran-before.Ran, uint64(200))
+			require.Equal(t, noOwner, c.obs.refusals(core.ReasonNoOwner))
+		})
+	}
+}
+
+func (o *observer) refusals(r core.Reason) uint64 {
+	return o.reasons[ReasonCount{Outcome: core.OutcomeNotRun.String(), Reason: r}]
+}
