entry: a VM that the list has lacked for longer than it lags is dead

Cause: entries that started after the last member of a slot had left never saw its VM listed, so it was never dead by evidence, and the rule of promises kept every swap back for good. Ruled out: the key-value service (up), lost promise replies (asked again each heartbeat). TestEntriesStartedAfterAllMembersLeft does not settle before. The fake VM list is now read every 10 s.

--- a/core/entry/members.go
+++ b/core/entry/members.go
@@ -15,8 +15,12 @@
 	lives map[core.VM]core.Incarnation
 	// gone holds the VMs that were listed and no longer are.
 	gone map[core.VM]bool
-	// listed holds the VMs of the last reading of the list.
-	listed map[core.VM]core.VMInfo
+	// listed holds the VMs of the last reading of the list, taken at listedAt.
+	listed   map[core.VM]core.VMInfo
+	listedAt core.Instant
+	// absent holds the first reading without a VM that this entry has never seen
+	// listed and that some record names.
+	absent map[core.VM]core.Instant
 	// list says that the list was read at least once.
 	list   bool
 	beatAt core.Instant
@@ -41,13 +45,33 @@
 		lives:  map[core.VM]core.Incarnation{},
 		gone:   map[core.VM]bool{},
 		listed: map[core.VM]core.VMInfo{},
+		absent: map[core.VM]core.Instant{},
 	}
 }
 
 // dead reports evidence that a life has ended: a later life of its VM was seen,
-// or its VM was listed and no longer is. Silence is never evidence.
+// its VM was listed and no longer is, or its VM is not listed for longer than
+// the list lags. Silence is never evidence.
 func (m *members) dead(n core.Node) bool {
-	return m.gone[n.VM] || m.lives[n.VM] > n.Inc
+	return m.gone[n.VM] || m.lives[n.VM] > n.Inc || m.unlisted(n.VM)
+}
+
+// unlisted reports whether readings of the list over listLag lack a VM. A VM
+// that has ended before this life's first reading is known in no other way.
+func (m *members) unlisted(vm core.VM) bool {
+	if _, ok := m.listed[vm]; ok || !m.list {
+		return false
+	}
+	since, ok := m.absent[vm]
+	if !ok {
+		m.absent[vm] = m.listedAt
+		return false
+	}
+	if m.listedAt.Sub(since) < listLag {
+		return false
+	}
+	m.gone[vm] = true
+	return true
 }
 
 // observe notes that a life was heard.
@@ -55,6 +79,7 @@
 	if m.lives[n.VM] < n.Inc {
 		m.lives[n.VM] = n.Inc
 	}
+	delete(m.absent, n.VM)
 	p := m.peers[n.VM]
 	if p == nil {
 		return
@@ -97,8 +122,10 @@
 		}
 	}
 	m.listed = next
+	m.listedAt = e.now
 	m.list = true
 	for _, vm := range vms {
+		delete(m.absent, vm.VM)
 		e.vmListed(vm)
 	}
 }
--- a/core/entry/times.go
+++ b/core/entry/times.go
@@ -14,6 +14,8 @@
 	defaultAge             = 24 * core.Hour
 	defaultSlots           = 64
 
+	// listLag bounds the time after which the platform's VM list shows a VM.
+	listLag = 30 * core.Second
 	// noTargetWait bounds the wait of a call for a pool with no usable target.
 	noTargetWait = 2 * core.Second
 	// gapWait bounds the wait of a call for an earlier sequence number.
--- a/sim/node.go
+++ b/sim/node.go
@@ -101,7 +101,7 @@
 		n.target.newLife()
 	}
 	s.configure(n)
-	s.VMs.inform(n)
+	s.VMs.refresh(n, n.id.Inc)
 	s.Store.attach(n)
 	n.scheduleTick(s.rng.Int64N(s.opts.Tick))
 }
--- a/sim/vmlist.go
+++ b/sim/vmlist.go
@@ -10,6 +10,8 @@
 const (
 	// vmListPeriod is the period at which nodes read the list.
 	vmListPeriod = 2 * core.Second
+	// vmListRefresh is the period at which nodes read an unchanged list again.
+	vmListRefresh = 10 * core.Second
 	// vmListLag bounds the time by which the list lags behind the truth.
 	vmListLag = 1 * core.Second
 )
@@ -78,6 +80,15 @@
 	r.sim.After(r.sim.rng.Int64N(vmListPeriod), func() { r.inform(n) })
 }
 
+// refresh reads the list for a life again and again.
+func (r *VMRegistry) refresh(n *Node, life core.Incarnation) {
+	if !n.up || n.id.Inc != life {
+		return
+	}
+	r.inform(n)
+	r.sim.After(vmListRefresh, func() { r.refresh(n, life) })
+}
+
 // inform gives a node the present list.
 func (r *VMRegistry) inform(n *Node) {
 	if !n.up {
