--- a/config/default.go
+++ b/config/default.go
@@ -8,6 +8,7 @@
 	DefaultMirrors         = 1
 	DefaultHeartbeat       = Duration(500 * time.Millisecond)
 	DefaultSuspectAfter    = Duration(2 * time.Second)
+	DefaultVMListLag       = Duration(30 * time.Second)
 	DefaultAnswerRetention = Duration(5 * time.Minute)
 	DefaultCallTimeout     = Duration(2 * time.Minute)
 	DefaultRetryRatio      = 0.1
@@ -60,6 +61,7 @@
 	o.Slots = orDefault(o.Slots, DefaultSlots)
 	o.Heartbeat = orDefault(o.Heartbeat, DefaultHeartbeat)
 	o.SuspectAfter = orDefault(o.SuspectAfter, DefaultSuspectAfter)
+	o.VMListLag = orDefault(o.VMListLag, DefaultVMListLag)
 	o.AnswerRetention = orDefault(o.AnswerRetention, DefaultAnswerRetention)
 	o.Mirrors = orDefault(o.Mirrors, DefaultMirrors)
 }
--- a/config/set.go
+++ b/config/set.go
@@ -63,6 +63,9 @@
 	Heartbeat Duration `yaml:"heartbeat"`
 	// SuspectAfter is the silence after which a takeover is attempted.
 	SuspectAfter Duration `yaml:"suspect_after"`
+	// VMListLag bounds how late the platform's VM list shows a new VM. A VM that
+	// readings over this time lack has ended.
+	VMListLag Duration `yaml:"vm_list_lag"`
 	// AnswerRetention is how long a finished call's answer is kept for retries.
 	AnswerRetention Duration `yaml:"answer_retention"`
 }
--- a/core/entry/absent_test.go
+++ b/core/entry/absent_test.go
@@ -22,7 +22,7 @@
 		c.start(vm, core.Domain("d"+string(rune('0'+i))), 1)
 	}
 	c.list()
-	c.advance(listLag)
+	c.advance(defaultListLag)
 	require.Empty(t, c.homes(0), "the list may still lag")
 	c.list()
 	c.advance(core.Second)
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -216,6 +216,7 @@
 	e.generation = ev.Generation
 	e.set = ev.Set
 	e.times = timesOf(ev.Set)
+	e.members.listLag = e.times.listLag
 	clear(e.places)
 	clear(e.budgets)
 	if e.slots == nil {
--- a/core/entry/members.go
+++ b/core/entry/members.go
@@ -18,6 +18,8 @@
 	// listed holds the VMs of the last reading of the list, taken at listedAt.
 	listed   map[core.VM]core.VMInfo
 	listedAt core.Instant
+	// listLag bounds how late the list shows a new VM.
+	listLag core.Duration
 	// absent holds the first reading without a VM that this entry has never seen
 	// listed and that some record names.
 	absent map[core.VM]core.Instant
@@ -46,6 +48,8 @@
 		gone:   map[core.VM]bool{},
 		listed: map[core.VM]core.VMInfo{},
 		absent: map[core.VM]core.Instant{},
+
+		listLag: defaultListLag,
 	}
 }
 
@@ -56,7 +60,7 @@
 	return m.gone[n.VM] || m.lives[n.VM] > n.Inc || m.unlisted(n.VM)
 }
 
-// unlisted reports whether readings of the list over listLag lack a VM. A VM
+// unlisted reports whether readings of the list over its lag lack a VM. A VM
 // that has ended before this life's first reading is known in no other way.
 func (m *members) unlisted(vm core.VM) bool {
 	if _, ok := m.listed[vm]; ok || !m.list {
@@ -67,7 +71,7 @@
 		m.absent[vm] = m.listedAt
 		return false
 	}
-	if m.listedAt.Sub(since) < listLag {
+	if m.listedAt.Sub(since) < m.listLag {
 		return false
 	}
 	m.gone[vm] = true
--- a/core/entry/times.go
+++ b/core/entry/times.go
@@ -8,14 +8,13 @@
 const (
 	defaultHeartbeat       = 100 * core.Millisecond
 	defaultSuspectAfter    = 1 * core.Second
+	defaultListLag         = 30 * core.Second
 	defaultAnswerRetention = 10 * core.Minute
 	defaultCallTimeout     = 10 * core.Minute
 	defaultIdle            = 1 * core.Hour
 	defaultAge             = 24 * core.Hour
 	defaultSlots           = 64
 
-	// listLag bounds the time after which the platform's VM list shows a VM.
-	listLag = 30 * core.Second
 	// noTargetWait bounds the wait of a call for a pool with no usable target.
 	noTargetWait = 2 * core.Second
 	// gapWait bounds the wait of a call for an earlier sequence number.
@@ -43,16 +42,18 @@
 type times struct {
 	heartbeat core.Duration
 	suspect   core.Duration
+	listLag   core.Duration
 	retention core.Duration
 }
 
 func timesOf(set *config.Set) times {
-	t := times{defaultHeartbeat, defaultSuspectAfter, defaultAnswerRetention}
+	t := times{defaultHeartbeat, defaultSuspectAfter, defaultListLag, defaultAnswerRetention}
 	if set == nil {
 		return t
 	}
 	t.heartbeat = orDefault(set.Ownership.Heartbeat.Nanos(), t.heartbeat)
 	t.suspect = orDefault(set.Ownership.SuspectAfter.Nanos(), t.suspect)
+	t.listLag = orDefault(set.Ownership.VMListLag.Nanos(), t.listLag)
 	t.retention = orDefault(set.Ownership.AnswerRetention.Nanos(), t.retention)
 	return t
 }
--- a/sim/vmlist.go
+++ b/sim/vmlist.go
@@ -11,7 +11,7 @@
 	// vmListPeriod is the period at which nodes read the list.
 	vmListPeriod = 2 * core.Second
 	// vmListRefresh is the period at which nodes read an unchanged list again.
-	vmListRefresh = 10 * core.Second
+	vmListRefresh = 5 * core.Second
 	// vmListLag bounds the time by which the list lags behind the truth.
 	vmListLag = 1 * core.Second
 )
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -7,31 +7,39 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/sim"
 )
 
-// meanBetween is the mean time between two injections of each kind that is
-// scheduled; the other kinds come from callers or are counted by the fakes.
+// Faults come in storms, in which they combine, with calm between them, in
+// which programs get on and so have something to lose.
+const (
+	stormLength = 10 * core.Second
+	calmLength  = 14 * core.Second
+)
+
+// meanBetween is the mean time of storm between two injections of each kind
+// that is scheduled; the other kinds come from callers or are counted by the
+// fakes.
 var meanBetween = map[Fault]core.Duration{
-	EntryKilled:          14 * core.Second,
-	SidecarKilled:        14 * core.Second,
-	HomeAndMirrorKilled:  16 * core.Second,
-	EntryReplaced:        16 * core.Second,
-	SidecarReplaced:      16 * core.Second,
-	TargetLeaving:        15 * core.Second,
-	StoreDown:            16 * core.Second,
-	StoreSlow:            16 * core.Second,
-	SwapAnswerLost:       12 * core.Second,
-	HolderPaused:         14 * core.Second,
-	SidecarPaused:        15 * core.Second,
-	ConnectionSilent:     8 * core.Second,
-	AllConnectionsSilent: 16 * core.Second,
-	DomainCut:            16 * core.Second,
-	MessageLost:          8 * core.Second,
-	ToolHung:             8 * core.Second,
-	EngineHung:           8 * core.Second,
-	ConfigConflict:       14 * core.Second,
-	ConfigLate:           14 * core.Second,
-	CacheEventLost:       8 * core.Second,
-	EntryDrained:         15 * core.Second,
-	SidecarDrained:       15 * core.Second,
+	EntryKilled:          4500 * core.Millisecond,
+	SidecarKilled:        4500 * core.Millisecond,
+	HomeAndMirrorKilled:  3500 * core.Millisecond,
+	EntryReplaced:        4500 * core.Millisecond,
+	SidecarReplaced:      4500 * core.Millisecond,
+	TargetLeaving:        4 * core.Second,
+	StoreDown:            4500 * core.Millisecond,
+	StoreSlow:            4500 * core.Millisecond,
+	SwapAnswerLost:       4 * core.Second,
+	HolderPaused:         4500 * core.Millisecond,
+	SidecarPaused:        4500 * core.Millisecond,
+	ConnectionSilent:     3 * core.Second,
+	AllConnectionsSilent: 4500 * core.Millisecond,
+	DomainCut:            4500 * core.Millisecond,
+	MessageLost:          2 * core.Second,
+	ToolHung:             2 * core.Second,
+	EngineHung:           2 * core.Second,
+	ConfigConflict:       4 * core.Second,
+	ConfigLate:           4 * core.Second,
+	CacheEventLost:       2 * core.Second,
+	EntryDrained:         4500 * core.Millisecond,
+	SidecarDrained:       4500 * core.Millisecond,
 }
 
 // Probabilities of network faults, outside and inside of bursts.
@@ -49,8 +57,9 @@
 	foreignOf core.ProgramID
 	pick      uint64
 	picked    bool
-	// stopped ends the random schedule.
+	// stopped ends the random schedule, which has begun at an instant.
 	stopped bool
+	began   core.Instant
 }
 
 func newInjector(h *Cluster) *injector {
@@ -59,6 +68,7 @@
 
 // start begins to inject, at random or by the given schedule.
 func (j *injector) start() {
+	j.began = j.h.sim.Now()
 	if j.h.opts.Schedule != nil {
 		j.follow()
 		return
@@ -73,7 +83,7 @@
 
 func (j *injector) plan(f Fault, mean core.Duration) {
 	gap := core.Duration(j.h.sim.Rand().ExpFloat64() * float64(mean))
-	j.h.sim.After(gap, func() {
+	j.h.sim.After(j.inStorm(gap), func() {
 		if j.stopped {
 			return
 		}
@@ -82,6 +92,22 @@
 	})
 }
 
+// inStorm returns the time until so much time of storm has passed.
+func (j *injector) inStorm(gap core.Duration) core.Duration {
+	var wait core.Duration
+	phase := j.h.sim.Now().Sub(j.began) % (stormLength + calmLength)
+	if phase >= stormLength {
+		wait, phase = stormLength+calmLength-phase, 0
+	}
+	left := stormLength - phase
+	for gap > left {
+		wait += left + calmLength
+		gap -= left
+		left = stormLength
+	}
+	return wait + gap
+}
+
 func (j *injector) follow() {
 	for _, in := range j.h.opts.Schedule {
 		j.h.sim.After(in.After, func() {
--- a/soak/program.go
+++ b/soak/program.go
@@ -31,13 +31,13 @@
 	toolShare      = 0.4
 	bookingShare   = 0.6
 	subAgentShare  = 0.06
-	loopShare      = 0.03
+	loopShare      = 0.05
 	repeatShare    = 0.03
 	goneShare      = 0.01
-	staleShare     = 0.015
-	foreignShare   = 0.015
-	keyReuseShare  = 0.02
-	oldRepeatShare = 0.02
+	staleShare     = 0.03
+	foreignShare   = 0.03
+	keyReuseShare  = 0.1
+	oldRepeatShare = 0.1
 )
 
 // program is one agent program and its caller.
--- a/soak/settings.go
+++ b/soak/settings.go
@@ -48,6 +48,7 @@
 			Mirrors:         mirrors,
 			Heartbeat:       duration(250 * time.Millisecond),
 			SuspectAfter:    duration(time.Second),
+			VMListLag:       duration(5 * time.Second),
 			AnswerRetention: duration(30 * time.Second),
 		},
 		Pools: []config.Pool{
