--- a/core/sidecar/drain.go
+++ b/core/sidecar/drain.go
@@ -10,7 +10,7 @@
 // drainGrace is the shortest wait for the acknowledgement of a result, and for
 // the edges to read the answers kept here, which takes them longer than their
 // home's acknowledgement when the home has changed. An answer that was not
-// acknowledged is kept for as long as its caller may wait for it.
+// acknowledged is kept longer: a caller may have repeated its call.
 const drainGrace = 10 * core.Second
 
 // drain is the progress of a graceful shutdown.
@@ -66,7 +66,7 @@
 func (s *Sidecar) awaited(a *attempt) bool {
 	wait := drainGrace
 	if a.state == core.AttemptDone {
-		wait = max(wait, a.call.Timeout)
+		wait = unackedRetention
 	}
 	return s.now.Sub(a.doneAt) < wait
 }
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -40,7 +40,7 @@
 
 // Rates of the traffic.
 const (
-	arrivalMean = 220 * core.Millisecond
+	arrivalMean = 260 * core.Millisecond
 	// maxPrograms bounds the programs under way.
 	maxPrograms = 60
 	// warmUp is the time before the first program and the first fault.
