--- a/core/sidecar/drain.go
+++ b/core/sidecar/drain.go
@@ -71,8 +71,8 @@
 	return s.now.Sub(a.doneAt) < wait
 }
 
-// unread reports whether an answer was finished so recently that its edge may
-// not have read it, acknowledged or not.
+// unread reports whether an answer was finished or acknowledged so recently
+// that its edge may not have read it.
 func (s *Sidecar) unread() bool {
 	return s.table.answered && s.now.Sub(s.table.answeredAt) < drainGrace
 }
--- a/core/sidecar/sidecar_test.go
+++ b/core/sidecar/sidecar_test.go
@@ -139,7 +139,8 @@
 	b.finish(attemptID(1))
 	require.Empty(t, effects[core.Stopped](b.after(2*core.Minute)))
 	b.recv(home1, core.AckResult{Attempt: attemptID(1)})
-	require.Len(t, effects[core.Stopped](b.out), 1)
+	require.Empty(t, effects[core.Stopped](b.after(drainGrace-1)))
+	require.Len(t, effects[core.Stopped](b.after(1)), 1)
 }
 
 func TestLeavingVMRefusesNewWork(t *testing.T) {
--- a/core/sidecar/table.go
+++ b/core/sidecar/table.go
@@ -99,7 +99,8 @@
 	// retiring holds acknowledged attempts and tombstones, oldest first.
 	retiring []retired
 	turns    uint64
-	// answeredAt is when the last answer was finished that edges read from here.
+	// answeredAt is when the last answer that edges read from here was finished
+	// or acknowledged.
 	answeredAt core.Instant
 	answered   bool
 }
@@ -126,10 +127,7 @@
 	a.call.Body = nil
 	a.call.Blocks = nil
 	s.table.unacked = append(s.table.unacked, a)
-	if state == core.AttemptDone && a.answer == nil {
-		s.table.answered = true
-		s.table.answeredAt = s.now
-	}
+	s.noteAnswer(a)
 	s.sendResult(a.home, a)
 }
 
@@ -164,6 +162,15 @@
 	}
 	s.retire(a)
 	s.table.unacked = remove(s.table.unacked, a)
+	s.noteAnswer(a)
+}
+
+// noteAnswer notes that edges may be about to read an answer.
+func (s *Sidecar) noteAnswer(a *attempt) {
+	if a.state == core.AttemptDone && a.answer == nil {
+		s.table.answered = true
+		s.table.answeredAt = s.now
+	}
 }
 
 func (s *Sidecar) retire(a *attempt) {
