--- a/soak/inject.go
+++ b/soak/inject.go
@@ -18,30 +18,33 @@
 // that is scheduled; the other kinds come from callers or are counted by the
 // fakes.
 var meanBetween = map[Fault]core.Duration{
-	EntryKilled:          3200 * core.Millisecond,
-	SidecarKilled:        3200 * core.Millisecond,
-	HomeAndMirrorKilled:  1100 * core.Millisecond,
-	EntryReplaced:        3200 * core.Millisecond,
-	SidecarReplaced:      3200 * core.Millisecond,
+	EntryKilled:          3800 * core.Millisecond,
+	SidecarKilled:        3800 * core.Millisecond,
+	HomeAndMirrorKilled:  2400 * core.Millisecond,
+	EntryReplaced:        3800 * core.Millisecond,
+	SidecarReplaced:      3800 * core.Millisecond,
 	TargetLeaving:        3 * core.Second,
-	StoreDown:            3200 * core.Millisecond,
-	StoreSlow:            3200 * core.Millisecond,
+	StoreDown:            3800 * core.Millisecond,
+	StoreSlow:            3800 * core.Millisecond,
 	SwapAnswerLost:       4 * core.Second,
-	HolderPaused:         3200 * core.Millisecond,
-	SidecarPaused:        3200 * core.Millisecond,
+	HolderPaused:         3800 * core.Millisecond,
+	SidecarPaused:        3800 * core.Millisecond,
 	ConnectionSilent:     3 * core.Second,
-	AllConnectionsSilent: 3200 * core.Millisecond,
-	DomainCut:            3200 * core.Millisecond,
+	AllConnectionsSilent: 3800 * core.Millisecond,
+	DomainCut:            3800 * core.Millisecond,
 	MessageLost:          2 * core.Second,
 	ToolHung:             2 * core.Second,
 	EngineHung:           1400 * core.Millisecond,
 	ConfigConflict:       3 * core.Second,
 	ConfigLate:           3 * core.Second,
 	CacheEventLost:       1600 * core.Millisecond,
-	EntryDrained:         3200 * core.Millisecond,
-	SidecarDrained:       3200 * core.Millisecond,
+	EntryDrained:         3800 * core.Millisecond,
+	SidecarDrained:       3800 * core.Millisecond,
 }
 
+// leaveAfter is the time between the mark in the VM list and the VM's end.
+const leaveAfter = 15 * core.Second
+
 // Probabilities of network faults, outside and inside of bursts.
 const (
 	baseLoss  = 0.002
@@ -212,7 +215,7 @@
 		return false
 	}
 	j.h.Kill(n)
-	j.h.sim.After(j.between(50*core.Millisecond, 2*core.Second), n.Start)
+	j.h.sim.After(j.between(50*core.Millisecond, 1500*core.Millisecond), n.Start)
 	return true
 }
 
@@ -271,7 +274,7 @@
 	j.h.obs.leaving[n.ID().VM] = j.h.sim.Now()
 	j.h.sim.VMs.Leaving(n)
 	j.h.AddSidecar(n.Domain(), n.Pool())
-	j.h.sim.After(30*core.Second, func() {
+	j.h.sim.After(leaveAfter, func() {
 		j.h.obs.endLife(n)
 		n.Leave()
 	})
@@ -281,7 +284,7 @@
 func (j *injector) storeDown() bool {
 	st := j.h.sim.Store
 	st.SetDown(true)
-	j.h.sim.After(j.between(500*core.Millisecond, 4*core.Second), func() { st.SetDown(false) })
+	j.h.sim.After(j.between(500*core.Millisecond, 3*core.Second), func() { st.SetDown(false) })
 	return true
 }
 
