--- a/soak/observer.go
+++ b/soak/observer.go
@@ -18,10 +18,10 @@
 	// configGrace is the time in which a configuration is in force everywhere.
 	configGrace = 7 * core.Second
 	// releaseGrace is the time after the end of a program in which every sidecar
-	// that has lived since has released its memory: at the latest when the
-	// program has been idle for as long as the configuration allows (a minute),
-	// seen by two audits of the engine's listing, a minute each.
-	releaseGrace = 200 * core.Second
+	// that has lived since has released its memory, also what it did not know:
+	// blocks that nobody claims go after two minutes, seen by two audits of the
+	// engine's listing, a minute each.
+	releaseGrace = 260 * core.Second
 	// promptGrace is the time in which a sidecar that was told the end of a
 	// program releases the memory that it knows of.
 	promptGrace = 2 * core.Second
