--- a/sim/caller.go
+++ b/sim/caller.go
@@ -42,6 +42,8 @@
 	done    func(*Response)
 	ended   bool
 	replied bool
+	// stream says that the answer is read from a sidecar's stream.
+	stream  bool
 	attempt core.AttemptID
 	sidecar core.Node
 	answer  *Answer
@@ -147,6 +149,7 @@
 		r.respond()
 		return
 	}
+	r.stream = true
 	r.read(e.Finish.Attempt, e.Finish.Sidecar)
 	r.complete()
 }
@@ -255,7 +258,7 @@
 
 // complete responds when the final word and the whole answer are both there.
 func (r *request) complete() {
-	if !r.replied || r.ended {
+	if !r.stream || r.ended {
 		return
 	}
 	if r.answer != nil {
