--- a/core/sidecar/drain.go
+++ b/core/sidecar/drain.go
@@ -9,9 +9,10 @@
 
 // drainGrace is the shortest wait for the acknowledgement of a result, and for
 // the edges to read the answers kept here, which takes them longer than their
-// home's acknowledgement when the home has changed. An answer that was not
+// home's acknowledgement when the home has changed or cannot be reached: an
+// edge repeats a forward every 16 seconds at the least. An answer that was not
 // acknowledged is kept longer: a caller may have repeated its call.
-const drainGrace = 10 * core.Second
+const drainGrace = 20 * core.Second
 
 // drain is the progress of a graceful shutdown.
 type drain struct {
