--- a/core/sidecar/sidecar_test.go
+++ b/core/sidecar/sidecar_test.go
@@ -136,10 +136,25 @@
 	for n := range uint64(3) {
 		b.recv(home1, core.AckResult{Attempt: attemptID(n + 1)})
 	}
-	require.Len(t, effects[core.Stopped](b.out), 1)
+	require.Empty(t, effects[core.Stopped](b.out), "the edge may not have read the answer")
+	require.Empty(t, effects[core.Stopped](b.after(drainGrace-1)))
+	require.Len(t, effects[core.Stopped](b.after(1)), 1)
 	require.Equal(t, 1, len(b.ran))
 }
 
+func TestDrainKeepsAnswersUntilTheHomeHasThem(t *testing.T) {
+	b := newBench(t, 1)
+	d := dispatch(1, "a", 10)
+	d.Call.Timeout = 30 * core.Second
+	b.recv(home1, d)
+	b.step(core.DrainRequested{})
+	b.finish(attemptID(1))
+	require.Empty(t, effects[core.Stopped](b.after(2*core.Minute)))
+	b.recv(home1, core.AckResult{Attempt: attemptID(1)})
+	require.Empty(t, effects[core.Stopped](b.after(drainGrace-1)))
+	require.Len(t, effects[core.Stopped](b.after(1)), 1)
+}
+
 func TestLeavingVMRefusesNewWork(t *testing.T) {
 	b := newBench(t, 1)
 	b.recv(home1, core.Hello{})
