--- a/core/entry/dispatch.go
+++ b/core/entry/dispatch.go
@@ -15,6 +15,11 @@
 	if c.body == nil {
 		return
 	}
+	// Other calls of the tree may have reserved since this one was checked.
+	if !e.holdsReservation(s, c) && !e.affordable(s, c.body) {
+		e.giveUp(s, c, core.ReasonBudget, 0)
+		return
+	}
 	if !e.escrowed(s, c) {
 		return
 	}
@@ -72,7 +77,7 @@
 		p.NextSeq = c.seq + 1
 		e.retryBudget(c.body).Deposit()
 	}
-	e.check.Check(invariant.AtMostOnce, !c.body.NonIdempotent || r.Attempt.IsZero(),
+	e.check.Check(invariant.AtMostOnce, !c.body.NonIdempotent || r.Attempt.IsZero() && !r.MayHaveRun,
 		"%s: second ticket for call %d of %s", e.self, c.seq, c.program)
 	if r.Reserved == 0 {
 		e.reserve(s, r, c.body)
@@ -127,12 +132,15 @@
 	c.state = stateSent
 	c.askedAt = e.now
 	c.seen = false
+	call := *c.body
+	// The caller may have left the position to the home.
+	call.Seq = c.seq
 	e.send(c.target, core.Dispatch{
 		Slot:     s.id,
 		Epoch:    s.home.epoch,
 		Attempt:  c.attempt,
 		Target:   c.target,
-		Call:     *c.body,
+		Call:     call,
 		Attained: root.Attained,
 		Turns:    p.Turns,
 		Started:  root.Started,
@@ -184,6 +192,9 @@
 		e.stepDown(s, r.Epoch)
 		return
 	}
+	if !s.home.ready {
+		return
+	}
 	c := s.home.attempts[r.Attempt]
 	if c == nil {
 		e.staleResult(s, from, r)
@@ -232,14 +243,38 @@
 	e.settle(s, c.program, rec, r.Usage.Total())
 	e.finishRecord(p, rec, f)
 	if rec.Kind == core.CallModel {
+		c.history = historyTokens(p, c.body)
 		e.recordHistory(p, c.body, r)
 		p.Turns++
+		e.releaseMoved(s, p, c.target)
 		p.Last = c.target
 	}
 	s.edit(c.program.Root()).Attained += r.Usage.Total()
 	e.close(s, c, f)
 }
 
+// releaseMoved releases the memory that a program left behind at the target of
+// its call before.
+func (e *Entry) releaseMoved(s *slot, p *core.Program, to core.Node) {
+	if p.Last.IsZero() || p.Last == to || e.members.dead(p.Last) {
+		return
+	}
+	e.send(p.Last, core.EndProgram{Slot: s.id, Epoch: s.home.epoch, Program: p.ID, Moved: true})
+}
+
+// historyTokens returns the length of the part of a prompt that a program's
+// earlier calls have computed.
+func historyTokens(p *core.Program, call *core.Call) uint32 {
+	if call == nil || call.ResetHistory {
+		return 0
+	}
+	var sum uint32
+	for _, b := range call.Blocks[:min(int(p.HistoryBlocks), len(call.Blocks))] {
+		sum += b.Tokens
+	}
+	return sum
+}
+
 func (e *Entry) finishRecord(p *core.Program, rec *core.CallRecord, f core.Finish) {
 	rec.Phase = core.PhaseDone
 	rec.Finish = f
@@ -321,8 +356,8 @@
 	p := s.edit(c.program)
 	rec := findRecord(p, c.seq)
 	e.settle(s, c.program, rec, rec.Reserved)
-	// The attempt stays in the record: the call may have run.
 	rec.Phase = core.PhaseReserved
+	rec.MayHaveRun = true
 	c.state = stateReady
 	c.readyAt = e.now
 	switch {
@@ -346,7 +381,8 @@
 	}
 	p = s.edit(c.program)
 	rec := findRecord(p, c.seq)
-	if !rec.Attempt.IsZero() {
+	if rec.MayHaveRun {
+		e.settle(s, c.program, rec, 0)
 		f := core.Finish{Outcome: core.OutcomeUnknown, Reason: reason, RetryAfter: after}
 		e.finishRecord(p, rec, f)
 		e.close(s, c, f)
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -44,12 +44,17 @@
 	targets  targets
 	requests map[core.RequestID]*request
 	slots    []*slot
-	store    store
-	places   map[core.Pool]place.Policy
-	budgets  map[retryKey]*retry.Budget
-	drain    drain
+	// mapSum is the sum of the epochs of all owners known.
+	mapSum  uint64
+	store   store
+	places  map[core.Pool]place.Policy
+	budgets map[retryKey]*retry.Budget
+	drain   drain
 	// offeredAt is when a slot was last offered to another entry.
 	offeredAt core.Instant
+	// counts are the programs under way by account, as of countedAt.
+	counts    map[core.Account]int
+	countedAt core.Instant
 	// refusals holds the requests answered as not run.
 	refusals map[core.RequestID]refusedRequest
 }
@@ -165,6 +170,10 @@
 		e.slotUpdate(m)
 	case core.Handover:
 		e.handover(from, m)
+	case core.PromiseRequest:
+		e.promiseRequest(from, m)
+	case core.PromiseReply:
+		e.promiseReply(from, m)
 	case core.MirrorWrite:
 		e.mirrorWrite(from, m)
 	case core.MirrorAck:
@@ -207,6 +216,7 @@
 	e.generation = ev.Generation
 	e.set = ev.Set
 	e.times = timesOf(ev.Set)
+	e.members.listLag = e.times.listLag
 	clear(e.places)
 	clear(e.budgets)
 	if e.slots == nil {
--- a/core/entry/slotmap.go
+++ b/core/entry/slotmap.go
@@ -109,8 +109,12 @@
 		if s.home != nil {
 			e.tickLinks(s)
 		}
-		if s.home != nil {
+		switch {
+		case s.home == nil:
+		case s.home.ready:
 			e.tickCalls(s)
+		default:
+			e.tickEarly(s)
 		}
 	}
 }
@@ -138,7 +142,7 @@
 	if len(order) == 0 || order[0].node != e.self {
 		return
 	}
-	e.propose(s, e.newOwner(s, order, nil))
+	e.propose(s, e.newOwner(s, order, nil), true)
 }
 
 // newOwner returns an owner entry of the next version with this entry as home.
@@ -161,11 +165,10 @@
 	if !s.owner.Epoch.Less(o.Epoch) {
 		return
 	}
+	e.mapSum += mapTerm(o.Epoch) - mapTerm(s.owner.Epoch)
 	s.owner = o
 	s.changedAt = e.now
 	s.ownerless = 0
-	s.evidenceAt = 0
-	s.emptyAt = 0
 	if s.promised.Less(o.Epoch) {
 		s.promised = o.Epoch
 	}
@@ -237,12 +240,5 @@
 	}
 }
 
-// mapSum returns the sum of all versions and ranks known, which tells two maps
-// apart in a heartbeat.
-func (e *Entry) mapSum() uint64 {
-	var sum uint64
-	for _, s := range e.slots {
-		sum += s.owner.Epoch.Version<<20 + uint64(s.owner.Epoch.Rank)
-	}
-	return sum
-}
+// mapTerm is a slot's part of the sum that tells two maps apart in a heartbeat.
+func mapTerm(epoch core.Epoch) uint64 { return epoch.Version<<20 + uint64(epoch.Rank) }
--- a/core/entry/takeover_test.go
+++ b/core/entry/takeover_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -43,7 +44,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			c := newCluster(t, 3)
+			c := newCluster(t, 3, 2)
 			c.settled()
 			home := c.homeOf("p")
 			edge := c.other(home, nil)
@@ -111,54 +112,65 @@
 // after that home has died during an outage of the key-value service. Its image
 // is old, so it must not take over by rank.
 func TestPausedMirrorThatWasReplaced(t *testing.T) {
-	c := newCluster(t, 3)
-	c.settled()
-	home, old := c.homeOf("p"), c.mirrorOf("p")
-	third := c.other(home, old)
-	old.paused = true
-	c.until("the mirror is replaced", func() bool { return c.mirrorOf("p") == third })
-	c.advance(500 * core.Millisecond)
-	require.Equal(t, core.OutcomeRan, c.reply(c.call(third, booking("p", 1, "k"))).Outcome)
-
-	old.backlog = nil
-	c.kvDown = true
-	c.cut = func(from, to core.VM, _ core.Message) bool { return from == third.node.VM || to == third.node.VM }
-	c.remove(home.node.VM)
-	c.resume(old.node.VM)
-	req := c.call(old, booking("p", 1, "k"))
-	c.advance(3 * core.Second)
-	require.LessOrEqual(t, c.procs["t1"].side.executed["k"], 1)
-	require.Equal(t, core.OutcomeNotRun, c.reply(req).Outcome)
-	c.cut = nil
-	c.kvDown = false
-	c.settled()
-	f := c.reply(c.call(old, booking("p", 1, "k")))
-	require.Equal(t, core.OutcomeRan, f.Outcome, "%s", f.Reason)
-	require.Equal(t, 1, c.procs["t1"].side.executed["k"])
+	for _, mirrors := range []int{1, 2} {
+		c := newCluster(t, 2+mirrors, mirrors)
+		c.settled()
+		home, old := c.homeOf("p"), c.mirrorOf("p")
+		old.paused = true
+		c.until("the mirror is replaced", func() bool {
+			return !slices.ContainsFunc(c.homeOf("p").entry.slotOf("p").owner.Mirrors, func(m core.Member) bool {
+				return m.Node == old.node
+			})
+		})
+		c.advance(500 * core.Millisecond)
+		require.Equal(t, home, c.homeOf("p"))
+		require.Equal(t, core.OutcomeRan, c.reply(c.call(home, booking("p", 1, "k"))).Outcome)
+
+		old.backlog = nil
+		c.kvDown = true
+		c.cut = func(from, to core.VM, _ core.Message) bool {
+			entries := c.procs[from].entry != nil && c.procs[to].entry != nil
+			return entries && (from == old.node.VM) != (to == old.node.VM)
+		}
+		c.remove(home.node.VM)
+		c.resume(old.node.VM)
+		req := c.call(old, booking("p", 1, "k"))
+		c.advance(3 * core.Second)
+		require.Equal(t, 1, c.procs["t1"].side.executed["k"])
+		require.Equal(t, core.OutcomeNotRun, c.reply(req).Outcome)
+		c.cut = nil
+		c.kvDown = false
+		c.settled()
+		f := c.reply(c.call(old, booking("p", 1, "k")))
+		require.Equal(t, core.OutcomeRan, f.Outcome, "%s", f.Reason)
+		require.Equal(t, 1, c.procs["t1"].side.executed["k"])
+	}
 }
 
-// TestSilentMirror keeps a home from writing while its mirror is silent, until
-// the mirror is replaced.
+// TestSilentMirror keeps a home from writing while one of its mirrors is silent,
+// until the mirror is replaced.
 func TestSilentMirror(t *testing.T) {
-	c := newCluster(t, 3)
-	c.settled()
-	home, mirror := c.homeOf("p"), c.mirrorOf("p")
-	c.reply(c.call(home, turn("p", 1)))
-	mirror.paused = true
-	c.kvDown = true
-	req := c.call(home, booking("p", 2, "k"))
-	c.advance(2 * core.Second)
-	require.Empty(t, c.replies[req])
-	require.Zero(t, c.procs["t1"].side.executed["k"], "a dispatch without a mirrored ticket")
-	c.kvDown = false
-	require.Equal(t, core.OutcomeRan, c.reply(req).Outcome)
-	require.NotEqual(t, mirror, c.mirrorOf("p"))
+	for _, mirrors := range []int{1, 2} {
+		c := newCluster(t, 2+mirrors, mirrors)
+		c.settled()
+		home, mirror := c.homeOf("p"), c.mirrorOf("p")
+		c.reply(c.call(home, turn("p", 1)))
+		mirror.paused = true
+		c.kvDown = true
+		req := c.call(home, booking("p", 2, "k"))
+		c.advance(2 * core.Second)
+		require.Empty(t, c.replies[req])
+		require.Zero(t, c.procs["t1"].side.executed["k"], "a dispatch without a mirrored ticket")
+		c.kvDown = false
+		require.Equal(t, core.OutcomeRan, c.reply(req).Outcome)
+		require.NotEqual(t, mirror, c.mirrorOf("p"))
+	}
 }
 
 // TestDeadMirrorDuringOutage lets a home go on without a mirror that is dead by
-// evidence.
+// evidence, as long as another mirror has its writes.
 func TestDeadMirrorDuringOutage(t *testing.T) {
-	c := newCluster(t, 3)
+	c := newCluster(t, 4, 2)
 	c.settled()
 	home, mirror := c.homeOf("p"), c.mirrorOf("p")
 	c.kvDown = true
@@ -168,6 +180,21 @@
 	c.until("a new mirror", func() bool { return c.mirrorOf("p") != mirror })
 }
 
+// TestLastMirrorDeadDuringOutage keeps a home from going on alone: it cannot
+// know whether it still is the home.
+func TestLastMirrorDeadDuringOutage(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	c.settled()
+	home, mirror := c.homeOf("p"), c.mirrorOf("p")
+	c.kvDown = true
+	c.remove(mirror.node.VM)
+	req := c.call(home, booking("p", 1, "k"))
+	c.advance(2 * core.Second)
+	require.Zero(t, c.procs["t1"].side.executed["k"])
+	c.kvDown = false
+	require.Equal(t, core.OutcomeRan, c.reply(req).Outcome)
+}
+
 // TestHomeLivesThroughOutage serves calls of a healthy home during an outage.
 func TestHomeLivesThroughOutage(t *testing.T) {
 	c := newCluster(t, 3)
@@ -229,3 +256,174 @@
 	}
 	require.Equal(t, 1, c.procs["t1"].side.executed["k"])
 }
+
+// TestPromiseHoldsWhileTheSwapIsUncertain loses the answer of a swap and the
+// key-value service with it. Neither home may go on until the swap is settled.
+func TestPromiseHoldsWhileTheSwapIsUncertain(t *testing.T) {
+	for _, mirrors := range []int{1, 2} {
+		c := newCluster(t, 3, mirrors)
+		c.settled()
+		home := c.homeOf("p")
+		home.paused = true
+		c.downAfterSwap = core.SlotKey(core.ProgramID("p").Slot(c.set.Ownership.Slots))
+		c.until("a swap without an answer", func() bool { return c.kvDown })
+		// The old home must be stopped by its mirrors, not by a request to promise.
+		home.backlog = nil
+		c.cut = func(_, to core.VM, m core.Message) bool {
+			_, ask := m.(core.PromiseRequest)
+			return ask && to == home.node.VM
+		}
+		c.resume(home.node.VM)
+		req := c.call(home, booking("p", 1, "k"))
+		c.advance(2 * core.Second)
+		require.Zero(t, c.procs["t1"].side.executed["k"])
+		c.kvDown = false
+		f := c.reply(req)
+		if f.Outcome == core.OutcomeNotRun {
+			f = c.reply(c.call(home, booking("p", 1, "k")))
+		}
+		require.Equal(t, core.OutcomeRan, f.Outcome, "%s", f.Reason)
+		require.Equal(t, 1, c.procs["t1"].side.executed["k"])
+	}
+}
+
+func TestEligibleMirrors(t *testing.T) {
+	tests := []struct {
+		name  string
+		valid bool
+		image uint64
+		since uint64
+		want  bool
+	}{
+		{"image of the version that it joined in", true, 3, 3, true},
+		{"image of a later version", true, 5, 3, true},
+		{"image from before it left and joined again", true, 2, 3, false},
+		{"no image", false, 0, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := New(Options{Self: core.Node{VM: "e", Inc: 1}})
+			s := &slot{image: image{valid: tt.valid, epoch: core.Epoch{Version: tt.image}}}
+			require.Equal(t, tt.want, e.eligible(s, core.Member{Node: e.self, Since: tt.since}))
+		})
+	}
+}
+
+// TestAgesGoOnAtAnotherClock moves a program to a home whose clock differs.
+func TestAgesGoOnAtAnotherClock(t *testing.T) {
+	c := newCluster(t, 3)
+	for i, p := range c.sorted() {
+		p.offset = core.Duration(i) * 7 * core.Hour
+	}
+	c.advance(core.Second)
+	c.settled()
+	home := c.homeOf("p")
+	c.reply(c.call(home, turn("p", 1)))
+	began := c.now
+	c.advance(5 * core.Second)
+	c.remove(home.node.VM)
+	c.settled()
+	next := c.homeOf("p")
+	p := next.entry.slotOf("p").image.programs["p"]
+	require.InDelta(t, int64(began.Add(next.offset)), int64(p.Started), float64(core.Second))
+	require.InDelta(t, int64(began.Add(next.offset)), int64(p.Calls[0].DoneAt), float64(core.Second))
+}
+
+// TestSwapNeedsPromises keeps a mirror that reaches no other member from taking
+// a slot with two mirrors over by a swap.
+func TestSwapNeedsPromises(t *testing.T) {
+	c := newCluster(t, 3, 2)
+	c.settled()
+	home := c.homeOf("p")
+	key := core.SlotKey(core.ProgramID("p").Slot(c.set.Ownership.Slots))
+	c.cut = func(_, _ core.VM, m core.Message) bool {
+		_, ask := m.(core.PromiseRequest)
+		return ask
+	}
+	before := c.kv[key].Revision
+	home.paused = true
+	c.advance(3 * core.Second)
+	require.Equal(t, before, c.kv[key].Revision)
+	c.cut = nil
+	c.settled()
+	require.Greater(t, c.kv[key].Revision, before)
+}
+
+// TestCutOffMirrorDoesNotTakeOver cuts one entry off from the others, but not
+// from the key-value service. The slots of the others stay where they are.
+func TestCutOffMirrorDoesNotTakeOver(t *testing.T) {
+	for _, vm := range []core.VM{"e0", "e1", "e2"} {
+		c := newCluster(t, 3)
+		c.settled()
+		homes := map[core.SlotID]*proc{}
+		for s := range core.SlotID(c.set.Ownership.Slots) {
+			homes[s] = c.homes(s)[0]
+		}
+		c.cut = func(from, to core.VM, _ core.Message) bool { return from != to && (from == vm || to == vm) }
+		c.advance(2 * core.Second)
+		for s, home := range homes {
+			if home.node.VM != vm {
+				require.Equal(t, []*proc{home}, c.homes(s), "slot %d, %s cut off", s, vm)
+			}
+		}
+	}
+}
+
+// TestMemberWithoutImageLeavesTheSlotToOthers takes the image of one mirror away
+// before the home ends. The other mirror must bring the memory on.
+func TestMemberWithoutImageLeavesTheSlotToOthers(t *testing.T) {
+	c := newCluster(t, 3, 2)
+	c.settled()
+	home := c.homeOf("p")
+	c.reply(c.call(home, turn("p", 1)))
+	first := c.other(home, nil)
+	first.entry.slotOf("p").image.valid = false
+	c.remove(home.node.VM)
+	c.settled()
+	next := c.homeOf("p")
+	require.NotEqual(t, first, next)
+	require.EqualValues(t, 1, next.entry.slotOf("p").image.remembers)
+	require.NotNil(t, next.entry.slotOf("p").image.programs["p"])
+}
+
+// TestCallsInFlightWhenTheHomeIsLost loses the home while the target executes a
+// call. What may have run is never answered as not run.
+func TestCallsInFlightWhenTheHomeIsLost(t *testing.T) {
+	t.Run("with all mirrors", func(t *testing.T) {
+		c := newCluster(t, 3)
+		c.settled()
+		home, mirror := c.homeOf("p"), c.mirrorOf("p")
+		edge := c.other(home, mirror)
+		c.procs["m1"].side.hold = true
+		req := c.call(edge, turn("p", 1))
+		c.advance(50 * core.Millisecond)
+		require.Len(t, c.procs["m1"].side.order, 1)
+		home.down, mirror.down = true, true
+		c.unlisted[home.node.VM] = true
+		c.remove(mirror.node.VM)
+		f := c.reply(req)
+		require.Equal(t, core.OutcomeUnknown, f.Outcome)
+		require.Equal(t, core.ReasonForgotten, f.Reason)
+	})
+	t.Run("during an outage, with one mirror left", func(t *testing.T) {
+		c := newCluster(t, 3)
+		c.settled()
+		home, mirror := c.homeOf("p"), c.mirrorOf("p")
+		edge := c.other(home, mirror)
+		c.procs["t1"].side.hold = true
+		req := c.call(edge, booking("p", 1, "k"))
+		c.advance(50 * core.Millisecond)
+		c.kvDown = true
+		c.remove(home.node.VM)
+		c.advance(5 * core.Second)
+		require.Empty(t, c.replies[req])
+		fresh := c.call(edge, turn("p2", 1))
+		if core.ProgramID("p2").Slot(4) == core.ProgramID("p").Slot(4) {
+			require.Equal(t, core.ReasonNoOwner, c.reply(fresh).Reason)
+		}
+		c.kvDown = false
+		c.procs["t1"].side.release()
+		require.Equal(t, core.OutcomeRan, c.reply(req).Outcome)
+		require.Equal(t, 1, c.procs["t1"].side.executed["k"])
+	})
+}
--- a/core/message.go
+++ b/core/message.go
@@ -12,6 +12,9 @@
 	// epoch before its own time: a late copy must not run a call that another
 	// home has refused.
 	Epoch Epoch
+	// Again says that the request was forwarded in another epoch before, so that
+	// an earlier home may have run the call.
+	Again bool
 }
 
 // Placed tells the edge where the answer of a request will appear, so that it
@@ -155,6 +158,9 @@
 	Slot    SlotID
 	Epoch   Epoch
 	Program ProgramID
+	// Moved means that Program goes on at another target: the memory of this one
+	// program is released, and it may come back.
+	Moved bool
 }
 
 // Hello asks a sidecar for load reports.
--- a/core/sidecar/drain.go
+++ b/core/sidecar/drain.go
@@ -1,13 +1,18 @@
 package sidecar
 
 import (
+	"slices"
+
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 	"github.com/rhubarbsaddle/rhubarbsaddle/invariant"
 )
 
-// drainGrace bounds the wait, after the last attempt has finished, for the
-// acknowledgements of results whose answers are kept here.
-const drainGrace = 10 * core.Second
+// drainGrace is the shortest wait for the acknowledgement of a result, and for
+// the edges to read the answers kept here, which takes them longer than their
+// home's acknowledgement when the home has changed or cannot be reached: an
+// edge repeats a forward every 16 seconds at the least. An answer that was not
+// acknowledged is kept longer: a caller may have repeated its call.
+const drainGrace = 20 * core.Second
 
 // drain is the progress of a graceful shutdown.
 type drain struct {
@@ -15,9 +20,6 @@
 	requested bool
 	leaving   bool
 	stopped   bool
-	// idleSince is when the last attempt had finished.
-	idleSince core.Instant
-	idle      bool
 }
 
 // refusing reports that no new work is accepted.
@@ -53,14 +55,25 @@
 	if !d.requested || d.stopped || len(s.queue.running) > 0 {
 		return
 	}
-	if !d.idle {
-		d.idle = true
-		d.idleSince = s.now
-	}
-	if len(s.table.unacked) > 0 && s.now.Sub(d.idleSince) < drainGrace {
+	if slices.ContainsFunc(s.table.unacked, s.awaited) || s.unread() {
 		return
 	}
 	d.stopped = true
 	s.check(invariant.Drain, len(s.queue.waiting) == 0, "stopped with %d calls waiting", len(s.queue.waiting))
 	s.emit(core.Stopped{})
 }
+
+// awaited reports whether an edge may still wait for an attempt's result.
+func (s *Sidecar) awaited(a *attempt) bool {
+	wait := drainGrace
+	if a.state == core.AttemptDone {
+		wait = unackedRetention
+	}
+	return s.now.Sub(a.doneAt) < wait
+}
+
+// unread reports whether an answer was finished or acknowledged so recently
+// that its edge may not have read it.
+func (s *Sidecar) unread() bool {
+	return s.table.answered && s.now.Sub(s.table.answeredAt) < drainGrace
+}
