spec: the protocol explored to the end at six sizes; every rule has a counterexample

Cause: the ownership note allowed two homes. A home drops a silent, living mirror by a swap; the mirror, with an old entry, later takes over at the old version on evidence of the home's death, asking nobody. Ruled out: leases (a paused holder acts past them), reading the entry first (no takeover in an outage). Change: a write needs a second living member; leaving a dead member out takes a fresh rank; before a swap at most one other member may be neither dead nor have promised. Deep counterexamples are reached by a script and a search from there, or by seeded random walks.

--- a/spec/ownership/model_test.go
+++ b/spec/ownership/model_test.go
@@ -1,30 +1,47 @@
 package ownership
 
 import (
-	"fmt"
-	"os"
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/rhubarbsaddle/rhubarbsaddle/spec/search"
 )
 
-func TestExplore(t *testing.T) {
-	for _, b := range []Bounds{
-		{Nodes: 3, Members: 2, Targets: 1, Calls: 1, Budget: 1, Versions: 3, Crashes: 1, TargetCrashes: 1, Claims: 1},
-		{Nodes: 3, Members: 2, Targets: 2, Calls: 1, Budget: 1, Versions: 2, Crashes: 1, TargetCrashes: 1, Claims: 1},
-		{Nodes: 3, Members: 2, Targets: 1, Calls: 2, Budget: 1, Versions: 2, Crashes: 1, TargetCrashes: 1, Claims: 1},
-		{Nodes: 3, Members: 3, Targets: 1, Calls: 1, Budget: 1, Versions: 2, Crashes: 1, TargetCrashes: 1, Claims: 1},
-		{Nodes: 3, Members: 3, Targets: 1, Calls: 1, Budget: 1, Versions: 1, Crashes: 2, TargetCrashes: 1, Claims: 2},
-		{Nodes: 4, Members: 3, Targets: 1, Calls: 1, Budget: 1, Versions: 2, Crashes: 2, TargetCrashes: 0, Claims: 1},
-	} {
-		if os.Getenv("SPEC") != "" && fmt.Sprint(b) != os.Getenv("SPEC") {
-			continue
-		}
-		m := NewModel(AllRules(), b)
-		r := search.Explore(m, 3_000_000)
-		t.Logf("%+v states %d transitions %d depth %d complete %v overflows %d messages %d", b, r.States, r.Transitions, r.Depth, r.Complete, m.Overflows(), len(m.ids))
-		if r.Violation != nil {
-			t.Error(r.Violation)
-		}
+// stateLimit bounds an exploration; every size below ends well before it.
+const stateLimit = 8_000_000
+
+// TestProtocolKeepsItsInvariants explores every reachable state of each size.
+// Pauses, losses, delays and duplicates are in the model without a bound; the
+// sizes bound nodes, members, targets, calls and restarts.
+func TestProtocolKeepsItsInvariants(t *testing.T) {
+	tests := []struct {
+		name   string
+		bounds Bounds
+		// long sizes are left out with -short and under the race detector, which
+		// slows the search more than tenfold.
+		long bool
+	}{
+		{"one call", Bounds{Nodes: 3, Members: 2, Targets: 1, Calls: 1, Budget: 1, Versions: 2, Crashes: 1, TargetCrashes: 1, Claims: 1}, false},
+		{"two targets", Bounds{Nodes: 3, Members: 2, Targets: 2, Calls: 1, Budget: 1, Versions: 2, Crashes: 1, TargetCrashes: 1, Claims: 1}, true},
+		{"two calls, two targets, budget for one", Bounds{Nodes: 3, Members: 2, Targets: 2, Calls: 2, Budget: 1, Versions: 2, Crashes: 1, TargetCrashes: 1, Claims: 1}, true},
+		{"two calls, two targets", Bounds{Nodes: 3, Members: 2, Targets: 2, Calls: 2, Budget: 2, Versions: 2, Crashes: 1, Claims: 1}, true},
+		{"takeovers without the store", Bounds{Nodes: 3, Members: 3, Targets: 2, Calls: 1, Budget: 1, Versions: 1, Crashes: 2, TargetCrashes: 1, Claims: 3}, false},
+		{"three members", Bounds{Nodes: 3, Members: 3, Targets: 1, Calls: 1, Budget: 1, Versions: 2, Crashes: 1, Claims: 1}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if tt.long && (testing.Short() || raceEnabled) {
+				t.Skip("a long exploration")
+			}
+			m := NewModel(AllRules(), tt.bounds)
+			report := search.Explore(m, stateLimit)
+			t.Logf("%d states, %d transitions, depth %d", report.States, report.Transitions, report.Depth)
+			if report.Violation != nil {
+				t.Fatal(report.Violation)
+			}
+			require.True(t, report.Complete)
+			require.Zero(t, m.Overflows())
+		})
 	}
 }
--- a/spec/ownership/mutant_test.go
+++ b/spec/ownership/mutant_test.go
@@ -36,7 +36,7 @@
 }
 
 func TestEveryRuleIsNeeded(t *testing.T) {
-	three := with(func(b *Bounds) { b.Members = 3; b.TargetCrashes = 0; b.Nodes = 4; b.Crashes = 2; b.Claims = 2 })
+	silent := Bounds{Nodes: 3, Members: 3, Targets: 2, Calls: 1, Budget: 1, Versions: 1, Claims: 2}
 	tests := []struct {
 		name   string
 		remove func(*Rules)
@@ -49,9 +49,7 @@
 		{"resend after a possible send", func(r *Rules) { r.NoResend = false }, small},
 		{"dispatch before the mirrors have the ticket", func(r *Rules) { r.MirrorFirst = false }, small},
 		{"write without a second member", func(r *Rules) { r.SecondMember = false }, with(func(b *Bounds) { b.Crashes = 2 })},
-		{"takeover without evidence", func(r *Rules) { r.Evidence = false }, three},
-		{"member left out at the same rank", func(r *Rules) { r.FreshRank = false }, three},
-		{"swap without promises of others", func(r *Rules) { r.OthersPromise = false }, three},
+		{"takeover without evidence", func(r *Rules) { r.Evidence = false }, silent},
 		{"lost swap answer taken as success", func(r *Rules) { r.SettleSwap = false }, small},
 		{"takeover by a member with an old image", func(r *Rules) { r.Eligible = false }, with(func(b *Bounds) { b.Versions = 4 })},
 		{"budget reserved when the call ends", func(r *Rules) { r.ReserveBudget = false }, with(func(b *Bounds) { b.Calls = 2 })},
@@ -70,3 +68,108 @@
 		})
 	}
 }
+
+// deep is a counterexample that lies too deep for a search from the initial
+// state: a script leads near it, the search finds the rest.
+type deep struct {
+	name   string
+	remove func(*Rules)
+	bounds Bounds
+	script []string
+}
+
+var deepMutants = []deep{
+	{
+		// Node 1 acknowledges a write and dies; node 2, which has not got it, swaps
+		// and dies too. The home may not count node 1's acknowledgement.
+		name:   "member left out at the same rank",
+		remove: func(r *Rules) { r.FreshRank = false },
+		bounds: Bounds{Nodes: 4, Members: 3, Targets: 2, Calls: 1, Budget: 1, Versions: 2, Crashes: 2, Claims: 1},
+		script: []string{
+			"home 0 epoch {1 0} begins call 0 at target {0 0}",
+			"node 1 gets write 1",
+			"home 0 gets ack of write 1 from {1 0}",
+			"node 1 restarts",
+			"node 2 proposes version 2",
+			"node 2 sends the swap to version 2 with mirrors [1 3]",
+			"the store applies",
+			"node 2 reads version 2 back",
+			"node 1 gets write 1 of epoch {2 0}",
+			"node 3 gets write 1 of epoch {2 0}",
+			"home 2 gets ack of write 1 from {1 1}",
+			"home 2 gets ack of write 1 from {3 0}",
+			"home 2 epoch {2 0} completes write 1",
+			"home 2 epoch {2 0} begins call 0 at target {1 0}",
+			"node 1 gets write 2 of epoch {2 0}",
+			"node 3 gets write 2 of epoch {2 0}",
+			"home 2 gets ack of write 2 from {1 1}",
+			"home 2 gets ack of write 2 from {3 0}",
+		},
+	},
+	{
+		// Node 1 swaps to a set without nodes 0 and 2 and dies; they do not know of
+		// it and go on at the old version.
+		name:   "swap without promises of others",
+		remove: func(r *Rules) { r.OthersPromise = false },
+		bounds: Bounds{Nodes: 5, Members: 3, Targets: 2, Calls: 1, Budget: 1, Versions: 2, Crashes: 1, Claims: 1},
+		script: []string{
+			"node 1 proposes version 2",
+			"node 1 sends the swap to version 2 with mirrors [3 4]",
+			"the store applies",
+			"node 1 reads version 2 back",
+			"node 3 gets write 1 of epoch {2 0}",
+			"node 4 gets write 1 of epoch {2 0}",
+			"home 1 gets ack of write 1 from {3 0}",
+			"home 1 gets ack of write 1 from {4 0}",
+			"home 1 epoch {2 0} completes write 1",
+			"home 1 epoch {2 0} begins call 0 at target {1 0}",
+			"node 3 gets write 2 of epoch {2 0}",
+			"node 4 gets write 2 of epoch {2 0}",
+			"home 1 gets ack of write 2 from {3 0}",
+			"home 1 gets ack of write 2 from {4 0}",
+			"home 1 epoch {2 0} completes write 2",
+			"target {1 0} gets dispatch of call 0",
+			"node 1 restarts",
+		},
+	},
+}
+
+func TestEveryRuleIsNeededDeep(t *testing.T) {
+	for _, tt := range deepMutants {
+		t.Run(tt.name, func(t *testing.T) {
+			rules := AllRules()
+			tt.remove(&rules)
+			m := NewModel(rules, tt.bounds)
+			start, err := search.Follow(m, tt.script)
+			if err != nil {
+				t.Fatal(err)
+			}
+			report := search.Explore(search.From(m, start), exploreLimit)
+			if report.Violation == nil {
+				t.Fatalf("the mutant survives %d states after the script", report.States)
+			}
+			t.Logf("caught %d steps after the script's %d, %d states:\n%s",
+				len(report.Violation.Actions), len(tt.script), report.States, report.Violation)
+		})
+	}
+}
+
+// TestRulesStopDeepMutants follows the same scripts under all rules: either the
+// script cannot be followed, or no violation lies behind it.
+func TestRulesStopDeepMutants(t *testing.T) {
+	for _, tt := range deepMutants {
+		t.Run(tt.name, func(t *testing.T) {
+			m := NewModel(AllRules(), tt.bounds)
+			start, err := search.Follow(m, tt.script)
+			if err != nil {
+				t.Log(err)
+				return
+			}
+			report := search.Explore(search.From(m, start), exploreLimit)
+			if report.Violation != nil {
+				t.Fatal(report.Violation)
+			}
+			t.Logf("no violation in %d states, complete %v", report.States, report.Complete)
+		})
+	}
+}
--- a/spec/ownership/state.go
+++ b/spec/ownership/state.go
@@ -2,7 +2,7 @@
 
 // Sizes of the fixed arrays in a state.
 const (
-	maxNodes    = 4
+	maxNodes    = 5
 	maxMembers  = 3
 	maxTargets  = 2
 	maxCalls    = 2
--- a/spec/ownership/takeover.go
+++ b/spec/ownership/takeover.go
@@ -27,16 +27,27 @@
 	if place < 0 || int(s.Claims) >= m.Bounds.Claims || n.Promise.V > v || !m.eligible(s, i, v) {
 		return
 	}
-	left := m.leftOut(s, i, e)
-	if left == 0 {
-		return
+	for _, left := range m.mayLeaveOut(s, i, e) {
+		if m.needsClaim(n, e, place, left) {
+			m.claimWithout(s, i, place, left, emit)
+		}
 	}
+}
+
+// needsClaim reports whether leaving members out changes anything, and whether
+// a mirror that would become home leaves the old one out.
+func (m *Model) needsClaim(n *node, e *entry, place int, left uint8) bool {
 	if place > 0 && left&bit(e.Members[0].Life.N) == 0 {
-		return
-	}
-	if n.Home && n.HomeE.V == v && n.Required&left == 0 {
-		return
+		return false
 	}
+	return !n.Home || n.HomeE.V != n.Known || n.Required&left != 0
+}
+
+// claimWithout takes the next rank of the version that node i knows; its place
+// in the entry makes the rank its own.
+func (m *Model) claimWithout(s *state, i uint8, place int, left uint8, emit func(string, state)) {
+	v := s.Nodes[i].Known
+	e := &s.Entries[v]
 	m.do(s, emit, fmt.Sprintf("node %d claims version %d without %03b", i, v, left), func(s *state) {
 		s.Claims++
 		n := &s.Nodes[i]
@@ -55,16 +66,27 @@
 	})
 }
 
-// leftOut returns the members that node i may leave out.
-func (m *Model) leftOut(s *state, i uint8, e *entry) uint8 {
-	var set uint8
+// mayLeaveOut returns the sets of members that node i may leave out: the dead
+// ones, or any single one if evidence is not asked for.
+func (m *Model) mayLeaveOut(s *state, i uint8, e *entry) []uint8 {
+	var dead uint8
+	var sets []uint8
 	for k := range e.Size {
 		l := e.Members[k].Life
-		if l.N != i && (s.dead(l) || !m.Rules.Evidence) {
-			set |= bit(l.N)
+		if l.N == i {
+			continue
+		}
+		if s.dead(l) {
+			dead |= bit(l.N)
+		}
+		if !m.Rules.Evidence {
+			sets = append(sets, bit(l.N))
 		}
 	}
-	return set
+	if dead != 0 {
+		sets = append(sets, dead)
+	}
+	return sets
 }
 
 // becomeHome starts an epoch with a write of the whole image.
--- a/spec/search/search_test.go
+++ b/spec/search/search_test.go
@@ -57,3 +57,16 @@
 	again, _ := Walk(counter{bound: 1000, bad: 500}, 1, 100, 1000)
 	require.Equal(t, v, again)
 }
+
+func TestFollowThenExplore(t *testing.T) {
+	sys := counter{bound: 10, bad: 9}
+	s, err := Follow[int](sys, []string{"two", "one", "two"})
+	require.NoError(t, err)
+	require.Equal(t, 5, s)
+	report := Explore(From[int](sys, s), 100)
+	require.Equal(t, []string{"two", "two"}, report.Violation.Actions)
+	_, err = Follow[int](sys, []string{"two", "three"})
+	var stuck *StuckError
+	require.ErrorAs(t, err, &stuck)
+	require.Equal(t, 1, stuck.Step)
+}
