--- /dev/null
+++ b/core/entry/retry.go
@@ -0,0 +1,33 @@
+package entry
+
+import (
+	"github.com/rhubarbsaddle/rhubarbsaddle/config"
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/policy/retry"
+)
+
+// scheduleRetry sets the time of a call's next attempt, if the retry budget of
+// its pool and account allows one.
+func (e *Entry) scheduleRetry(c *openCall) bool {
+	b := e.retryBudget(c.body)
+	if !b.Withdraw() {
+		return false
+	}
+	c.retryAt = e.now.Add(b.Wait(c.attempts, c.deadline.Sub(e.now), e.rng))
+	c.attempts++
+	return true
+}
+
+func (e *Entry) retryBudget(call *core.Call) *retry.Budget {
+	k := retryKey{call.Pool, call.Account}
+	if b := e.budgets[k]; b != nil {
+		return b
+	}
+	var cfg config.Retry
+	if p := e.set.Pool(string(call.Pool)); p != nil {
+		cfg = p.Retry
+	}
+	b := retry.New(cfg)
+	e.budgets[k] = b
+	return b
+}
--- a/core/entry/sidecar_test.go
+++ b/core/entry/sidecar_test.go
@@ -15,7 +15,7 @@
 	// refuse is the number of dispatches to refuse.
 	refuse int
 	// lose is the number of dispatches whose outcome is lost.
-	lose int
+	lose   int
 	table  map[core.AttemptID]core.Result
 	owners map[core.AttemptID]core.Node
 	calls  map[core.AttemptID]core.Call
