entry: overdue tickets are answered at once; a leaving entry hands its slots over

A call whose mirrors were silent was answered as unknown by its edge two seconds after its time, although its home knew that it had not been sent.

--- a/core/entry/answer.go
+++ b/core/entry/answer.go
@@ -46,7 +46,7 @@
 // tickRefusals forgets the tombstones of requests whose copies are long gone.
 func (e *Entry) tickRefusals() {
 	for req, t := range e.refusals {
-		if e.now.Sub(t.at) > e.times.retention || e.members.dead(req.Edge) {
+		if e.now.Sub(t.at) > refusalRetention || e.members.dead(req.Edge) {
 			delete(e.refusals, req)
 		}
 	}
--- a/core/entry/call_test.go
+++ b/core/entry/call_test.go
@@ -350,3 +350,23 @@
 	require.EqualValues(t, 20, p.Spent, "the reservation of the lost attempt")
 	require.Zero(t, p.Reserved)
 }
+
+// TestOverdueTicket lets a call's time run out while a mirror is silent.
+func TestOverdueTicket(t *testing.T) {
+	c := newCluster(t, 3)
+	c.settled()
+	home := c.homeOf("p")
+	c.mirrorOf("p").paused = true
+	c.kvDown = true
+	call := booking("p", 1, "k")
+	call.Timeout = core.Second
+	req := c.call(home, call)
+	c.advance(1500 * core.Millisecond)
+	require.Len(t, c.replies[req], 1)
+	require.Equal(t, core.OutcomeNotRun, c.replies[req][0].Outcome)
+	require.Equal(t, core.ReasonTimeout, c.replies[req][0].Reason)
+	c.kvDown = false
+	c.advance(5 * core.Second)
+	require.Zero(t, c.procs["t1"].side.executed["k"])
+	require.Equal(t, core.OutcomeRan, c.reply(c.call(home, booking("p", 1, "k"))).Outcome)
+}
--- a/core/entry/cluster_test.go
+++ b/core/entry/cluster_test.go
@@ -43,9 +43,11 @@
 	now      core.Instant
 	procs    map[core.VM]*proc
 	unlisted map[core.VM]bool
-	kv       map[string]core.StoreEntry
-	kvRev    int64
-	kvDown   bool
+	// leaving marks entries as leaving in the VM list.
+	leaving core.VM
+	kv      map[string]core.StoreEntry
+	kvRev   int64
+	kvDown  bool
 	// loseSwap lets the next swaps take effect and loses their answers.
 	loseSwap int
 	// downAfterSwap takes the service down after a swap of this key took effect.
@@ -134,7 +136,7 @@
 		if c.unlisted[p.node.VM] {
 			continue
 		}
-		vm := core.VMInfo{VM: p.node.VM, Domain: p.domain}
+		vm := core.VMInfo{VM: p.node.VM, Domain: p.domain, Leaving: p.node.VM == c.leaving}
 		if p.side != nil {
 			vm.Role, vm.Pool, vm.Leaving = core.RoleSidecar, p.side.load.Pool, p.side.leaving
 		}
--- a/core/entry/drain.go
+++ b/core/entry/drain.go
@@ -5,9 +5,14 @@
 // drain is the state of a graceful shutdown.
 type drain struct {
 	requested bool
-	stopped   bool
+	// leaving says that the platform lists this entry's VM as leaving.
+	leaving bool
+	stopped bool
 }
 
+// active reports whether this entry hands its slots over.
+func (d *drain) active() bool { return d.requested || d.leaving }
+
 // drainRequested makes this entry hand its slots over. Its heartbeats say so,
 // and it answers the requests that it has.
 func (e *Entry) drainRequested() {
--- a/core/entry/home.go
+++ b/core/entry/home.go
@@ -161,6 +161,10 @@
 		} else if e.now >= c.retryAt {
 			e.place(s, c)
 		}
+	case stateTicket:
+		if overdue && !c.canceled {
+			e.dropTicket(s, c)
+		}
 	case stateSent:
 		if overdue && !c.canceled {
 			e.cancel(s, c, core.ReasonTimeout)
@@ -169,6 +173,20 @@
 	}
 }
 
+// dropTicket answers an overdue call whose ticket the mirrors do not acknowledge.
+// It is not dispatched any more, so nothing waits for them.
+func (e *Entry) dropTicket(s *slot, c *openCall) {
+	c.canceled = true
+	f := refusal(core.ReasonTimeout, 0)
+	if findRecord(s.image.programs[c.program], c.seq).MayHaveRun {
+		f.Outcome = core.OutcomeUnknown
+	}
+	for _, req := range c.waiters {
+		e.answer(s, req, f)
+	}
+	c.waiters = nil
+}
+
 // tickQueued refuses a call whose predecessor does not come.
 func (e *Entry) tickQueued(s *slot, c *openCall, overdue bool) {
 	gap := s.home.lanes[c.program].open == nil && e.now.Sub(c.arrived) >= gapWait
--- a/core/entry/maintain.go
+++ b/core/entry/maintain.go
@@ -46,7 +46,7 @@
 		return nil
 	}
 	p := e.members.peers[order[0].node.VM]
-	if !e.drain.requested && e.now.Sub(p.since) < stableFor*e.times.suspect {
+	if !e.drain.active() && e.now.Sub(p.since) < stableFor*e.times.suspect {
 		return nil
 	}
 	return &order[0]
@@ -154,7 +154,7 @@
 	if s.offeredAt > 0 && e.now.Sub(s.offeredAt) < period {
 		return
 	}
-	if !e.drain.requested && e.now.Sub(e.offeredAt) < e.times.heartbeat {
+	if !e.drain.active() && e.now.Sub(e.offeredAt) < e.times.heartbeat {
 		return
 	}
 	s.offeredAt = e.now
@@ -168,7 +168,7 @@
 	if s == nil || s.home != nil || s.owner.Epoch != m.Epoch || s.homeNode() != from {
 		return
 	}
-	if _, eligible := e.succession(s); eligible && !e.drain.requested {
+	if _, eligible := e.succession(s); eligible && !e.drain.active() {
 		e.takeBySwap(s, e.candidates())
 	}
 }
--- a/core/entry/maintain_test.go
+++ b/core/entry/maintain_test.go
@@ -66,3 +66,16 @@
 	c.advance(10 * core.Second)
 	require.Equal(t, swaps, c.swaps, "owners keep changing without need")
 }
+
+// TestLeavingEntryHandsItsSlotsOver marks an entry's VM as leaving.
+func TestLeavingEntryHandsItsSlotsOver(t *testing.T) {
+	c := newCluster(t, 3)
+	c.settled()
+	home := c.homeOf("p")
+	c.reply(c.call(home, turn("p", 1)))
+	c.leaving = home.node.VM
+	c.list()
+	c.until("the slots move", func() bool { return !home.entry.needed() })
+	require.False(t, home.stopped)
+	require.Equal(t, core.OutcomeRan, c.reply(c.call(home, turn("p", 2))).Outcome)
+}
--- a/core/entry/members.go
+++ b/core/entry/members.go
@@ -104,7 +104,11 @@
 }
 
 func (e *Entry) vmListed(vm core.VMInfo) {
-	if vm.VM == e.self.VM || e.members.gone[vm.VM] {
+	if vm.VM == e.self.VM {
+		e.drain.leaving = vm.Leaving
+		return
+	}
+	if e.members.gone[vm.VM] {
 		return
 	}
 	if vm.Role == core.RoleSidecar {
@@ -139,7 +143,7 @@
 // leavingEntry reports whether an entry is draining or leaving.
 func (e *Entry) leavingEntry(n core.Node) bool {
 	if n == e.self {
-		return e.drain.requested
+		return e.drain.active()
 	}
 	p := e.members.peers[n.VM]
 	return p != nil && (p.leaving || p.draining)
@@ -169,7 +173,7 @@
 		Domain:     e.domain,
 		Generation: e.generation,
 		MapSum:     e.mapSum,
-		Draining:   e.drain.requested,
+		Draining:   e.drain.active(),
 	}
 	for _, p := range e.members.sorted() {
 		// Incarnation zero also reaches a life that is not known yet.
--- a/core/entry/status.go
+++ b/core/entry/status.go
@@ -75,7 +75,7 @@
 		Self:        e.self,
 		Domain:      e.domain,
 		Generation:  e.generation,
-		Draining:    e.drain.requested,
+		Draining:    e.drain.active(),
 		StoreFailed: e.store.failed,
 		Requests:    len(e.requests),
 	}
--- a/core/entry/times.go
+++ b/core/entry/times.go
@@ -18,6 +18,9 @@
 	noTargetWait = 2 * core.Second
 	// gapWait bounds the wait of a call for an earlier sequence number.
 	gapWait = 10 * core.Second
+	// refusalRetention is how long a request that was answered as not run is
+	// remembered; later copies of its forward are taken to be impossible.
+	refusalRetention = 1 * core.Minute
 	// queryAfter is the silence of a sidecar about a dispatched attempt after
 	// which its outcome is asked for.
 	queryAfter = 500 * core.Millisecond
