--- a/core/entry/history.go
+++ b/core/entry/history.go
@@ -26,3 +26,16 @@
 	p.HistoryDigest = r.Digest
 	p.HistoryBlocks = r.Blocks
 }
+
+// historyTokens returns the length of the part of a prompt that a program's
+// earlier calls have computed.
+func historyTokens(p *core.Program, call *core.Call) uint32 {
+	if call == nil || call.ResetHistory {
+		return 0
+	}
+	var sum uint32
+	for _, b := range call.Blocks[:min(int(p.HistoryBlocks), len(call.Blocks))] {
+		sum += b.Tokens
+	}
+	return sum
+}
--- a/core/entry/outcome.go
+++ b/core/entry/outcome.go
@@ -69,6 +69,7 @@
 	e.settle(s, c.program, rec, r.Usage.Total())
 	e.finishRecord(p, rec, f)
 	if rec.Kind == core.CallModel {
+		c.history = historyTokens(p, c.body)
 		e.recordHistory(p, c.body, r)
 		p.Turns++
 		e.releaseMoved(s, p, c.target)
--- a/daemon/node/serve.go
+++ b/daemon/node/serve.go
@@ -34,6 +34,7 @@
 		Receive: func(from core.Node, msg core.Message) { n.Post(core.Recv{From: from, Msg: msg}) },
 		Learn:   n.mesh.SetAddress,
 		Answers: n.options.Answers,
+		Config:  n.configText,
 	}
 	mux := http.NewServeMux()
 	mux.Handle(handler.HTTP())
@@ -86,6 +87,7 @@
 	mux.HandleFunc("GET /status", n.serveStatus)
 	mux.HandleFunc("GET /healthz", n.serveHealth)
 	mux.HandleFunc("POST /drain", n.serveDrain)
+	mux.Handle("GET /events", n.Events)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(n.Metrics.registry, promhttp.HandlerOpts{}))
 	n.Serve(&http.Server{
 		Handler:           mux,
--- a/local/local.go
+++ b/local/local.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +17,7 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/config"
 	"github.com/rhubarbsaddle/rhubarbsaddle/config/publish"
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/core/entry"
 	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/node"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform/etcdjson"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
@@ -47,7 +50,14 @@
 	EngineStep time.Duration
 	// ToolTime is how long a call of a service takes.
 	ToolTime time.Duration
-	Log      *log.Logger
+	// Data is the data folder of all processes; it takes their event logs. Empty
+	// keeps these in memory.
+	Data string
+	Log  *log.Logger
+	// Binary, if set, is the program whose subcommands run the daemons in
+	// processes of their own; their settings and logs go into Folder.
+	Binary string
+	Folder string
 }
 
 // Deployment is a running deployment.
@@ -61,8 +71,8 @@
 	storeAddr string
 
 	mu       sync.Mutex
-	entries  []*Entry
-	sidecars []*Sidecar
+	entries  []*VM
+	sidecars []*VM
 	models   []*Model
 	tools    []*Tool
 }
@@ -89,10 +99,12 @@
 	}
 	for _, domain := range d.options.Set.Domains {
 		for i := range d.options.EntriesPerDomain {
-			vm := fmt.Sprintf("entry-%s-%d", domain.Name, i)
-			if err := d.addEntry(vm, domain.Name); err != nil {
+			name := fmt.Sprintf("entry-%s-%d", domain.Name, i)
+			vm := d.newVM(name, domain.Name, core.RoleEntry)
+			if err := vm.Start(); err != nil {
 				return err
 			}
+			d.entries = append(d.entries, vm)
 		}
 	}
 	if err := d.publishVMs(); err != nil {
@@ -133,14 +145,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var vms []core.VMInfo
-	for _, e := range d.entries {
-		if !e.gone {
-			vms = append(vms, e.info())
-		}
-	}
-	for _, s := range d.sidecars {
-		if !s.gone {
-			vms = append(vms, s.info())
+	for _, vm := range slices.Concat(d.entries, d.sidecars) {
+		if info, listed := vm.info(); listed {
+			vms = append(vms, info)
 		}
 	}
 	return d.vmList.Set(vms)
@@ -171,19 +178,39 @@
 }
 
 func (d *Deployment) ready(ctx context.Context) bool {
+	acting := 0
 	for _, e := range d.Entries() {
-		if !e.ready(ctx, len(d.sidecars)) {
+		status, err := e.Status(ctx)
+		if err != nil {
 			return false
 		}
+		var state entry.Status
+		if json.Unmarshal(status.State, &state) != nil || len(state.Targets) < len(d.sidecars) {
+			return false
+		}
+		acting += d.actingFor(&state)
 	}
-	return true
+	return acting == int(d.options.Set.Ownership.Slots)
+}
+
+// actingFor counts the slots that an entry acts as the home of, with all the
+// mirrors that the configuration asks for.
+func (d *Deployment) actingFor(state *entry.Status) int {
+	mirrors := min(d.options.Set.Ownership.Mirrors, len(d.entries)-1)
+	n := 0
+	for _, s := range state.Slots {
+		if s.Acting && len(s.Mirrors) >= mirrors {
+			n++
+		}
+	}
+	return n
 }
 
 // Entries returns the entries.
-func (d *Deployment) Entries() []*Entry { return d.entries }
+func (d *Deployment) Entries() []*VM { return d.entries }
 
 // Sidecars returns the sidecars.
-func (d *Deployment) Sidecars() []*Sidecar { return d.sidecars }
+func (d *Deployment) Sidecars() []*VM { return d.sidecars }
 
 // Models returns the stand-ins of the model engines.
 func (d *Deployment) Models() []*Model { return d.models }
@@ -193,11 +220,8 @@
 
 // Close ends everything.
 func (d *Deployment) Close() {
-	for _, e := range d.entries {
-		e.Kill()
-	}
-	for _, s := range d.sidecars {
-		s.Kill()
+	for _, vm := range slices.Concat(d.entries, d.sidecars) {
+		vm.Kill()
 	}
 	for _, m := range d.models {
 		m.Server.Close()
--- a/local/path_test.go
+++ b/local/path_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -20,6 +22,9 @@
 	patience = 60 * time.Second
 	// circuitKey is the key of the account circuit of the example.
 	circuitKey = "circuit-demo-key"
+	// walkInKey is the key of the account walk-in, which has no budget of its
+	// own to be counted in the key-value service.
+	walkInKey = "walk-in-demo-key"
 )
 
 // small returns the first example with few slots.
@@ -27,6 +32,7 @@
 	set, err := load.Set("../examples/bancarella")
 	require.NoError(t, err)
 	set.Ownership.Slots = 8
+	set.Ownership.Mirrors = 2
 	return set
 }
 
@@ -36,14 +42,9 @@
 	d, err := Start(ctx, options)
 	require.NoError(t, err)
 	t.Cleanup(func() {
-		for _, e := range d.Entries() {
-			if daemon := e.Daemon(); daemon != nil {
-				require.Empty(t, daemon.Node().Invariants.Texts())
-			}
-		}
-		for _, s := range d.Sidecars() {
-			if daemon := s.Daemon(); daemon != nil {
-				require.Empty(t, daemon.Node().Invariants.Texts())
+		for _, vm := range slices.Concat(d.Entries(), d.Sidecars()) {
+			if n := vm.Node(); n != nil {
+				require.Empty(t, n.Invariants.Texts())
 			}
 		}
 		d.Close()
@@ -61,7 +62,7 @@
 	}
 }
 
-func clientOf(e *Entry, opts ...option.RequestOption) *openai.Client {
+func clientOf(e *VM, opts ...option.RequestOption) *openai.Client {
 	opts = append([]option.RequestOption{
 		option.WithBaseURL(e.URL() + "/v1"), option.WithAPIKey(circuitKey),
 	}, opts...)
@@ -120,7 +121,7 @@
 }
 
 // callTool books a pitch once.
-func callTool(ctx context.Context, e *Entry, key string) error {
+func callTool(ctx context.Context, e *VM, key string) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, e.URL()+"/pitches/7", strings.NewReader("book"))
 	if err != nil {
 		return err
@@ -138,6 +139,15 @@
 	return nil
 }
 
+// refusalCode returns the code of a refusal, for messages.
+func refusalCode(err error) string {
+	var refused *openai.Error
+	if errors.As(err, &refused) {
+		return refused.Code
+	}
+	return ""
+}
+
 type statusError struct{ status string }
 
 func (e *statusError) Error() string { return e.status }
