admit: a program waits for memory up to 10 minutes instead of 20 seconds

Cause: after 20 s of waiting a program was let in beside a full cache, and all programs there computed their conversations again. The pauses of those inside end by the learned retention, so memory comes free without the bound.

--- a/bench/policy/deployment.go
+++ b/bench/policy/deployment.go
@@ -128,6 +128,8 @@
 		Name: "manizales",
 
 		WeighsWaste: true,
+		WarmUp:      80 * core.Second,
+		Window:      120 * core.Second,
 		Domains:     []core.Domain{"chipre", "palermo", "la-enea", "villamaria"},
 		Entries:     4,
 		Remote:      500 * core.Microsecond,
--- a/policy/admit/admit.go
+++ b/policy/admit/admit.go
@@ -75,7 +75,7 @@
 	fullShare = 0.9
 	// maxHold bounds the wait of a program for memory, so that programs that
 	// pause for long do not keep others out for ever.
-	maxHold = 20 * core.Second
+	maxHold = 600 * core.Second
 )
 
 // cache admits a program that is not resident only while the cache has room
