--- a/core/sidecar/settings.go
+++ b/core/sidecar/settings.go
@@ -68,8 +68,9 @@
 	if first || old.Policy.Admission != pool.Policy.Admission {
 		st.admit = orDefault(admit.New(pool.Policy.Admission))(admit.New(""))
 	}
-	if first || old.Policy.Retention != pool.Policy.Retention {
-		st.retain = orDefault(retain.New(pool.Policy.Retention, defaultMaxIdle))(retain.New("", defaultMaxIdle))
+	weight := pool.Policy.CacheWeight
+	if first || old.Policy.Retention != pool.Policy.Retention || old.Policy.CacheWeight != weight {
+		st.retain = orDefault(retain.New(pool.Policy.Retention, defaultMaxIdle, weight))(retain.New("", defaultMaxIdle, weight))
 	}
 	if first || old.Policy.Concurrency != pool.Policy.Concurrency || old.Engine != pool.Engine {
 		engine := pool.Engine
--- a/policy/retain/learned.go
+++ b/policy/retain/learned.go
@@ -12,16 +12,22 @@
 	buckets = 24
 	// enough is the weight of pauses after which they are believed.
 	enough = 20
-	// quantile is the share of the pauses that a hold covers.
-	quantile = 0.95
+	// defaultWeight is the weight of the cache where the settings give none.
+	defaultWeight = 16
+	// missShare over the weight is the share of the pauses that a hold does not
+	// cover: the more a recomputed token costs, the longer the blocks are held.
+	missShare = 0.8
+	// minQuantile bounds the covered share from below.
+	minQuantile = 0.5
 	// fade is the factor by which older pauses count less with each new one.
 	fade = 0.995
 )
 
 // learned holds the cache for as long as most pauses of the same kind lasted.
 type learned struct {
-	longest core.Duration
-	pauses  map[string]*histogram
+	longest  core.Duration
+	quantile float64
+	pauses   map[string]*histogram
 }
 
 type histogram struct {
@@ -29,8 +35,12 @@
 	total  float64
 }
 
-func newLearned(longest core.Duration) *learned {
-	return &learned{longest: longest, pauses: map[string]*histogram{}}
+func newLearned(longest core.Duration, weight float64) *learned {
+	if weight <= 0 {
+		weight = defaultWeight
+	}
+	q := max(minQuantile, 1-missShare/weight)
+	return &learned{longest: longest, quantile: q, pauses: map[string]*histogram{}}
 }
 
 // Hold returns the quantile of the pauses seen, or the longest hold while few
@@ -40,7 +50,7 @@
 	if h == nil || h.total < enough {
 		return l.longest
 	}
-	return min(l.longest, h.at(quantile))
+	return min(l.longest, h.at(l.quantile))
 }
 
 // Observe adds a pause that ended with the program's next call.
--- a/policy/retain/retain.go
+++ b/policy/retain/retain.go
@@ -37,15 +37,16 @@
 }
 
 // New returns the retention with a name; the empty name means Learned. Longest
-// bounds every hold.
-func New(name string, longest core.Duration) (Policy, error) {
+// bounds every hold; weight is the cost of a recomputed token against waiting,
+// the pool's cache_weight.
+func New(name string, longest core.Duration, weight float64) (Policy, error) {
 	switch name {
 	case None:
 		return none{}, nil
 	case Always:
 		return always{longest}, nil
 	case Learned, "":
-		return newLearned(longest), nil
+		return newLearned(longest, weight), nil
 	}
 	return nil, &UnknownError{Name: name}
 }
--- a/policy/retain/retain_test.go
+++ b/policy/retain/retain_test.go
@@ -23,7 +23,7 @@
 		{Learned, 0, 100, longest},
 	}
 	for _, tt := range tests {
-		p, err := New(tt.name, longest)
+		p, err := New(tt.name, longest, 0)
 		require.NoError(t, err)
 		for range tt.pauses {
 			p.Observe("chat", 700*core.Millisecond, true)
@@ -36,7 +36,24 @@
 			require.Equal(t, longest, p.Hold("other"), "kinds are told apart")
 		}
 	}
-	_, err := New("some", longest)
+	_, err := New("some", longest, 0)
 	var unknown *UnknownError
 	require.ErrorAs(t, err, &unknown)
 }
+
+func TestWeightLengthensTheHold(t *testing.T) {
+	hold := func(weight float64) core.Duration {
+		p, err := New(Learned, core.Hour, weight)
+		require.NoError(t, err)
+		for i := range 300 {
+			pause := 700 * core.Millisecond
+			if i%50 == 0 {
+				pause = 30 * core.Second
+			}
+			p.Observe("chat", pause, true)
+		}
+		return p.Hold("chat")
+	}
+	require.Equal(t, 1024*core.Millisecond, hold(16))
+	require.Greater(t, hold(80), 30*core.Second)
+}
