--- a/bench/policy/deployment.go
+++ b/bench/policy/deployment.go
@@ -158,7 +158,7 @@
 		},
 		Deadline: map[string]core.Duration{"companion": 6 * core.Minute, "guide": core.Minute},
 		Product: config.Policy{
-			Order: "las", Placement: "cost", Admission: "cache",
+			Order: "fifo", Placement: "cost", Admission: "cache",
 			Retention: "learned", Concurrency: "adaptive", CacheWeight: 64,
 		},
 	}
--- a/bench/policy/driver.go
+++ b/bench/policy/driver.go
@@ -226,3 +226,10 @@
 	}
 	return false
 }
+
+// resetCounts forgets what was counted in the warm-up.
+func (v *driver) resetCounts() {
+	v.refused, v.calls = 0, 0
+	v.prompt, v.fresh, v.cached = 0, 0, 0
+	v.errors = map[string]int{}
+}
--- a/bench/policy/home.go
+++ b/bench/policy/home.go
@@ -13,10 +13,14 @@
 
 // Views of the targets.
 const (
-	// ViewCorrected is the last report with the entry's own dispatches since.
+	// ViewCorrected is the last report or result, with the entry's own
+	// dispatches since.
 	ViewCorrected View = iota
-	// ViewReported is the last report alone.
+	// ViewReported is the last periodic report alone.
 	ViewReported
+	// ViewTuned is the last report, replaced by the load in each result: the
+	// macro- and micro-tuning of the related paper.
+	ViewTuned
 	// ViewExact is the present state; only the clairvoyant run has it.
 	ViewExact
 )
@@ -40,14 +44,17 @@
 	open     map[core.AttemptID]*pending
 	next     uint64
 	greeted  core.Instant
-	out      []core.Effect
+	// reportEvery is the shortest time between two reports that are taken in.
+	reportEvery core.Duration
+	out         []core.Effect
 }
 
 // seen is a target in the view.
 type seen struct {
 	target place.Target
 	pool   core.Pool
-	known  bool
+	// reportedAt is the instant of the last periodic report.
+	reportedAt core.Instant
 }
 
 // track is a program as the thin entry knows it.
@@ -107,7 +114,7 @@
 	case core.EndArrived:
 		h.end(ev)
 	case core.Recv:
-		h.receive(ev)
+		h.receive(ev, now)
 	}
 	return h.out
 }
@@ -188,7 +195,7 @@
 func (h *home) look(s *seen) place.Target {
 	t := s.target
 	switch h.view {
-	case ViewReported:
+	case ViewReported, ViewTuned:
 		t.OwnCalls, t.OwnTokens = 0, 0
 	case ViewExact:
 		t.OwnCalls, t.OwnTokens = 0, 0
@@ -197,16 +204,28 @@
 	return t
 }
 
-func (h *home) receive(ev core.Recv) {
+func (h *home) receive(ev core.Recv, now core.Instant) {
 	switch msg := ev.Msg.(type) {
 	case core.LoadReport:
-		h.report(ev.From, msg.Load)
+		h.periodic(ev.From, msg.Load, now)
 	case core.Result:
-		h.report(ev.From, msg.Load)
+		if h.view != ViewReported {
+			h.report(ev.From, msg.Load)
+		}
 		h.result(msg)
 	}
 }
 
+// periodic takes in a load report unless the one before is too recent.
+func (h *home) periodic(from core.Node, load core.Load, now core.Instant) {
+	s := h.byNode[from]
+	if s == nil || now.Sub(s.reportedAt) < h.reportEvery {
+		return
+	}
+	s.reportedAt = now
+	h.report(from, load)
+}
+
 func (h *home) report(from core.Node, load core.Load) {
 	if s := h.byNode[from]; s != nil {
 		s.target.Load = load
--- a/bench/policy/run.go
+++ b/bench/policy/run.go
@@ -127,6 +127,7 @@
 
 func (c *cluster) newHome(self core.Node, domain core.Domain) core.Reducer {
 	h := newHome(self, domain, c.spec.Seed, c.spec.Variant.View)
+	h.reportEvery = c.spec.Variant.ReportEvery
 	h.exact = func(n core.Node) core.Load { return c.cars[n.VM].Status().Load }
 	if c.spec.Variant.Clairvoyant {
 		h.hint = c.driver.remaining
@@ -163,6 +164,7 @@
 		c.breakThings(measured)
 	}
 	c.sim.Run(measured)
+	c.driver.resetCounts()
 	before := c.waste()
 	c.sim.Run(end)
 	after := c.waste()
--- a/bench/policy/variant.go
+++ b/bench/policy/variant.go
@@ -7,6 +7,11 @@
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/config"
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/policy/admit"
+	"github.com/rhubarbsaddle/rhubarbsaddle/policy/limit"
+	"github.com/rhubarbsaddle/rhubarbsaddle/policy/order"
+	"github.com/rhubarbsaddle/rhubarbsaddle/policy/place"
+	"github.com/rhubarbsaddle/rhubarbsaddle/policy/retain"
 )
 
 // Variant is a set of policies to measure.
@@ -16,6 +21,8 @@
 	// Baseline marks the policies that the product is compared with.
 	Baseline bool
 	View     View
+	// ReportEvery is the age that load reports reach in a thin run.
+	ReportEvery core.Duration
 	// Clairvoyant runs know the shapes and have memory without end.
 	Clairvoyant bool
 	// Thin runs have an entry of placement and dispatch alone; it is needed for
@@ -54,6 +61,53 @@
 	}
 }
 
+// lateReport is the period of load reports in the comparison of views.
+const lateReport = 2 * core.Second
+
+// Ways returns the product's policies with one part replaced in each.
+func Ways(d *Deployment) []Variant {
+	all := []Variant{{Name: productName, Policy: d.Product}}
+	replace := func(name string, edit func(*config.Policy)) {
+		p := d.Product
+		edit(&p)
+		if p != d.Product {
+			all = append(all, Variant{Name: name, Policy: p})
+		}
+	}
+	for _, name := range order.Names() {
+		replace("order="+name, func(p *config.Policy) { p.Order = name })
+	}
+	for _, name := range place.Names() {
+		replace("placement="+name, func(p *config.Policy) { p.Placement = name })
+	}
+	replace("admission=open", func(p *config.Policy) { p.Admission = admit.Open })
+	for _, name := range retain.Names() {
+		replace("retention="+name, func(p *config.Policy) { p.Retention = name })
+	}
+	replace("concurrency=fixed", func(p *config.Policy) { p.Concurrency = limit.Fixed })
+	return append(all, views(d)...)
+}
+
+// views returns the ways to know the targets, with placement by cost and by two
+// choices, while reports are late.
+func views(d *Deployment) []Variant {
+	var all []Variant
+	for _, placement := range []string{place.Cost, place.TwoChoices} {
+		p := d.Product
+		p.Placement = placement
+		for _, v := range []struct {
+			name string
+			view View
+		}{{"reported", ViewReported}, {"tuned", ViewTuned}, {"corrected", ViewCorrected}, {"exact", ViewExact}} {
+			all = append(all, Variant{
+				Name: "view=" + v.name + "," + placement, Policy: p,
+				View: v.view, ReportEvery: lateReport, Thin: true,
+			})
+		}
+	}
+	return all
+}
+
 func sortedPools[V any](m map[core.Pool]V) []core.Pool {
 	return slices.SortedFunc(maps.Keys(m), cmp.Compare[core.Pool])
 }
--- a/cli/bench_policy.go
+++ b/cli/bench_policy.go
@@ -32,6 +32,7 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed"},
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of seeds, counted up from the first"},
 			&cli.FloatSliceFlag{Name: "load", Value: []float64{0.5, 0.9, 1.0, 1.3}, Usage: "loads over capacity"},
+			&cli.BoolFlag{Name: "ways", Usage: "replace one part of the product's policies at a time, instead of the baselines"},
 			&cli.BoolFlag{Name: "no-faults", Usage: "leave out the runs with faults"},
 			&cli.BoolFlag{Name: "json", Usage: "print the report as JSON"},
 			&cli.StringFlag{Name: "plot", Usage: "write a plot to this file (.svg or .png)"},
@@ -71,6 +72,9 @@
 		return policy.Sweep{}, err
 	}
 	s := policy.Sweep{Deployment: d, Variants: policy.Variants(d), Loads: c.FloatSlice("load"), FaultLoad: faultLoad}
+	if c.Bool("ways") {
+		s.Variants = policy.Ways(d)
+	}
 	if c.Bool("no-faults") {
 		s.FaultLoad = 0
 	}
