--- a/core/entry/records.go
+++ b/core/entry/records.go
@@ -33,12 +33,11 @@
 // tree returns the programs of the tree under top by id.
 func tree(s *slot, top core.ProgramID) []core.ProgramID {
 	var ids []core.ProgramID
-	for id := range s.image.programs {
+	for _, id := range slices.Sorted(maps.Keys(s.image.programs)) {
 		if inTree(id, top) {
 			ids = append(ids, id)
 		}
 	}
-	slices.Sort(ids)
 	return ids
 }
 
@@ -96,6 +95,9 @@
 // end marks a tree as ended, stops its calls and releases the engine memory
 // that is held for it.
 func (e *Entry) end(s *slot, top core.ProgramID) {
+	if p := s.image.programs[top]; p != nil && top.Root() == top && !p.Ended && e.counts[p.Account] > 0 {
+		e.counts[p.Account]--
+	}
 	for _, id := range tree(s, top) {
 		p := s.edit(id)
 		p.Ended = true
@@ -138,39 +140,45 @@
 		return
 	}
 	s.expiredAt = e.now
-	busy, active := busyRoots(s), lastActive(s)
-	for _, p := range sortedPrograms(s) {
-		if p.ID != p.ID.Root() || busy[p.ID] {
-			continue
-		}
-		switch idle := e.now.Sub(active[p.ID]); {
-		case p.Ended && idle >= e.times.retention:
-			e.forgetTree(s, p.ID)
-		case !p.Ended && (idle >= e.maxIdle(p) || e.now.Sub(p.Started) >= e.maxAge(p)):
-			e.end(s, p.ID)
-		}
-	}
-}
-
-// busyRoots returns the roots of the trees with an open call.
-func busyRoots(s *slot) map[core.ProgramID]bool {
-	busy := map[core.ProgramID]bool{}
+	active := s.lastActive()
 	for id := range s.home.lanes {
-		busy[id.Root()] = true
+		delete(active, id.Root())
+	}
+	for _, root := range slices.Sorted(maps.Keys(active)) {
+		if p := s.image.programs[root]; p != nil {
+			e.expireTree(s, p, e.now.Sub(active[root]))
+		}
 	}
-	return busy
 }
 
-// lastActive returns when each tree last made progress, by its root.
-func lastActive(s *slot) map[core.ProgramID]core.Instant {
+// lastActive returns when each tree last made progress, by root.
+func (s *slot) lastActive() map[core.ProgramID]core.Instant {
 	active := map[core.ProgramID]core.Instant{}
 	for id, p := range s.image.programs {
-		root := id.Root()
-		active[root] = max(active[root], p.Active)
+		active[id.Root()] = max(active[id.Root()], p.Active)
 	}
 	return active
 }
 
+func (e *Entry) expireTree(s *slot, root *core.Program, idle core.Duration) {
+	tooOld := e.now.Sub(root.Started) >= e.maxAge(root)
+	switch {
+	case root.Ended && idle >= e.times.retention:
+		e.forgetTree(s, root.ID)
+	case root.Ended && repeatsEnd(idle):
+		e.sendEnd(s, root.ID)
+	case !root.Ended && (tooOld || idle >= e.maxIdle(root)):
+		e.end(s, root.ID)
+	}
+}
+
+// repeatsEnd reports whether the end of a program is told again at this look.
+// The message may be lost, and nobody acknowledges it; the waits double.
+func repeatsEnd(idle core.Duration) bool {
+	looks := idle / expirePeriod
+	return looks > 0 && looks&(looks-1) == 0
+}
+
 // forgetTree releases the memory once more, in case the first message was lost,
 // and removes the records.
 func (e *Entry) forgetTree(s *slot, top core.ProgramID) {
