--- a/core/entry/records.go
+++ b/core/entry/records.go
@@ -33,12 +33,11 @@
 // tree returns the programs of the tree under top by id.
 func tree(s *slot, top core.ProgramID) []core.ProgramID {
 	var ids []core.ProgramID
-	for id := range s.image.programs {
+	for _, id := range slices.Sorted(maps.Keys(s.image.programs)) {
 		if inTree(id, top) {
 			ids = append(ids, id)
 		}
 	}
-	slices.Sort(ids)
 	return ids
 }
 
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -7,33 +7,44 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/sim"
 )
 
-// meanBetween is the mean time between two injections of each kind that is
-// scheduled; the other kinds come from callers or are counted by the fakes.
+// Faults come in storms, in which they combine, with calm between them, in
+// which programs get on and so have something to lose.
+const (
+	stormLength = 10 * core.Second
+	calmLength  = 14 * core.Second
+)
+
+// meanBetween is the mean time of storm between two injections of each kind
+// that is scheduled; the other kinds come from callers or are counted by the
+// fakes.
 var meanBetween = map[Fault]core.Duration{
-	EntryKilled:          14 * core.Second,
-	SidecarKilled:        14 * core.Second,
-	HomeAndMirrorKilled:  16 * core.Second,
-	EntryReplaced:        16 * core.Second,
-	SidecarReplaced:      16 * core.Second,
-	TargetLeaving:        15 * core.Second,
-	StoreDown:            16 * core.Second,
-	StoreSlow:            16 * core.Second,
-	SwapAnswerLost:       12 * core.Second,
-	HolderPaused:         14 * core.Second,
-	SidecarPaused:        15 * core.Second,
-	ConnectionSilent:     8 * core.Second,
-	AllConnectionsSilent: 16 * core.Second,
-	DomainCut:            16 * core.Second,
-	MessageLost:          8 * core.Second,
-	ToolHung:             8 * core.Second,
-	EngineHung:           8 * core.Second,
-	ConfigConflict:       14 * core.Second,
-	ConfigLate:           14 * core.Second,
-	CacheEventLost:       8 * core.Second,
-	EntryDrained:         15 * core.Second,
-	SidecarDrained:       15 * core.Second,
+	EntryKilled:          3800 * core.Millisecond,
+	SidecarKilled:        3800 * core.Millisecond,
+	HomeAndMirrorKilled:  1400 * core.Millisecond,
+	EntryReplaced:        3800 * core.Millisecond,
+	SidecarReplaced:      3800 * core.Millisecond,
+	TargetLeaving:        3 * core.Second,
+	StoreDown:            3800 * core.Millisecond,
+	StoreSlow:            3800 * core.Millisecond,
+	SwapAnswerLost:       4 * core.Second,
+	HolderPaused:         3800 * core.Millisecond,
+	SidecarPaused:        3800 * core.Millisecond,
+	ConnectionSilent:     3 * core.Second,
+	AllConnectionsSilent: 3800 * core.Millisecond,
+	DomainCut:            3800 * core.Millisecond,
+	MessageLost:          2 * core.Second,
+	ToolHung:             2 * core.Second,
+	EngineHung:           1400 * core.Millisecond,
+	ConfigConflict:       3 * core.Second,
+	ConfigLate:           3 * core.Second,
+	CacheEventLost:       1600 * core.Millisecond,
+	EntryDrained:         3800 * core.Millisecond,
+	SidecarDrained:       3800 * core.Millisecond,
 }
 
+// leaveAfter is the time between the mark in the VM list and the VM's end.
+const leaveAfter = 15 * core.Second
+
 // Probabilities of network faults, outside and inside of bursts.
 const (
 	baseLoss  = 0.002
@@ -49,6 +60,9 @@
 	foreignOf core.ProgramID
 	pick      uint64
 	picked    bool
+	// stopped ends the random schedule, which has begun at an instant.
+	stopped bool
+	began   core.Instant
 }
 
 func newInjector(h *Cluster) *injector {
@@ -57,6 +71,7 @@
 
 // start begins to inject, at random or by the given schedule.
 func (j *injector) start() {
+	j.began = j.h.sim.Now()
 	if j.h.opts.Schedule != nil {
 		j.follow()
 		return
@@ -71,12 +86,31 @@
 
 func (j *injector) plan(f Fault, mean core.Duration) {
 	gap := core.Duration(j.h.sim.Rand().ExpFloat64() * float64(mean))
-	j.h.sim.After(gap, func() {
+	j.h.sim.After(j.inStorm(gap), func() {
+		if j.stopped {
+			return
+		}
 		j.do(f)
 		j.plan(f, mean)
 	})
 }
 
+// inStorm returns the time until so much time of storm has passed.
+func (j *injector) inStorm(gap core.Duration) core.Duration {
+	var wait core.Duration
+	phase := j.h.sim.Now().Sub(j.began) % (stormLength + calmLength)
+	if phase >= stormLength {
+		wait, phase = stormLength+calmLength-phase, 0
+	}
+	left := stormLength - phase
+	for gap > left {
+		wait += left + calmLength
+		gap -= left
+		left = stormLength
+	}
+	return wait + gap
+}
+
 func (j *injector) follow() {
 	for _, in := range j.h.opts.Schedule {
 		j.h.sim.After(in.After, func() {
@@ -122,7 +156,7 @@
 	case ConnectionSilent:
 		return j.silence()
 	case AllConnectionsSilent:
-		j.h.sim.SilenceAll(3 * core.Second)
+		j.h.sim.SilenceAll(2 * core.Second)
 		return true
 	case DomainCut:
 		return j.cut()
@@ -181,7 +215,7 @@
 		return false
 	}
 	j.h.Kill(n)
-	j.h.sim.After(j.between(50*core.Millisecond, 4*core.Second), n.Start)
+	j.h.sim.After(j.between(50*core.Millisecond, 1500*core.Millisecond), n.Start)
 	return true
 }
 
@@ -213,7 +247,7 @@
 		return false
 	}
 	n.Leave()
-	j.h.sim.After(j.between(core.Second, 5*core.Second), func() { j.h.AddEntry(n.Domain()) })
+	j.h.sim.After(j.between(200*core.Millisecond, 2*core.Second), func() { j.h.AddEntry(n.Domain()) })
 	return true
 }
 
@@ -224,7 +258,7 @@
 	}
 	j.h.obs.endLife(n)
 	n.Leave()
-	j.h.sim.After(j.between(core.Second, 5*core.Second), func() { j.h.AddSidecar(n.Domain(), n.Pool()) })
+	j.h.sim.After(j.between(200*core.Millisecond, 2*core.Second), func() { j.h.AddSidecar(n.Domain(), n.Pool()) })
 	return true
 }
 
@@ -240,7 +274,7 @@
 	j.h.obs.leaving[n.ID().VM] = j.h.sim.Now()
 	j.h.sim.VMs.Leaving(n)
 	j.h.AddSidecar(n.Domain(), n.Pool())
-	j.h.sim.After(30*core.Second, func() {
+	j.h.sim.After(leaveAfter, func() {
 		j.h.obs.endLife(n)
 		n.Leave()
 	})
@@ -250,14 +284,14 @@
 func (j *injector) storeDown() bool {
 	st := j.h.sim.Store
 	st.SetDown(true)
-	j.h.sim.After(j.between(core.Second, 6*core.Second), func() { st.SetDown(false) })
+	j.h.sim.After(j.between(500*core.Millisecond, 3*core.Second), func() { st.SetDown(false) })
 	return true
 }
 
 func (j *injector) storeSlow() bool {
 	st := j.h.sim.Store
-	st.SetSlow(j.between(100*core.Millisecond, 3*core.Second))
-	j.h.sim.After(j.between(core.Second, 6*core.Second), func() { st.SetSlow(0) })
+	st.SetSlow(j.between(100*core.Millisecond, 2*core.Second))
+	j.h.sim.After(j.between(500*core.Millisecond, 4*core.Second), func() { st.SetSlow(0) })
 	return true
 }
 
@@ -274,7 +308,7 @@
 	if n == nil {
 		return false
 	}
-	d := j.between(500*core.Millisecond, 7*core.Second)
+	d := j.between(500*core.Millisecond, 5*core.Second)
 	n.Pause(d)
 	j.h.obs.resumed[n.ID().VM] = j.h.sim.Now().Add(d)
 	return true
@@ -285,14 +319,14 @@
 	if a == nil || b == nil || a == b {
 		return false
 	}
-	j.h.sim.Silence(a, b, j.between(core.Second, 6*core.Second))
+	j.h.sim.Silence(a, b, j.between(core.Second, 4*core.Second))
 	return true
 }
 
 func (j *injector) cut() bool {
 	d := domains[j.number(len(domains))]
 	j.h.sim.CutDomain(d)
-	j.h.sim.After(j.between(core.Second, 8*core.Second), func() { j.h.sim.HealDomain(d) })
+	j.h.sim.After(j.between(core.Second, 5*core.Second), func() { j.h.sim.HealDomain(d) })
 	return true
 }
 
