--- /dev/null
+++ b/bench/path/load.go
@@ -0,0 +1,158 @@
+package path
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// warmUp is how long calls are made before they count.
+	warmUp = time.Second
+	// callTimeout bounds one call.
+	callTimeout = 10 * time.Second
+	// maxLatency is the largest latency that a histogram tells apart.
+	maxLatency = int64(time.Minute)
+	// precision is the number of significant digits of a latency.
+	precision = 3
+)
+
+func newClient() *http.Client {
+	return &http.Client{
+		Timeout: callTimeout,
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: 1024,
+			DisableCompression:  true,
+		},
+	}
+}
+
+// timing is the latency of one call.
+type timing struct {
+	whole time.Duration
+	// first is the time to the first byte of the body.
+	first time.Duration
+}
+
+// caller makes one call to a base URL.
+type caller func(ctx context.Context, base string, n int) (timing, error)
+
+// measurement gathers the timings of one phase.
+type measurement struct {
+	mu    sync.Mutex
+	whole *histogram
+	first *histogram
+	sent  int
+}
+
+type histogram struct {
+	values *hdrhistogram.Histogram
+	failed int
+}
+
+func newHistogram() *histogram {
+	return &histogram{values: hdrhistogram.New(1, maxLatency, precision)}
+}
+
+func (m *measurement) add(t timing, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err != nil {
+		m.whole.failed++
+		m.first.failed++
+		return
+	}
+	// Latencies beyond the histogram cannot occur within callTimeout.
+	_ = m.whole.values.RecordValue(int64(t.whole))
+	_ = m.first.values.RecordValue(int64(t.first))
+}
+
+// load makes calls at the rate, with random gaps, and waits for all answers.
+func (b *bench) load(ctx context.Context, bases []string, call caller) *measurement {
+	rng := rand.New(rand.NewPCG(b.options.Seed, 1))
+	m := &measurement{whole: newHistogram(), first: newHistogram()}
+	var pending sync.WaitGroup
+	began := time.Now()
+	at := began
+	for n := 0; ; n++ {
+		at = at.Add(time.Duration(rng.ExpFloat64() / b.options.Rate * float64(time.Second)))
+		if at.Sub(began) > warmUp+b.options.Duration || ctx.Err() != nil {
+			break
+		}
+		time.Sleep(time.Until(at))
+		counts := at.Sub(began) > warmUp
+		m.sent++
+		pending.Go(func() {
+			t, err := call(ctx, bases[n%len(bases)], n)
+			if counts {
+				m.add(t, err)
+			}
+		})
+	}
+	pending.Wait()
+	return m
+}
+
+func (b *bench) callService(ctx context.Context, base string, n int) (timing, error) {
+	key := fmt.Sprintf("%d-%s-%d", b.options.Seed, base, n)
+	return b.call(ctx, base+servicePath+"x", key, "{}")
+}
+
+// modelBody asks for a short streamed answer.
+const modelBody = `{"model":"` + modelName + `","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"call %d of the benchmark"}]}`
+
+func (b *bench) callModel(ctx context.Context, base string, n int) (timing, error) {
+	return b.call(ctx, base+"/v1/chat/completions", "", fmt.Sprintf(modelBody, n))
+}
+
+func (b *bench) call(ctx context.Context, url, key, body string) (timing, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return timing{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+benchKey)
+	req.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	began := time.Now()
+	resp, err := b.client.Do(req)
+	if err != nil {
+		return timing{}, err
+	}
+	defer resp.Body.Close()
+	var one [1]byte
+	if _, err := io.ReadFull(resp.Body, one[:]); err != nil {
+		return timing{}, err
+	}
+	t := timing{first: time.Since(began)}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return timing{}, err
+	}
+	t.whole = time.Since(began)
+	if resp.StatusCode != http.StatusOK {
+		return timing{}, fmt.Errorf("status %s", resp.Status)
+	}
+	return t, nil
+}
+
+func (h *histogram) quantiles() Quantiles {
+	return Quantiles{
+		Calls:  int(h.values.TotalCount()),
+		Failed: h.failed,
+		P50:    time.Duration(h.values.ValueAtQuantile(50)),
+		P99:    time.Duration(h.values.ValueAtQuantile(99)),
+	}
+}
+
+func compare(direct, through *histogram) Comparison {
+	d, t := direct.quantiles(), through.quantiles()
+	return Comparison{Direct: d, Through: t, AddedP50: t.P50 - d.P50, AddedP99: t.P99 - d.P99}
+}
--- a/cli/bench.go
+++ b/cli/bench.go
@@ -9,6 +9,7 @@
 		Commands: []*cli.Command{
 			benchSoakCommand(),
 			benchRecoveryCommand(),
+			benchPathCommand(),
 		},
 	}
 }
--- a/daemon/node/config.go
+++ b/daemon/node/config.go
@@ -43,12 +43,14 @@
 		first, second = second, first
 	}
 	err := first()
-	if err == nil {
-		return
-	}
-	if err := errors.Join(err, second()); n.Config() == nil && err != nil {
-		n.log.Debug().Str("step", "read configuration").Err(err).Msg("the first source has no configuration")
+	if err != nil {
+		if other := second(); other == nil {
+			err = nil
+		} else {
+			err = errors.Join(err, other)
+		}
 	}
+	n.health.note("read configuration", err)
 }
 
 // readStoreConfig reads the configuration from the key-value service.
--- a/local/process.go
+++ b/local/process.go
@@ -95,3 +95,11 @@
 		return ctx.Err()
 	}
 }
+
+// PID returns the process id of a life in a process of its own, else zero.
+func (v *VM) PID() int {
+	if p, ok := v.current().(*process); ok {
+		return p.cmd.Process.Pid
+	}
+	return 0
+}
