rpc/peer: one stream of batches for each peer, no compression

Change: Deliver is a stream in both directions; batches go out without waiting, each is acknowledged; a stream with a batch unacknowledged for the call timeout is given up and what it had not acknowledged is sent once more.

--- a/rpc/peer/conn.go
+++ b/rpc/peer/conn.go
@@ -51,6 +51,7 @@
 		&http.Client{Transport: c.transport},
 		scheme+addr,
 		connect.WithReadMaxBytes(maxMessageBytes),
+		connect.WithAcceptCompression("gzip", nil, nil),
 	)
 	return c
 }
--- a/rpc/peer/handler.go
+++ b/rpc/peer/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 
 	"connectrpc.com/connect"
@@ -37,12 +38,34 @@
 
 // HTTP returns the path and the handler to serve.
 func (h *Handler) HTTP() (string, http.Handler) {
-	return peerpbconnect.NewPeerServiceHandler(h, connect.WithReadMaxBytes(maxMessageBytes))
+	// Messages are small and frequent: compression would cost more than it saves.
+	return peerpbconnect.NewPeerServiceHandler(h,
+		connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompression("gzip", nil, nil))
 }
 
-// Deliver passes a batch on to Receive. Messages that cannot be decoded are
-// dropped, as lost ones would be.
-func (h *Handler) Deliver(_ context.Context, req *peerpb.DeliverRequest) (*peerpb.DeliverResponse, error) {
+// Deliver passes batches on to Receive and acknowledges each.
+func (h *Handler) Deliver(_ context.Context, stream *connect.BidiStream[peerpb.DeliverRequest, peerpb.DeliverResponse]) error {
+	for {
+		req, err := stream.Receive()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		resp, err := h.take(req)
+		if err != nil {
+			return err
+		}
+		if err := stream.Send(resp); err != nil {
+			return err
+		}
+	}
+}
+
+// take passes one batch on. Messages that cannot be decoded are dropped, as lost
+// ones would be.
+func (h *Handler) take(req *peerpb.DeliverRequest) (*peerpb.DeliverResponse, error) {
 	from := wire.ToNode(req.GetFrom())
 	if from.IsZero() {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("a batch needs its sender"))
--- a/rpc/peer/mesh.go
+++ b/rpc/peer/mesh.go
@@ -103,7 +103,7 @@
 	}
 	box := m.box(string(to.VM))
 	if box == nil {
-		m.count(&m.stats.Dropped, 1)
+		m.stats.Dropped.Add(1)
 		return
 	}
 	box.put(env)
@@ -115,7 +115,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, b := range m.boxes {
-		b.slot.close()
+		b.close()
 	}
 	for _, r := range m.readers {
 		r.close()
@@ -132,7 +132,7 @@
 	delete(m.readers, string(vm))
 	m.mu.Unlock()
 	if box != nil {
-		box.slot.close()
+		box.close()
 	}
 	if reader != nil {
 		reader.close()
@@ -148,7 +148,7 @@
 	if m.addrs[vm] == "" {
 		return nil
 	}
-	b := &outbox{mesh: m, vm: vm, slot: connSlot{files: m.options.TLS}}
+	b := newOutbox(m, vm)
 	m.boxes[vm] = b
 	return b
 }
@@ -170,8 +170,6 @@
 	return m.addrs[vm]
 }
 
-func (m *Mesh) count(c *atomic.Uint64, n uint64) { c.Add(n) }
-
 func (m *Mesh) report(err error) {
 	if m.options.OnError != nil && m.ctx.Err() == nil {
 		m.options.OnError(err)
--- a/rpc/peer/outbox.go
+++ b/rpc/peer/outbox.go
@@ -1,11 +1,8 @@
 package peer
 
 import (
-	"context"
-	"errors"
 	"sync"
-
-	"connectrpc.com/connect"
+	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/peerpb"
 )
@@ -13,97 +10,160 @@
 const (
 	// maxQueued bounds the messages that wait for one peer; more are dropped.
 	maxQueued = 16384
-	// maxBatch bounds the messages of one call.
+	// maxBatch bounds the messages of one batch.
 	maxBatch = 512
+	// maxTries bounds how often a batch is sent.
+	maxTries = 2
+	// redialPause is the wait after a peer could not be reached.
+	redialPause = 20 * time.Millisecond
 )
 
-// outbox sends the messages for one VM, one batch at a time. A message is sent
-// at once when no batch is under way; those that arrive meanwhile make up the
-// next batch.
+// outbox sends the messages for one VM over one stream. Messages are sent at
+// once while the stream takes them; those that arrive meanwhile make up the next
+// batch.
 type outbox struct {
 	mesh *Mesh
 	vm   string
 	slot connSlot
+	// ready is signalled when there is something to send.
+	ready chan struct{}
+	// closed ends the outbox.
+	closed chan struct{}
+	once   sync.Once
+
+	mu    sync.Mutex
+	queue []*peerpb.Envelope
+	// again holds the batches of a stream that went silent.
+	again []*batch
+}
+
+// batch is a group of messages and how often it was sent.
+type batch struct {
+	messages []*peerpb.Envelope
+	tries    int
+	sent     time.Time
+}
 
-	mu     sync.Mutex
-	queue  []*peerpb.Envelope
-	active bool
+func newOutbox(m *Mesh, vm string) *outbox {
+	o := &outbox{
+		mesh:   m,
+		vm:     vm,
+		slot:   connSlot{files: m.options.TLS},
+		ready:  make(chan struct{}, 1),
+		closed: make(chan struct{}),
+	}
+	go o.run()
+	return o
 }
 
 func (o *outbox) put(env *peerpb.Envelope) {
 	o.mu.Lock()
-	defer o.mu.Unlock()
-	if len(o.queue) >= maxQueued {
-		o.mesh.count(&o.mesh.stats.Dropped, 1)
+	full := len(o.queue) >= maxQueued
+	if !full {
+		o.queue = append(o.queue, env)
+	}
+	o.mu.Unlock()
+	if full {
+		o.mesh.stats.Dropped.Add(1)
 		return
 	}
-	o.queue = append(o.queue, env)
-	if !o.active {
-		o.active = true
-		go o.run()
+	o.signal()
+}
+
+func (o *outbox) signal() {
+	select {
+	case o.ready <- struct{}{}:
+	default:
 	}
 }
 
-// take removes the next batch; an empty one ends the run.
-func (o *outbox) take() []*peerpb.Envelope {
+func (o *outbox) close() {
+	o.once.Do(func() { close(o.closed) })
+	o.slot.close()
+}
+
+// take removes the next batch, or returns nil.
+func (o *outbox) take() *batch {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if len(o.again) > 0 {
+		b := o.again[0]
+		o.again = o.again[1:]
+		return b
+	}
 	n := min(len(o.queue), maxBatch)
 	if n == 0 {
-		o.active = false
-		o.queue = nil
 		return nil
 	}
-	batch := o.queue[:n:n]
+	b := &batch{messages: o.queue[:n:n]}
 	o.queue = o.queue[n:]
-	return batch
+	if len(o.queue) == 0 {
+		o.queue = nil
+	}
+	return b
 }
 
-func (o *outbox) run() {
-	for {
-		batch := o.take()
-		if batch == nil {
-			return
-		}
-		o.send(batch)
+// idle reports whether nothing waits to be sent.
+func (o *outbox) idle() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.queue)+len(o.again) == 0
+}
+
+// drop loses all that waits.
+func (o *outbox) drop() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	n := len(o.queue)
+	for _, b := range o.again {
+		n += len(b.messages)
 	}
+	o.queue = nil
+	o.again = nil
+	o.mesh.stats.Dropped.Add(uint64(n))
 }
 
-// send delivers one batch. A call without an answer in time discards the
-// connection and is repeated once over a fresh one.
-func (o *outbox) send(batch []*peerpb.Envelope) {
-	req := &peerpb.DeliverRequest{
-		From:        o.mesh.self,
-		FromAddress: o.mesh.options.Addr,
-		Messages:    batch,
+// giveBack takes the batches that a silent stream has not acknowledged.
+func (o *outbox) giveBack(batches []*batch) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, b := range batches {
+		if b.tries >= maxTries {
+			o.mesh.stats.Dropped.Add(uint64(len(b.messages)))
+			continue
+		}
+		o.again = append(o.again, b)
 	}
-	for range 2 {
+}
+
+// run opens a stream whenever there is something to send.
+func (o *outbox) run() {
+	for {
+		if o.idle() {
+			select {
+			case <-o.ready:
+				continue
+			case <-o.closed:
+				return
+			case <-o.mesh.ctx.Done():
+				return
+			}
+		}
 		addr := o.mesh.address(o.vm)
 		if addr == "" {
-			break
+			o.drop()
+			continue
 		}
-		retry, err := o.try(addr, req)
-		if err == nil {
-			o.mesh.count(&o.mesh.stats.Sent, uint64(len(batch)))
-			return
+		if o.stream(addr) {
+			continue
 		}
-		o.mesh.report(&DeliveryError{Step: "deliver", Peer: o.vm, Err: err})
-		if !retry {
-			break
+		o.drop()
+		select {
+		case <-time.After(redialPause):
+		case <-o.closed:
+			return
+		case <-o.mesh.ctx.Done():
+			return
 		}
 	}
-	o.mesh.count(&o.mesh.stats.Dropped, uint64(len(batch)))
-}
-
-func (o *outbox) try(addr string, req *peerpb.DeliverRequest) (retry bool, err error) {
-	ctx, cancel := context.WithTimeout(o.mesh.ctx, o.mesh.options.CallTimeout)
-	defer cancel()
-	c := o.slot.get(addr)
-	_, err = c.client.Deliver(ctx, req)
-	if err == nil {
-		return false, nil
-	}
-	o.slot.discard(c)
-	silent := errors.Is(err, context.DeadlineExceeded) || connect.CodeOf(err) == connect.CodeDeadlineExceeded
-	return silent, err
 }
--- a/rpc/peerpb/peerpbconnect/peer.connect.go
+++ b/rpc/peerpb/peerpbconnect/peer.connect.go
@@ -46,8 +46,9 @@
 
 // PeerServiceClient is a client for the rhubarbsaddle.peer.v1.PeerService service.
 type PeerServiceClient interface {
-	// Deliver passes a batch of messages to the receiver's reducer.
-	Deliver(context.Context, *peerpb.DeliverRequest) (*peerpb.DeliverResponse, error)
+	// Deliver passes batches of messages to the receiver's reducer. The receiver
+	// answers each batch in order.
+	Deliver(context.Context) (*connect.BidiStreamForClientSimple[peerpb.DeliverRequest, peerpb.DeliverResponse], error)
 	// Attach reads the answer of an attempt from the sidecar that keeps it.
 	Attach(context.Context, *peerpb.AttachRequest) (*connect.ServerStreamForClient[peerpb.AttachResponse], error)
 	// FetchConfig reads the configuration in force at the receiver, for a process
@@ -95,12 +96,8 @@
 }
 
 // Deliver calls rhubarbsaddle.peer.v1.PeerService.Deliver.
-func (c *peerServiceClient) Deliver(ctx context.Context, req *peerpb.DeliverRequest) (*peerpb.DeliverResponse, error) {
-	response, err := c.deliver.CallUnary(ctx, connect.NewRequest(req))
-	if response != nil {
-		return response.Msg, err
-	}
-	return nil, err
+func (c *peerServiceClient) Deliver(ctx context.Context) (*connect.BidiStreamForClientSimple[peerpb.DeliverRequest, peerpb.DeliverResponse], error) {
+	return c.deliver.CallBidiStreamSimple(ctx)
 }
 
 // Attach calls rhubarbsaddle.peer.v1.PeerService.Attach.
@@ -119,8 +116,9 @@
 
 // PeerServiceHandler is an implementation of the rhubarbsaddle.peer.v1.PeerService service.
 type PeerServiceHandler interface {
-	// Deliver passes a batch of messages to the receiver's reducer.
-	Deliver(context.Context, *peerpb.DeliverRequest) (*peerpb.DeliverResponse, error)
+	// Deliver passes batches of messages to the receiver's reducer. The receiver
+	// answers each batch in order.
+	Deliver(context.Context, *connect.BidiStream[peerpb.DeliverRequest, peerpb.DeliverResponse]) error
 	// Attach reads the answer of an attempt from the sidecar that keeps it.
 	Attach(context.Context, *peerpb.AttachRequest, *connect.ServerStream[peerpb.AttachResponse]) error
 	// FetchConfig reads the configuration in force at the receiver, for a process
@@ -135,7 +133,7 @@
 // and JSON codecs. They also support gzip compression.
 func NewPeerServiceHandler(svc PeerServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	peerServiceMethods := peerpb.File_peer_proto.Services().ByName("PeerService").Methods()
-	peerServiceDeliverHandler := connect.NewUnaryHandlerSimple(
+	peerServiceDeliverHandler := connect.NewBidiStreamHandler(
 		PeerServiceDeliverProcedure,
 		svc.Deliver,
 		connect.WithSchema(peerServiceMethods.ByName("Deliver")),
@@ -170,8 +168,8 @@
 // UnimplementedPeerServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedPeerServiceHandler struct{}
 
-func (UnimplementedPeerServiceHandler) Deliver(context.Context, *peerpb.DeliverRequest) (*peerpb.DeliverResponse, error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbsaddle.peer.v1.PeerService.Deliver is not implemented"))
+func (UnimplementedPeerServiceHandler) Deliver(context.Context, *connect.BidiStream[peerpb.DeliverRequest, peerpb.DeliverResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbsaddle.peer.v1.PeerService.Deliver is not implemented"))
 }
 
 func (UnimplementedPeerServiceHandler) Attach(context.Context, *peerpb.AttachRequest, *connect.ServerStream[peerpb.AttachResponse]) error {
