--- a/demo/faults.go
+++ b/demo/faults.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"sync"
 	"time"
 
+	reducer "github.com/rhubarbsaddle/rhubarbsaddle/core/entry"
 	"github.com/rhubarbsaddle/rhubarbsaddle/local"
 )
 
@@ -19,9 +21,9 @@
 	violations []string
 }
 
-// inject kills an entry for good and a sidecar that starts again in place.
+// inject kills the busiest entry for good and a sidecar that starts again in place.
 func (f *faults) inject(ctx context.Context, d *local.Deployment) {
-	entry, side := d.Entries()[0], d.Sidecars()[0]
+	entry, side := busiest(ctx, d.Entries()), d.Sidecars()[0]
 	f.collect(ctx, entry)
 	f.collect(ctx, side)
 	entry.Kill()
@@ -37,6 +39,22 @@
 	}
 }
 
+// busiest returns the entry that is the home of the most slots.
+func busiest(ctx context.Context, entries []*local.VM) *local.VM {
+	best, most := entries[0], -1
+	for _, e := range entries {
+		status, err := e.Status(ctx)
+		if err != nil {
+			continue
+		}
+		var state reducer.Status
+		if json.Unmarshal(status.State, &state) == nil && state.Home > most {
+			best, most = e, state.Home
+		}
+	}
+	return best
+}
+
 // collect keeps the violated promises that a life has recorded.
 func (f *faults) collect(ctx context.Context, vm *local.VM) {
 	if !vm.Alive() {
