--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -67,13 +67,13 @@
 
 // New returns the reducer of an entry that knows nothing yet.
 func New(o Options) *Entry {
-	e := &Entry{
+	return &Entry{
 		self:     o.Self,
 		domain:   o.Domain,
 		check:    o.Invariants,
 		rng:      rand.New(rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15)),
 		times:    timesOf(nil),
-		members:  newMembers(),
+		members:  newMembers(o.Self),
 		targets:  newTargets(),
 		requests: map[core.RequestID]*request{},
 		store:    newStore(),
@@ -81,8 +81,6 @@
 		budgets:  map[retryKey]*retry.Budget{},
 		refusals: map[core.RequestID]refusedRequest{},
 	}
-	e.members.lives[o.Self.VM] = o.Self.Inc
-	return e
 }
 
 // Step applies one event at an instant and returns the effects in order.
--- a/core/entry/members.go
+++ b/core/entry/members.go
@@ -10,6 +10,8 @@
 
 // members is what an entry knows of the VMs and of the lives of processes.
 type members struct {
+	// self is this entry's VM, which no reading of the list declares dead.
+	self  core.VM
 	peers map[core.VM]*peer
 	// lives holds the highest incarnation seen of each VM.
 	lives map[core.VM]core.Incarnation
@@ -41,10 +43,11 @@
 	asked    core.Instant
 }
 
-func newMembers() members {
+func newMembers(self core.Node) members {
 	return members{
+		self:   self.VM,
 		peers:  map[core.VM]*peer{},
-		lives:  map[core.VM]core.Incarnation{},
+		lives:  map[core.VM]core.Incarnation{self.VM: self.Inc},
 		gone:   map[core.VM]bool{},
 		listed: map[core.VM]core.VMInfo{},
 		absent: map[core.VM]core.Instant{},
@@ -63,7 +66,7 @@
 // unlisted reports whether readings of the list over its lag lack a VM. A VM
 // that has ended before this life's first reading is known in no other way.
 func (m *members) unlisted(vm core.VM) bool {
-	if _, ok := m.listed[vm]; ok || !m.list {
+	if _, ok := m.listed[vm]; ok || !m.list || vm == m.self {
 		return false
 	}
 	since, ok := m.absent[vm]
