--- a/rpc/wire/record.go
+++ b/rpc/wire/record.go
@@ -19,6 +19,7 @@
 		Reserved:      r.Reserved,
 		Finish:        fromFinish(&r.Finish),
 		DoneAt:        int64(r.DoneAt),
+		MayHaveRun:    r.MayHaveRun,
 		Req:           fromRequest(r.Req),
 	}
 }
@@ -37,6 +38,7 @@
 		Reserved:      p.GetReserved(),
 		Finish:        toFinish(p.GetFinish()),
 		DoneAt:        core.Instant(p.GetDoneAt()),
+		MayHaveRun:    p.GetMayHaveRun(),
 		Req:           toRequest(p.GetReq()),
 	}
 }
