--- a/core/entry/dispatch.go
+++ b/core/entry/dispatch.go
@@ -242,22 +242,12 @@
 	if rec.Kind == core.CallModel {
 		e.recordHistory(p, c.body, r)
 		p.Turns++
-		e.releaseMoved(s, p, c.target)
 		p.Last = c.target
 	}
 	s.edit(c.program.Root()).Attained += r.Usage.Total()
 	e.close(s, c, f)
 }
 
-// releaseMoved releases the memory that a program left behind at the target of
-// its call before.
-func (e *Entry) releaseMoved(s *slot, p *core.Program, to core.Node) {
-	if p.Last.IsZero() || p.Last == to || e.members.dead(p.Last) {
-		return
-	}
-	e.send(p.Last, core.EndProgram{Slot: s.id, Epoch: s.home.epoch, Program: p.ID, Moved: true})
-}
-
 func (e *Entry) finishRecord(p *core.Program, rec *core.CallRecord, f core.Finish) {
 	rec.Phase = core.PhaseDone
 	rec.Finish = f
--- a/core/message.go
+++ b/core/message.go
@@ -158,9 +158,6 @@
 	Slot    SlotID
 	Epoch   Epoch
 	Program ProgramID
-	// Moved means that Program goes on at another target: the memory of this one
-	// program is released, and it may come back.
-	Moved bool
 }
 
 // Hello asks a sidecar for load reports.
--- a/core/sidecar/release.go
+++ b/core/sidecar/release.go
@@ -14,10 +14,6 @@
 	if !s.fences.pass(msg.Slot, msg.Epoch) {
 		return
 	}
-	if msg.Moved {
-		s.releaseMoved(msg.Program)
-		return
-	}
 	s.cache.ends[msg.Program] = s.now
 	inTree := func(id core.ProgramID) bool { return within(id, msg.Program) }
 	s.withdrawAll(core.ReasonEnded, func(a *attempt) bool { return inTree(a.call.Program) })
@@ -34,18 +30,6 @@
 	s.checkReleased(msg.Program)
 }
 
-// releaseMoved drops what a program left behind here, unless it has come back.
-func (s *Sidecar) releaseMoved(program core.ProgramID) {
-	p := s.cache.pins[program]
-	if p == nil || p.running > 0 {
-		return
-	}
-	waits := func(a *attempt) bool { return a.call.Program == program }
-	if !slices.ContainsFunc(s.queue.waiting, waits) {
-		s.release(p)
-	}
-}
-
 // within reports whether id is p or below it.
 func within(id, p core.ProgramID) bool {
 	return id == p || strings.HasPrefix(string(id), string(p)+"/")
