--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/loop"
 	"github.com/rhubarbsaddle/rhubarbsaddle/invariant"
+	"github.com/rhubarbsaddle/rhubarbsaddle/observe"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform/vmlist"
 	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/peer"
@@ -53,6 +55,8 @@
 	Status func() any
 	// Answers is where a sidecar keeps its answers; nil for an entry.
 	Answers peer.Answers
+	// ConfigFromPeers makes other entries the first source of the configuration.
+	ConfigFromPeers bool
 	// Watch names the prefixes of the key-value service that are watched.
 	Watch []string
 }
@@ -63,13 +67,18 @@
 	Clock      *loop.Clock
 	Invariants *invariant.Recorder
 	Metrics    *Metrics
+	// Events is the log of observations and decisions.
+	Events *observe.Log
 
 	options Options
 	log     *log.Logger
 	tls     *tlsfile.Files
 	mesh    *peer.Mesh
 	loop    *loop.Loop
+	health  *health
 	applied atomic.Pointer[Applied]
+	// vms is the last reading of the VM list.
+	vms atomic.Pointer[[]core.VMInfo]
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -112,10 +121,15 @@
 		stopped:    make(chan struct{}),
 		fatal:      make(chan error, 1),
 	}
-	n.Metrics = newMetrics(n)
+	n.health = newHealth(n.log)
+	if err := n.openRecords(); err != nil {
+		cancel()
+		peers.Close()
+		return nil, err
+	}
 	n.mesh = peer.NewMesh(peer.Options{
 		Self:    n.Self,
-		Addr:    peers.Addr().String(),
+		Addr:    replyAddr(peers.Addr()),
 		TLS:     files,
 		OnError: n.peerFailed,
 	})
@@ -169,6 +183,16 @@
 // Mesh returns the node's side towards its peers.
 func (n *Node) Mesh() *peer.Mesh { return n.mesh }
 
+// replyAddr returns the address that peers may answer to before the VM list
+// shows this VM; "" if the process listens on all addresses.
+func replyAddr(addr net.Addr) string {
+	at, err := netip.ParseAddrPort(addr.String())
+	if err != nil || at.Addr().IsUnspecified() {
+		return ""
+	}
+	return at.String()
+}
+
 // PeerAddr returns the address that peers use.
 func (n *Node) PeerAddr() string { return n.peers.Addr().String() }
 
@@ -199,16 +223,20 @@
 // Close ends the life at once, as a crash would: sockets are closed and all
 // state is lost.
 func (n *Node) Close() {
-	n.cancel()
+	// Sockets go first, so that nothing is said to anybody any more.
 	for _, s := range n.servers {
 		s.Close()
 	}
+	n.cancel()
 	n.peers.Close()
 	n.mesh.Close()
 	if n.loop != nil {
 		n.loop.Stop()
 	}
 	n.running.Wait()
+	if err := n.Events.Close(); err != nil {
+		n.log.Warn().Str("step", "close").Err(err).Msg("the event log was not closed")
+	}
 }
 
 func (n *Node) fail(err error) {
@@ -220,7 +248,7 @@
 }
 
 func (n *Node) peerFailed(err error) {
-	n.Metrics.peerErrors.Inc()
+	n.Metrics.PeerError()
 	n.log.Debug().Str("step", "peer").Err(err).Msg("call to a peer failed")
 }
 
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -26,6 +26,9 @@
 	Schedule []Injection
 	// Calm leaves all faults out.
 	Calm bool
+	// Repeats is the share of calls that callers send to two entries at once;
+	// zero means the default.
+	Repeats float64
 	// Response sees every response to a caller; it may be nil.
 	Response func(*sim.Response)
 }
@@ -40,7 +43,7 @@
 
 // Rates of the traffic.
 const (
-	arrivalMean = 180 * core.Millisecond
+	arrivalMean = 260 * core.Millisecond
 	// maxPrograms bounds the programs under way.
 	maxPrograms = 60
 	// warmUp is the time before the first program and the first fault.
@@ -83,6 +86,9 @@
 	if opts.Reducers.Entry == nil {
 		opts.Reducers = product()
 	}
+	if opts.Repeats == 0 {
+		opts.Repeats = repeatShare
+	}
 	h := &Cluster{
 		opts:      opts,
 		reducers:  &invariant.Recorder{},
