--- a/bench/policy/driver.go
+++ b/bench/policy/driver.go
@@ -14,7 +14,7 @@
 const (
 	// callTimeout bounds one call.
 	callTimeout = 2 * time.Minute
-	// maxTries bounds the tries of one call that was refused.
+	// maxTries bounds the tries of one call that was refused or cut off.
 	maxTries = 4
 	// maxOutput is the bound on the answer that callers set; the real length is
 	// known to nobody before.
@@ -119,7 +119,7 @@
 func (v *driver) call(r *run) {
 	v.calls++
 	call := core.Call{
-		Program: r.id, ProgramKind: r.shape.Kind, Account: account,
+		Program: r.id, ProgramKind: r.shape.Kind, Seq: uint64(r.turn) + 1, Account: account,
 		Kind: core.CallModel, Pool: r.shape.Pool, Stream: true, MaxTokens: maxOutput,
 		Blocks: append([]core.Block(nil), r.blocks...), Timeout: callTimeout.Nanoseconds(),
 	}
