--- a/cli/bench.go
+++ b/cli/bench.go
@@ -10,6 +10,7 @@
 			benchSoakCommand(),
 			benchRecoveryCommand(),
 			benchPolicyCommand(),
+			benchPathCommand(),
 		},
 	}
 }
--- a/rpc/wire/record.go
+++ b/rpc/wire/record.go
@@ -21,6 +21,7 @@
 		Finish:        fromFinish(&r.Finish),
 		DoneAt:        int64(r.DoneAt),
 		Req:           fromRequest(r.Req),
+		MayHaveRun:    r.MayHaveRun,
 	}
 }
 
@@ -40,6 +41,7 @@
 		Finish:        toFinish(p.GetFinish()),
 		DoneAt:        core.Instant(p.GetDoneAt()),
 		Req:           toRequest(p.GetReq()),
+		MayHaveRun:    p.GetMayHaveRun(),
 	}
 }
 
