--- a/rpc/wire/decode.go
+++ b/rpc/wire/decode.go
@@ -120,7 +120,6 @@
 			Slot:    core.SlotID(p.EndProgram.GetSlot()),
 			Epoch:   toEpoch(p.EndProgram.GetEpoch()),
 			Program: core.ProgramID(p.EndProgram.GetProgram()),
-			Moved:   p.EndProgram.GetMoved(),
 		}
 	}
 	return nil
--- a/rpc/wire/encode.go
+++ b/rpc/wire/encode.go
@@ -96,7 +96,7 @@
 			Slot: uint32(m.Slot), Epoch: fromEpoch(m.Epoch), Attempt: FromAttempt(m.Attempt)}}
 	case core.EndProgram:
 		env.Message = &peerpb.Envelope_EndProgram{EndProgram: &peerpb.EndProgram{
-			Slot: uint32(m.Slot), Epoch: fromEpoch(m.Epoch), Program: string(m.Program), Moved: m.Moved}}
+			Slot: uint32(m.Slot), Epoch: fromEpoch(m.Epoch), Program: string(m.Program)}}
 	default:
 		return false
 	}
