--- a/engine/openai/run.go
+++ b/engine/openai/run.go
@@ -88,8 +88,8 @@
 	// Without GetBody the client cannot send the request a second time.
 	req.GetBody = nil
 	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set(HeaderAttempt, r.req.Attempt.String())
-	req.Header.Set(HeaderFence, FormatFence(r.req.Attempt.Slot, r.req.Fence))
+	req.Header.Set(engine.HeaderAttempt, r.req.Attempt.String())
+	req.Header.Set(engine.HeaderFence, engine.FormatFence(r.req.Attempt.Slot, r.req.Fence))
 	return r.exchange(ctx, engine.StepRun, req)
 }
 
--- a/engine/openai/wire.go
+++ b/engine/openai/wire.go
@@ -13,8 +13,8 @@
 //	POST /engine/kv/import                      engine.KV in, WireImported out
 //	POST /engine/orders                         engine.Order; 409 if its fence is old
 //
-// A request carries its attempt in HeaderAttempt and its fencing number in
-// HeaderFence. A streamed answer may contain events without data that keep the
+// A request carries its attempt in engine.HeaderAttempt and its fencing number in
+// engine.HeaderFence. A streamed answer may contain events without data that keep the
 // connection alive; they do not count in offsets. TrailerUsage follows a body.
 package openai
 
@@ -24,15 +24,8 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 )
 
-// Headers and trailers of requests and answers.
-const (
-	// HeaderAttempt names the attempt; the answer can be resumed under this name.
-	HeaderAttempt = "X-Attempt-Id"
-	// HeaderFence holds the slot and the epoch as FormatFence writes them.
-	HeaderFence = "X-Fence"
-	// TrailerUsage holds the usage as FormatUsage writes it.
-	TrailerUsage = "X-Usage"
-)
+// TrailerUsage holds the usage of an answer as FormatUsage writes it.
+const TrailerUsage = "X-Usage"
 
 // Paths of the engine.
 const (
@@ -92,17 +85,6 @@
 	Tokens uint64 `json:"tokens"`
 }
 
-// FormatFence returns the value of HeaderFence.
-func FormatFence(slot core.SlotID, epoch core.Epoch) string {
-	return fmt.Sprintf("%d/%s", slot, epoch)
-}
-
-// ParseFence reads the value of HeaderFence.
-func ParseFence(s string) (slot core.SlotID, epoch core.Epoch, err error) {
-	_, err = fmt.Sscanf(s, "%d/%d.%d", &slot, &epoch.Version, &epoch.Rank)
-	return slot, epoch, err
-}
-
 // FormatUsage returns the value of TrailerUsage.
 func FormatUsage(u core.Usage) string {
 	return fmt.Sprintf("prompt=%d cached=%d output=%d", u.PromptTokens, u.CachedTokens, u.OutputTokens)
--- a/engine/service/service.go
+++ b/engine/service/service.go
@@ -15,7 +15,6 @@
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 	"github.com/rhubarbsaddle/rhubarbsaddle/engine"
-	"github.com/rhubarbsaddle/rhubarbsaddle/engine/openai"
 )
 
 // HeaderKey is the header with the idempotency key of a call.
@@ -107,8 +106,8 @@
 	if call.Key != "" {
 		out.Header.Set(HeaderKey, call.Key)
 	}
-	out.Header.Set(openai.HeaderAttempt, req.Attempt.String())
-	out.Header.Set(openai.HeaderFence, openai.FormatFence(req.Attempt.Slot, req.Fence))
+	out.Header.Set(engine.HeaderAttempt, req.Attempt.String())
+	out.Header.Set(engine.HeaderFence, engine.FormatFence(req.Attempt.Slot, req.Fence))
 	return out, nil
 }
 
--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -10,6 +10,7 @@
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/chat"
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	port "github.com/rhubarbsaddle/rhubarbsaddle/engine"
 	"github.com/rhubarbsaddle/rhubarbsaddle/engine/openai"
 )
 
@@ -37,11 +38,11 @@
 		writeError(w, http.StatusBadRequest, err)
 		return
 	}
-	if err := s.checkFence(r.Header.Get(openai.HeaderFence)); err != nil {
+	if err := s.checkFence(r.Header.Get(port.HeaderFence)); err != nil {
 		writeError(w, http.StatusConflict, err)
 		return
 	}
-	answer := s.submit(req, options.StreamOptions.IncludeUsage, r.Header.Get(openai.HeaderAttempt))
+	answer := s.submit(req, options.StreamOptions.IncludeUsage, r.Header.Get(port.HeaderAttempt))
 	s.writeAnswer(w, r, answer, 0)
 }
 
--- a/standin/engine/control.go
+++ b/standin/engine/control.go
@@ -23,7 +23,7 @@
 	if header == "" || !s.options.ChecksFence {
 		return nil
 	}
-	slot, epoch, err := openai.ParseFence(header)
+	slot, epoch, err := port.ParseFence(header)
 	if err != nil {
 		return err
 	}
