local, rpc/peer: failures on real sockets; the VM list's address wins over a learned one

Cause: silent connections, a caller's retry after its entry died, and drains were not proved over sockets; an address named by a sender replaced the list's.

--- a/daemon/node/serve.go
+++ b/daemon/node/serve.go
@@ -32,7 +32,7 @@
 	handler := &peer.Handler{
 		Self:    n.Self,
 		Receive: func(from core.Node, msg core.Message) { n.Post(core.Recv{From: from, Msg: msg}) },
-		Learn:   n.mesh.SetAddress,
+		Learn:   n.mesh.Learn,
 		Answers: n.options.Answers,
 		Config:  n.configText,
 	}
--- a/local/vm.go
+++ b/local/vm.go
@@ -37,6 +37,8 @@
 	life    life
 	leaving bool
 	gone    bool
+	// advertised replaces the peers' address in the VM list.
+	advertised string
 }
 
 func (d *Deployment) newVM(name, domain string, role core.VMRole) *VM {
@@ -188,17 +190,32 @@
 	return v.deployment.publishVMs()
 }
 
+// Peers returns the address that the daemon listens on for its peers.
+func (v *VM) Peers() string { return v.settings.Listen.Peers }
+
+// Advertise shows another address for peers in the VM list, such as a relay's.
+func (v *VM) Advertise(addr string) error {
+	v.mu.Lock()
+	v.advertised = addr
+	v.mu.Unlock()
+	return v.deployment.publishVMs()
+}
+
 // info returns the VM's line of the VM list; ok is false if it has none.
 func (v *VM) info() (vm core.VMInfo, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	addr := v.settings.Listen.Peers
+	if v.advertised != "" {
+		addr = v.advertised
+	}
 	return core.VMInfo{
 		VM:      core.VM(v.settings.VM),
 		Domain:  core.Domain(v.settings.Domain),
 		Role:    v.role,
 		Pool:    core.Pool(v.settings.Target.Pool),
 		Leaving: v.leaving,
-		Addr:    v.settings.Listen.Peers,
+		Addr:    addr,
 	}, !v.gone
 }
 
--- a/rpc/peer/mesh.go
+++ b/rpc/peer/mesh.go
@@ -57,8 +57,10 @@
 	cancel  context.CancelFunc
 	stats   Stats
 
-	mu      sync.Mutex
-	addrs   map[string]string
+	mu    sync.Mutex
+	addrs map[string]string
+	// listed holds the VMs whose address the VM list gave.
+	listed  map[string]bool
 	boxes   map[string]*outbox
 	readers map[string]*connSlot
 }
@@ -75,6 +77,7 @@
 		ctx:     ctx,
 		cancel:  cancel,
 		addrs:   make(map[string]string),
+		listed:  make(map[string]bool),
 		boxes:   make(map[string]*outbox),
 		readers: make(map[string]*connSlot),
 	}
@@ -83,7 +86,7 @@
 // Stats returns the counters of the mesh.
 func (m *Mesh) Stats() *Stats { return &m.stats }
 
-// SetAddress records where a VM listens for its peers.
+// SetAddress records where a VM listens for its peers, as the VM list says.
 func (m *Mesh) SetAddress(vm core.VM, addr string) {
 	if vm == "" || addr == "" {
 		return
@@ -91,6 +94,19 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.addrs[string(vm)] = addr
+	m.listed[string(vm)] = true
+}
+
+// Learn records where a VM says that it listens, until the VM list tells.
+func (m *Mesh) Learn(vm core.VM, addr string) {
+	if vm == "" || addr == "" {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.listed[string(vm)] {
+		m.addrs[string(vm)] = addr
+	}
 }
 
 // Send passes a message to a peer, or drops it if the peer's address is not
@@ -128,6 +144,7 @@
 	box := m.boxes[string(vm)]
 	reader := m.readers[string(vm)]
 	delete(m.addrs, string(vm))
+	delete(m.listed, string(vm))
 	delete(m.boxes, string(vm))
 	delete(m.readers, string(vm))
 	m.mu.Unlock()
