--- a/core/entry/times.go
+++ b/core/entry/times.go
@@ -8,6 +8,7 @@
 const (
 	defaultHeartbeat       = 100 * core.Millisecond
 	defaultSuspectAfter    = 1 * core.Second
+	defaultListLag         = 30 * core.Second
 	defaultAnswerRetention = 10 * core.Minute
 	defaultCallTimeout     = 10 * core.Minute
 	defaultIdle            = 1 * core.Hour
@@ -18,6 +19,9 @@
 	noTargetWait = 2 * core.Second
 	// gapWait bounds the wait of a call for an earlier sequence number.
 	gapWait = 10 * core.Second
+	// refusalRetention is how long a request that was answered as not run is
+	// remembered; later copies of its forward are taken to be impossible.
+	refusalRetention = 1 * core.Minute
 	// queryAfter is the silence of a sidecar about a dispatched attempt after
 	// which its outcome is asked for.
 	queryAfter = 500 * core.Millisecond
@@ -32,7 +36,7 @@
 	retryHint = 1 * core.Second
 	// targetSilence is the age of a load report beyond which a target gets no
 	// new dispatch.
-	targetSilence = 5 * core.Second
+	targetSilence = 3 * core.Second
 	// helloPeriod is the period of the subscription to load reports.
 	helloPeriod = 1 * core.Second
 )
@@ -41,16 +45,18 @@
 type times struct {
 	heartbeat core.Duration
 	suspect   core.Duration
+	listLag   core.Duration
 	retention core.Duration
 }
 
 func timesOf(set *config.Set) times {
-	t := times{defaultHeartbeat, defaultSuspectAfter, defaultAnswerRetention}
+	t := times{defaultHeartbeat, defaultSuspectAfter, defaultListLag, defaultAnswerRetention}
 	if set == nil {
 		return t
 	}
 	t.heartbeat = orDefault(set.Ownership.Heartbeat.Nanos(), t.heartbeat)
 	t.suspect = orDefault(set.Ownership.SuspectAfter.Nanos(), t.suspect)
+	t.listLag = orDefault(set.Ownership.VMListLag.Nanos(), t.listLag)
 	t.retention = orDefault(set.Ownership.AnswerRetention.Nanos(), t.retention)
 	return t
 }
--- a/spec/search/search_test.go
+++ b/spec/search/search_test.go
@@ -48,3 +48,25 @@
 	report := Explore(counter{bound: 1000, bad: -1}, 10)
 	require.False(t, report.Complete)
 }
+
+func TestWalkFindsDeepViolation(t *testing.T) {
+	v, paths := Walk(counter{bound: 1000, bad: 500}, 1, 100, 1000)
+	require.NotNil(t, v)
+	require.LessOrEqual(t, paths, 100)
+	require.Equal(t, 500, v.States[len(v.States)-1])
+	again, _ := Walk(counter{bound: 1000, bad: 500}, 1, 100, 1000)
+	require.Equal(t, v, again)
+}
+
+func TestFollowThenExplore(t *testing.T) {
+	sys := counter{bound: 10, bad: 9}
+	s, err := Follow[int](sys, []string{"two", "one", "two"})
+	require.NoError(t, err)
+	require.Equal(t, 5, s)
+	report := Explore(From[int](sys, s), 100)
+	require.Equal(t, []string{"two", "two"}, report.Violation.Actions)
+	_, err = Follow[int](sys, []string{"two", "three"})
+	var stuck *StuckError
+	require.ErrorAs(t, err, &stuck)
+	require.Equal(t, 1, stuck.Step)
+}
