--- a/rpc/peer/peer_test.go
+++ b/rpc/peer/peer_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/peerpb"
+	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/tlsfile"
+	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/tlsfile/tlstest"
 	"github.com/rhubarbsaddle/rhubarbsaddle/standin/relay"
 )
 
@@ -28,6 +30,11 @@
 }
 
 func serve(t *testing.T, self core.Node, answers Answers) *receiver {
+	return serveTLS(t, self, answers, nil)
+}
+
+// serveTLS serves over mutual TLS unless files is nil.
+func serveTLS(t *testing.T, self core.Node, answers Answers, files *tlsfile.Files) *receiver {
 	r := &receiver{}
 	r.Handler = Handler{
 		Self:    self,
@@ -41,8 +48,14 @@
 	mux := http.NewServeMux()
 	mux.Handle(r.HTTP())
 	server := &http.Server{Handler: mux, Protocols: new(http.Protocols)}
-	server.Protocols.SetUnencryptedHTTP2(true)
-	go server.Serve(listener)
+	if files == nil {
+		server.Protocols.SetUnencryptedHTTP2(true)
+		go server.Serve(listener)
+	} else {
+		server.Protocols.SetHTTP2(true)
+		server.TLSConfig = files.Server(true)
+		go server.ServeTLS(listener, "", "")
+	}
 	t.Cleanup(func() { server.Close() })
 	return r
 }
@@ -100,6 +113,41 @@
 	require.Equal(t, "127.0.0.1:3", m.address("b"))
 }
 
+func TestDeliveryOverMutualTLS(t *testing.T) {
+	ca := tlstest.NewAuthority(t)
+	load := func(authority *tlstest.Authority, serial int64) *tlsfile.Files {
+		files, err := tlsfile.Load(authority.Issue(t, t.TempDir(), serial))
+		require.NoError(t, err)
+		return files
+	}
+	self := core.Node{VM: "b", Inc: 7}
+	r := serveTLS(t, self, &slowAnswer{data: []byte("answer"), stall: 99}, load(ca, 1))
+	failed := make(chan error, 100)
+	stranger := NewMesh(Options{
+		Self:    core.Node{VM: "s", Inc: 1},
+		TLS:     load(tlstest.NewAuthority(t), 2),
+		OnError: func(err error) { failed <- err },
+	})
+	t.Cleanup(stranger.Close)
+	stranger.SetAddress("b", r.addr)
+	stranger.Send(self, withdraw(1))
+	require.Error(t, <-failed)
+
+	friend := NewMesh(Options{Self: core.Node{VM: "a", Inc: 1}, TLS: load(ca, 3)})
+	t.Cleanup(friend.Close)
+	friend.SetAddress("b", r.addr)
+	friend.Send(self, withdraw(2))
+	require.Eventually(t, func() bool { return len(r.messages()) == 1 }, patience, time.Millisecond)
+	require.Equal(t, []core.Message{withdraw(2)}, r.messages())
+	var got []byte
+	err := friend.Read(context.Background(), core.AttemptID{N: 1}, self, func(p []byte) error {
+		got = append(got, p...)
+		return nil
+	})
+	require.NoError(t, err)
+	require.Equal(t, "answer", string(got))
+}
+
 func TestBurstArrivesInOrder(t *testing.T) {
 	r := serve(t, core.Node{VM: "b", Inc: 7}, nil)
 	m := newTestMesh(t)
