daemon: one log line at a time

Cause: go test -race ./cli failed once in seven runs (TestEntryStatusAndDrain): the logger's writer is called by many goroutines, and a writer that is no file can mix lines. Change: a lock around the writer.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/phuslu/log"
@@ -97,6 +98,20 @@
 		TimeFormat: time.RFC3339Nano,
 		Context: log.NewContext(nil).Str("vm", settings.VM).Str("role", settings.Role).
 			Str("domain", settings.Domain).Value(),
-		Writer: &log.IOWriter{Writer: w},
+		Writer: &log.IOWriter{Writer: &lineWriter{w: w}},
 	}
 }
+
+// lineWriter passes one line on at a time: the logger is used by many
+// goroutines and leaves their order to its writer.
+type lineWriter struct {
+	mu sync.Mutex
+	w  io.Writer
+}
+
+// Write passes a line on.
+func (l *lineWriter) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.w.Write(line)
+}
