bench slopes: costs of programs, calls, peers and targets over four sizes

Change: package bench/slopes runs the product's reducers in virtual time with metered processor time, encoded bytes and key-value calls, and fits lines; rhubarbsaddle bench slopes prints them.

--- a/cli/bench.go
+++ b/cli/bench.go
@@ -11,6 +11,7 @@
 			benchRecoveryCommand(),
 			benchPolicyCommand(),
 			benchPathCommand(),
+			benchSlopesCommand(),
 		},
 	}
 }
