sidecar: unconfirmed releases and unclaimed blocks are looked at every 15 s

Cause: after a restart the blocks of programs that ended meanwhile stayed for up to 3 minutes; a release that the engine did not carry out waited for the listing of the next minute. Change: listings every 15 s while either exists; unclaimed blocks go after 1 min.

--- a/bench/policy/shape.go
+++ b/bench/policy/shape.go
@@ -135,7 +135,6 @@
 type work struct {
 	compute      float64
 	tokenSeconds float64
-	duration     float64
 }
 
 // addWork adds the work of a shape and its sub-agents, by pool, and returns the
--- a/core/sidecar/reconcile.go
+++ b/core/sidecar/reconcile.go
@@ -8,13 +8,17 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/invariant"
 )
 
-// auditPeriod is the time between two listings of the target's cache while
-// nothing is known to be missing.
-const auditPeriod = core.Minute
-
-// orphanAfter is how long a listed block of no known program is left to be
-// claimed by the next call of its program.
-const orphanAfter = 2 * core.Minute
+const (
+	// auditPeriod is the time between two listings of the target's cache while
+	// nothing is known to be wrong.
+	auditPeriod = core.Minute
+	// pendingPeriod is the same while releases are not confirmed or blocks of no
+	// known program are there.
+	pendingPeriod = 15 * core.Second
+	// orphanAfter is how long a listed block of no known program is left to be
+	// claimed by the next call of its program.
+	orphanAfter = core.Minute
+)
 
 // onCacheEvent updates the view of the target's cache. After a gap the view is
 // worth nothing until a listing replaces it.
@@ -46,7 +50,11 @@
 // auditCache asks for a listing from time to time, so that a lost release or a
 // lost event is found.
 func (s *Sidecar) auditCache() {
-	if s.now.Sub(s.cache.listed) >= auditPeriod {
+	period := auditPeriod
+	if len(s.cache.releasing) > 0 || len(s.cache.orphans) > 0 {
+		period = pendingPeriod
+	}
+	if s.now.Sub(s.cache.listed) >= period {
 		s.listCache()
 	}
 }
--- a/core/sidecar/sidecar_test.go
+++ b/core/sidecar/sidecar_test.go
@@ -106,7 +106,9 @@
 	b.step(core.CacheListing{Digests: []uint64{1, 77}})
 	again := effects[core.ReleaseCache](b.out)
 	require.Equal(t, []core.ReleaseCache{{Program: "a", Digests: []uint64{1}}}, again, "a lost release is repeated")
-	b.now = b.now.Add(orphanAfter + core.Second)
+	require.Empty(t, effects[core.ListCache](b.after(pendingPeriod-core.Second)))
+	require.Len(t, effects[core.ListCache](b.after(core.Second)), 1, "what is pending is looked at sooner")
+	b.now = b.now.Add(orphanAfter)
 	b.step(core.CacheListing{Digests: []uint64{77}})
 	require.Equal(t, []core.ReleaseCache{{Digests: []uint64{77}}}, effects[core.ReleaseCache](b.out))
 }
