--- a/core/entry/targets.go
+++ b/core/entry/targets.go
@@ -148,21 +148,12 @@
 	}
 	if p := s.image.programs[c.program]; p != nil {
 		req.Last = p.Last
-		req.LastTokens = lastTokens(p, c.body)
+		req.LastTokens = historyTokens(p, c.body)
 	}
 	i, cost := e.placement(c.body.Pool).Choose(req, views, e.rng)
 	return ts[i], cost
 }
 
-// lastTokens returns the length of the recorded conversation within a call's.
-func lastTokens(p *core.Program, call *core.Call) uint32 {
-	var sum uint32
-	for _, b := range call.Blocks[:min(int(p.HistoryBlocks), len(call.Blocks))] {
-		sum += b.Tokens
-	}
-	return sum
-}
-
 // placement returns the placement policy of a pool. The configuration was
 // checked when it was applied, so an unknown name means the default.
 func (e *Entry) placement(name core.Pool) place.Policy {
