--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -73,12 +73,11 @@
 	}
 	s.byJob[r.job] = r
 	s.byName[name] = r
-	s.model.Submit(Job{
-		ID:           r.job,
-		Blocks:       blocks,
-		OutputTokens: total,
-		AnswerDigest: chat.Next(digest, answerMessage(AnswerText(digest, total))),
-	}, s.now())
+	job := Job{ID: r.job, Blocks: blocks, OutputTokens: total}
+	if s.model.Fits(job) {
+		job.AnswerDigest = chat.Next(digest, answerMessage(AnswerText(digest, total)))
+	}
+	s.model.Submit(job, s.now())
 	return r
 }
 
--- a/standin/engine/model.go
+++ b/standin/engine/model.go
@@ -135,15 +135,19 @@
 func (m *Model) Submit(job Job, now core.Instant) {
 	m.catchUp(now)
 	job.OutputTokens = max(job.OutputTokens, 1)
-	s := &sequence{job: job, prompt: job.promptTokens()}
-	if uint64(s.prompt)+uint64(job.OutputTokens) > m.params.CacheTokens {
+	if !m.Fits(job) {
 		m.out = append(m.out, Rejected{ID: job.ID, At: now})
 		return
 	}
-	m.waiting = append(m.waiting, s)
+	m.waiting = append(m.waiting, &sequence{job: job, prompt: job.promptTokens()})
 	m.interrupt(now)
 }
 
+// Fits reports whether a job could ever fit into the engine's memory.
+func (m *Model) Fits(job Job) bool {
+	return uint64(job.promptTokens())+uint64(job.OutputTokens) <= m.params.CacheTokens
+}
+
 // Cancel stops a job and reports whether the engine still had it. The blocks
 // that it has computed stay in the prefix cache.
 func (m *Model) Cancel(id core.AttemptID, now core.Instant) bool {
--- a/standin/engine/model_test.go
+++ b/standin/engine/model_test.go
@@ -199,7 +199,13 @@
 			m.Cancel(id(r.Uint64N(n+1)), now)
 		}
 	}
-	advance(now.Add(100 * core.Second))
+	for {
+		at, busy := m.Next()
+		if !busy {
+			break
+		}
+		advance(max(at, now.Add(period)))
+	}
 	require.Equal(t, m.private, uint64(0))
 	require.Equal(t, m.cache.idle, m.cache.tokens)
 	return ends
