capacity: the page is made from the recorded slopes

Change: package capacity works the costs out from docs/capacity/*.json; a test makes the tables again and compares them with the page.

--- /dev/null
+++ b/capacity/capacity_test.go
@@ -0,0 +1,56 @@
+package capacity
+
+import (
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/bench/slopes"
+)
+
+const (
+	page     = "../docs/CAPACITY.md"
+	recorded = "../docs/capacity"
+)
+
+// TestPageFollowsFromSlopes makes the tables again from the recorded slopes.
+// With UPDATE=1 it writes the page.
+func TestPageFollowsFromSlopes(t *testing.T) {
+	measured, err := Read(recorded)
+	require.NoError(t, err)
+	part, err := Page(Letter1, measured)
+	require.NoError(t, err)
+	have, err := os.ReadFile(page)
+	require.NoError(t, err)
+	want, err := Replace(string(have), part)
+	require.NoError(t, err)
+	if os.Getenv("UPDATE") == "1" {
+		require.NoError(t, os.WriteFile(page, []byte(want), 0o644))
+		return
+	}
+	require.Equal(t, want, string(have), "run: UPDATE=1 go test ./capacity")
+}
+
+func TestRowsFollowTheSlopes(t *testing.T) {
+	measured, err := Read(recorded)
+	require.NoError(t, err)
+	before, err := Rows(Letter1, measured)
+	require.NoError(t, err)
+	measured.Slopes.Slope("entry_peer_bytes").PerUnit *= 2
+	after, err := Rows(Letter1, measured)
+	require.NoError(t, err)
+	for i := range before {
+		if before[i].Resource == "control bytes, full mesh" {
+			require.Greater(t, after[i].Value, 1.3*before[i].Value)
+			return
+		}
+	}
+	t.Fatal("the row is gone")
+}
+
+func TestMissingSlopeIsAnError(t *testing.T) {
+	_, err := Rows(Letter1, &Measured{Slopes: slopes.Report{}})
+	var missing *MissingSlopeError
+	require.ErrorAs(t, err, &missing)
+}
--- /dev/null
+++ b/capacity/page.go
@@ -0,0 +1,47 @@
+package capacity
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Begin and End enclose the part of docs/CAPACITY.md that this package makes.
+const (
+	Begin = "<!-- begin capacity -->"
+	End   = "<!-- end capacity -->"
+)
+
+// Page returns the generated part of the page.
+func Page(size Size, measured *Measured) (string, error) {
+	rows, err := Rows(size, measured)
+	if err != nil {
+		return "", err
+	}
+	var b strings.Builder
+	fmt.Fprintln(&b, Begin)
+	fmt.Fprintln(&b)
+	fmt.Fprintln(&b, "| role | resource | at this size | limit | working | mechanism | verdict |")
+	fmt.Fprintln(&b, "|---|---|---|---|---|---|---|")
+	for _, r := range rows {
+		fmt.Fprintln(&b, r.markdown())
+	}
+	fmt.Fprintln(&b)
+	fmt.Fprintln(&b, "| slope | a unit | fixed | growth | unit | per |")
+	fmt.Fprintln(&b, "|---|---|---|---|---|---|")
+	for _, s := range measured.Slopes.Slopes {
+		fmt.Fprintf(&b, "| %s | %.4g | %.4g | %.2f | %s | %s |\n", s.Name, s.PerUnit, s.Fixed, s.Growth, s.Unit, s.Per)
+	}
+	fmt.Fprintln(&b)
+	fmt.Fprint(&b, End)
+	return b.String(), nil
+}
+
+// Replace puts the generated part into a page.
+func Replace(page, part string) (string, error) {
+	from := strings.Index(page, Begin)
+	to := strings.Index(page, End)
+	if from < 0 || to < from {
+		return "", fmt.Errorf("the page lacks the lines %q and %q", Begin, End)
+	}
+	return page[:from] + part + page[to+len(End):], nil
+}
--- /dev/null
+++ b/capacity/row.go
@@ -0,0 +1,47 @@
+package capacity
+
+import "fmt"
+
+// Row is one cost of one role.
+type Row struct {
+	Role     string
+	Resource string
+	// Value is the cost at the size, in Unit.
+	Value float64
+	Unit  string
+	// Limit is the bound of the cost; zero means none is given.
+	Limit float64
+	// Working shows how Value follows from the slopes.
+	Working string
+	// Mechanism carries the cost; Built says whether it exists.
+	Mechanism string
+	Built     bool
+}
+
+// Fits reports whether the cost is within its limit.
+func (r Row) Fits() bool { return r.Limit == 0 || r.Value <= r.Limit }
+
+// verdict returns the row's last column.
+func (r Row) verdict() string {
+	state := "on paper"
+	if r.Built {
+		state = "built"
+	}
+	switch {
+	case r.Limit == 0:
+		return state
+	case r.Fits():
+		return "fits, " + state
+	}
+	return "**does not fit**, " + state
+}
+
+// markdown returns the row as a line of a table.
+func (r Row) markdown() string {
+	limit := "-"
+	if r.Limit > 0 {
+		limit = fmt.Sprintf("%.4g %s", r.Limit, r.Unit)
+	}
+	return fmt.Sprintf("| %s | %s | %.4g %s | %s | %s | %s | %s |",
+		r.Role, r.Resource, r.Value, r.Unit, limit, r.Working, r.Mechanism, r.verdict())
+}
