--- a/core/entry/targets.go
+++ b/core/entry/targets.go
@@ -23,13 +23,14 @@
 	reportedAt core.Instant
 	ownCalls   uint32
 	ownTokens  uint64
+	// helloAt is when the subscription was last renewed.
+	helloAt core.Instant
 }
 
 type targets struct {
 	byVM map[core.VM]*target
 	// list holds the targets by VM.
-	list    []*target
-	helloAt core.Instant
+	list []*target
 }
 
 func newTargets() targets { return targets{byVM: map[core.VM]*target{}} }
@@ -59,13 +60,19 @@
 	})
 }
 
-// tickTargets renews the subscription to load reports.
+// tickTargets renews the subscriptions to load reports. A target that is late
+// with its report is asked more often: it may have restarted, which ends the
+// calls that it had.
 func (e *Entry) tickTargets() {
-	if e.targets.helloAt > 0 && e.now.Sub(e.targets.helloAt) < helloPeriod {
-		return
-	}
-	e.targets.helloAt = e.now
 	for _, t := range e.targets.list {
+		period := helloPeriod
+		if e.now.Sub(t.reportedAt) >= reportLate {
+			period = min(period, e.times.heartbeat)
+		}
+		if t.helloAt > 0 && e.now.Sub(t.helloAt) < period {
+			continue
+		}
+		t.helloAt = e.now
 		e.send(core.Node{VM: t.node.VM}, core.Hello{})
 	}
 }
@@ -78,7 +85,7 @@
 		return
 	}
 	if t.node != from {
-		*t = target{node: from, leaving: t.leaving}
+		*t = target{node: from, leaving: t.leaving, helloAt: t.helloAt}
 	}
 	t.pool = load.Pool
 	t.domain = load.Domain
--- a/core/entry/times.go
+++ b/core/entry/times.go
@@ -37,6 +37,8 @@
 	// targetSilence is the age of a load report beyond which a target gets no
 	// new dispatch.
 	targetSilence = 3 * core.Second
+	// reportLate is the age of a load report beyond which the next one is late.
+	reportLate = 1500 * core.Millisecond
 	// helloPeriod is the period of the subscription to load reports.
 	helloPeriod = 1 * core.Second
 )
