entry: final reasons are confirmed by a write; a stalled home refuses for the moment

A refusal that depends on records now waits for a complete write, as answers do. Calls whose ticket or refusal finds no complete write for twice the suspicion time get no_owner with a hint when to come back: nothing of them was sent.

TestSilentMirror, TestLastMirrorDeadDuringOutage and TestOverdueTicket asked for the wait to the end; they now ask for the refusal, for no execution afterwards, and for the same call to run once when the mirror is replaced.

--- a/core/entry/answer.go
+++ b/core/entry/answer.go
@@ -9,7 +9,10 @@
 // refusedRequest is a tombstone: a late copy of a forward that was answered as
 // not run must not run.
 type refusedRequest struct {
+	req    core.RequestID
 	finish core.Finish
+	// sent says that the edge was told.
+	sent bool
 	// epoch is the home's. In a later time as home the tombstone says nothing: a
 	// home in between may have run the call.
 	epoch core.Epoch
@@ -35,14 +38,72 @@
 // answer sends a final word to the edge of a request.
 func (e *Entry) answer(s *slot, req core.RequestID, f core.Finish) {
 	if f.Outcome == core.OutcomeNotRun {
-		if _, ok := e.refusals[req]; !ok {
-			e.emit(core.Decision{Step: "refuse", Slot: s.id, Reason: f.Reason})
-		}
-		e.refusals[req] = refusedRequest{f, s.home.epoch, e.now}
+		e.bury(s, req, f).sent = true
 	}
 	e.send(req.Edge, core.Finished{Req: req, Finish: f, Epoch: s.home.epoch})
 }
 
+// bury makes the tombstone of a refused request.
+func (e *Entry) bury(s *slot, req core.RequestID, f core.Finish) *refusedRequest {
+	if e.refusals[req] == nil {
+		e.emit(core.Decision{Step: "refuse", Slot: s.id, Reason: f.Reason})
+	}
+	t := &refusedRequest{req: req, finish: f, epoch: s.home.epoch, at: e.now}
+	e.refusals[req] = t
+	return t
+}
+
+// decide sends a final word that depends on the slot's records, once a write
+// has shown that they are the newest. A home that was replaced unnoticed would
+// refuse a program that has gone on elsewhere for good.
+func (e *Entry) decide(s *slot, req core.RequestID, f core.Finish) {
+	if passing(f.Reason) {
+		e.answer(s, req, f)
+		return
+	}
+	t := e.bury(s, req, f)
+	s.home.deciding = append(s.home.deciding, t)
+	e.durable(s, func() {
+		if !t.sent {
+			t.sent = true
+			e.send(req.Edge, core.Finished{Req: req, Finish: f, Epoch: s.home.epoch})
+		}
+	})
+}
+
+// passing reports whether a reason to refuse is one of the moment, which needs
+// no records.
+func passing(reason core.Reason) bool {
+	switch reason {
+	case core.ReasonOverload, core.ReasonNoTarget, core.ReasonNoOwner, core.ReasonTimeout,
+		core.ReasonDraining, core.ReasonCanceled:
+		return true
+	}
+	return false
+}
+
+// stalled reports whether writes have waited for the mirrors for longer than a
+// silent one takes to be replaced.
+func (e *Entry) stalled(s *slot) bool {
+	return len(s.home.after) > 0 && e.now.Sub(s.home.after[0].at) >= 2*e.times.suspect
+}
+
+// tickDeciding refuses, for now, the requests whose decision no write confirms.
+func (e *Entry) tickDeciding(s *slot) {
+	open := s.home.deciding[:0]
+	for _, t := range s.home.deciding {
+		switch {
+		case t.sent:
+		case e.now.Sub(t.at) >= 2*e.times.suspect:
+			e.answer(s, t.req, refusal(core.ReasonNoOwner, retryHint))
+			t.sent = true
+		default:
+			open = append(open, t)
+		}
+	}
+	s.home.deciding = open
+}
+
 // tickRefusals forgets the tombstones of requests whose copies are long gone.
 func (e *Entry) tickRefusals() {
 	for req, t := range e.refusals {
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -56,7 +56,7 @@
 	counts    map[core.Account]int
 	countedAt core.Instant
 	// refusals holds the requests answered as not run.
-	refusals map[core.RequestID]refusedRequest
+	refusals map[core.RequestID]*refusedRequest
 }
 
 // retryKey names a retry budget.
@@ -79,7 +79,7 @@
 		store:    newStore(),
 		places:   map[core.Pool]place.Policy{},
 		budgets:  map[retryKey]*retry.Budget{},
-		refusals: map[core.RequestID]refusedRequest{},
+		refusals: map[core.RequestID]*refusedRequest{},
 	}
 }
 
--- a/core/entry/forward.go
+++ b/core/entry/forward.go
@@ -30,12 +30,14 @@
 		return
 	}
 	if t, ok := e.refusals[f.Req]; ok && !t.epoch.Less(s.home.since) {
-		e.answer(s, f.Req, t.finish)
+		if t.sent {
+			e.answer(s, f.Req, t.finish)
+		}
 		return
 	}
 	call := f.Call
 	if e.foreign(s, &call) {
-		e.answer(s, f.Req, refusal(core.ReasonUnauthorized, 0))
+		e.decide(s, f.Req, refusal(core.ReasonUnauthorized, 0))
 		return
 	}
 	if e.attach(s, f.Req, &call) {
@@ -46,13 +48,17 @@
 		e.durable(s, func() { e.answer(s, f.Req, fin) })
 		return
 	}
+	if e.stalled(s) {
+		e.answer(s, f.Req, refusal(core.ReasonNoOwner, retryHint))
+		return
+	}
 	if f.Again && e.forgetful(s) || call.NonIdempotent && e.unremembered(s, &call) {
 		// The lost home may have run it.
-		e.answer(s, f.Req, core.Finish{Outcome: core.OutcomeUnknown, Reason: core.ReasonForgotten})
+		e.decide(s, f.Req, core.Finish{Outcome: core.OutcomeUnknown, Reason: core.ReasonForgotten})
 		return
 	}
 	if reason := e.admissible(s, &call); reason != "" {
-		e.answer(s, f.Req, refusal(reason, e.hint(reason)))
+		e.decide(s, f.Req, refusal(reason, e.hint(reason)))
 		return
 	}
 	e.enqueue(s, f.Req, &call)
@@ -88,7 +94,7 @@
 			continue
 		}
 		if c.print != fingerprint(call) {
-			e.answer(s, req, refusal(reuse(call), 0))
+			e.decide(s, req, refusal(reuse(call), 0))
 			return true
 		}
 		c.attach(req)
--- a/core/entry/home.go
+++ b/core/entry/home.go
@@ -59,7 +59,7 @@
 		l.drop(c)
 	}
 	for _, req := range c.waiters {
-		e.answer(s, req, f)
+		e.decide(s, req, f)
 	}
 }
 
@@ -153,6 +153,7 @@
 		}
 		e.pump(s, id)
 	}
+	e.tickDeciding(s)
 	e.expire(s)
 }
 
@@ -168,8 +169,12 @@
 			e.place(s, c)
 		}
 	case stateTicket:
-		if overdue && !c.canceled {
-			e.dropTicket(s, c)
+		switch {
+		case c.canceled:
+		case overdue:
+			e.dropTicket(s, c, refusal(core.ReasonTimeout, 0))
+		case e.stalled(s):
+			e.dropTicket(s, c, refusal(core.ReasonNoOwner, retryHint))
 		}
 	case stateSent:
 		if overdue && !c.canceled {
@@ -179,11 +184,10 @@
 	}
 }
 
-// dropTicket answers an overdue call whose ticket the mirrors do not acknowledge.
-// It is not dispatched any more, so nothing waits for them.
-func (e *Entry) dropTicket(s *slot, c *openCall) {
+// dropTicket refuses a call whose ticket the mirrors do not acknowledge. It is
+// not dispatched any more, so nothing waits for them.
+func (e *Entry) dropTicket(s *slot, c *openCall, f core.Finish) {
 	c.canceled = true
-	f := refusal(core.ReasonTimeout, 0)
 	if findRecord(s.image.programs[c.program], c.seq).MayHaveRun {
 		f.Outcome = core.OutcomeUnknown
 	}
--- a/core/entry/mirror.go
+++ b/core/entry/mirror.go
@@ -24,8 +24,10 @@
 	// requests that came before.
 	ready bool
 	early []core.Recv
-	after []pending
-	lanes map[core.ProgramID]*lane
+	// deciding holds the refusals that wait for a complete write.
+	deciding []*refusedRequest
+	after    []pending
+	lanes    map[core.ProgramID]*lane
 	// grants are the escrow grants that are asked for.
 	grants map[core.Account]*grant
 	// attempts finds the open call of an attempt.
@@ -44,6 +46,7 @@
 // pending is a step that runs once every mirror has acknowledged a write.
 type pending struct {
 	index uint64
+	at    core.Instant
 	run   func()
 }
 
@@ -63,7 +66,7 @@
 // durable runs a step once the changes made so far in this step are
 // acknowledged by every mirror. Nothing outside depends on a change before.
 func (e *Entry) durable(s *slot, run func()) {
-	s.home.after = append(s.home.after, pending{s.image.index + 1, run})
+	s.home.after = append(s.home.after, pending{s.image.index + 1, e.now, run})
 	s.home.force = true
 	e.mark(s)
 }
@@ -280,6 +283,7 @@
 		h.since = old.since
 		h.ready = old.ready
 		h.early = old.early
+		h.deciding = old.deciding
 		h.lanes = old.lanes
 		h.after = old.after
 		h.grants = old.grants
--- a/core/entry/records.go
+++ b/core/entry/records.go
@@ -80,7 +80,7 @@
 	}
 	p := s.image.programs[m.Program]
 	if p != nil && p.Account != m.Account {
-		e.answer(s, m.Req, refusal(core.ReasonUnauthorized, 0))
+		e.decide(s, m.Req, refusal(core.ReasonUnauthorized, 0))
 		return
 	}
 	e.end(s, m.Program)
