--- a/cli/bench.go
+++ b/cli/bench.go
@@ -10,6 +10,8 @@
 			benchSoakCommand(),
 			benchRecoveryCommand(),
 			benchPolicyCommand(),
+			benchPathCommand(),
+			benchSlopesCommand(),
 		},
 	}
 }
--- a/rpc/peer/mesh.go
+++ b/rpc/peer/mesh.go
@@ -57,8 +57,10 @@
 	cancel  context.CancelFunc
 	stats   Stats
 
-	mu      sync.Mutex
-	addrs   map[string]string
+	mu    sync.Mutex
+	addrs map[string]string
+	// listed holds the VMs whose address the VM list gave.
+	listed  map[string]bool
 	boxes   map[string]*outbox
 	readers map[string]*connSlot
 }
@@ -75,6 +77,7 @@
 		ctx:     ctx,
 		cancel:  cancel,
 		addrs:   make(map[string]string),
+		listed:  make(map[string]bool),
 		boxes:   make(map[string]*outbox),
 		readers: make(map[string]*connSlot),
 	}
@@ -83,7 +86,7 @@
 // Stats returns the counters of the mesh.
 func (m *Mesh) Stats() *Stats { return &m.stats }
 
-// SetAddress records where a VM listens for its peers.
+// SetAddress records where a VM listens for its peers, as the VM list says.
 func (m *Mesh) SetAddress(vm core.VM, addr string) {
 	if vm == "" || addr == "" {
 		return
@@ -91,6 +94,19 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.addrs[string(vm)] = addr
+	m.listed[string(vm)] = true
+}
+
+// Learn records where a VM says that it listens, until the VM list tells.
+func (m *Mesh) Learn(vm core.VM, addr string) {
+	if vm == "" || addr == "" {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.listed[string(vm)] {
+		m.addrs[string(vm)] = addr
+	}
 }
 
 // Send passes a message to a peer, or drops it if the peer's address is not
@@ -103,7 +119,7 @@
 	}
 	box := m.box(string(to.VM))
 	if box == nil {
-		m.count(&m.stats.Dropped, 1)
+		m.stats.Dropped.Add(1)
 		return
 	}
 	box.put(env)
@@ -115,7 +131,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, b := range m.boxes {
-		b.slot.close()
+		b.close()
 	}
 	for _, r := range m.readers {
 		r.close()
@@ -128,11 +144,12 @@
 	box := m.boxes[string(vm)]
 	reader := m.readers[string(vm)]
 	delete(m.addrs, string(vm))
+	delete(m.listed, string(vm))
 	delete(m.boxes, string(vm))
 	delete(m.readers, string(vm))
 	m.mu.Unlock()
 	if box != nil {
-		box.slot.close()
+		box.close()
 	}
 	if reader != nil {
 		reader.close()
@@ -148,7 +165,7 @@
 	if m.addrs[vm] == "" {
 		return nil
 	}
-	b := &outbox{mesh: m, vm: vm, slot: connSlot{files: m.options.TLS}}
+	b := newOutbox(m, vm)
 	m.boxes[vm] = b
 	return b
 }
@@ -170,8 +187,6 @@
 	return m.addrs[vm]
 }
 
-func (m *Mesh) count(c *atomic.Uint64, n uint64) { c.Add(n) }
-
 func (m *Mesh) report(err error) {
 	if m.options.OnError != nil && m.ctx.Err() == nil {
 		m.options.OnError(err)
