--- a/core/entry/answer.go
+++ b/core/entry/answer.go
@@ -88,6 +88,15 @@
 	return len(s.home.after) > 0 && e.now.Sub(s.home.after[0].at) >= 2*e.times.suspect
 }
 
+// unconfirmed returns the word on a request whose decision no write confirms. An
+// unknown outcome stays one.
+func unconfirmed(f core.Finish) core.Finish {
+	if f.Outcome == core.OutcomeNotRun {
+		return refusal(core.ReasonNoOwner, retryHint)
+	}
+	return f
+}
+
 // tickDeciding refuses, for now, the requests whose decision no write confirms.
 func (e *Entry) tickDeciding(s *slot) {
 	open := s.home.deciding[:0]
@@ -95,8 +104,8 @@
 		switch {
 		case t.sent:
 		case e.now.Sub(t.at) >= 2*e.times.suspect:
-			e.answer(s, t.req, refusal(core.ReasonNoOwner, retryHint))
 			t.sent = true
+			e.answer(s, t.req, unconfirmed(t.finish))
 		default:
 			open = append(open, t)
 		}
--- a/core/entry/forward.go
+++ b/core/entry/forward.go
@@ -48,15 +48,15 @@
 		e.durable(s, func() { e.answer(s, f.Req, fin) })
 		return
 	}
-	if e.stalled(s) {
-		e.answer(s, f.Req, refusal(core.ReasonNoOwner, retryHint))
-		return
-	}
 	if f.Again && e.forgetful(s) || call.NonIdempotent && e.unremembered(s, &call) {
 		// The lost home may have run it.
 		e.decide(s, f.Req, core.Finish{Outcome: core.OutcomeUnknown, Reason: core.ReasonForgotten})
 		return
 	}
+	if e.stalled(s) {
+		e.answer(s, f.Req, refusal(core.ReasonNoOwner, retryHint))
+		return
+	}
 	if reason := e.admissible(s, &call); reason != "" {
 		e.decide(s, f.Req, refusal(reason, e.hint(reason)))
 		return
--- a/core/entry/takeover_test.go
+++ b/core/entry/takeover_test.go
@@ -438,3 +438,37 @@
 		require.Equal(t, 1, c.procs["t1"].side.executed["k"])
 	})
 }
+
+// TestForgottenCallAtAStalledHome forwards a call that the lost home has
+// dispatched to one without memory whose mirror is silent.
+func TestForgottenCallAtAStalledHome(t *testing.T) {
+	c := newCluster(t, 4)
+	c.settled()
+	home, mirror := c.homeOf("p"), c.mirrorOf("p")
+	edge := c.other(home, mirror)
+	c.procs["m1"].side.hold = true
+	req := c.call(edge, turn("p", 1))
+	c.advance(50 * core.Millisecond)
+	require.Len(t, c.procs["m1"].side.order, 1)
+	forwards := 0
+	c.cut = func(_, _ core.VM, m core.Message) bool {
+		f, ok := m.(core.Forward)
+		if ok && f.Again {
+			forwards++
+		}
+		return ok
+	}
+	home.down, mirror.down = true, true
+	c.unlisted[home.node.VM] = true
+	c.remove(mirror.node.VM)
+	c.until("a forward to the new home", func() bool { return forwards > 0 })
+	c.settled()
+	c.kvDown = true
+	next := c.homeOf("p")
+	c.cut = func(from, to core.VM, m core.Message) bool {
+		_, ack := m.(core.MirrorAck)
+		return ack && to == next.node.VM
+	}
+	f := c.reply(req)
+	require.Equal(t, core.OutcomeUnknown, f.Outcome, "%s", f.Reason)
+}
