--- a/core/entry/takeover_test.go
+++ b/core/entry/takeover_test.go
@@ -445,7 +445,10 @@
 	c := newCluster(t, 4)
 	c.settled()
 	home, mirror := c.homeOf("p"), c.mirrorOf("p")
-	edge := c.other(home, mirror)
+	order := ranked(home.entry.slotOf("p").id, home.entry.candidates())
+	edge := c.procs[order[3].node.VM]
+	require.Equal(t, home.node, order[0].node)
+	require.NotEqual(t, mirror, edge)
 	c.procs["m1"].side.hold = true
 	req := c.call(edge, turn("p", 1))
 	c.advance(50 * core.Millisecond)
