entry: an isolated home does not call a program out of sequence

The old home in the cut domain waited ten seconds for a call that another home had run. It now answers no_owner with a hint to try again.

--- a/core/entry/absent_test.go
+++ b/core/entry/absent_test.go
@@ -12,7 +12,7 @@
 // never saw the old ones listed. The slots are taken over without their memory
 // once the list has not shown the old VMs for longer than it lags.
 func TestEntriesStartedAfterAllMembersLeft(t *testing.T) {
-	c := newCluster(t, 3)
+	c := newCluster(t, 3, 1)
 	c.settled()
 	for _, vm := range []core.VM{"e0", "e1", "e2"} {
 		c.kill(c.procs[vm])
--- a/core/entry/home.go
+++ b/core/entry/home.go
@@ -403,11 +403,22 @@
 	switch {
 	case overdue:
 		e.refuse(s, c, core.ReasonTimeout, 0)
+	case gap && e.isolated(s):
+		// Another home may have run the calls before this one.
+		e.refuse(s, c, core.ReasonNoOwner, e.hint(core.ReasonNoOwner))
 	case gap:
 		e.refuse(s, c, core.ReasonSequence, 0)
 	}
 }
 
+// isolated reports whether a member of a slot is silent and not dead, so that
+// this entry cannot know whether it is still the home.
+func (e *Entry) isolated(s *slot) bool {
+	return slices.ContainsFunc(s.owner.Mirrors, func(m core.Member) bool {
+		return e.silent(m.Node) && !e.members.dead(m.Node)
+	})
+}
+
 // sortCalls keeps a record's calls in order of their sequence numbers.
 func sortCalls(p *core.Program) {
 	slices.SortStableFunc(p.Calls, func(a, b core.CallRecord) int { return cmp.Compare(a.Seq, b.Seq) })
