--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -26,6 +26,9 @@
 	Schedule []Injection
 	// Calm leaves all faults out.
 	Calm bool
+	// Honest leaves the mistakes of callers out, and budgets and loops that end in
+	// refusals.
+	Honest bool
 	// Repeats is the share of calls that callers send to two entries at once;
 	// zero means the default.
 	Repeats float64
@@ -86,7 +89,7 @@
 	if opts.Reducers.Entry == nil {
 		opts.Reducers = product()
 	}
-	if opts.Repeats == 0 {
+	if opts.Repeats == 0 && !opts.Honest {
 		opts.Repeats = repeatShare
 	}
 	h := &Cluster{
--- a/soak/program.go
+++ b/soak/program.go
@@ -15,11 +15,13 @@
 const (
 	callTimeout = 15 * core.Second
 	endTimeout  = 10 * core.Second
-	// maxTries bounds the tries of one call, and maxEnds those of a program's end.
-	maxTries = 12
-	maxEnds  = 30
-	backoff  = 300 * core.Millisecond
-	pause    = 400 * core.Millisecond
+	// maxTries bounds the tries of one call, patientTries those of an honest
+	// caller, and maxEnds those of a program's end.
+	maxTries     = 12
+	patientTries = 100
+	maxEnds      = 30
+	backoff      = 300 * core.Millisecond
+	pause        = 400 * core.Millisecond
 
 	systemPrompt = 400
 	maxQuestion  = 300
@@ -77,6 +79,9 @@
 		turns:   1 + rng.IntN(6),
 		loop:    rng.Float64() < loopShare,
 	}
+	if h.opts.Honest {
+		p.account, p.budget, p.loop = accounts[0], programLimit, false
+	}
 	if p.loop {
 		h.faults[ProgramLooping]++
 	}
@@ -170,7 +175,7 @@
 	h := p.h
 	h.tags++
 	c.ContentType = tag(h.tags)
-	if h.sim.Rand().Float64() < goneShare {
+	if h.sim.Rand().Float64() < goneShare && !h.opts.Honest {
 		h.faults[CallerGone]++
 		c.Timeout = core.Duration(h.sim.Rand().Int64N(100 * core.Millisecond))
 	}
@@ -200,7 +205,7 @@
 	r := h.sim.Rand().Float64()
 	wrong := true
 	switch {
-	case len(p.answered) == 0 || p.reset:
+	case len(p.answered) == 0 || p.reset || h.opts.Honest:
 		// The record holds no conversation that the mistake would contradict.
 		wrong = false
 	case r < staleShare:
@@ -243,10 +248,13 @@
 // again repeats a call that was refused or cut off, and reports whether the
 // response is settled by that.
 func (p *program) again(r *sim.Response, call func()) bool {
+	if !r.Broken && !r.Cut && r.Finish.Outcome == core.OutcomeUnknown {
+		return p.askAgain(call)
+	}
 	if !r.Broken && !r.Cut && r.Finish.Outcome != core.OutcomeNotRun {
 		return false
 	}
-	if !r.Broken && !r.Cut && !temporary(r.Finish.Reason) || p.tries >= maxTries {
+	if !r.Broken && !r.Cut && !temporary(r.Finish.Reason) || p.tries >= p.h.maxTries() {
 		p.end()
 		return true
 	}
@@ -255,6 +263,23 @@
 	return true
 }
 
+// askAgain repeats a call of unknown outcome once: its record may know more by
+// now, and one that never began runs.
+func (p *program) askAgain(call func()) bool {
+	if p.tries > 1 {
+		return false
+	}
+	p.h.sim.After(backoff+p.h.sim.Rand().Int64N(backoff), call)
+	return true
+}
+
+func (h *Cluster) maxTries() int {
+	if h.opts.Honest {
+		return patientTries
+	}
+	return maxTries
+}
+
 // temporary reports whether a refusal may pass.
 func temporary(r core.Reason) bool {
 	switch r {
@@ -321,7 +346,7 @@
 
 // mischief repeats an old booking, or uses its key for something else.
 func (p *program) mischief() {
-	if p.booking.Key == "" {
+	if p.booking.Key == "" || p.h.opts.Honest {
 		return
 	}
 	c := p.booking
