--- a/cli/root.go
+++ b/cli/root.go
@@ -34,6 +34,13 @@
 func commands() []*cli.Command {
 	return []*cli.Command{
 		checkCommand(),
+		reportCommand(),
+		explainCommand(),
+		statusCommand(),
+		drainCommand(),
+		demoCommand(),
+		entryCommand(),
+		sidecarCommand(),
 		diffCommand(),
 		applyCommand(),
 		historyCommand(),
--- a/core/entry/members.go
+++ b/core/entry/members.go
@@ -10,6 +10,8 @@
 
 // members is what an entry knows of the VMs and of the lives of processes.
 type members struct {
+	// self is this entry's VM, which no reading of the list declares dead.
+	self  core.VM
 	peers map[core.VM]*peer
 	// lives holds the highest incarnation seen of each VM.
 	lives map[core.VM]core.Incarnation
@@ -41,10 +43,11 @@
 	asked    core.Instant
 }
 
-func newMembers() members {
+func newMembers(self core.Node) members {
 	return members{
+		self:   self.VM,
 		peers:  map[core.VM]*peer{},
-		lives:  map[core.VM]core.Incarnation{},
+		lives:  map[core.VM]core.Incarnation{self.VM: self.Inc},
 		gone:   map[core.VM]bool{},
 		listed: map[core.VM]core.VMInfo{},
 		absent: map[core.VM]core.Instant{},
@@ -63,7 +66,7 @@
 // unlisted reports whether readings of the list over its lag lack a VM. A VM
 // that has ended before this life's first reading is known in no other way.
 func (m *members) unlisted(vm core.VM) bool {
-	if _, ok := m.listed[vm]; ok || !m.list {
+	if _, ok := m.listed[vm]; ok || !m.list || vm == m.self {
 		return false
 	}
 	since, ok := m.absent[vm]
@@ -135,7 +138,11 @@
 }
 
 func (e *Entry) vmListed(vm core.VMInfo) {
-	if vm.VM == e.self.VM || e.members.gone[vm.VM] {
+	if vm.VM == e.self.VM {
+		e.drain.leaving = vm.Leaving
+		return
+	}
+	if e.members.gone[vm.VM] {
 		return
 	}
 	if vm.Role == core.RoleSidecar {
@@ -170,7 +177,7 @@
 // leavingEntry reports whether an entry is draining or leaving.
 func (e *Entry) leavingEntry(n core.Node) bool {
 	if n == e.self {
-		return e.drain.requested
+		return e.drain.active()
 	}
 	p := e.members.peers[n.VM]
 	return p != nil && (p.leaving || p.draining)
@@ -200,7 +207,7 @@
 		Domain:     e.domain,
 		Generation: e.generation,
 		MapSum:     e.mapSum,
-		Draining:   e.drain.requested,
+		Draining:   e.drain.active(),
 	}
 	for _, p := range e.members.sorted() {
 		// Incarnation zero also reaches a life that is not known yet.
