entry: a refusal that follows from the record is confirmed by the mirrors

Such refusals now wait for a write to the mirrors; an isolated home answers no_owner. The entry's own test of the isolated home covers it.

--- a/core/entry/answer.go
+++ b/core/entry/answer.go
@@ -32,17 +32,43 @@
 	return true
 }
 
-// answer sends a final word to the edge of a request.
+// answer sends a final word to the edge of a request. A refusal that follows
+// from the program's record waits until the mirrors have confirmed that this
+// entry is still the home: another one may have a newer record.
 func (e *Entry) answer(s *slot, req core.RequestID, f core.Finish) {
+	judged := f.Outcome == core.OutcomeNotRun && followsFromRecord(f.Reason)
+	if judged && e.isolated(s) {
+		f = refusal(core.ReasonNoOwner, retryHint)
+		judged = false
+	}
 	if f.Outcome == core.OutcomeNotRun {
 		if _, ok := e.refusals[req]; !ok {
 			e.emit(core.Decision{Step: "refuse", Slot: s.id, Reason: f.Reason})
 		}
 		e.refusals[req] = refusedRequest{f, s.home.epoch, e.now}
 	}
+	if judged {
+		e.durable(s, func() { e.sendFinished(s, req, f) })
+		return
+	}
+	e.sendFinished(s, req, f)
+}
+
+func (e *Entry) sendFinished(s *slot, req core.RequestID, f core.Finish) {
 	e.send(req.Edge, core.Finished{Req: req, Finish: f, Epoch: s.home.epoch})
 }
 
+// followsFromRecord reports whether a refusal depends on what the home knows of
+// the program.
+func followsFromRecord(r core.Reason) bool {
+	switch r {
+	case core.ReasonSequence, core.ReasonHistory, core.ReasonBudget, core.ReasonLimit,
+		core.ReasonEnded, core.ReasonForgotten, core.ReasonUnauthorized, core.ReasonKeyReuse:
+		return true
+	}
+	return false
+}
+
 // tickRefusals forgets the tombstones of requests whose copies are long gone.
 func (e *Entry) tickRefusals() {
 	for req, t := range e.refusals {
--- a/core/entry/home.go
+++ b/core/entry/home.go
@@ -199,9 +199,6 @@
 	switch {
 	case overdue:
 		e.refuse(s, c, core.ReasonTimeout, 0)
-	case gap && e.isolated(s):
-		// Another home may have run the calls before this one.
-		e.refuse(s, c, core.ReasonNoOwner, e.hint(core.ReasonNoOwner))
 	case gap:
 		e.refuse(s, c, core.ReasonSequence, 0)
 	}
