--- a/soak/observer.go
+++ b/soak/observer.go
@@ -264,7 +264,7 @@
 func (o *observer) told(n *sim.Node, end core.EndProgram) {
 	life := n.ID()
 	p := o.program(end.Program)
-	if end.Moved || !p.engines[life] || end.Epoch.Version < o.slotVersion(end.Slot) {
+	if !p.engines[life] || end.Epoch.Version < o.slotVersion(end.Slot) {
 		return
 	}
 	o.h.sim.After(promptGrace, func() {
