--- a/soak/mutant_test.go
+++ b/soak/mutant_test.go
@@ -159,26 +159,66 @@
 }
 
 // withoutNews lets an entry learn only now and then that a slot has another
-// owner, as on a bad network; the fences alone then stop old homes.
+// owner, as on a bad network; the fences alone then stop old homes. A home is
+// not asked for its promise either.
 func withoutNews(w *wrapper, _ core.Node) {
 	const heard = 60
 	n := 0
+	writes := map[core.SlotID]bool{}
 	w.event = func(ev core.Event) (core.Event, []core.Effect) {
-		news := false
-		switch ev := ev.(type) {
-		case core.StoreWatch:
-			news = true
-		case core.Recv:
-			_, news = ev.Msg.(core.SlotUpdate)
+		if p, ok := promise(ev); ok && writes[p.Slot] {
+			return nil, nil
 		}
-		if news {
-			n++
+		if !news(ev) {
+			return ev, nil
 		}
-		if news && n%heard != 0 {
+		n++
+		if n%heard != 0 {
 			return nil, nil
 		}
 		return ev, nil
 	}
+	effect := w.effect
+	w.effect = func(e core.Effect) core.Effect {
+		if s, ok := e.(core.Send); ok {
+			noteWrites(writes, s.Msg)
+		}
+		if effect == nil {
+			return e
+		}
+		return effect(e)
+	}
+}
+
+// noteWrites follows of which slots an entry is the home.
+func noteWrites(writes map[core.SlotID]bool, m core.Message) {
+	switch m := m.(type) {
+	case core.MirrorWrite:
+		writes[m.Slot] = true
+	case core.MirrorAck:
+		delete(writes, m.Slot)
+	}
+}
+
+func promise(ev core.Event) (core.PromiseRequest, bool) {
+	r, ok := ev.(core.Recv)
+	if !ok {
+		return core.PromiseRequest{}, false
+	}
+	p, ok := r.Msg.(core.PromiseRequest)
+	return p, ok
+}
+
+// news reports whether an event tells of the owners of slots.
+func news(ev core.Event) bool {
+	switch ev := ev.(type) {
+	case core.StoreWatch:
+		return true
+	case core.Recv:
+		_, update := ev.Msg.(core.SlotUpdate)
+		return update
+	}
+	return false
 }
 
 // withoutMirroring keeps the writes of a home away from its mirrors and
