--- a/daemon/node/security_test.go
+++ b/daemon/node/security_test.go
@@ -13,7 +13,7 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/invariant"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform/etcdjson"
 	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/tlsfile"
-	"github.com/rhubarbsaddle/rhubarbsaddle/standin/ca"
+	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/tlsfile/tlstest"
 	"github.com/rhubarbsaddle/rhubarbsaddle/standin/kv"
 )
 
@@ -52,23 +52,11 @@
 	return n
 }
 
-func newCA(t *testing.T) *ca.CA {
-	authority, err := ca.New(t.TempDir())
-	require.NoError(t, err)
-	return authority
-}
-
-func issue(t *testing.T, authority *ca.CA, name string) config.TLS {
-	files, err := authority.Issue(name)
-	require.NoError(t, err)
-	return files
-}
-
 func TestPortsAskForCertificates(t *testing.T) {
-	own, foreign := newCA(t), newCA(t)
-	n := startNode(t, issue(t, own, "server"))
-	load := func(authority *ca.CA) *tls.Config {
-		files, err := tlsfile.Load(issue(t, authority, "client"))
+	own, foreign := tlstest.NewAuthority(t), tlstest.NewAuthority(t)
+	n := startNode(t, own.Issue(t, t.TempDir(), 1))
+	load := func(authority *tlstest.Authority) *tls.Config {
+		files, err := tlsfile.Load(authority.Issue(t, t.TempDir(), 2))
 		require.NoError(t, err)
 		return files.Client()
 	}
