--- a/front/front_test.go
+++ b/front/front_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
@@ -22,6 +23,9 @@
 
 const testKey = "secret"
 
+// testTime is the arrival of the tests' requests.
+var testTime = time.Unix(1, 0)
+
 func testSet() *config.Set {
 	digest := sha256.Sum256([]byte(testKey))
 	return &config.Set{
@@ -286,3 +290,12 @@
 	require.NoError(t, c.Delete(context.Background(), "programs/p1/sub", nil, nil))
 	require.Equal(t, core.ProgramID("acme:p1/sub"), f.ended)
 }
+
+func TestLoneCallIsNamedByItsKey(t *testing.T) {
+	account := &config.Account{Name: "acme"}
+	first := (&claim{key: "a/b"}).scope(account)
+	require.Equal(t, first, (&claim{key: "a/b"}).scope(account))
+	require.Equal(t, first, first.Root(), "a key with a slash makes no sub-agent")
+	require.NotEqual(t, first, (&claim{key: "a/c"}).scope(account))
+	require.NotEqual(t, (&claim{}).scope(account), (&claim{}).scope(account))
+}
--- a/front/program.go
+++ b/front/program.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"net/http"
 	"regexp"
 	"slices"
@@ -128,15 +130,22 @@
 func (c *claim) scope(account *config.Account) core.ProgramID {
 	name := c.program
 	if name == "" {
-		key := c.key
-		if key == "" {
-			key = uuid.NewString()
-		}
-		name = lonePrefix + key
+		name = lonePrefix + c.loneName()
 	}
 	return core.ProgramID(account.Name + ":" + name)
 }
 
+// loneName names the program of a lone call: the same for the same key, so that
+// a retry finds it, and without the key's own characters, which may not stand in
+// a program id.
+func (c *claim) loneName() string {
+	if c.key == "" {
+		return uuid.NewString()
+	}
+	digest := sha256.Sum256([]byte(c.key))
+	return hex.EncodeToString(digest[:16])
+}
+
 // kindFor returns the program kind of a call to a pool. A request that names no
 // kind gets the account's first kind that may use the pool.
 func (c *claim) kindFor(set *config.Set, account *config.Account, pool string) (string, *Refusal) {
--- a/front/refusal.go
+++ b/front/refusal.go
@@ -129,6 +129,7 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	extendWrite(w)
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("X-Should-Retry", strconv.FormatBool(r.retry))
--- a/front/response.go
+++ b/front/response.go
@@ -125,8 +125,7 @@
 		}
 		r.w.WriteHeader(r.head.Status)
 	}
-	// A handler without write deadlines, as in tests, is as good.
-	_ = r.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	extendWrite(r.w)
 	_, err := r.w.Write(p)
 	return err
 }
--- a/front/server.go
+++ b/front/server.go
@@ -80,7 +80,17 @@
 }
 
 // ServeHTTP serves one request of a caller.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	extendWrite(w)
+	s.mux.ServeHTTP(w, r)
+}
+
+// extendWrite bounds the next write. The bound of an earlier response on the
+// same connection would hold otherwise. Writers without deadlines, as in tests,
+// are as good.
+func extendWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+}
 
 // HTTPServer returns a server with timeouts and bounds set.
 func (s *Server) HTTPServer() *http.Server {
--- a/front/time_test.go
+++ /dev/null
@@ -1,6 +0,0 @@
-package front
-
-import "time"
-
-// testTime is the arrival of the tests' requests.
-var testTime = time.Unix(1, 0)
