--- a/rpc/peer/peer_test.go
+++ b/rpc/peer/peer_test.go
@@ -14,7 +14,7 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/peerpb"
 	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/tlsfile"
-	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/tlsfile/tlstest"
+	"github.com/rhubarbsaddle/rhubarbsaddle/standin/ca"
 	"github.com/rhubarbsaddle/rhubarbsaddle/standin/relay"
 )
 
@@ -114,18 +114,25 @@
 }
 
 func TestDeliveryOverMutualTLS(t *testing.T) {
-	ca := tlstest.NewAuthority(t)
-	load := func(authority *tlstest.Authority, serial int64) *tlsfile.Files {
-		files, err := tlsfile.Load(authority.Issue(t, t.TempDir(), serial))
+	authority := func() *ca.CA {
+		made, err := ca.New(t.TempDir())
+		require.NoError(t, err)
+		return made
+	}
+	load := func(authority *ca.CA, name string) *tlsfile.Files {
+		settings, err := authority.Issue(name)
+		require.NoError(t, err)
+		files, err := tlsfile.Load(settings)
 		require.NoError(t, err)
 		return files
 	}
+	ours := authority()
 	self := core.Node{VM: "b", Inc: 7}
-	r := serveTLS(t, self, &slowAnswer{data: []byte("answer"), stall: 99}, load(ca, 1))
+	r := serveTLS(t, self, &slowAnswer{data: []byte("answer"), stall: 99}, load(ours, "server"))
 	failed := make(chan error, 100)
 	stranger := NewMesh(Options{
 		Self:    core.Node{VM: "s", Inc: 1},
-		TLS:     load(tlstest.NewAuthority(t), 2),
+		TLS:     load(authority(), "stranger"),
 		OnError: func(err error) { failed <- err },
 	})
 	t.Cleanup(stranger.Close)
@@ -133,7 +140,7 @@
 	stranger.Send(self, withdraw(1))
 	require.Error(t, <-failed)
 
-	friend := NewMesh(Options{Self: core.Node{VM: "a", Inc: 1}, TLS: load(ca, 3)})
+	friend := NewMesh(Options{Self: core.Node{VM: "a", Inc: 1}, TLS: load(ours, "friend")})
 	t.Cleanup(friend.Close)
 	friend.SetAddress("b", r.addr)
 	friend.Send(self, withdraw(2))
