--- a/daemon/node/security_test.go
+++ b/daemon/node/security_test.go
@@ -13,7 +13,7 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/invariant"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform/etcdjson"
 	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/tlsfile"
-	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/tlsfile/tlstest"
+	"github.com/rhubarbsaddle/rhubarbsaddle/standin/ca"
 	"github.com/rhubarbsaddle/rhubarbsaddle/standin/kv"
 )
 
@@ -53,10 +53,18 @@
 }
 
 func TestPortsAskForCertificates(t *testing.T) {
-	own, foreign := tlstest.NewAuthority(t), tlstest.NewAuthority(t)
-	n := startNode(t, own.Issue(t, t.TempDir(), 1))
-	load := func(authority *tlstest.Authority) *tls.Config {
-		files, err := tlsfile.Load(authority.Issue(t, t.TempDir(), 2))
+	issue := func(authority *ca.CA, name string) config.TLS {
+		settings, err := authority.Issue(name)
+		require.NoError(t, err)
+		return settings
+	}
+	own, err := ca.New(t.TempDir())
+	require.NoError(t, err)
+	foreign, err := ca.New(t.TempDir())
+	require.NoError(t, err)
+	n := startNode(t, issue(own, "server"))
+	load := func(authority *ca.CA) *tls.Config {
+		files, err := tlsfile.Load(issue(authority, "client"))
 		require.NoError(t, err)
 		return files.Client()
 	}
--- a/rpc/tlsfile/load_test.go
+++ b/rpc/tlsfile/load_test.go
@@ -6,11 +6,14 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/config"
-	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/tlsfile/tlstest"
+	"github.com/rhubarbsaddle/rhubarbsaddle/standin/ca"
 )
 
 func TestLoadRefusesPartialSettings(t *testing.T) {
-	good := tlstest.NewAuthority(t).Issue(t, t.TempDir(), 1)
+	authority, err := ca.New(t.TempDir())
+	require.NoError(t, err)
+	good, err := authority.Issue("server")
+	require.NoError(t, err)
 	for _, bad := range []config.TLS{
 		{Cert: good.Cert},
 		{CA: good.CA},
