--- a/core/entry/answer.go
+++ b/core/entry/answer.go
@@ -115,6 +115,10 @@
 
 // tickRefusals forgets the tombstones of requests whose copies are long gone.
 func (e *Entry) tickRefusals() {
+	if e.now.Sub(e.buriedAt) < expirePeriod {
+		return
+	}
+	e.buriedAt = e.now
 	for req, t := range e.refusals {
 		if e.now.Sub(t.at) > refusalRetention || e.members.dead(req.Edge) {
 			delete(e.refusals, req)
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -57,6 +57,8 @@
 	countedAt core.Instant
 	// refusals holds the requests answered as not run.
 	refusals map[core.RequestID]*refusedRequest
+	// buriedAt is when old refusals were last dropped.
+	buriedAt core.Instant
 }
 
 // retryKey names a retry budget.
