entry: a member without an image does not disturb a home that lives

An unsynchronized mirror that heard nothing of its home for the suspicion time asked all members to promise, which ended the time of a home that the others heard. It asks now only when the home is dead by evidence. The new test fails with the old rule.

--- a/core/entry/takeover.go
+++ b/core/entry/takeover.go
@@ -129,12 +129,14 @@
 
 // takeEmpty claims a slot of which no member has the memory any more. An entry
 // that never was a member does so only if all members are dead by evidence; a
-// member without an image finds out from the others.
+// member without an image finds out from the others, once the home is dead by
+// evidence: a request to promise would end the time of a home that lives.
 func (e *Entry) takeEmpty(s *slot, cs []candidate) {
 	order := ranked(s.id, cs)
 	member := slices.ContainsFunc(s.members(), func(m core.Member) bool { return m.Node == e.self })
 	first := len(order) > 0 && order[0].node == e.self
-	if !e.store.ranged || !member && !(first && e.allDead(s)) {
+	mine := member && (e.members.dead(s.homeNode()) || s.homeNode() == e.self)
+	if !e.store.ranged || !mine && !(first && e.allDead(s)) {
 		return
 	}
 	e.propose(s, e.newOwner(s, order, nil), true)
--- a/core/entry/takeover_test.go
+++ b/core/entry/takeover_test.go
@@ -475,3 +475,22 @@
 	f := c.reply(req)
 	require.Equal(t, core.OutcomeUnknown, f.Outcome, "%s", f.Reason)
 }
+
+// TestMemberWithoutImageLeavesALivingHome cuts a mirror that has no image off
+// from its home only. The home must stay.
+func TestMemberWithoutImageLeavesALivingHome(t *testing.T) {
+	c := newCluster(t, 4, 2)
+	c.settled()
+	home := c.homeOf("p")
+	s := home.entry.slotOf("p")
+	bare := c.procs[s.owner.Mirrors[1].Node.VM]
+	epoch := s.home.epoch
+	c.cut = func(from, to core.VM, m core.Message) bool {
+		_, ask := m.(core.PromiseRequest)
+		return from == home.node.VM && to == bare.node.VM || ask && from != bare.node.VM
+	}
+	bare.entry.slotOf("p").image.valid = false
+	c.advance(2 * core.Second)
+	require.NotNil(t, s.home)
+	require.Equal(t, epoch, s.home.epoch)
+}
