--- a/daemon/node/security_test.go
+++ b/daemon/node/security_test.go
@@ -52,23 +52,19 @@
 	return n
 }
 
-func newCA(t *testing.T) *ca.CA {
-	authority, err := ca.New(t.TempDir())
+func TestPortsAskForCertificates(t *testing.T) {
+	issue := func(authority *ca.CA, name string) config.TLS {
+		settings, err := authority.Issue(name)
+		require.NoError(t, err)
+		return settings
+	}
+	own, err := ca.New(t.TempDir())
 	require.NoError(t, err)
-	return authority
-}
-
-func issue(t *testing.T, authority *ca.CA, name string) config.TLS {
-	files, err := authority.Issue(name)
+	foreign, err := ca.New(t.TempDir())
 	require.NoError(t, err)
-	return files
-}
-
-func TestPortsAskForCertificates(t *testing.T) {
-	own, foreign := newCA(t), newCA(t)
-	n := startNode(t, issue(t, own, "server"))
+	n := startNode(t, issue(own, "server"))
 	load := func(authority *ca.CA) *tls.Config {
-		files, err := tlsfile.Load(issue(t, authority, "client"))
+		files, err := tlsfile.Load(issue(authority, "client"))
 		require.NoError(t, err)
 		return files.Client()
 	}
