--- a/core/entry/dispatch_test.go
+++ b/core/entry/dispatch_test.go
@@ -50,4 +50,7 @@
 	f := c.reply(c.call(home, turn("p", 2)))
 	require.Equal(t, core.OutcomeNotRun, f.Outcome)
 	require.Equal(t, core.ReasonNoOwner, f.Reason)
+	asked := c.now
+	require.Equal(t, core.ReasonNoOwner, c.reply(c.call(home, turn("p", 2))).Reason)
+	require.Equal(t, asked, c.now, "a home that is cut off refuses at once")
 }
--- a/core/entry/forward.go
+++ b/core/entry/forward.go
@@ -51,6 +51,11 @@
 		e.answer(s, f.Req, core.Finish{Outcome: core.OutcomeUnknown, Reason: core.ReasonForgotten})
 		return
 	}
+	if e.cutOff(s) && !f.Again {
+		// Nothing can be written, and no earlier home can have run the call.
+		e.answer(s, f.Req, refusal(core.ReasonNoOwner, retryHint))
+		return
+	}
 	if reason := e.admissible(s, &call); reason != "" {
 		e.answer(s, f.Req, refusal(reason, e.hint(reason)))
 		return
--- a/core/entry/home.go
+++ b/core/entry/home.go
@@ -204,6 +204,15 @@
 	}
 }
 
+// cutOff reports whether all other members have been silent for longer than a
+// takeover or the change of a mirror takes.
+func (e *Entry) cutOff(s *slot) bool {
+	heard := func(m core.Member) bool {
+		return e.silence(m.Node) < 2*e.times.suspect || e.members.dead(m.Node)
+	}
+	return len(s.owner.Mirrors) > 0 && !slices.ContainsFunc(s.owner.Mirrors, heard)
+}
+
 // isolated reports whether a member of a slot is silent and not dead, so that
 // this entry cannot know whether it is still the home.
 func (e *Entry) isolated(s *slot) bool {
