--- a/daemon/node/serve.go
+++ b/daemon/node/serve.go
@@ -32,7 +32,7 @@
 	handler := &peer.Handler{
 		Self:    n.Self,
 		Receive: func(from core.Node, msg core.Message) { n.Post(core.Recv{From: from, Msg: msg}) },
-		Learn:   n.mesh.SetAddress,
+		Learn:   n.mesh.Learn,
 		Answers: n.options.Answers,
 		Config:  n.configText,
 	}
@@ -89,12 +89,17 @@
 	mux.HandleFunc("POST /drain", n.serveDrain)
 	mux.Handle("GET /events", n.Events)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(n.Metrics.registry, promhttp.HandlerOpts{}))
-	n.Serve(&http.Server{
+	server := &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       headerTimeout,
 		WriteTimeout:      headerTimeout,
-	}, listener, "operators")
+	}
+	if n.tls != nil {
+		// An operator can drain the process, so they show a certificate as peers do.
+		server.TLSConfig = n.tls.Server(true)
+	}
+	n.Serve(server, listener, "operators")
 	return nil
 }
 
