history: a bounded store of conversations with a fence and a spool

Cause: the whole conversation travels with each call and nothing keeps it. Change: package history keeps compressed bodies, checked against the digest chain, ordered by attempt, fenced by the slot's epoch, with a spool on VMs with a disk. bench slopes measures history_token_bytes and history_token_nanoseconds. Conclusion: the store stands; nothing uses it yet.

--- a/bench/slopes/measure.go
+++ b/bench/slopes/measure.go
@@ -36,7 +36,7 @@
 // Run makes all measurements in virtual time.
 func Run(seed uint64) (*Report, error) {
 	r := &Report{Seed: seed}
-	for _, measure := range []func(*Report) error{memoryOfPrograms, costOfCalls, costOfPeers, costOfTargets} {
+	for _, measure := range []func(*Report) error{memoryOfPrograms, costOfCalls, costOfPeers, costOfTargets, costOfHistory} {
 		if err := measure(r); err != nil {
 			return nil, err
 		}
--- a/chat/request.go
+++ b/chat/request.go
@@ -26,6 +26,32 @@
 	ToolCallID string          `json:"tool_call_id"`
 }
 
+// Encode returns the message as it stands in a request. It has the digest of the
+// message that it was made from.
+func (m *Message) Encode() ([]byte, error) {
+	return json.Marshal(&struct {
+		Role       string          `json:"role"`
+		Content    json.RawMessage `json:"content,omitempty"`
+		ToolCalls  []toolCall      `json:"tool_calls,omitempty"`
+		ToolCallID string          `json:"tool_call_id,omitempty"`
+	}{m.Role, m.Content, toolCalls(m.ToolCalls), m.ToolCallID})
+}
+
+// toolCall is a ToolCall as requests hold it: with its type and without index.
+type toolCall struct {
+	ID       string `json:"id"`
+	Type     string `json:"type"`
+	Function any    `json:"function"`
+}
+
+func toolCalls(calls []ToolCall) []toolCall {
+	var out []toolCall
+	for _, c := range calls {
+		out = append(out, toolCall{ID: c.ID, Type: "function", Function: c.Function})
+	}
+	return out
+}
+
 // ToolCall is a call of a tool that the model asked for.
 type ToolCall struct {
 	Index    int    `json:"index"`
--- /dev/null
+++ b/history/error.go
@@ -0,0 +1,90 @@
+package history
+
+import (
+	"fmt"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+)
+
+// LostError reports that a body is not kept here, or only an older one.
+type LostError struct {
+	Program core.ProgramID
+	Digest  uint64
+}
+
+// Error returns the program and the digest that was asked for.
+func (e *LostError) Error() string {
+	return fmt.Sprintf("history: no body of %s with digest %016x", e.Program, e.Digest)
+}
+
+// FenceError reports an epoch below the highest seen for its slot.
+type FenceError struct {
+	Slot core.SlotID
+	Got  core.Epoch
+	Seen core.Epoch
+}
+
+// Error returns the slot and both epochs.
+func (e *FenceError) Error() string {
+	return fmt.Sprintf("history: epoch %s of slot %d is below %s", e.Got, e.Slot, e.Seen)
+}
+
+// AccountError reports a body that belongs to another account.
+type AccountError struct{ Program core.ProgramID }
+
+// Error returns the program.
+func (e *AccountError) Error() string {
+	return fmt.Sprintf("history: %s belongs to another account", e.Program)
+}
+
+// StaleError reports a put of an attempt that is older than the body kept.
+type StaleError struct {
+	Program core.ProgramID
+	Got     core.AttemptID
+	Kept    core.AttemptID
+}
+
+// Error returns the program and both attempts.
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("history: attempt %s of %s is older than %s", e.Got, e.Program, e.Kept)
+}
+
+// CorruptError reports bytes that are no body, or not the one that their
+// checksum or digest names.
+type CorruptError struct {
+	// Step is the check that failed.
+	Step string
+	Err  error
+}
+
+// Error returns the step and the cause.
+func (e *CorruptError) Error() string { return fmt.Sprintf("history: %s: %v", e.Step, e.Err) }
+
+// Unwrap returns the cause.
+func (e *CorruptError) Unwrap() error { return e.Err }
+
+// TooLargeError reports a body above the store's bound.
+type TooLargeError struct {
+	Program core.ProgramID
+	Bytes   int
+}
+
+// Error returns the program and the size.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("history: body of %s has %d bytes, more than the store holds", e.Program, e.Bytes)
+}
+
+// SpoolError reports a failed operation on the spool.
+type SpoolError struct {
+	Step string
+	Path string
+	Err  error
+}
+
+// Error returns the step, the file and the cause.
+func (e *SpoolError) Error() string {
+	return fmt.Sprintf("history: %s %s: %v", e.Step, e.Path, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *SpoolError) Unwrap() error { return e.Err }
