core, rpc: messages and fields for kept conversations

Cause: the home has to name the sidecars that keep a conversation. Change: HistoryRequest, HistoryFound, HistoryKept, HistoryDrop; HistoryCopies in the home record; Call.Fingerprint; StartTarget.Home; rpcs PutHistory and GetHistory. Fields are added only.

--- a/core/call.go
+++ b/core/call.go
@@ -53,6 +53,9 @@
 	Path        string
 	ContentType string
 	Body        []byte
+	// Fingerprint is the digest of what the caller sent, if Body was completed
+	// from a kept conversation; else zero.
+	Fingerprint uint64
 }
 
 // PromptTokens returns the length of the conversation in tokens.
@@ -105,6 +108,7 @@
 // Reasons of refusals and failures.
 const (
 	ReasonBudget       Reason = "budget_exhausted"
+	ReasonHistoryLost  Reason = "history_lost"
 	ReasonHistory      Reason = "history_mismatch"
 	ReasonSequence     Reason = "out_of_sequence"
 	ReasonLimit        Reason = "limit_exceeded"
--- a/core/effect.go
+++ b/core/effect.go
@@ -53,6 +53,8 @@
 	Call    Call
 	// Fence is passed on to targets that check fencing numbers.
 	Fence Epoch
+	// Home is the entry that sent the attempt.
+	Home Node
 }
 
 // AbortTarget cancels an attempt at the target.
--- a/core/message.go
+++ b/core/message.go
@@ -160,6 +160,37 @@
 	Program ProgramID
 }
 
+// HistoryRequest asks the home of a program where its conversation is kept.
+type HistoryRequest struct {
+	Req     RequestID
+	Program ProgramID
+	Account Account
+	Epoch   Epoch
+}
+
+// HistoryFound answers a HistoryRequest; a refusal comes as Finished.
+type HistoryFound struct {
+	Req RequestID
+	Ref HistoryRef
+}
+
+// HistoryKept tells the home that the sender keeps a conversation.
+type HistoryKept struct {
+	Slot    SlotID
+	Epoch   Epoch
+	Program ProgramID
+	Digest  uint64
+	Blocks  uint32
+}
+
+// HistoryDrop lets a sidecar forget a conversation that newer copies replace.
+type HistoryDrop struct {
+	Slot    SlotID
+	Epoch   Epoch
+	Program ProgramID
+	Digest  uint64
+}
+
 // Hello asks a sidecar for load reports.
 type Hello struct{}
 
@@ -245,3 +276,7 @@
 func (Hello) message()          {}
 func (Result) message()         {}
 func (LoadReport) message()     {}
+func (HistoryRequest) message() {}
+func (HistoryFound) message()   {}
+func (HistoryKept) message()    {}
+func (HistoryDrop) message()    {}
--- a/core/record.go
+++ b/core/record.go
@@ -52,6 +52,9 @@
 	// HistoryDigest and HistoryBlocks name the acknowledged conversation.
 	HistoryDigest uint64
 	HistoryBlocks uint32
+	// HistoryCopies lists the sidecars that keep the conversation, and those that
+	// keep an older state until the newer one has a copy.
+	HistoryCopies []HistoryCopy
 	// Attained is the service received so far, in tokens computed.
 	Attained uint64
 	Turns    uint32
@@ -72,6 +75,7 @@
 	q := *p
 	q.Calls = append([]CallRecord(nil), p.Calls...)
 	q.Served = append([]Node(nil), p.Served...)
+	q.HistoryCopies = append([]HistoryCopy(nil), p.HistoryCopies...)
 	return &q
 }
 
--- a/rpc/peerpb/peerpbconnect/peer.connect.go
+++ b/rpc/peerpb/peerpbconnect/peer.connect.go
@@ -42,6 +42,10 @@
 	PeerServiceAttachProcedure = "/rhubarbsaddle.peer.v1.PeerService/Attach"
 	// PeerServiceFetchConfigProcedure is the fully-qualified name of the PeerService's FetchConfig RPC.
 	PeerServiceFetchConfigProcedure = "/rhubarbsaddle.peer.v1.PeerService/FetchConfig"
+	// PeerServicePutHistoryProcedure is the fully-qualified name of the PeerService's PutHistory RPC.
+	PeerServicePutHistoryProcedure = "/rhubarbsaddle.peer.v1.PeerService/PutHistory"
+	// PeerServiceGetHistoryProcedure is the fully-qualified name of the PeerService's GetHistory RPC.
+	PeerServiceGetHistoryProcedure = "/rhubarbsaddle.peer.v1.PeerService/GetHistory"
 )
 
 // PeerServiceClient is a client for the rhubarbsaddle.peer.v1.PeerService service.
@@ -54,6 +58,10 @@
 	// FetchConfig reads the configuration in force at the receiver, for a process
 	// that cannot or need not read it from the key-value service.
 	FetchConfig(context.Context, *peerpb.FetchConfigRequest) (*peerpb.FetchConfigResponse, error)
+	// PutHistory gives a sidecar a copy of a conversation.
+	PutHistory(context.Context, *peerpb.PutHistoryRequest) (*peerpb.PutHistoryResponse, error)
+	// GetHistory reads a conversation that a sidecar keeps.
+	GetHistory(context.Context, *peerpb.GetHistoryRequest) (*peerpb.GetHistoryResponse, error)
 }
 
 // NewPeerServiceClient constructs a client for the rhubarbsaddle.peer.v1.PeerService service. By
@@ -85,6 +93,18 @@
 			connect.WithSchema(peerServiceMethods.ByName("FetchConfig")),
 			connect.WithClientOptions(opts...),
 		),
+		putHistory: connect.NewClient[peerpb.PutHistoryRequest, peerpb.PutHistoryResponse](
+			httpClient,
+			baseURL+PeerServicePutHistoryProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("PutHistory")),
+			connect.WithClientOptions(opts...),
+		),
+		getHistory: connect.NewClient[peerpb.GetHistoryRequest, peerpb.GetHistoryResponse](
+			httpClient,
+			baseURL+PeerServiceGetHistoryProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("GetHistory")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -93,6 +113,8 @@
 	deliver     *connect.Client[peerpb.DeliverRequest, peerpb.DeliverResponse]
 	attach      *connect.Client[peerpb.AttachRequest, peerpb.AttachResponse]
 	fetchConfig *connect.Client[peerpb.FetchConfigRequest, peerpb.FetchConfigResponse]
+	putHistory  *connect.Client[peerpb.PutHistoryRequest, peerpb.PutHistoryResponse]
+	getHistory  *connect.Client[peerpb.GetHistoryRequest, peerpb.GetHistoryResponse]
 }
 
 // Deliver calls rhubarbsaddle.peer.v1.PeerService.Deliver.
@@ -114,6 +136,24 @@
 	return nil, err
 }
 
+// PutHistory calls rhubarbsaddle.peer.v1.PeerService.PutHistory.
+func (c *peerServiceClient) PutHistory(ctx context.Context, req *peerpb.PutHistoryRequest) (*peerpb.PutHistoryResponse, error) {
+	response, err := c.putHistory.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// GetHistory calls rhubarbsaddle.peer.v1.PeerService.GetHistory.
+func (c *peerServiceClient) GetHistory(ctx context.Context, req *peerpb.GetHistoryRequest) (*peerpb.GetHistoryResponse, error) {
+	response, err := c.getHistory.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // PeerServiceHandler is an implementation of the rhubarbsaddle.peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Deliver passes batches of messages to the receiver's reducer. The receiver
@@ -124,6 +164,10 @@
 	// FetchConfig reads the configuration in force at the receiver, for a process
 	// that cannot or need not read it from the key-value service.
 	FetchConfig(context.Context, *peerpb.FetchConfigRequest) (*peerpb.FetchConfigResponse, error)
+	// PutHistory gives a sidecar a copy of a conversation.
+	PutHistory(context.Context, *peerpb.PutHistoryRequest) (*peerpb.PutHistoryResponse, error)
+	// GetHistory reads a conversation that a sidecar keeps.
+	GetHistory(context.Context, *peerpb.GetHistoryRequest) (*peerpb.GetHistoryResponse, error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -151,6 +195,18 @@
 		connect.WithSchema(peerServiceMethods.ByName("FetchConfig")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServicePutHistoryHandler := connect.NewUnaryHandlerSimple(
+		PeerServicePutHistoryProcedure,
+		svc.PutHistory,
+		connect.WithSchema(peerServiceMethods.ByName("PutHistory")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerServiceGetHistoryHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceGetHistoryProcedure,
+		svc.GetHistory,
+		connect.WithSchema(peerServiceMethods.ByName("GetHistory")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/rhubarbsaddle.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceDeliverProcedure:
@@ -159,6 +215,10 @@
 			peerServiceAttachHandler.ServeHTTP(w, r)
 		case PeerServiceFetchConfigProcedure:
 			peerServiceFetchConfigHandler.ServeHTTP(w, r)
+		case PeerServicePutHistoryProcedure:
+			peerServicePutHistoryHandler.ServeHTTP(w, r)
+		case PeerServiceGetHistoryProcedure:
+			peerServiceGetHistoryHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -179,3 +239,11 @@
 func (UnimplementedPeerServiceHandler) FetchConfig(context.Context, *peerpb.FetchConfigRequest) (*peerpb.FetchConfigResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbsaddle.peer.v1.PeerService.FetchConfig is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) PutHistory(context.Context, *peerpb.PutHistoryRequest) (*peerpb.PutHistoryResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbsaddle.peer.v1.PeerService.PutHistory is not implemented"))
+}
+
+func (UnimplementedPeerServiceHandler) GetHistory(context.Context, *peerpb.GetHistoryRequest) (*peerpb.GetHistoryResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rhubarbsaddle.peer.v1.PeerService.GetHistory is not implemented"))
+}
--- a/rpc/wire/call.go
+++ b/rpc/wire/call.go
@@ -24,6 +24,7 @@
 		Path:          c.Path,
 		ContentType:   c.ContentType,
 		Body:          c.Body,
+		Fingerprint:   c.Fingerprint,
 	}
 	for _, b := range c.Blocks {
 		p.Blocks = append(p.Blocks, &peerpb.Block{Digest: b.Digest, Tokens: b.Tokens})
@@ -50,6 +51,7 @@
 		Path:          p.GetPath(),
 		ContentType:   p.GetContentType(),
 		Body:          p.GetBody(),
+		Fingerprint:   p.GetFingerprint(),
 	}
 	for _, b := range p.GetBlocks() {
 		c.Blocks = append(c.Blocks, core.Block{Digest: b.GetDigest(), Tokens: b.GetTokens()})
--- a/rpc/wire/decode.go
+++ b/rpc/wire/decode.go
@@ -57,6 +57,9 @@
 	if msg := decodeSlotMessage(env); msg != nil {
 		return msg, nil
 	}
+	if msg := decodeHistoryMessage(env); msg != nil {
+		return msg, nil
+	}
 	return nil, &UnknownMessageError{Step: "decode", Type: fmt.Sprintf("%T", env.GetMessage())}
 }
 
--- a/rpc/wire/encode.go
+++ b/rpc/wire/encode.go
@@ -51,7 +51,7 @@
 	case core.Result:
 		env.Message = &peerpb.Envelope_Result{Result: fromResult(&m)}
 	default:
-		if !encodeSlotMessage(env, msg) {
+		if !encodeSlotMessage(env, msg) && !encodeHistoryMessage(env, msg) {
 			return nil, &UnknownMessageError{Step: "encode", Type: fmt.Sprintf("%T", msg)}
 		}
 	}
--- a/rpc/wire/record.go
+++ b/rpc/wire/record.go
@@ -60,6 +60,7 @@
 		Started:       int64(q.Started),
 		Active:        int64(q.Active),
 		Ended:         q.Ended,
+		HistoryCopies: fromHistoryCopies(q.HistoryCopies),
 	}
 	for _, node := range q.Served {
 		p.Served = append(p.Served, encodeNode(node))
@@ -87,6 +88,7 @@
 		Started:       core.Instant(p.GetStarted()),
 		Active:        core.Instant(p.GetActive()),
 		Ended:         p.GetEnded(),
+		HistoryCopies: toHistoryCopies(p.GetHistoryCopies()),
 	}
 	for _, node := range p.GetServed() {
 		q.Served = append(q.Served, ToNode(node))
--- a/rpc/wire/wire_test.go
+++ b/rpc/wire/wire_test.go
@@ -53,6 +53,10 @@
 	"LoadReport":     roundTrip[core.LoadReport],
 	"PromiseRequest": roundTrip[core.PromiseRequest],
 	"PromiseReply":   roundTrip[core.PromiseReply],
+	"HistoryRequest": roundTrip[core.HistoryRequest],
+	"HistoryFound":   roundTrip[core.HistoryFound],
+	"HistoryKept":    roundTrip[core.HistoryKept],
+	"HistoryDrop":    roundTrip[core.HistoryDrop],
 }
 
 // messageMethod matches the method that makes a type a message.
