--- a/core/entry/edge.go
+++ b/core/entry/edge.go
@@ -12,8 +12,10 @@
 // request is a caller's request that this entry received and has not answered.
 type request struct {
 	id core.RequestID
-	// call is set unless the request ends a program.
-	call     *core.Call
+	// call is set unless the request ends a program or asks for its conversation.
+	call *core.Call
+	// history says that the request asks for a conversation.
+	history  bool
 	program  core.ProgramID
 	account  core.Account
 	deadline core.Instant
@@ -99,6 +101,10 @@
 	r.home = home
 	r.epoch = r.slot.owner.Epoch
 	r.sentAt = e.now
+	if r.history {
+		e.send(home, core.HistoryRequest{Req: r.id, Program: r.program, Account: r.account, Epoch: r.epoch})
+		return
+	}
 	if r.call == nil {
 		e.send(home, core.EndRequest{Req: r.id, Program: r.program, Account: r.account})
 		return
@@ -216,7 +222,7 @@
 // overdue answers a request whose home did not. What was forwarded may run.
 func (e *Entry) overdue(r *request) {
 	f := refusal(core.ReasonTimeout, 0)
-	if !r.home.IsZero() {
+	if !r.home.IsZero() && !r.history {
 		f.Outcome = core.OutcomeUnknown
 		e.send(r.home, core.Withdraw{Req: r.id})
 	}
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -107,6 +107,8 @@
 		e.callArrived(ev)
 	case core.EndArrived:
 		e.endArrived(ev)
+	case core.HistoryArrived:
+		e.historyArrived(ev)
 	case core.CallerGone:
 		e.callerGone(ev.Req)
 	case core.StreamBroken:
@@ -182,6 +184,12 @@
 		e.forwarded(from, m)
 	case core.EndRequest:
 		e.endRequested(from, m)
+	case core.HistoryRequest:
+		e.historyRequested(from, m)
+	case core.HistoryFound:
+		e.historyFound(m)
+	case core.HistoryKept:
+		e.historyKept(from, m)
 	case core.Withdraw:
 		e.withdrawn(m.Req)
 	case core.Placed:
--- a/core/entry/forward.go
+++ b/core/entry/forward.go
@@ -9,6 +9,9 @@
 // fingerprint is a digest of what a caller sent, to tell a retry from another
 // request with the same key or sequence number.
 func fingerprint(c *core.Call) uint64 {
+	if c.Fingerprint != 0 {
+		return c.Fingerprint
+	}
 	d := xxhash.New()
 	for _, part := range []string{c.Method, c.Path, string(c.Pool)} {
 		_, _ = d.WriteString(part)
--- a/core/entry/history.go
+++ b/core/entry/history.go
@@ -15,8 +15,9 @@
 	return uint32(len(call.Blocks)) >= n && call.Blocks[n-1].Digest == p.HistoryDigest
 }
 
-// recordHistory records the conversation with the answer of a model call.
-func (e *Entry) recordHistory(p *core.Program, call *core.Call, r core.Result) {
+// recordHistory records the conversation with the answer of a model call, which
+// the sidecar that served it keeps.
+func (e *Entry) recordHistory(p *core.Program, call *core.Call, r core.Result, server core.Node) {
 	if r.Blocks == 0 {
 		return
 	}
@@ -25,6 +26,7 @@
 		"%s: history of %s shrinks from %d to %d blocks", e.self, p.ID, p.HistoryBlocks, r.Blocks)
 	p.HistoryDigest = r.Digest
 	p.HistoryBlocks = r.Blocks
+	servedBy(p, server)
 }
 
 // historyTokens returns the length of the part of a prompt that a program's
--- a/core/entry/outcome.go
+++ b/core/entry/outcome.go
@@ -70,7 +70,7 @@
 	e.finishRecord(p, rec, f)
 	if rec.Kind == core.CallModel {
 		c.history = historyTokens(p, c.body)
-		e.recordHistory(p, c.body, r)
+		e.recordHistory(p, c.body, r, c.target)
 		p.Turns++
 		p.Last = c.target
 	}
--- a/core/entry/records.go
+++ b/core/entry/records.go
@@ -143,11 +143,7 @@
 
 // sendEnd tells every sidecar that served a tree to release its memory.
 func (e *Entry) sendEnd(s *slot, top core.ProgramID) {
-	root := s.image.programs[top.Root()]
-	if root == nil {
-		return
-	}
-	for _, n := range root.Served {
+	for _, n := range holders(s, top) {
 		if !e.members.dead(n) {
 			e.send(n, core.EndProgram{Slot: s.id, Epoch: s.home.epoch, Program: top})
 		}
--- a/core/sidecar/queue.go
+++ b/core/sidecar/queue.go
@@ -166,7 +166,7 @@
 		Step: "queue", Program: a.call.Program, Seq: a.call.Seq, Attempt: a.id,
 		Target: s.opts.Self, Slot: a.slot, Wait: s.now.Sub(a.arrived),
 	})
-	s.emit(core.StartTarget{Attempt: a.id, Call: a.call, Fence: a.fence})
+	s.emit(core.StartTarget{Attempt: a.id, Call: a.call, Fence: a.fence, Home: a.home})
 	s.sendResult(a.home, a)
 }
 
--- a/core/sidecar/release.go
+++ b/core/sidecar/release.go
@@ -14,6 +14,7 @@
 	if !s.fences.pass(msg.Slot, msg.Epoch) {
 		return
 	}
+	s.emit(core.ReleaseHistory{Slot: msg.Slot, Epoch: msg.Epoch, Program: msg.Program})
 	s.cache.ends[msg.Program] = s.now
 	inTree := func(id core.ProgramID) bool { return within(id, msg.Program) }
 	s.withdrawAll(core.ReasonEnded, func(a *attempt) bool { return inTree(a.call.Program) })
@@ -30,6 +31,14 @@
 	s.checkReleased(msg.Program)
 }
 
+// onHistoryDrop forgets a conversation that newer copies replace.
+func (s *Sidecar) onHistoryDrop(msg core.HistoryDrop) {
+	if !s.fences.pass(msg.Slot, msg.Epoch) {
+		return
+	}
+	s.emit(core.ReleaseHistory{Slot: msg.Slot, Epoch: msg.Epoch, Program: msg.Program, Digest: msg.Digest})
+}
+
 // within reports whether id is p or below it.
 func within(id, p core.ProgramID) bool {
 	return id == p || strings.HasPrefix(string(id), string(p)+"/")
--- a/core/sidecar/sidecar.go
+++ b/core/sidecar/sidecar.go
@@ -100,6 +100,8 @@
 		s.onAck(msg)
 	case core.EndProgram:
 		s.onEnd(msg)
+	case core.HistoryDrop:
+		s.onHistoryDrop(msg)
 	case core.Hello:
 		s.onHello(from)
 	}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -16,6 +16,7 @@
 	reducer "github.com/rhubarbsaddle/rhubarbsaddle/core/entry"
 	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/node"
 	"github.com/rhubarbsaddle/rhubarbsaddle/front"
+	"github.com/rhubarbsaddle/rhubarbsaddle/history"
 	"github.com/rhubarbsaddle/rhubarbsaddle/invariant"
 	"github.com/rhubarbsaddle/rhubarbsaddle/observe"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
@@ -41,6 +42,7 @@
 	reducer *reducer.Entry
 	callers *http.Server
 	addr    string
+	reader  *history.Reader
 
 	next     atomic.Uint64
 	mu       sync.Mutex
@@ -49,7 +51,11 @@
 
 // Start begins a life and serves until Close or Drain.
 func Start(options Options) (*Daemon, error) {
-	d := &Daemon{requests: make(map[core.RequestID]*request)}
+	reader, err := history.NewReader()
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{requests: make(map[core.RequestID]*request), reader: reader}
 	n, err := node.New(node.Options{
 		Settings: options.Settings,
 		Store:    options.Store,
@@ -165,6 +171,10 @@
 		if r := d.request(e.Req); r != nil {
 			r.finished(e.Finish)
 		}
+	case core.HistoryLocated:
+		if r := d.request(e.Req); r != nil {
+			r.found(e.Ref)
+		}
 	case core.AttachStream:
 		if r := d.request(e.Req); r != nil {
 			r.placed(source{attempt: e.Attempt, sidecar: e.Sidecar})
--- /dev/null
+++ b/daemon/entry/history.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/history"
+)
+
+// History returns the acknowledged conversation of a program as a JSON array of
+// messages. Without it the finish says why.
+func (d *Daemon) History(ctx context.Context, program core.ProgramID, account core.Account) ([]byte, core.Finish) {
+	r := d.open()
+	defer d.close(r)
+	d.node.Post(core.HistoryArrived{Req: r.id, Program: program, Account: account})
+	for {
+		select {
+		case <-r.notify:
+		case <-ctx.Done():
+			return nil, notRun(d.leave(r, ctx))
+		case <-d.node.Context().Done():
+			return nil, notRun(died())
+		}
+		if ref := r.located(); ref != nil {
+			return d.fetchHistory(ctx, ref)
+		}
+		if _, finish := r.take(); finish != nil {
+			return nil, *finish
+		}
+	}
+}
+
+// notRun returns the end of a request that only reads.
+func notRun(f core.Finish) core.Finish {
+	f.Outcome = core.OutcomeNotRun
+	return f
+}
+
+// fetchHistory reads a conversation from the first sidecar whose copy has the
+// digest that the home has acknowledged.
+func (d *Daemon) fetchHistory(ctx context.Context, ref *core.HistoryRef) ([]byte, core.Finish) {
+	for _, node := range ref.Copies {
+		messages, err := d.readHistory(ctx, node, ref)
+		if err == nil {
+			return messages, core.Finish{Outcome: core.OutcomeRan}
+		}
+		d.node.Log().Info().Str("step", "read history").Str("program", string(ref.Program)).
+			Str("peer", node.String()).Err(err).Msg("a copy of a conversation cannot be used")
+	}
+	return nil, core.Finish{Outcome: core.OutcomeNotRun, Reason: core.ReasonHistoryLost}
+}
+
+func (d *Daemon) readHistory(ctx context.Context, node core.Node, ref *core.HistoryRef) ([]byte, error) {
+	body, err := d.node.Mesh().GetHistory(ctx, node.VM, *ref)
+	if err != nil {
+		return nil, err
+	}
+	entry, err := history.Decode(body)
+	if err != nil {
+		return nil, err
+	}
+	return d.reader.Messages(entry, history.RefOf(*ref))
+}
--- a/daemon/entry/request.go
+++ b/daemon/entry/request.go
@@ -21,6 +21,22 @@
 	mu     sync.Mutex
 	source *source
 	finish *core.Finish
+	ref    *core.HistoryRef
+}
+
+// found records where a conversation is kept.
+func (r *request) found(ref core.HistoryRef) {
+	r.mu.Lock()
+	r.ref = &ref
+	r.mu.Unlock()
+	r.wake()
+}
+
+// located returns where a conversation is kept, or nil.
+func (r *request) located() *core.HistoryRef {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ref
 }
 
 // placed records where the answer will appear.
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -55,6 +55,8 @@
 	Status func() any
 	// Answers is where a sidecar keeps its answers; nil for an entry.
 	Answers peer.Answers
+	// History is where a sidecar keeps conversations; nil for an entry.
+	History peer.History
 	// ConfigFromPeers makes other entries the first source of the configuration.
 	ConfigFromPeers bool
 	// Watch names the prefixes of the key-value service that are watched.
--- a/daemon/node/record.go
+++ b/daemon/node/record.go
@@ -41,6 +41,24 @@
 	n.Metrics.Observe(o)
 }
 
+// VMs returns the last reading of the VM list.
+func (n *Node) VMs() []core.VMInfo {
+	if vms := n.vms.Load(); vms != nil {
+		return *vms
+	}
+	return nil
+}
+
+// VM returns a VM of the last reading.
+func (n *Node) VM(id core.VM) (vm core.VMInfo, found bool) {
+	for _, vm := range n.VMs() {
+		if vm.VM == id {
+			return vm, true
+		}
+	}
+	return core.VMInfo{}, false
+}
+
 // DomainOf returns the failure domain of a VM, or "" if it is not listed.
 func (n *Node) DomainOf(vm core.VM) core.Domain {
 	domains := n.domains.Load()
--- a/daemon/node/serve.go
+++ b/daemon/node/serve.go
@@ -34,6 +34,7 @@
 		Receive: func(from core.Node, msg core.Message) { n.Post(core.Recv{From: from, Msg: msg}) },
 		Learn:   n.mesh.Learn,
 		Answers: n.options.Answers,
+		History: n.options.History,
 		Config:  n.configText,
 	}
 	mux := http.NewServeMux()
--- a/daemon/sidecar/attempt.go
+++ b/daemon/sidecar/attempt.go
@@ -72,6 +72,9 @@
 	if e.Call.NonIdempotent {
 		finished.Answer = d.buffers.Whole(e.Attempt)
 	}
+	if result.Message != nil {
+		d.history.keep(e, result)
+	}
 	d.node.Post(finished)
 }
 
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -42,6 +42,7 @@
 	reducer *reducer.Sidecar
 	target  engine.Target
 	buffers *answers.Buffers
+	history *keeper
 
 	mu   sync.Mutex
 	runs map[core.AttemptID]context.CancelFunc
@@ -49,7 +50,12 @@
 
 // Start begins a life and serves until Close or Drain.
 func Start(options Options) (*Daemon, error) {
+	kept, err := openKeeper(options.Settings.VM, options.Settings.Data)
+	if err != nil {
+		return nil, err
+	}
 	d := &Daemon{
+		history: kept,
 		target:  options.Target,
 		buffers: answers.New(),
 		runs:    make(map[core.AttemptID]context.CancelFunc),
@@ -73,6 +79,7 @@
 		Run:     d.run,
 		Status:  func() any { return d.reducer.Status() },
 		Answers: d.buffers,
+		History: d.history,
 		// A deployment has many more sidecars than the key-value service has
 		// reads for.
 		ConfigFromPeers: true,
@@ -81,6 +88,7 @@
 		return nil, err
 	}
 	d.node = n
+	d.history.node = n
 	if err := n.Start(); err != nil {
 		return nil, err
 	}
@@ -105,6 +113,7 @@
 	case <-ctx.Done():
 		return &node.StepError{Step: "drain", Peer: d.node.Self.String(), Err: ctx.Err()}
 	}
+	d.history.handOver(ctx)
 	for d.buffers.Unread() > 0 {
 		select {
 		case <-time.After(unreadPause):
@@ -141,6 +150,8 @@
 		d.buffers.Drop(e.Attempt)
 	case core.ReleaseCache:
 		go d.releaseCache(e)
+	case core.ReleaseHistory:
+		go d.history.release(e)
 	case core.ListCache:
 		go d.listCache()
 	}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/chat"
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 )
 
@@ -40,6 +41,9 @@
 	// zero for targets that are not model engines.
 	Digest uint64
 	Blocks uint32
+	// Message is the answer as it continues the conversation; nil for targets
+	// that are not model engines.
+	Message *chat.Message
 	// Length is the length of the answer's body in bytes.
 	Length uint64
 }
--- a/engine/openai/run.go
+++ b/engine/openai/run.go
@@ -262,10 +262,11 @@
 		digest = call.Blocks[n-1].Digest
 	}
 	return engine.Result{
-		Usage:  r.usageOf(answer),
-		Digest: chat.Next(digest, &answer.Message),
-		Blocks: uint32(len(call.Blocks)) + 1,
-		Length: r.offset,
+		Usage:   r.usageOf(answer),
+		Digest:  chat.Next(digest, &answer.Message),
+		Blocks:  uint32(len(call.Blocks)) + 1,
+		Message: &answer.Message,
+		Length:  r.offset,
 	}, nil
 }
 
--- a/front/chat.go
+++ b/front/chat.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/rhubarbsaddle/rhubarbsaddle/chat"
 	"github.com/rhubarbsaddle/rhubarbsaddle/config"
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
@@ -49,6 +51,14 @@
 	if refusal != nil {
 		return core.Call{}, refusal
 	}
+	var print uint64
+	if claim.appends {
+		print = xxhash.Sum64(body)
+		body, req, refusal = s.complete(r.Context(), claim.scope(account), core.Account(account.Name), body)
+		if refusal != nil {
+			return core.Call{}, refusal
+		}
+	}
 	if !req.HasOutputLimit() {
 		if body, err = chat.WithOutputLimit(body, defaultMaxTokens); err != nil {
 			return core.Call{}, refusef("read request", reasonInvalid, "%v", err)
@@ -72,6 +82,7 @@
 		Path:         r.URL.RequestURI(),
 		ContentType:  r.Header.Get("Content-Type"),
 		Body:         body,
+		Fingerprint:  print,
 	}, nil
 }
 
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -14,6 +14,9 @@
 	// Do runs a call and passes its answer to sink. With core.OutcomeRan and no
 	// reason the sink has received the whole answer.
 	Do(ctx context.Context, call core.Call, sink Sink) core.Finish
+	// History returns the acknowledged conversation of a program as a JSON array
+	// of messages; unless it ran, the finish says why there is none.
+	History(ctx context.Context, program core.ProgramID, account core.Account) ([]byte, core.Finish)
 	// End ends a program and its sub-agents.
 	End(ctx context.Context, program core.ProgramID, account core.Account) core.Finish
 }
--- a/front/program.go
+++ b/front/program.go
@@ -31,6 +31,10 @@
 // does not extend the recorded one.
 const historyReset = "reset"
 
+// historyAppend is the value of HeaderHistory by which a request brings only the
+// messages that follow the kept conversation.
+const historyAppend = "append"
+
 var metadataKeys = map[string]string{
 	HeaderProgram:     "rhubarbsaddle_program",
 	HeaderParent:      "rhubarbsaddle_parent",
@@ -76,6 +80,8 @@
 	seq     uint64
 	budget  uint64
 	reset   bool
+	// appends says that the conversation kept precedes the messages.
+	appends bool
 	key     string
 }
 
@@ -108,8 +114,15 @@
 	case "":
 	case historyReset:
 		c.reset = true
+	case historyAppend:
+		c.appends = true
 	default:
-		return nil, refusef("read headers", reasonInvalid, "%s: %q is not %q", HeaderHistory, v, historyReset)
+		return nil, refusef("read headers", reasonInvalid, "%s: %q is neither %q nor %q",
+			HeaderHistory, v, historyReset, historyAppend)
+	}
+	if c.appends && (c.program == "" || c.key == "" && c.seq == 0) {
+		return nil, refusef("read headers", reasonInvalid, "%s: %q needs %s, and %s or %s, so that a repeated request is known",
+			HeaderHistory, historyAppend, HeaderProgram, HeaderKey, HeaderSeq)
 	}
 	return c, nil
 }
--- a/front/server.go
+++ b/front/server.go
@@ -74,6 +74,7 @@
 	s := &Server{options: options, mux: http.NewServeMux()}
 	s.mux.HandleFunc("POST /v1/chat/completions", s.serveChat)
 	s.mux.HandleFunc("GET /v1/models", s.serveModels)
+	s.mux.HandleFunc("GET /v1/programs/{program...}", s.serveHistory)
 	s.mux.HandleFunc("DELETE /v1/programs/{program...}", s.serveEnd)
 	s.mux.HandleFunc("/", s.serveService)
 	return s
--- a/history/body.go
+++ b/history/body.go
@@ -19,6 +19,13 @@
 	Blocks uint32
 }
 
+// RefOf returns the reference that a home gave, without the copies.
+func RefOf(r core.HistoryRef) Ref {
+	return Ref{
+		Program: r.Program, Account: r.Account, Slot: r.Slot, Epoch: r.Epoch, Digest: r.Digest, Blocks: r.Blocks,
+	}
+}
+
 // Meta describes a kept body.
 type Meta struct {
 	Program core.ProgramID `json:"program"`
@@ -60,6 +67,20 @@
 	return json.Marshal(append(first, second...))
 }
 
+// Complete returns a chat request whose messages follow a kept conversation.
+func Complete(request, kept []byte) ([]byte, error) {
+	fields := map[string]json.RawMessage{}
+	if err := json.Unmarshal(request, &fields); err != nil {
+		return nil, &CorruptError{Step: "read request", Err: err}
+	}
+	messages, err := Join(kept, fields["messages"])
+	if err != nil {
+		return nil, err
+	}
+	fields["messages"] = messages
+	return json.Marshal(fields)
+}
+
 // AppendAnswer returns the messages of a request with the answer's message.
 func AppendAnswer(request []byte, answer *chat.Message) ([]byte, error) {
 	var r struct {
--- a/history/store.go
+++ b/history/store.go
@@ -24,9 +24,10 @@
 // Store holds the newest body of each program. It forgets those that have not
 // been used for longest when it is full. It may be used concurrently.
 type Store struct {
-	codec *codec
-	limit int64
-	spool *spool
+	codec  *codec
+	reader *Reader
+	limit  int64
+	spool  *spool
 
 	mu     sync.Mutex
 	bytes  int64
@@ -45,6 +46,7 @@
 	}
 	s := &Store{
 		codec:  c,
+		reader: &Reader{codec: c},
 		limit:  options.Bytes,
 		bodies: make(map[core.ProgramID]*list.Element),
 		order:  list.New(),
@@ -148,11 +150,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return s.Messages(e, ref)
+	return s.reader.Messages(e, ref)
 }
 
-// Entry returns the body that holds the messages of a reference. Messages checks
-// them.
+// Entry returns the body that holds the messages of a reference. Its reader
+// checks them.
 func (s *Store) Entry(ref Ref) (*Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -180,19 +182,6 @@
 	return e, s.insert(e)
 }
 
-// Messages returns the messages of a reference from an entry. The digest chain
-// decides: an entry of another program or state is refused.
-func (s *Store) Messages(e *Entry, ref Ref) ([]byte, error) {
-	if e.Program != ref.Program || e.Account != ref.Account {
-		return nil, &AccountError{Program: ref.Program}
-	}
-	messages, err := s.codec.decompress(e)
-	if err != nil {
-		return nil, err
-	}
-	return prefix(messages, ref.Digest, ref.Blocks)
-}
-
 // Release forgets the bodies of a program and its sub-agents.
 func (s *Store) Release(slot core.SlotID, epoch core.Epoch, top core.ProgramID) error {
 	s.mu.Lock()
@@ -211,6 +200,23 @@
 	return nil
 }
 
+// Drop forgets the body of a program if it is the one that a digest names.
+func (s *Store) Drop(slot core.SlotID, epoch core.Epoch, program core.ProgramID, digest uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.fence(slot, epoch); err != nil {
+		return err
+	}
+	if meta := s.meta(program); meta == nil || meta.Digest != digest {
+		return nil
+	}
+	s.remove(program)
+	if s.spool != nil {
+		return s.spool.drop(program)
+	}
+	return nil
+}
+
 // within reports whether a program is top or one of its sub-agents.
 func within(program, top core.ProgramID) bool {
 	return program == top || strings.HasPrefix(string(program), string(top)+"/")
@@ -226,6 +232,13 @@
 	return nil
 }
 
+// Keeps reports whether a body of a program is kept.
+func (s *Store) Keeps(program core.ProgramID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.meta(program) != nil
+}
+
 // Entries returns what the store holds in memory, the most recently used first.
 func (s *Store) Entries() []*Entry {
 	s.mu.Lock()
--- a/rpc/peer/handler.go
+++ b/rpc/peer/handler.go
@@ -31,6 +31,8 @@
 	Learn func(vm core.VM, addr string)
 	// Answers is nil for an entry.
 	Answers Answers
+	// History is nil for an entry.
+	History History
 	// Config returns the configuration in force if its generation is above
 	// known, as canonical text; else only the generation.
 	Config func(known uint64) (generation uint64, set []byte, err error)
