--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -189,7 +189,7 @@
 	case core.HistoryFound:
 		e.historyFound(m)
 	case core.HistoryKept:
-		e.historyKept(from, m)
+		e.historyKept(m)
 	case core.Withdraw:
 		e.withdrawn(m.Req)
 	case core.Placed:
--- a/core/entry/kept.go
+++ b/core/entry/kept.go
@@ -89,19 +89,26 @@
 
 // historyKept records a copy. The copies of older states are then released: from
 // here on two sidecars keep the newest one.
-func (e *Entry) historyKept(from core.Node, m core.HistoryKept) {
+func (e *Entry) historyKept(m core.HistoryKept) {
 	s := e.slot(m.Slot)
-	if s == nil || s.home == nil || !s.home.ready || s.home.epoch.Less(m.Epoch) {
+	if s == nil {
+		return
+	}
+	if s.home == nil {
+		e.passKept(s, m)
+		return
+	}
+	if !s.home.ready || s.home.epoch.Less(m.Epoch) {
 		return
 	}
 	p := s.image.programs[m.Program]
 	if p == nil || p.Ended {
 		if !e.forgetful(s) {
-			e.send(from, core.EndProgram{Slot: s.id, Epoch: s.home.epoch, Program: m.Program})
+			e.send(m.Node, core.EndProgram{Slot: s.id, Epoch: s.home.epoch, Program: m.Program})
 		}
 		return
 	}
-	kept := core.HistoryCopy{Node: from, Digest: m.Digest, Blocks: m.Blocks}
+	kept := core.HistoryCopy{Node: m.Node, Digest: m.Digest, Blocks: m.Blocks}
 	if !current(p, kept) {
 		return
 	}
@@ -111,6 +118,17 @@
 	e.durable(s, func() { e.dropCopies(s, m.Program, old) })
 }
 
+// passKept passes word of a copy on to the slot's home: the sidecar knows the
+// home of the last call, which may have changed since.
+func (e *Entry) passKept(s *slot, m core.HistoryKept) {
+	home := s.homeNode()
+	if m.Passed || home.IsZero() || home == e.self {
+		return
+	}
+	m.Passed = true
+	e.send(home, m)
+}
+
 // addCopy adds a current copy to a record and takes the outdated ones out.
 func addCopy(p *core.Program, kept core.HistoryCopy) (outdated []core.HistoryCopy) {
 	copies := []core.HistoryCopy{}
@@ -123,7 +141,8 @@
 			outdated = append(outdated, c)
 		}
 	}
-	p.HistoryCopies = append(copies, kept)
+	// A node that has drained is the oldest.
+	p.HistoryCopies = append(copies[max(0, len(copies)-maxCopies+1):], kept)
 	return outdated
 }
 
--- a/core/message.go
+++ b/core/message.go
@@ -174,8 +174,12 @@
 	Ref HistoryRef
 }
 
-// HistoryKept tells the home that the sender keeps a conversation.
+// HistoryKept tells the home that a sidecar keeps a conversation.
 type HistoryKept struct {
+	Node Node
+	// Passed says that an entry which is no longer the home has passed the message
+	// on; it is passed on once.
+	Passed  bool
 	Slot    SlotID
 	Epoch   Epoch
 	Program ProgramID
--- a/daemon/entry/history.go
+++ b/daemon/entry/history.go
@@ -10,6 +10,16 @@
 // History returns the acknowledged conversation of a program as a JSON array of
 // messages. Without it the finish says why.
 func (d *Daemon) History(ctx context.Context, program core.ProgramID, account core.Account) ([]byte, core.Finish) {
+	ref, finish := d.Locate(ctx, program, account)
+	if ref == nil {
+		return nil, finish
+	}
+	return d.fetchHistory(ctx, ref)
+}
+
+// Locate returns where the acknowledged conversation of a program is kept.
+// Without it the finish says why.
+func (d *Daemon) Locate(ctx context.Context, program core.ProgramID, account core.Account) (*core.HistoryRef, core.Finish) {
 	r := d.open()
 	defer d.close(r)
 	d.node.Post(core.HistoryArrived{Req: r.id, Program: program, Account: account})
@@ -22,7 +32,7 @@
 			return nil, notRun(died())
 		}
 		if ref := r.located(); ref != nil {
-			return d.fetchHistory(ctx, ref)
+			return ref, core.Finish{}
 		}
 		if _, finish := r.take(); finish != nil {
 			return nil, *finish
--- a/daemon/sidecar/history.go
+++ b/daemon/sidecar/history.go
@@ -175,6 +175,7 @@
 		return err
 	}
 	k.node.Mesh().Send(home, core.HistoryKept{
+		Node:    k.node.Self,
 		Slot:    entry.Attempt.Slot,
 		Epoch:   entry.Attempt.Epoch,
 		Program: entry.Program,
@@ -247,6 +248,9 @@
 	}
 }
 
+// Keeps reports whether a conversation of a program is kept here.
+func (d *Daemon) Keeps(program core.ProgramID) bool { return d.history.store.Keeps(program) }
+
 func (k *keeper) failed(step string, program core.ProgramID, err error) {
 	k.node.Log().Info().Str("step", step+" history").Str("program", string(program)).Err(err).
 		Msg("a conversation was not kept")
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -50,6 +50,15 @@
 	ended  core.ProgramID
 	parts  []string
 	finish core.Finish
+	// kept is the conversation of every program, or "".
+	kept string
+}
+
+func (f *fakeExchange) History(context.Context, core.ProgramID, core.Account) ([]byte, core.Finish) {
+	if f.kept == "" {
+		return nil, core.Finish{Outcome: core.OutcomeNotRun, Reason: core.ReasonHistoryLost}
+	}
+	return []byte(f.kept), core.Finish{Outcome: core.OutcomeRan}
 }
 
 func (f *fakeExchange) Config() *config.Set { return f.set }
--- a/rpc/wire/history.go
+++ b/rpc/wire/history.go
@@ -16,7 +16,8 @@
 			Req: fromRequest(m.Req), Ref: FromHistoryRef(&m.Ref)}}
 	case core.HistoryKept:
 		env.Message = &peerpb.Envelope_HistoryKept{HistoryKept: &peerpb.HistoryKept{
-			Slot: uint32(m.Slot), Epoch: fromEpoch(m.Epoch), Program: string(m.Program), Digest: m.Digest, Blocks: m.Blocks}}
+			Slot: uint32(m.Slot), Epoch: fromEpoch(m.Epoch), Program: string(m.Program), Digest: m.Digest, Blocks: m.Blocks,
+			Node: FromNode(m.Node), Passed: m.Passed}}
 	case core.HistoryDrop:
 		env.Message = &peerpb.Envelope_HistoryDrop{HistoryDrop: &peerpb.HistoryDrop{
 			Slot: uint32(m.Slot), Epoch: fromEpoch(m.Epoch), Program: string(m.Program), Digest: m.Digest}}
@@ -49,6 +50,8 @@
 			Program: core.ProgramID(p.HistoryKept.GetProgram()),
 			Digest:  p.HistoryKept.GetDigest(),
 			Blocks:  p.HistoryKept.GetBlocks(),
+			Node:    ToNode(p.HistoryKept.GetNode()),
+			Passed:  p.HistoryKept.GetPassed(),
 		}
 	case *peerpb.Envelope_HistoryDrop:
 		return core.HistoryDrop{
