daemon/loop: an effect cannot run before its owner has kept the loop

Cause: loop.Start began to tick before node.Start had stored the loop; the first effect of a sidecar read it from another goroutine (found by the race detector in TestAllCallsArriveOnBothWays). Change: New makes the actor, Start begins the ticks.

--- a/daemon/loop/loop.go
+++ b/daemon/loop/loop.go
@@ -52,8 +52,9 @@
 	done chan struct{}
 }
 
-// Start starts the actor and the ticks.
-func Start(options Options) (*Loop, error) {
+// New returns a loop whose reducer has not taken any event. Post and Look may be
+// called once Start was.
+func New(options Options) (*Loop, error) {
 	if options.Tick == 0 {
 		options.Tick = DefaultTick
 	}
@@ -75,10 +76,13 @@
 		return nil, fmt.Errorf("loop: spawn actor: %w", err)
 	}
 	l.pid = pid
-	go l.tick()
 	return l, nil
 }
 
+// Start starts the ticks. Effects may run from then on, so the owner must have
+// kept the loop before.
+func (l *Loop) Start() { go l.tick() }
+
 // Post passes an event to the reducer. It never blocks.
 func (l *Loop) Post(ev core.Event) { l.system.Root.Send(l.pid, ev) }
 
--- a/daemon/loop/loop_test.go
+++ b/daemon/loop/loop_test.go
@@ -32,8 +32,9 @@
 }
 
 func start(t *testing.T, red core.Reducer, run func(core.Effect), fatal func(error)) *Loop {
-	l, err := Start(Options{Reducer: red, Clock: NewClock(), Run: run, Tick: time.Millisecond, Fatal: fatal})
+	l, err := New(Options{Reducer: red, Clock: NewClock(), Run: run, Tick: time.Millisecond, Fatal: fatal})
 	require.NoError(t, err)
+	l.Start()
 	t.Cleanup(l.Stop)
 	return l
 }
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -141,7 +141,7 @@
 // Start runs the life. Post may be called only afterwards.
 func (n *Node) Start() error {
 	var err error
-	n.loop, err = loop.Start(loop.Options{
+	n.loop, err = loop.New(loop.Options{
 		Reducer: n.options.Reducer(n.Self, n.Invariants),
 		Clock:   n.Clock,
 		Run:     n.run,
@@ -152,6 +152,7 @@
 		n.Close()
 		return err
 	}
+	n.loop.Start()
 	n.servePeers(n.peers)
 	if err := n.serveOperators(); err != nil {
 		n.Close()
