--- a/core/entry/cluster_test.go
+++ b/core/entry/cluster_test.go
@@ -48,6 +48,8 @@
 	kv      map[string]core.StoreEntry
 	kvRev   int64
 	kvDown  bool
+	// kvHangs keeps the service from answering at all.
+	kvHangs bool
 	// loseSwap lets the next swaps take effect and loses their answers.
 	loseSwap int
 	// downAfterSwap takes the service down after a swap of this key took effect.
@@ -237,6 +239,9 @@
 }
 
 func (c *cluster) answer(p *proc, r core.StoreResult) {
+	if c.kvHangs {
+		return
+	}
 	if c.kvDown {
 		r = core.StoreResult{Op: r.Op, Err: true}
 	}
--- a/core/entry/proposal.go
+++ b/core/entry/proposal.go
@@ -11,6 +11,10 @@
 // load of a start or a takeover of many slots on the key-value service.
 const maxProposals = 16
 
+// readPatience is the time in heartbeats after which a reading of an owner entry
+// counts as failed where a takeover needs none.
+const readPatience = 2
+
 // proposalStage is the progress of a proposal.
 type proposalStage uint8
 
@@ -31,7 +35,9 @@
 	owner core.SlotOwner
 	stage proposalStage
 	// empty says that the new owner begins without the slot's memory.
-	empty   bool
+	empty bool
+	// op is the operation whose answer is awaited while busy.
+	op      uint64
 	busy    bool
 	started core.Instant
 	triedAt core.Instant
@@ -68,7 +74,8 @@
 func (e *Entry) readOwner(s *slot, kind opKind) {
 	s.proposal.busy = true
 	s.proposal.triedAt = e.now
-	e.emit(core.StoreGet{Op: e.newOp(storeOp{kind: kind, slot: s.id}), Key: core.SlotKey(s.id)})
+	s.proposal.op = e.newOp(storeOp{kind: kind, slot: s.id})
+	e.emit(core.StoreGet{Op: s.proposal.op, Key: core.SlotKey(s.id)})
 }
 
 // current reports whether the proposal still follows the newest owner known.
@@ -194,8 +201,9 @@
 	}
 	p.stage = stageSwap
 	p.busy = true
+	p.op = e.newOp(storeOp{kind: opOwnerSwap, slot: s.id})
 	e.emit(core.StoreSwap{
-		Op:       e.newOp(storeOp{kind: opOwnerSwap, slot: s.id}),
+		Op:       p.op,
 		Key:      core.SlotKey(s.id),
 		Revision: s.revision,
 		Value:    value,
@@ -226,9 +234,24 @@
 	e.storeWatch(r.Entries)
 }
 
+// passStore gives a reading up that takes long, if the slot can be taken over
+// without the service. Nothing was promised yet.
+func (e *Entry) passStore(s *slot) {
+	place, eligible := e.succession(s)
+	if s.proposal.empty || s.home != nil || !eligible || !e.rankable(s, place) {
+		return
+	}
+	e.endProposal(s)
+	e.takeByRank(s, place)
+}
+
 // tickProposal repeats what was not answered.
 func (e *Entry) tickProposal(s *slot) {
 	p := s.proposal
+	if p.stage == stageRead && e.now.Sub(p.started) >= readPatience*e.times.heartbeat {
+		e.passStore(s)
+		return
+	}
 	if p.busy || e.now.Sub(p.triedAt) < e.times.heartbeat {
 		return
 	}
--- a/core/entry/store.go
+++ b/core/entry/store.go
@@ -74,12 +74,8 @@
 	switch op.kind {
 	case opRange:
 		e.ranged(r)
-	case opOwnerGet:
-		e.ownerRead(e.slots[op.slot], r)
-	case opOwnerSwap:
-		e.ownerSwapped(e.slots[op.slot], r)
-	case opOwnerReadBack:
-		e.ownerReadBack(e.slots[op.slot], r)
+	case opOwnerGet, opOwnerSwap, opOwnerReadBack:
+		e.ownerResult(op, r)
 	case opEscrowGet:
 		e.escrowRead(op, r)
 	case opEscrowSwap:
@@ -89,6 +85,22 @@
 	}
 }
 
+// ownerResult continues the proposal that awaits an operation.
+func (e *Entry) ownerResult(op storeOp, r core.StoreResult) {
+	s := e.slots[op.slot]
+	if s.proposal == nil || s.proposal.op != r.Op {
+		return
+	}
+	switch op.kind {
+	case opOwnerGet:
+		e.ownerRead(s, r)
+	case opOwnerSwap:
+		e.ownerSwapped(s, r)
+	case opOwnerReadBack:
+		e.ownerReadBack(s, r)
+	}
+}
+
 // noteStore notes whether the service answers. After an outage all owners are
 // read again, as changes may have been missed.
 func (e *Entry) noteStore(failed bool) {
--- a/core/entry/takeover.go
+++ b/core/entry/takeover.go
@@ -60,13 +60,20 @@
 // takeByEvidence takes over at once: through the key-value service while it
 // answers, else by raising the rank.
 func (e *Entry) takeByEvidence(s *slot, place int, cs []candidate) {
-	if e.store.failed && s.promised.Version == s.owner.Epoch.Version {
+	if e.store.failed && e.rankable(s, place) {
 		e.takeByRank(s, place)
 		return
 	}
 	e.takeBySwap(s, cs)
 }
 
+// rankable reports whether this entry at a place may take the slot over without
+// the key-value service: all members before it are dead by evidence, and it has
+// promised no later version.
+func (e *Entry) rankable(s *slot, place int) bool {
+	return place > 0 && e.firstAlive(s, place) && s.promised.Version == s.owner.Epoch.Version
+}
+
 // takeByRank takes the slot over without the key-value service. The other
 // members stay the same: those that are not dead by evidence must acknowledge
 // every write, and refuse if they have promised a higher epoch.
--- a/core/entry/takeover_test.go
+++ b/core/entry/takeover_test.go
@@ -494,3 +494,18 @@
 	require.NotNil(t, s.home)
 	require.Equal(t, epoch, s.home.epoch)
 }
+
+// TestTakeoverWhileTheStoreHangs lets the key-value service leave all questions
+// open. Evidence must not wait for it.
+func TestTakeoverWhileTheStoreHangs(t *testing.T) {
+	c := newCluster(t, 3, 2)
+	c.settled()
+	home := c.homeOf("p")
+	edge := c.other(home, nil)
+	c.reply(c.call(edge, turn("p", 1)))
+	c.kvHangs = true
+	c.remove(home.node.VM)
+	c.advance(500 * core.Millisecond)
+	require.Equal(t, core.OutcomeRan, c.reply(c.call(edge, turn("p", 2))).Outcome)
+	require.NotZero(t, c.homeOf("p").entry.slotOf("p").home.epoch.Rank)
+}
