--- a/core/entry/maintain_test.go
+++ b/core/entry/maintain_test.go
@@ -79,3 +79,24 @@
 	require.False(t, home.stopped)
 	require.Equal(t, core.OutcomeRan, c.reply(c.call(home, turn("p", 2))).Outcome)
 }
+
+// TestRollingRestart drains and restarts every entry in turn. The program goes
+// on after each, and no slot forgets anything.
+func TestRollingRestart(t *testing.T) {
+	for _, mirrors := range []int{1, 2} {
+		c := newCluster(t, 3, mirrors)
+		c.settled()
+		for i, vm := range []core.VM{"e0", "e1", "e2"} {
+			edge := c.other(c.procs[vm], nil)
+			f := c.reply(c.call(edge, turn("p", uint64(i)+1)))
+			require.Equal(t, core.OutcomeRan, f.Outcome, "%s", f.Reason)
+			c.deliver(c.procs[vm], core.DrainRequested{})
+			c.until("the entry stops", func() bool { return c.procs[vm].stopped })
+			c.restart(vm)
+			c.settled()
+		}
+		for id := range c.set.Ownership.Slots {
+			require.EqualValues(t, 1, c.homes(core.SlotID(id))[0].entry.slots[id].image.remembers)
+		}
+	}
+}
