--- a/core/entry/call_test.go
+++ b/core/entry/call_test.go
@@ -370,3 +370,22 @@
 	require.Zero(t, c.procs["t1"].side.executed["k"])
 	require.Equal(t, core.OutcomeRan, c.reply(c.call(home, booking("p", 1, "k"))).Outcome)
 }
+
+// TestTargetLeavesBeforeTheDispatch marks a target as leaving between the
+// placement of a call and the acknowledgement of its ticket.
+func TestTargetLeavesBeforeTheDispatch(t *testing.T) {
+	c := newCluster(t, 3)
+	c.settled()
+	c.cut = func(_, _ core.VM, m core.Message) bool {
+		_, ack := m.(core.MirrorAck)
+		return ack
+	}
+	req := c.call(c.procs["e0"], turn("p", 1))
+	c.startSidecar("m2", "model", 1)
+	c.procs["m1"].side.leaving = true
+	c.list()
+	c.cut = nil
+	require.Equal(t, core.OutcomeRan, c.reply(req).Outcome)
+	require.Empty(t, c.procs["m1"].side.order)
+	require.Len(t, c.procs["m2"].side.order, 1)
+}
--- a/core/entry/dispatch.go
+++ b/core/entry/dispatch.go
@@ -125,6 +125,12 @@
 		e.refused(s, c, core.Result{Reason: core.ReasonIncarnation})
 		return
 	}
+	if e.targets.leaving(c.target) {
+		e.refused(s, c, core.Result{Reason: core.ReasonDraining})
+		return
+	}
+	e.check.Check(invariant.LeavingTarget, !e.targets.leaving(c.target),
+		"%s: dispatch of %s to leaving target %s", e.self, c.attempt, c.target)
 	p := s.image.programs[c.program]
 	root := s.image.programs[c.program.Root()]
 	c.state = stateSent
--- a/core/entry/drain.go
+++ b/core/entry/drain.go
@@ -1,6 +1,9 @@
 package entry
 
-import "github.com/rhubarbsaddle/rhubarbsaddle/core"
+import (
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/invariant"
+)
 
 // drain is the state of a graceful shutdown.
 type drain struct {
@@ -30,6 +33,8 @@
 	if len(e.candidates()) > 0 && e.needed() {
 		return
 	}
+	e.check.Check(invariant.Drain, len(e.requests) == 0,
+		"%s: stops with %d requests in flight", e.self, len(e.requests))
 	e.drain.stopped = true
 	e.emit(core.Stopped{})
 }
--- a/core/entry/targets.go
+++ b/core/entry/targets.go
@@ -53,6 +53,12 @@
 	ts.sort()
 }
 
+// leaving reports whether a target is known to leave or to drain.
+func (ts *targets) leaving(n core.Node) bool {
+	t := ts.byVM[n.VM]
+	return t != nil && (t.leaving || t.node == n && t.load.Draining)
+}
+
 // sort rebuilds the list after a target came or went.
 func (ts *targets) sort() {
 	ts.list = slices.SortedFunc(maps.Values(ts.byVM), func(a, b *target) int {
