--- a/soak/answers.go
+++ b/soak/answers.go
@@ -158,27 +158,3 @@
 		root.digests[b.Digest] = true
 	}
 }
-
-// released checks that no engine holds memory of an ended program.
-func (o *observer) released(root core.ProgramID) {
-	p := o.program(root)
-	for _, n := range o.h.sim.Nodes() {
-		if !p.engines[n.ID()] || !n.Up() || n.Paused() {
-			continue
-		}
-		held := o.held(n, p)
-		o.rec.Check(invariant.CacheReleased, held == 0, "%s holds %d blocks of %s, which ended %d s ago",
-			n.ID(), held, root, releaseGrace/core.Second)
-	}
-}
-
-// held counts the blocks of a program in the cache of a sidecar's engine.
-func (o *observer) held(n *sim.Node, p *programState) int {
-	held := 0
-	for _, d := range o.h.engines[n.ID().VM].Model().Listing() {
-		if p.digests[d] {
-			held++
-		}
-	}
-	return held
-}
--- a/soak/observer.go
+++ b/soak/observer.go
@@ -249,44 +249,6 @@
 	}
 }
 
-// noteEngine notes which life executes a model call.
-func (o *observer) noteEngine(n *sim.Node, c *core.Call) {
-	root := o.program(c.Program.Root())
-	for other := range root.engines {
-		root.branched = root.branched || other.VM == n.ID().VM && other != n.ID()
-	}
-	root.engines[n.ID()] = true
-	root.branched = root.branched || c.ResetHistory || o.call(c).executions > 1
-}
-
-// told checks, soon after a sidecar was told the end of a program, that the
-// engine has dropped the memory that the sidecar knows of.
-func (o *observer) told(n *sim.Node, end core.EndProgram) {
-	life := n.ID()
-	p := o.program(end.Program)
-	if !p.engines[life] || end.Epoch.Version < o.slotVersion(end.Slot) {
-		return
-	}
-	o.h.sim.After(promptGrace, func() {
-		if p.branched || n.ID() != life || !n.Up() || n.Paused() || o.busy(n, end.Program) {
-			return
-		}
-		held := o.held(n, p)
-		o.rec.Check(invariant.CacheReleased, held == 0, "%s holds %d blocks of %s, the end of which it was told",
-			life, held, end.Program)
-	})
-}
-
-// busy reports whether an attempt of a tree is at a target.
-func (o *observer) busy(n *sim.Node, root core.ProgramID) bool {
-	for _, id := range o.running[n.ID().VM] {
-		if id.Root() == root {
-			return true
-		}
-	}
-	return false
-}
-
 func (o *observer) checkOnce(x sim.Execution) {
 	c := &x.Call
 	if !c.NonIdempotent {
--- a/soak/program.go
+++ b/soak/program.go
@@ -198,31 +198,6 @@
 	return up[h.sim.Rand().IntN(len(up))]
 }
 
-// mistake makes a model call carry a conversation that must be refused, now and
-// then, and reports whether it did.
-func (p *program) mistake(c *core.Call) bool {
-	h := p.h
-	r := h.sim.Rand().Float64()
-	wrong := true
-	switch {
-	case len(p.answered) == 0 || p.reset || h.opts.Honest:
-		// The record holds no conversation that the mistake would contradict.
-		wrong = false
-	case r < staleShare:
-		h.faults[HistoryStale]++
-		c.Blocks = p.blocks[:p.answered[len(p.answered)-1]]
-	case r < staleShare+foreignShare && h.inject.foreign != nil && h.inject.foreignOf != p.id:
-		h.faults[HistoryForeign]++
-		c.Blocks = h.inject.foreign
-	default:
-		wrong = false
-	}
-	if len(p.answered) > 0 {
-		h.inject.foreign, h.inject.foreignOf = p.blocks, p.id
-	}
-	return wrong
-}
-
 // answeredModel takes the response to a model call.
 func (p *program) answeredModel(r *sim.Response) {
 	lost := r.Cut && p.tries > 1
@@ -344,25 +319,6 @@
 	})
 }
 
-// mischief repeats an old booking, or uses its key for something else.
-func (p *program) mischief() {
-	if p.booking.Key == "" || p.h.opts.Honest {
-		return
-	}
-	c := p.booking
-	r := p.h.sim.Rand().Float64()
-	switch {
-	case r < oldRepeatShare:
-		p.h.faults[OldCallRepeated]++
-		p.submit(c, ignore)
-	case r < oldRepeatShare+keyReuseShare:
-		p.h.faults[KeyReused]++
-		c.Path = "/other"
-		c.Body = []byte("another request")
-		p.submit(c, ignore)
-	}
-}
-
 // end ends the program; a root has its engine memory checked afterwards.
 func (p *program) end() {
 	if p.id.Depth() > 0 {
