--- a/core/sidecar/sidecar.go
+++ b/core/sidecar/sidecar.go
@@ -13,7 +13,8 @@
 	Self   core.Node
 	Domain core.Domain
 	Pool   core.Pool
-	Seed   uint64
+	// Seed would determine random choices; the sidecar makes none at present.
+	Seed uint64
 	// Invariants records the checks of the promises; nil checks nothing.
 	Invariants *invariant.Recorder
 }
