--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -56,7 +56,7 @@
 	counts    map[core.Account]int
 	countedAt core.Instant
 	// refusals holds the requests answered as not run.
-	refusals map[core.RequestID]refusedRequest
+	refusals map[core.RequestID]*refusedRequest
 }
 
 // retryKey names a retry budget.
@@ -67,22 +67,20 @@
 
 // New returns the reducer of an entry that knows nothing yet.
 func New(o Options) *Entry {
-	e := &Entry{
+	return &Entry{
 		self:     o.Self,
 		domain:   o.Domain,
 		check:    o.Invariants,
 		rng:      rand.New(rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15)),
 		times:    timesOf(nil),
-		members:  newMembers(),
+		members:  newMembers(o.Self),
 		targets:  newTargets(),
 		requests: map[core.RequestID]*request{},
 		store:    newStore(),
 		places:   map[core.Pool]place.Policy{},
 		budgets:  map[retryKey]*retry.Budget{},
-		refusals: map[core.RequestID]refusedRequest{},
+		refusals: map[core.RequestID]*refusedRequest{},
 	}
-	e.members.lives[o.Self.VM] = o.Self.Inc
-	return e
 }
 
 // Step applies one event at an instant and returns the effects in order.
