--- a/bench/policy/target.go
+++ b/bench/policy/target.go
@@ -16,10 +16,10 @@
 // deployment has a gain to reach in the figure that it weighs more, and must
 // not be worse in the other.
 func targets(d *Deployment, variants []Variant, all []Row) []Target {
-	var list []Target
+	list := []Target{}
 	product := find(all, productName, targetLoad)
 	if product == nil {
-		return nil
+		return list
 	}
 	latency, waste := float64(latencyGain), float64(notWorse)
 	if d.WeighsWaste {
