place: tokens lost by a move count three times

Cause: above load 1.0 programs moved to shorter queues, left idle copies behind and waited for admission at the new target.

--- a/policy/place/cost.go
+++ b/policy/place/cost.go
@@ -19,9 +19,9 @@
 	// defaultWeight counts a token that is computed again for more than its own
 	// time, because its prefill slows the whole batch.
 	defaultWeight = 16
-	// roomShare is the part of a cache that programs are placed into; the rest is
-	// for the growth of their conversations.
-	roomShare = 1.0
+	// moveFactor counts the tokens lost by a move over those pushed out: the copy
+	// left behind stays idle, and the program has to be admitted anew.
+	moveFactor = 3
 	// serviceSteps is the assumed length of a call in decode steps while
 	// nothing better is known.
 	serviceSteps = 100
@@ -65,7 +65,7 @@
 // estimate returns the expected delay of a call at a target.
 func (p cost) estimate(req *Request, t *Target) core.Duration {
 	total := prefillTime(t, freshTokens(req)) + queueTime(t) + batchTime(req, t)
-	again := float64(prefillTime(t, lostTokens(req, t)+overflow(req, t)))
+	again := float64(prefillTime(t, moveFactor*lostTokens(req, t)+overflow(req, t)))
 	total += core.Duration(p.weight * again)
 	if !t.Local {
 		total += remoteCost
@@ -98,11 +98,10 @@
 		return 0
 	}
 	need := t.Load.CachePinned + t.OwnTokens + uint64(req.PromptTokens) + uint64(req.MaxTokens)
-	room := uint64(roomShare * float64(t.Load.CacheTokens))
-	if need <= room {
+	if need <= t.Load.CacheTokens {
 		return 0
 	}
-	return need - room
+	return need - t.Load.CacheTokens
 }
 
 // queueTime returns the expected wait for a place in the target's batch.
