--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -137,6 +137,7 @@
 	if err := d.callers.Shutdown(ctx); err != nil {
 		return &node.StepError{Step: "drain callers of", Peer: d.node.Self.String(), Err: err}
 	}
+	d.node.Flush(ctx)
 	return nil
 }
 
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -214,6 +214,16 @@
 	n.Post(core.DrainRequested{})
 }
 
+// flushTimeout bounds the wait for the last messages of a life.
+const flushTimeout = time.Second
+
+// Flush waits until the messages sent so far were acknowledged or lost.
+func (n *Node) Flush(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	n.mesh.Flush(ctx)
+}
+
 // Stopped is closed when the reducer reports that its shutdown is complete.
 func (n *Node) Stopped() <-chan struct{} { return n.stopped }
 
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -112,6 +112,7 @@
 			return &node.StepError{Step: "drain answers of", Peer: d.node.Self.String(), Err: ctx.Err()}
 		}
 	}
+	d.node.Flush(ctx)
 	return nil
 }
 
--- a/rpc/peer/link.go
+++ b/rpc/peer/link.go
@@ -140,7 +140,7 @@
 		l.mu.Lock()
 		l.worked = true
 		if len(l.pending) > 0 {
-			l.outbox.mesh.stats.Sent.Add(uint64(len(l.pending[0].messages)))
+			l.outbox.arrived(l.pending[0])
 			l.pending = l.pending[1:]
 		}
 		l.mu.Unlock()
@@ -169,7 +169,9 @@
 
 // lose counts the batches without an acknowledgement as dropped.
 func (l *link) lose() {
+	l.outbox.mu.Lock()
+	defer l.outbox.mu.Unlock()
 	for _, b := range l.pending {
-		l.outbox.mesh.stats.Dropped.Add(uint64(len(b.messages)))
+		l.outbox.lost(len(b.messages))
 	}
 }
--- a/rpc/peer/mesh.go
+++ b/rpc/peer/mesh.go
@@ -125,6 +125,32 @@
 	box.put(env)
 }
 
+// flushPause is the time between two looks at the outboxes.
+const flushPause = 5 * time.Millisecond
+
+// Flush waits until every message so far was acknowledged or lost, or ctx is
+// done.
+func (m *Mesh) Flush(ctx context.Context) {
+	for !m.settled() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(flushPause):
+		}
+	}
+}
+
+func (m *Mesh) settled() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, box := range m.boxes {
+		if !box.settled() {
+			return false
+		}
+	}
+	return true
+}
+
 // Close stops all sending and closes all connections.
 func (m *Mesh) Close() {
 	m.cancel()
--- a/rpc/peer/outbox.go
+++ b/rpc/peer/outbox.go
@@ -35,6 +35,8 @@
 	queue []*peerpb.Envelope
 	// again holds the batches of a stream that went silent.
 	again []*batch
+	// pending counts the messages that are neither acknowledged nor lost.
+	pending int
 }
 
 // batch is a group of messages and how often it was sent.
@@ -61,6 +63,7 @@
 	full := len(o.queue) >= maxQueued
 	if !full {
 		o.queue = append(o.queue, env)
+		o.pending++
 	}
 	o.mu.Unlock()
 	if full {
@@ -120,16 +123,37 @@
 	}
 	o.queue = nil
 	o.again = nil
+	o.lost(n)
+}
+
+// lost counts messages that will not be sent any more; mu must be held.
+func (o *outbox) lost(n int) {
+	o.pending -= n
 	o.mesh.stats.Dropped.Add(uint64(n))
 }
 
+// arrived counts the messages of an acknowledged batch.
+func (o *outbox) arrived(b *batch) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.pending -= len(b.messages)
+	o.mesh.stats.Sent.Add(uint64(len(b.messages)))
+}
+
+// settled reports whether every message was acknowledged or lost.
+func (o *outbox) settled() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.pending == 0
+}
+
 // giveBack takes the batches that a silent stream has not acknowledged.
 func (o *outbox) giveBack(batches []*batch) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, b := range batches {
 		if b.tries >= maxTries {
-			o.mesh.stats.Dropped.Add(uint64(len(b.messages)))
+			o.lost(len(b.messages))
 			continue
 		}
 		o.again = append(o.again, b)
--- a/rpc/peer/peer_test.go
+++ b/rpc/peer/peer_test.go
@@ -169,6 +169,25 @@
 	}
 }
 
+func TestFlushWaitsForAcknowledgements(t *testing.T) {
+	r := serve(t, core.Node{VM: "b", Inc: 7}, nil)
+	m := newTestMesh(t)
+	m.SetAddress("b", r.addr)
+	m.SetAddress("down", "127.0.0.1:1")
+	const n = 500
+	for i := range uint64(n) {
+		m.Send(core.Node{VM: "b"}, withdraw(i))
+	}
+	m.Send(core.Node{VM: "down"}, withdraw(0))
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	m.Flush(ctx)
+	require.NoError(t, ctx.Err(), "what cannot be sent is lost, not waited for")
+	require.Len(t, r.messages(), n)
+	require.EqualValues(t, n, m.Stats().Sent.Load())
+	require.EqualValues(t, 1, m.Stats().Dropped.Load())
+}
+
 func TestSilentConnectionIsReplaced(t *testing.T) {
 	r := serve(t, core.Node{VM: "b", Inc: 7}, nil)
 	between := startRelay(t, r.addr)
