--- a/bench/path/path.go
+++ b/bench/path/path.go
@@ -83,14 +83,16 @@
 // benchSet is a deployment of two failure domains, so that every write has a
 // mirror.
 func benchSet() *config.Set {
+	// Calls straight to the targets are spread evenly; so are those through.
+	spread := config.Policy{Placement: "round_robin"}
 	digest := sha256.Sum256([]byte(benchKey))
 	set := &config.Set{
 		Deployment: "bench",
 		Domains:    []config.Domain{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}},
 		Ownership:  config.Ownership{Slots: 64, Mirrors: 1},
 		Pools: []config.Pool{
-			{Name: modelPool, Kind: config.PoolModel, Model: modelName, Engine: config.Engine{MaxBatch: 64}},
-			{Name: servicePool, Kind: config.PoolService},
+			{Name: modelPool, Kind: config.PoolModel, Model: modelName, Engine: config.Engine{MaxBatch: 64}, Policy: spread},
+			{Name: servicePool, Kind: config.PoolService, Policy: spread},
 		},
 		Programs: []config.ProgramKind{{Name: "bench", Pools: []string{modelPool, servicePool}, BudgetTokens: programBudget}},
 		Accounts: []config.Account{{Name: "bench", KeySHA256: hex.EncodeToString(digest[:]), Programs: []string{"bench"}}},
