--- /dev/null
+++ b/cli/help_test.go
@@ -0,0 +1,39 @@
+package cli
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/urfave/cli/v3"
+)
+
+// leaves returns the command lines of all commands without subcommands.
+func leaves(prefix []string, all []*cli.Command) [][]string {
+	var out [][]string
+	for _, c := range all {
+		line := append(append([]string(nil), prefix...), c.Name)
+		if len(c.Commands) > 0 {
+			out = append(out, leaves(line, c.Commands)...)
+			continue
+		}
+		out = append(out, line)
+	}
+	return out
+}
+
+func TestEveryCommandHasHelpWithAnExample(t *testing.T) {
+	for _, line := range leaves(nil, commands()) {
+		code, out, _ := runCommand(append(line, "--help")...)
+		require.Equal(t, ExitOK, code, "%v", line)
+		require.Contains(t, out, "Example", "%v", line)
+		// The name, the usage and at least one example.
+		require.GreaterOrEqual(t, strings.Count(out, "rhubarbsaddle "+strings.Join(line, " ")), 3, "%v", line)
+	}
+}
+
+func TestVersion(t *testing.T) {
+	code, out, _ := runCommand("version")
+	require.Equal(t, ExitOK, code)
+	require.Contains(t, out, Version)
+}
--- a/cli/root.go
+++ b/cli/root.go
@@ -45,6 +45,7 @@
 		applyCommand(),
 		historyCommand(),
 		benchCommand(),
+		versionCommand(),
 	}
 }
 
--- a/demo/scenario.go
+++ b/demo/scenario.go
@@ -23,7 +23,7 @@
 type kind struct {
 	name  string
 	model string
-	// subKind and subModel are used by the program's sub-agents.
+	// subModel is the model of the sub-agents.
 	subModel string
 	// minTurns and maxTurns bound the turns of a program.
 	minTurns, maxTurns int
