--- a/config/default.go
+++ b/config/default.go
@@ -5,7 +5,7 @@
 // Defaults of a set.
 const (
 	DefaultSlots           = 64
-	DefaultMirrors         = 1
+	DefaultMirrors         = 2
 	DefaultHeartbeat       = Duration(500 * time.Millisecond)
 	DefaultSuspectAfter    = Duration(2 * time.Second)
 	DefaultVMListLag       = Duration(30 * time.Second)
--- a/config/set.go
+++ b/config/set.go
@@ -38,18 +38,27 @@
 // Set is a whole configuration of one deployment. All files of a directory
 // together make one set.
 type Set struct {
-	Deployment string        `yaml:"deployment"`
-	Domains    []Domain      `yaml:"domains"`
-	Ownership  Ownership     `yaml:"ownership"`
-	Pools      []Pool        `yaml:"pools"`
-	Programs   []ProgramKind `yaml:"programs"`
-	Accounts   []Account     `yaml:"accounts"`
-	Tools      []Tool        `yaml:"tools"`
+	// Deployment names the whole; it stands in logs and reports.
+	Deployment string `yaml:"deployment"`
+	// Domains are the failure domains that VMs may name.
+	Domains []Domain `yaml:"domains"`
+	// Ownership sizes slots, mirrors and their time limits.
+	Ownership Ownership `yaml:"ownership"`
+	// Pools are the targets by what they can do.
+	Pools []Pool `yaml:"pools"`
+	// Programs are the kinds of agent program that are hosted.
+	Programs []ProgramKind `yaml:"programs"`
+	// Accounts are the callers.
+	Accounts []Account `yaml:"accounts"`
+	// Tools route the paths of tool and plain services to pools.
+	Tools []Tool `yaml:"tools"`
 }
 
 // Domain is a failure domain of the deployment.
 type Domain struct {
-	Name   string `yaml:"name"`
+	// Name is what VMs give as their failure domain.
+	Name string `yaml:"name"`
+	// Region groups failure domains that lie close to each other.
 	Region string `yaml:"region"`
 }
 
@@ -82,24 +91,35 @@
 
 // Pool is a set of interchangeable targets.
 type Pool struct {
-	Name string   `yaml:"name"`
+	// Name is what sidecars, program kinds and tools refer to.
+	Name string `yaml:"name"`
+	// Kind of the targets: model, tool or service.
 	Kind PoolKind `yaml:"kind"`
 	// Model is the model name that callers give; for model pools.
 	Model string `yaml:"model"`
 	// ChecksFence says that the targets refuse orders with an old fencing number.
-	ChecksFence bool     `yaml:"checks_fence"`
-	Policy      Policy   `yaml:"policy"`
-	Retry       Retry    `yaml:"retry"`
-	Engine      Engine   `yaml:"engine"`
+	ChecksFence bool `yaml:"checks_fence"`
+	// Policy chooses how calls are placed, ordered and admitted.
+	Policy Policy `yaml:"policy"`
+	// Retry limits the retries of calls to the pool.
+	Retry Retry `yaml:"retry"`
+	// Engine gives the sizes of a model pool's engines.
+	Engine Engine `yaml:"engine"`
+	// CallTimeout bounds a call from its arrival to the end of its answer.
 	CallTimeout Duration `yaml:"call_timeout"`
 }
 
 // Engine gives what the policies assume of a model engine until it reports.
 type Engine struct {
-	MaxBatch    uint32   `yaml:"max_batch"`
-	CacheTokens uint64   `yaml:"cache_tokens"`
-	PrefillRate uint64   `yaml:"prefill_tokens_per_second"`
-	StepTime    Duration `yaml:"step_time"`
+	// MaxBatch is the number of sequences that the engine computes at once.
+	MaxBatch uint32 `yaml:"max_batch"`
+	// CacheTokens is the engine's memory for sequences and cached prefixes, in
+	// tokens.
+	CacheTokens uint64 `yaml:"cache_tokens"`
+	// PrefillRate is the rate at which prompts are computed.
+	PrefillRate uint64 `yaml:"prefill_tokens_per_second"`
+	// StepTime is the time of a decode step of a small batch.
+	StepTime Duration `yaml:"step_time"`
 }
 
 // Policy chooses the policies of a pool by name.
@@ -130,17 +150,24 @@
 
 // ProgramKind declares an agent program and its limits.
 type ProgramKind struct {
-	Name  string   `yaml:"name"`
+	// Name is what callers give as the program's kind.
+	Name string `yaml:"name"`
+	// Pools are those that the programs may use.
 	Pools []string `yaml:"pools"`
 	// BudgetTokens is the budget of a program that sets none of its own, and the
 	// most that one may set.
-	BudgetTokens uint64   `yaml:"budget_tokens"`
-	MaxTurns     uint32   `yaml:"max_turns"`
-	MaxDepth     int      `yaml:"max_depth"`
-	MaxAge       Duration `yaml:"max_age"`
-	MaxIdle      Duration `yaml:"max_idle"`
+	BudgetTokens uint64 `yaml:"budget_tokens"`
+	// MaxTurns bounds the model calls of a program; it stops loops.
+	MaxTurns uint32 `yaml:"max_turns"`
+	// MaxDepth bounds the ancestors of a sub-agent.
+	MaxDepth int `yaml:"max_depth"`
+	// MaxAge bounds the time from a program's first call.
+	MaxAge Duration `yaml:"max_age"`
+	// MaxIdle is the time without a call after which a program is ended.
+	MaxIdle Duration `yaml:"max_idle"`
 	// Deadline is the whole-program latency aimed at; it orders calls by slack.
-	Deadline   Duration    `yaml:"deadline"`
+	Deadline Duration `yaml:"deadline"`
+	// Objectives are the service levels that report burn measures.
 	Objectives []Objective `yaml:"objectives"`
 }
 
@@ -156,10 +183,12 @@
 
 // Account is a client account.
 type Account struct {
+	// Name is what metrics, logs and reports call the account.
 	Name string `yaml:"name"`
 	// KeySHA256 is the hexadecimal SHA-256 digest of the account's API key.
-	KeySHA256 string   `yaml:"key_sha256"`
-	Programs  []string `yaml:"programs"`
+	KeySHA256 string `yaml:"key_sha256"`
+	// Programs are the kinds of program that the account may run.
+	Programs []string `yaml:"programs"`
 	// BudgetTokens is the account's whole budget; zero means none is set.
 	BudgetTokens uint64 `yaml:"budget_tokens"`
 	// Weight is the account's share under overload, against other accounts.
@@ -171,12 +200,16 @@
 // Tool is a route of a tool or plain service: calls whose path begins with
 // Prefix go to Pool.
 type Tool struct {
-	Name   string `yaml:"name"`
+	// Name is what metrics and logs call the tool.
+	Name string `yaml:"name"`
+	// Prefix begins the paths of the tool's calls.
 	Prefix string `yaml:"prefix"`
-	Pool   string `yaml:"pool"`
+	// Pool holds the tool's targets.
+	Pool string `yaml:"pool"`
 	// NonIdempotent lists the methods whose calls must not be repeated.
 	NonIdempotent []string `yaml:"non_idempotent"`
-	Timeout       Duration `yaml:"timeout"`
+	// Timeout bounds a call from its arrival to the end of its answer.
+	Timeout Duration `yaml:"timeout"`
 }
 
 // Pool returns the pool with a name, or nil.
