--- a/core/entry/absent_test.go
+++ b/core/entry/absent_test.go
@@ -27,5 +27,9 @@
 	c.list()
 	c.advance(core.Second)
 	c.settled()
+	for s := range c.set.Ownership.Slots {
+		epoch := c.homes(core.SlotID(s))[0].entry.slots[s].home.epoch
+		require.False(t, c.procs["m1"].side.fences[core.SlotID(s)].Less(epoch), "the fence of slot %d", s)
+	}
 	require.Equal(t, core.OutcomeRan, c.reply(c.call(c.procs["e3"], turn("new", 1))).Outcome)
 }
--- a/core/entry/slotmap.go
+++ b/core/entry/slotmap.go
@@ -189,16 +189,21 @@
 		return
 	}
 	fresh := o.Remembers == o.Epoch.Version && o.Home.Since == o.Epoch.Version
+	forgotten := false
 	switch {
 	case s.home != nil, e.eligible(s, o.Home):
 	case fresh:
 		s.image = emptyImage()
 		s.image.remembers = o.Remembers
 		s.forgotAt = 0
+		forgotten = o.Epoch.Version > 1
 	default:
 		return
 	}
 	e.becomeHome(s)
+	if forgotten {
+		e.raiseFences(s)
+	}
 	e.gossip(s)
 }
 
