sim: the store's hook names the life that asked

TestSlotOwnersAreLinearizable failed on a history that was recorded wrongly: a swap applied after its entry had restarted was noted for the new life, whose operations have the same numbers.

--- a/sim/store.go
+++ b/sim/store.go
@@ -46,8 +46,9 @@
 	cursors map[*Node]int64
 	// Swapped sees every swap that was applied.
 	Swapped func(key string, old, new core.StoreEntry)
-	// Op sees every operation at the instant it is applied.
-	Op func(n *Node, e core.Effect, result core.StoreResult)
+	// Op sees every operation at the instant it is applied, with the life that
+	// asked for it, which may have ended since.
+	Op func(life core.Node, e core.Effect, result core.StoreResult)
 }
 
 func newStore(s *Sim, times StoreTimes) *Store {
@@ -135,27 +136,30 @@
 func never() bool { return false }
 
 func (st *Store) get(n *Node, e core.StoreGet) {
+	life := n.id
 	st.operate(n, e.Op, func() core.StoreResult {
 		st.stats.Reads++
 		res := core.StoreResult{Op: e.Op, Entries: []core.StoreEntry{st.Get(e.Key)}}
-		st.seen(n, e, res)
+		st.seen(life, e, res)
 		return res
 	}, never)
 }
 
 func (st *Store) scan(n *Node, e core.StoreRange) {
+	life := n.id
 	st.operate(n, e.Op, func() core.StoreResult {
 		st.stats.Reads++
 		res := core.StoreResult{Op: e.Op}
 		for _, k := range st.Keys(e.Prefix) {
 			res.Entries = append(res.Entries, st.keys[k])
 		}
-		st.seen(n, e, res)
+		st.seen(life, e, res)
 		return res
 	}, never)
 }
 
 func (st *Store) swap(n *Node, e core.StoreSwap) {
+	life := n.id
 	lost := func() bool {
 		if st.lose == 0 || st.sim.rng.Float64() >= st.lose {
 			return false
@@ -165,14 +169,14 @@
 	}
 	st.operate(n, e.Op, func() core.StoreResult {
 		res := st.Swap(e.Op, e.Key, e.Revision, e.Value)
-		st.seen(n, e, res)
+		st.seen(life, e, res)
 		return res
 	}, lost)
 }
 
-func (st *Store) seen(n *Node, e core.Effect, res core.StoreResult) {
+func (st *Store) seen(life core.Node, e core.Effect, res core.StoreResult) {
 	if st.Op != nil {
-		st.Op(n, e, res)
+		st.Op(life, e, res)
 	}
 }
 
--- a/soak/linear_test.go
+++ b/soak/linear_test.go
@@ -90,11 +90,11 @@
 }
 
 // applied notes what the service did.
-func (h *ownerHistory) applied(n *sim.Node, e core.Effect, res core.StoreResult) {
-	if len(res.Entries) != 1 || h.done[n.ID()] == nil {
+func (h *ownerHistory) applied(life core.Node, _ core.Effect, res core.StoreResult) {
+	if len(res.Entries) != 1 || h.done[life] == nil {
 		return
 	}
-	h.done[n.ID()][res.Op] = ownerOutput{swapped: res.Swapped, revision: res.Entries[0].Revision}
+	h.done[life][res.Op] = ownerOutput{swapped: res.Swapped, revision: res.Entries[0].Revision}
 }
 
 // event closes an operation when its result arrives.
