--- a/core/entry/kept.go
+++ b/core/entry/kept.go
@@ -27,7 +27,7 @@
 		return
 	}
 	e.forget(r)
-	e.emit(core.HistoryLocated{Req: m.Req, Ref: m.Ref})
+	e.emit(core.HistoryLocated(m))
 }
 
 // historyRequested names the acknowledged conversation of a program. A home that
--- a/core/sidecar/release.go
+++ b/core/sidecar/release.go
@@ -36,7 +36,7 @@
 	if !s.fences.pass(msg.Slot, msg.Epoch) {
 		return
 	}
-	s.emit(core.ReleaseHistory{Slot: msg.Slot, Epoch: msg.Epoch, Program: msg.Program, Digest: msg.Digest})
+	s.emit(core.ReleaseHistory(msg))
 }
 
 // within reports whether id is p or below it.
--- a/metrics/labels.go
+++ b/metrics/labels.go
@@ -26,7 +26,7 @@
 	string(core.ReasonDraining), string(core.ReasonTimeout), string(core.ReasonCanceled),
 	string(core.ReasonEnded), string(core.ReasonForgotten), string(core.ReasonUnauthorized),
 	string(core.ReasonTarget), string(core.ReasonTombstone), string(core.ReasonAnswerLost),
-	string(core.ReasonKeyReuse),
+	string(core.ReasonKeyReuse), string(core.ReasonHistoryLost),
 	// Reasons of requests that were not passed on, of package front.
 	"invalid_request", "request_too_large", "not_found", "no_configuration", "forbidden",
 	other,
@@ -48,7 +48,7 @@
 var calls = []string{"get", "range", "swap", "watch", "lease", other}
 
 // routes are the routes of callers' requests.
-var routes = []string{"chat", "models", "service", "end", other}
+var routes = []string{"chat", "models", "service", "end", "history", other}
 
 // bounded returns value if it is among the known ones.
 func bounded(value string, known []string) string {
--- a/metrics/messages.go
+++ b/metrics/messages.go
@@ -37,6 +37,14 @@
 		return "ack_result"
 	case core.EndProgram:
 		return "end_program"
+	case core.HistoryRequest:
+		return "history_request"
+	case core.HistoryFound:
+		return "history_found"
+	case core.HistoryKept:
+		return "history_kept"
+	case core.HistoryDrop:
+		return "history_drop"
 	case core.Hello:
 		return "hello"
 	case core.Result:
@@ -58,6 +66,7 @@
 		core.MirrorWrite{}, core.MirrorAck{}, core.Heartbeat{}, core.SlotUpdate{}, core.SlotQuery{},
 		core.Handover{}, core.Dispatch{}, core.QueryAttempt{}, core.CancelAttempt{}, core.AckResult{},
 		core.EndProgram{}, core.Hello{}, core.Result{}, core.LoadReport{},
+		core.HistoryRequest{}, core.HistoryFound{}, core.HistoryKept{}, core.HistoryDrop{},
 		core.PromiseRequest{}, core.PromiseReply{},
 	}
 	names := make([]string, 0, len(all)+1)
