spec/direct: the real reducers under an adversary

Change: paths of adversarial choices (delivery, loss, repetition, clocks, restarts, lost answers of swaps) run the real entries and sidecars and check the invariants of spec/ownership; rules taken away on the wire are caught. Ruled out: replaying the checker's traces step by step; the reducers act on time and in batches, so a trace has no single counterpart.

--- /dev/null
+++ b/spec/direct/direct_test.go
@@ -0,0 +1,104 @@
+package direct
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+)
+
+// standard is the size that is searched: one slot with all three members, two
+// sidecars, calls of one program whose budget does not pay for all of them.
+var standard = Options{Entries: 3, Sidecars: 2, Calls: 5, Steps: 1500, Restarts: 3}
+
+// Sizes of the searches.
+const (
+	searchSeed  = 1
+	searchPaths = 600
+	mutantPaths = 4000
+)
+
+func TestRealReducersKeepTheInvariants(t *testing.T) {
+	for _, o := range []Options{
+		standard,
+		{Entries: 4, Sidecars: 2, Calls: 5, Steps: 2000, Restarts: 4},
+		{Entries: 3, Sidecars: 2, Calls: 5, Steps: 1500, Restarts: 6, AnyLife: true},
+	} {
+		report := Search(o, searchSeed, searchPaths)
+		if report.Violation != nil {
+			t.Fatal(report.Violation)
+		}
+		t.Logf("%d paths, %d choices: %d calls executed, %d refused as not run, %d changes of owner",
+			report.Paths, report.Choices, report.Executed, report.Refused, report.Takeovers)
+		require.NotZero(t, report.Executed)
+		require.NotZero(t, report.Refused)
+		require.NotZero(t, report.Takeovers)
+	}
+}
+
+func TestSameSeedSamePath(t *testing.T) {
+	a, b := run(standard, 7), run(standard, 7)
+	require.Equal(t, a.trace, b.trace)
+	require.NotEmpty(t, a.trace)
+}
+
+func TestMutantsAreCaught(t *testing.T) {
+	tests := []struct {
+		name  string
+		alter func() Alter
+	}{
+		{"ticket bound to no life", func() Alter {
+			return func(to core.Node, m core.Message) core.Message {
+				if d, ok := m.(core.Dispatch); ok {
+					d.Target = to
+					return d
+				}
+				return m
+			}
+		}},
+		{"repeated dispatch is another attempt", func() Alter {
+			n := uint64(1 << 20)
+			return func(_ core.Node, m core.Message) core.Message {
+				if d, ok := m.(core.Dispatch); ok {
+					n++
+					d.Attempt.N = n
+					return d
+				}
+				return m
+			}
+		}},
+		{"writes acknowledged by everybody", func() Alter {
+			return func(_ core.Node, m core.Message) core.Message {
+				if a, ok := m.(core.MirrorAck); ok && !a.OK {
+					a.OK, a.NeedImage, a.Promised = true, false, core.Epoch{}
+					return a
+				}
+				return m
+			}
+		}},
+		{"refusal instead of a lost outcome", func() Alter {
+			return func(_ core.Node, m core.Message) core.Message {
+				if r, ok := m.(core.Result); ok && r.State == core.AttemptDone {
+					r.State = core.AttemptRefused
+					return r
+				}
+				return m
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			o := standard
+			o.AnyLife = true
+			for seed := uint64(searchSeed); seed < searchSeed+mutantPaths; seed++ {
+				o.Alter = tt.alter()
+				if w := run(o, seed); w.fault != nil {
+					t.Logf("caught at seed %d: %v", seed, w.fault)
+					return
+				}
+			}
+			t.Fatal("the mutant survives")
+		})
+	}
+}
