--- a/cli/demo.go
+++ b/cli/demo.go
@@ -19,12 +19,13 @@
 		Usage: "run both example deployments on loopback, with programs and failures",
 		Description: "Starts stand-ins for the platform and the targets, entries and sidecars, runs scripted programs, " +
 			"kills an entry and a sidecar half-way and prints what the callers saw. Exits with 1 if a promise was broken.\n\n" +
-			"Example:\n  rhubarbsaddle demo\n  rhubarbsaddle demo --processes --seed 7",
+			"Example:\n  rhubarbsaddle demo\n  rhubarbsaddle demo --processes --seed 7\n  rhubarbsaddle demo --programs 120 --span 20s --kills 6",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "examples", Usage: "`FOLDER` of the example sets", Value: "examples"},
 			&cli.Uint64Flag{Name: "seed", Usage: "seed of the programs; 0 draws one"},
 			&cli.IntFlag{Name: "programs", Usage: "number of programs of each deployment", Value: 80},
 			&cli.DurationFlag{Name: "span", Usage: "time over which the programs arrive", Value: 12 * time.Second},
+			&cli.IntFlag{Name: "kills", Usage: "rounds of failures, each an entry and a sidecar", Value: 1},
 			&cli.BoolFlag{Name: "processes", Usage: "run each daemon as a process of its own"},
 			&cli.StringFlag{Name: "data", Usage: "`FOLDER` for the processes' event logs, for report burn and explain"},
 			&cli.StringFlag{Name: "observations", Usage: "`FILE` to write the observations to, for report burn"},
@@ -39,12 +40,13 @@
 		Seed:     cmd.Uint64("seed"),
 		Programs: cmd.Int("programs"),
 		Span:     cmd.Duration("span"),
+		Kills:    cmd.Int("kills"),
 		Data:     cmd.String("data"),
 		Out:      cmd.Root().Writer,
 		Terminal: isTerminal(cmd),
 	}
-	if options.Programs < 2 || options.Span <= 0 {
-		return &UsageError{Err: errors.New("demo: needs at least 2 programs and a span above zero")}
+	if options.Programs < 2 || options.Span <= 0 || options.Kills < 0 {
+		return &UsageError{Err: errors.New("demo: needs at least 2 programs, a span above zero and no negative kills")}
 	}
 	if options.Seed == 0 {
 		options.Seed = uint64(time.Now().UnixNano())
--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -17,6 +17,7 @@
 		Seed:     1,
 		Programs: 8,
 		Span:     time.Second,
+		Kills:    1,
 		Out:      &out,
 	})
 	require.NoError(t, err)
--- a/demo/faults.go
+++ b/demo/faults.go
@@ -11,8 +11,12 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/local"
 )
 
-// restartPause is how long the killed sidecar is down.
-const restartPause = time.Second
+const (
+	// restartPause is how long a killed process is down.
+	restartPause = time.Second
+	// roundPause is the time between two rounds of failures.
+	roundPause = 1500 * time.Millisecond
+)
 
 // faults are the failures that were injected into a deployment.
 type faults struct {
@@ -21,21 +25,40 @@
 	violations []string
 }
 
-// inject kills the busiest entry for good and a sidecar that starts again in place.
-func (f *faults) inject(ctx context.Context, d *local.Deployment) {
-	entry, side := busiest(ctx, d.Entries()), d.Sidecars()[0]
-	f.collect(ctx, entry)
-	f.collect(ctx, side)
-	entry.Kill()
-	f.note("entry %s killed", entry.Name())
-	if err := entry.Remove(); err != nil {
-		f.note("VM list: %v", err)
+// inject kills the busiest entry for good and a sidecar that starts again in
+// place. Each further round kills the busiest entry and the next sidecar, and
+// both start again in place.
+func (f *faults) inject(ctx context.Context, d *local.Deployment, rounds int) {
+	for round := range rounds {
+		entry := busiest(ctx, d.Entries())
+		side := d.Sidecars()[round%len(d.Sidecars())]
+		f.kill(ctx, "entry", entry)
+		f.kill(ctx, "sidecar", side)
+		if round == 0 {
+			if err := entry.Remove(); err != nil {
+				f.note("VM list: %v", err)
+			}
+		}
+		time.Sleep(restartPause)
+		f.restart("sidecar", side)
+		if round > 0 {
+			f.restart("entry", entry)
+		}
+		if round < rounds-1 {
+			time.Sleep(roundPause)
+		}
 	}
-	side.Kill()
-	f.note("sidecar %s killed", side.Name())
-	time.Sleep(restartPause)
-	if err := side.Start(); err != nil {
-		f.note("sidecar %s does not start: %v", side.Name(), err)
+}
+
+func (f *faults) kill(ctx context.Context, role string, vm *local.VM) {
+	f.collect(ctx, vm)
+	vm.Kill()
+	f.note("%s %s killed", role, vm.Name())
+}
+
+func (f *faults) restart(role string, vm *local.VM) {
+	if err := vm.Start(); err != nil {
+		f.note("%s %s does not start: %v", role, vm.Name(), err)
 	}
 }
 
@@ -43,6 +66,9 @@
 func busiest(ctx context.Context, entries []*local.VM) *local.VM {
 	best, most := entries[0], -1
 	for _, e := range entries {
+		if !e.Alive() {
+			continue
+		}
 		status, err := e.Status(ctx)
 		if err != nil {
 			continue
--- a/demo/run.go
+++ b/demo/run.go
@@ -23,6 +23,8 @@
 	Seed     uint64
 	// Programs is the number of programs of each deployment.
 	Programs int
+	// Kills is the number of rounds of failures, each an entry and a sidecar.
+	Kills int
 	// Span is the time over which the programs arrive.
 	Span time.Duration
 	// Binary, if set, runs the daemons as processes of their own.
@@ -141,11 +143,15 @@
 	}
 }
 
-// drive runs all programs and the failures half-way.
+// firstKillAfter returns the number of ended programs after which the failures
+// begin: half-way, or earlier so that several rounds fit in.
+func (r *run) firstKillAfter() int { return r.options.Programs / (r.options.Kills + 1) }
+
+// drive runs all programs, and the failures meanwhile.
 func (r *run) drive(ctx context.Context) {
 	c := newCaller(&r.scenario, newBalancer(r.deployment), r.stats)
 	shapes := r.scenario.shapes(r.rng, r.options.Programs, r.options.Span)
-	halfWay := make(chan struct{})
+	begin := make(chan struct{})
 	var once sync.Once
 	var all sync.WaitGroup
 	for i, sh := range shapes {
@@ -162,14 +168,14 @@
 			if err := p.run(ctx); err != nil {
 				r.stats.failed(p.id, err)
 			}
-			if int(r.stats.ended.Add(1)) >= len(shapes)/2 {
-				once.Do(func() { close(halfWay) })
+			if int(r.stats.ended.Add(1)) >= r.firstKillAfter() {
+				once.Do(func() { close(begin) })
 			}
 		})
 	}
 	all.Go(func() {
-		<-halfWay
-		r.faults.inject(ctx, r.deployment)
+		<-begin
+		r.faults.inject(ctx, r.deployment, r.options.Kills)
 	})
 	all.Wait()
 }
