demo: a model call whose answer was lost is asked again as a new call

Ruled out: running the call again under its old position; a caller that had the answer and repeats the call would find its history replaced. Change: the caller asks the turn again under the next position with Rhubarbsaddle-History: reset, as the refusal allows.

--- a/demo/caller.go
+++ b/demo/caller.go
@@ -54,6 +54,8 @@
 	seq     int
 	budget  uint64
 	key     string
+	// reset accepts a conversation that does not extend the recorded one.
+	reset bool
 }
 
 func (p position) headers() map[string]string {
@@ -63,6 +65,9 @@
 		front.HeaderSeq:         strconv.Itoa(p.seq),
 		front.HeaderKey:         p.key,
 	}
+	if p.reset {
+		h[front.HeaderHistory] = "reset"
+	}
 	if p.budget > 0 {
 		h[front.HeaderBudget] = strconv.FormatUint(p.budget, 10)
 	}
@@ -79,6 +84,9 @@
 // Error returns code and outcome.
 func (r *refusal) Error() string { return r.Code + " (" + r.Outcome + ")" }
 
+// answerLost reports whether the call ran and its answer is gone for good.
+func (r *refusal) answerLost() bool { return r.Code == "answer_lost" && r.Outcome == "ran" }
+
 // final reports whether sending the call again cannot help, whatever its kind.
 func (r *refusal) final() bool {
 	switch r.Code {
@@ -113,7 +121,7 @@
 			return got, nil
 		}
 		var refused *refusal
-		if errors.As(last, &refused) && refused.final() || ctx.Err() != nil {
+		if errors.As(last, &refused) && (refused.final() || refused.answerLost()) || ctx.Err() != nil {
 			return answer{}, last
 		}
 		c.stats.retries.Add(1)
--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -60,3 +60,17 @@
 	require.Equal(t, draw(1), draw(1))
 	require.NotEqual(t, draw(1), draw(2))
 }
+
+func TestLostAnswerIsToldApart(t *testing.T) {
+	tests := []struct {
+		refusal refusal
+		lost    bool
+	}{
+		{refusal{Code: "answer_lost", Outcome: "ran"}, true},
+		{refusal{Code: "answer_lost", Outcome: "unknown_outcome"}, false},
+		{refusal{Code: "overloaded", Outcome: "not_run"}, false},
+	}
+	for _, tt := range tests {
+		require.Equal(t, tt.lost, tt.refusal.answerLost(), tt.refusal)
+	}
+}
--- a/demo/program.go
+++ b/demo/program.go
@@ -110,7 +110,7 @@
 			params.Messages = append(params.Messages, openai.UserMessage(text))
 		}
 	}
-	got, err := p.caller.ask(ctx, p.next(), params, streamed)
+	got, err := p.askUntilKept(ctx, params, streamed)
 	if err != nil {
 		return "", err
 	}
@@ -122,6 +122,23 @@
 	return got.text, nil
 }
 
+// askUntilKept asks again, as a new call, when a sidecar has ended with the only
+// copy of the answer. The new call does not extend the lost answer.
+func (p *program) askUntilKept(ctx context.Context, params openai.ChatCompletionNewParams, streamed bool) (answer, error) {
+	at := p.next()
+	for range callTries {
+		got, err := p.caller.ask(ctx, at, params, streamed)
+		var refused *refusal
+		if !errors.As(err, &refused) || !refused.answerLost() {
+			return got, err
+		}
+		p.caller.stats.retries.Add(1)
+		at = p.next()
+		at.reset = true
+	}
+	return answer{}, &refusal{Code: "answer_lost", Outcome: "ran"}
+}
+
 func (p *program) use(ctx context.Context, kind toolKind) error {
 	if kind == noTool {
 		return nil
