--- a/config/set.go
+++ b/config/set.go
@@ -114,7 +114,8 @@
 	Retention string `yaml:"retention"`
 	// Concurrency at a target: fixed, adaptive.
 	Concurrency string `yaml:"concurrency"`
-	// CacheWeight scales recomputed tokens against waiting in placement.
+	// CacheWeight scales recomputed tokens against waiting in placement, and
+	// lengthens the learned retention.
 	CacheWeight float64 `yaml:"cache_weight"`
 }
 
