--- a/core/entry/takeover.go
+++ b/core/entry/takeover.go
@@ -60,13 +60,20 @@
 // takeByEvidence takes over at once: through the key-value service while it
 // answers, else by raising the rank.
 func (e *Entry) takeByEvidence(s *slot, place int, cs []candidate) {
-	if e.store.failed && s.promised.Version == s.owner.Epoch.Version {
+	if e.store.failed && e.rankable(s, place) {
 		e.takeByRank(s, place)
 		return
 	}
 	e.takeBySwap(s, cs)
 }
 
+// rankable reports whether this entry at a place may take the slot over without
+// the key-value service: all members before it are dead by evidence, and it has
+// promised no later version.
+func (e *Entry) rankable(s *slot, place int) bool {
+	return place > 0 && e.firstAlive(s, place) && s.promised.Version == s.owner.Epoch.Version
+}
+
 // takeByRank takes the slot over without the key-value service. The other
 // members stay the same: those that are not dead by evidence must acknowledge
 // every write, and refuse if they have promised a higher epoch.
@@ -129,12 +136,14 @@
 
 // takeEmpty claims a slot of which no member has the memory any more. An entry
 // that never was a member does so only if all members are dead by evidence; a
-// member without an image finds out from the others.
+// member without an image finds out from the others, once the home is dead by
+// evidence: a request to promise would end the time of a home that lives.
 func (e *Entry) takeEmpty(s *slot, cs []candidate) {
 	order := ranked(s.id, cs)
 	member := slices.ContainsFunc(s.members(), func(m core.Member) bool { return m.Node == e.self })
 	first := len(order) > 0 && order[0].node == e.self
-	if !e.store.ranged || !member && !(first && e.allDead(s)) {
+	mine := member && (e.members.dead(s.homeNode()) || s.homeNode() == e.self)
+	if !e.store.ranged || !mine && !(first && e.allDead(s)) {
 		return
 	}
 	e.propose(s, e.newOwner(s, order, nil), true)
--- a/core/entry/takeover_test.go
+++ b/core/entry/takeover_test.go
@@ -475,3 +475,37 @@
 	f := c.reply(req)
 	require.Equal(t, core.OutcomeUnknown, f.Outcome, "%s", f.Reason)
 }
+
+// TestMemberWithoutImageLeavesALivingHome cuts a mirror that has no image off
+// from its home only. The home must stay.
+func TestMemberWithoutImageLeavesALivingHome(t *testing.T) {
+	c := newCluster(t, 4, 2)
+	c.settled()
+	home := c.homeOf("p")
+	s := home.entry.slotOf("p")
+	bare := c.procs[s.owner.Mirrors[1].Node.VM]
+	epoch := s.home.epoch
+	c.cut = func(from, to core.VM, m core.Message) bool {
+		_, ask := m.(core.PromiseRequest)
+		return from == home.node.VM && to == bare.node.VM || ask && from != bare.node.VM
+	}
+	bare.entry.slotOf("p").image.valid = false
+	c.advance(2 * core.Second)
+	require.NotNil(t, s.home)
+	require.Equal(t, epoch, s.home.epoch)
+}
+
+// TestTakeoverWhileTheStoreHangs lets the key-value service leave all questions
+// open. Evidence must not wait for it.
+func TestTakeoverWhileTheStoreHangs(t *testing.T) {
+	c := newCluster(t, 3, 2)
+	c.settled()
+	home := c.homeOf("p")
+	edge := c.other(home, nil)
+	c.reply(c.call(edge, turn("p", 1)))
+	c.kvHangs = true
+	c.remove(home.node.VM)
+	c.advance(500 * core.Millisecond)
+	require.Equal(t, core.OutcomeRan, c.reply(c.call(edge, turn("p", 2))).Outcome)
+	require.NotZero(t, c.homeOf("p").entry.slotOf("p").home.epoch.Rank)
+}
