config: the cache weight's default is 16

Cause: the default of 1 is the weight at which programs moved and recomputed (0003-policy); place and retain use 16 where the set gives none.

--- a/config/default.go
+++ b/config/default.go
@@ -19,6 +19,7 @@
 	DefaultMaxAge          = Duration(24 * time.Hour)
 	DefaultMaxIdle         = Duration(time.Hour)
 	DefaultAccountWeight   = 1
+	DefaultCacheWeight     = 16
 )
 
 // Defaults of a process's settings.
@@ -72,7 +73,7 @@
 	p.Policy.Admission = orDefault(p.Policy.Admission, "cache")
 	p.Policy.Retention = orDefault(p.Policy.Retention, "learned")
 	p.Policy.Concurrency = orDefault(p.Policy.Concurrency, "adaptive")
-	p.Policy.CacheWeight = orDefault(p.Policy.CacheWeight, 1)
+	p.Policy.CacheWeight = orDefault(p.Policy.CacheWeight, DefaultCacheWeight)
 	p.Retry.Ratio = orDefault(p.Retry.Ratio, DefaultRetryRatio)
 	p.Retry.Burst = orDefault(p.Retry.Burst, DefaultRetryBurst)
 	p.Retry.Backoff = orDefault(p.Retry.Backoff, DefaultRetryBackoff)
