--- a/sim/engine.go
+++ b/sim/engine.go
@@ -133,19 +133,15 @@
 	return 1 + e.rng.Uint32N(max(c.MaxTokens, 1))
 }
 
-// Abort cancels an attempt.
+// Abort cancels an attempt. Also one whose answer was never reported ends, as
+// the shell's connection does.
 func (e *Engine) Abort(now core.Instant, a core.AttemptID) {
-	job := e.jobs[a]
-	if job == nil {
-		return
-	}
 	e.take(now)
-	if e.jobs[a] == nil {
-		return
+	if job := e.jobs[a]; job != nil {
+		e.progress(now, a, job, 1)
+		e.model.Cancel(a, now)
+		e.leave(a, job, job.partial())
 	}
-	e.progress(now, a, job, 1)
-	e.model.Cancel(a, now)
-	e.leave(a, job, job.partial())
 	e.add(now, core.TargetFailed{Attempt: a, Sent: true, Reason: core.ReasonCanceled})
 }
 
--- a/sim/engine_test.go
+++ b/sim/engine_test.go
@@ -59,6 +59,9 @@
 	require.NotZero(t, e.Stats().Gaps)
 	require.NotZero(t, e.Stats().LateLoads)
 	require.Equal(t, uint64(1), e.Stats().Hangs)
+	e.Abort(core.Instant(10*core.Second), core.AttemptID{N: 1})
+	failed := core.TargetFailed{Attempt: core.AttemptID{N: 1}, Sent: true, Reason: core.ReasonCanceled}
+	require.Contains(t, e.Advance(core.Instant(10*core.Second)), core.Event(failed))
 }
 
 func TestAbortedJobCostsWhatItComputed(t *testing.T) {
