--- a/bench/recovery/recovery.go
+++ b/bench/recovery/recovery.go
@@ -6,6 +6,8 @@
 	"slices"
 	"text/tabwriter"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 	"github.com/rhubarbsaddle/rhubarbsaddle/sim"
 	"github.com/rhubarbsaddle/rhubarbsaddle/soak"
@@ -39,12 +41,23 @@
 	Texts          []string `json:"texts,omitempty"`
 }
 
-// Run measures every failure.
+// parallel bounds the failures that are measured at once.
+const parallel = 3
+
+// Run measures every failure. The results do not depend on how many run at
+// once: each trial has its own cluster and its own seed.
 func Run(seed uint64, trials int) []Result {
-	var results []Result
-	for _, f := range failures() {
-		results = append(results, measure(f, seed, trials))
+	all := failures()
+	results := make([]Result, len(all))
+	var group errgroup.Group
+	group.SetLimit(parallel)
+	for i, f := range all {
+		group.Go(func() error {
+			results[i] = measure(f, seed, trials)
+			return nil
+		})
 	}
+	_ = group.Wait()
 	return results
 }
 
