entry: the end of a program waits for its home; a budget that cannot be read is told apart

An account's first call in an outage was refused as budget_exhausted (402), which cannot be retried. Change: ends are kept with the early calls; the refusal is budget_unavailable (503, Retry-After). Before: the end was answered at the next repetition. After: within two ticks of the home's first write (TestEndWaitsForAHomeThatIsNotReady).

--- a/core/call.go
+++ b/core/call.go
@@ -104,9 +104,11 @@
 
 // Reasons of refusals and failures.
 const (
-	ReasonBudget       Reason = "budget_exhausted"
-	ReasonHistory      Reason = "history_mismatch"
-	ReasonSequence     Reason = "out_of_sequence"
+	ReasonBudget   Reason = "budget_exhausted"
+	ReasonHistory  Reason = "history_mismatch"
+	ReasonSequence Reason = "out_of_sequence"
+	// ReasonNoGrant means that the account's budget cannot be read at present.
+	ReasonNoGrant      Reason = "budget_unavailable"
 	ReasonLimit        Reason = "limit_exceeded"
 	ReasonOverload     Reason = "overloaded"
 	ReasonNoTarget     Reason = "no_target"
--- a/core/entry/answer.go
+++ b/core/entry/answer.go
@@ -133,12 +133,28 @@
 		e.answer(s, f.Req, refusal(core.ReasonNoOwner, retryHint))
 		return
 	}
-	known := slices.ContainsFunc(s.home.early, func(m core.Recv) bool {
-		return m.Msg.(core.Forward).Req == f.Req
+	s.home.keepEarly(from, f)
+}
+
+// keepEarly keeps one copy of a request until the home is ready.
+func (h *home) keepEarly(from core.Node, m core.Message) {
+	known := slices.ContainsFunc(h.early, func(kept core.Recv) bool {
+		return requestOf(kept.Msg) == requestOf(m)
 	})
 	if !known {
-		s.home.early = append(s.home.early, core.Recv{From: from, Msg: f})
+		h.early = append(h.early, core.Recv{From: from, Msg: m})
+	}
+}
+
+// requestOf returns the request that a message to the home is about.
+func requestOf(m core.Message) core.RequestID {
+	switch m := m.(type) {
+	case core.Forward:
+		return m.Req
+	case core.EndRequest:
+		return m.Req
 	}
+	return core.RequestID{}
 }
 
 // tickEarly looks again at the calls that wait for a home that is not ready.
--- a/core/entry/escrow.go
+++ b/core/entry/escrow.go
@@ -85,7 +85,7 @@
 	case g != nil && g.exhausted:
 		e.giveUp(s, c, core.ReasonBudget, 0)
 	case e.now.Sub(c.readyAt) >= grantWait:
-		e.giveUp(s, c, core.ReasonBudget, retryHint)
+		e.giveUp(s, c, core.ReasonNoGrant, retryHint)
 	}
 }
 
--- a/core/entry/records.go
+++ b/core/entry/records.go
@@ -75,7 +75,11 @@
 // endRequested ends a program and its sub-agents at a caller's request.
 func (e *Entry) endRequested(from core.Node, m core.EndRequest) {
 	s := e.slotOf(m.Program)
-	if s == nil || s.home == nil || !s.home.ready {
+	if s == nil || s.home == nil {
+		return
+	}
+	if !s.home.ready {
+		s.home.keepEarly(from, m)
 		return
 	}
 	p := s.image.programs[m.Program]
--- a/front/refusal.go
+++ b/front/refusal.go
@@ -76,6 +76,7 @@
 	core.ReasonLimit:        {http.StatusTooManyRequests, kindLimit, false, "a limit of the program kind or account is reached"},
 	core.ReasonOverload:     {http.StatusTooManyRequests, kindLimit, true, "there is more work than the targets can do"},
 	core.ReasonNoTarget:     {http.StatusServiceUnavailable, kindServer, true, "no target of the pool can take the call"},
+	core.ReasonNoGrant:      {http.StatusServiceUnavailable, kindServer, true, "the account's budget cannot be read at present"},
 	core.ReasonNoOwner:      {http.StatusServiceUnavailable, kindServer, true, "the program has no owner at present"},
 	core.ReasonStaleEpoch:   {http.StatusServiceUnavailable, kindServer, true, "the program changed its owner"},
 	core.ReasonIncarnation:  {http.StatusServiceUnavailable, kindServer, true, "the target's sidecar was restarted"},
--- a/metrics/labels.go
+++ b/metrics/labels.go
@@ -20,7 +20,7 @@
 // reasons are the reasons of refusals and failures.
 var reasons = []string{
 	none,
-	string(core.ReasonBudget), string(core.ReasonHistory), string(core.ReasonSequence),
+	string(core.ReasonBudget), string(core.ReasonNoGrant), string(core.ReasonHistory), string(core.ReasonSequence),
 	string(core.ReasonLimit), string(core.ReasonOverload), string(core.ReasonNoTarget),
 	string(core.ReasonNoOwner), string(core.ReasonStaleEpoch), string(core.ReasonIncarnation),
 	string(core.ReasonDraining), string(core.ReasonTimeout), string(core.ReasonCanceled),
