--- a/cli/apply.go
+++ b/cli/apply.go
@@ -23,15 +23,7 @@
 }
 
 func runApply(ctx context.Context, cmd *cli.Command) error {
-	dir, err := oneArgument(cmd, "DIR")
-	if err != nil {
-		return err
-	}
-	set, err := loadSet(dir)
-	if err != nil {
-		return err
-	}
-	store, err := openStore(cmd)
+	set, store, err := setAndStore(cmd)
 	if err != nil {
 		return err
 	}
--- a/cli/diff.go
+++ b/cli/diff.go
@@ -28,15 +28,7 @@
 }
 
 func runDiff(ctx context.Context, cmd *cli.Command) error {
-	dir, err := oneArgument(cmd, "DIR")
-	if err != nil {
-		return err
-	}
-	set, err := loadSet(dir)
-	if err != nil {
-		return err
-	}
-	store, err := openStore(cmd)
+	set, store, err := setAndStore(cmd)
 	if err != nil {
 		return err
 	}
--- a/cli/store.go
+++ b/cli/store.go
@@ -6,6 +6,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/config"
 	"github.com/rhubarbsaddle/rhubarbsaddle/config/publish"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform/etcdjson"
 )
@@ -57,3 +58,18 @@
 	}
 	return "unknown"
 }
+
+// setAndStore returns the set in the folder that the argument names, and the
+// key-value service.
+func setAndStore(cmd *cli.Command) (*config.Set, publish.Store, error) {
+	dir, err := oneArgument(cmd, "DIR")
+	if err != nil {
+		return nil, nil, err
+	}
+	set, err := loadSet(dir)
+	if err != nil {
+		return nil, nil, err
+	}
+	store, err := openStore(cmd)
+	return set, store, err
+}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -128,11 +128,8 @@
 // took longer than ctx allows; the life has ended in any case.
 func (d *Daemon) Drain(ctx context.Context) error {
 	defer d.node.Close()
-	d.node.Drain()
-	select {
-	case <-d.node.Stopped():
-	case <-ctx.Done():
-		return &node.StepError{Step: "drain", Peer: d.node.Self.String(), Err: ctx.Err()}
+	if err := d.node.DrainReducer(ctx); err != nil {
+		return err
 	}
 	if err := d.callers.Shutdown(ctx); err != nil {
 		return &node.StepError{Step: "drain callers of", Peer: d.node.Self.String(), Err: err}
@@ -144,16 +141,7 @@
 // Run serves until ctx is done and shuts down gracefully then, or until the
 // process cannot go on. An operator's drain request ends it as well.
 func (d *Daemon) Run(ctx context.Context, drainTimeout time.Duration) error {
-	select {
-	case err := <-d.node.Fatal():
-		d.Close()
-		return err
-	case <-ctx.Done():
-	case <-d.node.Stopped():
-	}
-	bounded, cancel := context.WithTimeout(context.Background(), drainTimeout)
-	defer cancel()
-	return d.Drain(bounded)
+	return d.node.RunLife(ctx, d, drainTimeout)
 }
 
 // Config returns the configuration in force, or nil.
--- /dev/null
+++ b/daemon/node/run.go
@@ -0,0 +1,40 @@
+package node
+
+import (
+	"context"
+	"time"
+)
+
+// Life is one life of a daemon: a node with what its role adds.
+type Life interface {
+	// Close ends the life at once, as a crash would.
+	Close()
+	// Drain shuts down gracefully, within ctx.
+	Drain(ctx context.Context) error
+}
+
+// RunLife serves until ctx is done and shuts down gracefully then, or until the
+// process cannot go on. An operator's drain request ends it as well.
+func (n *Node) RunLife(ctx context.Context, life Life, drainTimeout time.Duration) error {
+	select {
+	case err := <-n.Fatal():
+		life.Close()
+		return err
+	case <-ctx.Done():
+	case <-n.Stopped():
+	}
+	bounded, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	return life.Drain(bounded)
+}
+
+// DrainReducer asks the reducer to shut down and waits until it has.
+func (n *Node) DrainReducer(ctx context.Context) error {
+	n.Drain()
+	select {
+	case <-n.Stopped():
+		return nil
+	case <-ctx.Done():
+		return &StepError{Step: "drain", Peer: n.Self.String(), Err: ctx.Err()}
+	}
+}
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -99,11 +99,8 @@
 // acknowledged, and the answers being read are read to their end.
 func (d *Daemon) Drain(ctx context.Context) error {
 	defer d.node.Close()
-	d.node.Drain()
-	select {
-	case <-d.node.Stopped():
-	case <-ctx.Done():
-		return &node.StepError{Step: "drain", Peer: d.node.Self.String(), Err: ctx.Err()}
+	if err := d.node.DrainReducer(ctx); err != nil {
+		return err
 	}
 	for d.buffers.Unread() > 0 {
 		select {
@@ -119,16 +116,7 @@
 // Run serves until ctx is done and shuts down gracefully then, or until the
 // process cannot go on. An operator's drain request ends it as well.
 func (d *Daemon) Run(ctx context.Context, drainTimeout time.Duration) error {
-	select {
-	case err := <-d.node.Fatal():
-		d.Close()
-		return err
-	case <-ctx.Done():
-	case <-d.node.Stopped():
-	}
-	bounded, cancel := context.WithTimeout(context.Background(), drainTimeout)
-	defer cancel()
-	return d.Drain(bounded)
+	return d.node.RunLife(ctx, d, drainTimeout)
 }
 
 // run takes the effects of the role. It must not block.
