--- a/core/call.go
+++ b/core/call.go
@@ -107,10 +107,13 @@
 
 // Reasons of refusals and failures.
 const (
-	ReasonBudget       Reason = "budget_exhausted"
+	ReasonBudget   Reason = "budget_exhausted"
+	ReasonHistory  Reason = "history_mismatch"
+	ReasonSequence Reason = "out_of_sequence"
+	// ReasonNoGrant means that the account's budget cannot be read at present.
+	ReasonNoGrant Reason = "budget_unavailable"
+	// ReasonHistoryLost means that no usable copy of the conversation is kept.
 	ReasonHistoryLost  Reason = "history_lost"
-	ReasonHistory      Reason = "history_mismatch"
-	ReasonSequence     Reason = "out_of_sequence"
 	ReasonLimit        Reason = "limit_exceeded"
 	ReasonOverload     Reason = "overloaded"
 	ReasonNoTarget     Reason = "no_target"
