--- a/config/check.go
+++ b/config/check.go
@@ -27,6 +27,11 @@
 	Concurrencies = []string{"fixed", "adaptive"}
 )
 
+// stayingPlacements keep a program where its cache is. Admission by cache with
+// another placement admits the same program at every target anew and fails most
+// of them (docs/design/0003-policy.md).
+var stayingPlacements = []string{"prefix_hash", "cost"}
+
 // Measures of the objectives, and whether they are bounded by a time.
 var measures = map[string]bool{
 	"program_latency": true,
@@ -134,6 +139,10 @@
 		c.oneOf(at+".policy.admission", p.Policy.Admission, Admissions)
 		c.oneOf(at+".policy.retention", p.Policy.Retention, Retentions)
 		c.oneOf(at+".policy.concurrency", p.Policy.Concurrency, Concurrencies)
+		if p.Policy.Admission == "cache" && !slices.Contains(stayingPlacements, p.Policy.Placement) {
+			c.add(at+".policy.admission", "write open, or a placement that keeps programs where their cache is: "+strings.Join(stayingPlacements, ", "),
+				"cache admission fails with placement %s, which moves programs", p.Policy.Placement)
+		}
 		if p.Retry.Ratio < 0 || p.Retry.Ratio > 1 {
 			c.add(at+".retry.ratio", "write a number from 0 to 1", "%g is out of range", p.Retry.Ratio)
 		}
--- a/config/default.go
+++ b/config/default.go
@@ -1,6 +1,9 @@
 package config
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Defaults of a set.
 const (
@@ -70,7 +73,7 @@
 func (p *Pool) applyDefaults() {
 	p.Policy.Order = orDefault(p.Policy.Order, "las")
 	p.Policy.Placement = orDefault(p.Policy.Placement, "cost")
-	p.Policy.Admission = orDefault(p.Policy.Admission, "cache")
+	p.Policy.Admission = orDefault(p.Policy.Admission, p.defaultAdmission())
 	p.Policy.Retention = orDefault(p.Policy.Retention, "learned")
 	p.Policy.Concurrency = orDefault(p.Policy.Concurrency, "adaptive")
 	p.Policy.CacheWeight = orDefault(p.Policy.CacheWeight, DefaultCacheWeight)
@@ -80,6 +83,14 @@
 	p.CallTimeout = orDefault(p.CallTimeout, DefaultCallTimeout)
 }
 
+// defaultAdmission returns cache where programs stay with their cache.
+func (p *Pool) defaultAdmission() string {
+	if p.Kind == PoolModel && slices.Contains(stayingPlacements, p.Policy.Placement) {
+		return "cache"
+	}
+	return "open"
+}
+
 func (k *ProgramKind) applyDefaults() {
 	k.MaxTurns = orDefault(k.MaxTurns, DefaultMaxTurns)
 	k.MaxDepth = orDefault(k.MaxDepth, DefaultMaxDepth)
--- a/config/load/load_test.go
+++ b/config/load/load_test.go
@@ -51,6 +51,7 @@
 		{"misspelt field", "pools.yaml", "checks_fence", "check_fence", []string{"pools.yaml:7", "check_fence", "no known field"}},
 		{"wrong unit", "deployment.yaml", "500ms", "500", []string{"deployment.yaml:13", "no duration with a unit"}},
 		{"unknown policy", "pools.yaml", "order: las", "order: lifo", []string{"pools.yaml:8", "pools[0].policy.order", `"lifo" is not known`}},
+		{"admission that needs staying programs", "pools.yaml", "placement: cost", "placement: two_choices", []string{"pools.yaml:8", "pools[0].policy.admission", "moves programs"}},
 		{"undeclared pool", "programs.yaml", "[booking, pitch", "[bookings, pitch", []string{"programs.yaml:3", `pool "bookings" is not declared`}},
 		{"missing domains", "deployment.yaml", "domains:", "#", []string{"deployment.yaml"}},
 		{"bad key digest", "accounts.yaml", "key_sha256: ", "key_sha256: zz", []string{"accounts.yaml:4", "accounts[0].key_sha256", "sha256sum"}},
