core/entry: an entry listens to 64 targets of each pool and those its programs use

Change: load reports are asked for from the first 64 targets of each pool in this entry's rendezvous order, all if there are fewer, plus the targets of open calls and those that programs used last (5 minutes). The list of targets is sorted once a change and not once a target.

--- a/core/entry/dispatch.go
+++ b/core/entry/dispatch.go
@@ -111,6 +111,7 @@
 
 // served notes at the root that a sidecar's life serves the tree.
 func (e *Entry) served(s *slot, id core.ProgramID, n core.Node) {
+	e.targets.use(n, e.now)
 	root := s.edit(id.Root())
 	root.Served = slices.DeleteFunc(root.Served, e.members.dead)
 	if !slices.Contains(root.Served, n) {
@@ -177,6 +178,7 @@
 		return
 	}
 	c.askedAt = e.now
+	e.targets.use(c.target, e.now)
 	if c.canceled {
 		e.sendCancel(s, c)
 	}
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -76,7 +76,7 @@
 		rng:      rand.New(rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15)),
 		times:    timesOf(nil),
 		members:  newMembers(o.Self),
-		targets:  newTargets(),
+		targets:  newTargets(o.Self.VM),
 		requests: map[core.RequestID]*request{},
 		store:    newStore(),
 		places:   map[core.Pool]place.Policy{},
--- a/core/entry/mirror.go
+++ b/core/entry/mirror.go
@@ -296,6 +296,7 @@
 	}
 	if old == nil {
 		s.image.rebase()
+		e.useTargets(s)
 		e.durable(s, func() { e.serve(s) })
 	}
 }
--- a/core/entry/targets.go
+++ b/core/entry/targets.go
@@ -25,24 +25,40 @@
 	ownTokens  uint64
 	// helloAt is when the subscription was last renewed.
 	helloAt core.Instant
+	// score is the target's weight in this entry's rendezvous order; chosen says
+	// that it is among the first of its pool.
+	score  uint64
+	chosen bool
+	// usedAt is when a program of this entry last used the target.
+	usedAt core.Instant
 }
 
 type targets struct {
-	byVM map[core.VM]*target
-	// list holds the targets by VM.
-	list []*target
+	self core.VM
+	// limit is the number of targets of a pool that are chosen.
+	limit int
+	byVM  map[core.VM]*target
+	// list holds the targets by VM, and known those that this entry listens to.
+	list  []*target
+	known []*target
+	// stale says that the lists are to be rebuilt; knownAt is when known was.
+	stale   bool
+	knownAt core.Instant
 }
 
-func newTargets() targets { return targets{byVM: map[core.VM]*target{}} }
+func newTargets(self core.VM) targets {
+	return targets{self: self, limit: subsetTargets, byVM: map[core.VM]*target{}}
+}
 
 // listed takes in a sidecar's VM of the platform's list.
 func (ts *targets) listed(vm core.VMInfo) {
 	t := ts.byVM[vm.VM]
 	if t == nil {
-		t = &target{node: core.Node{VM: vm.VM}}
+		t = &target{node: core.Node{VM: vm.VM}, score: targetScore(ts.self, vm.VM)}
 		ts.byVM[vm.VM] = t
-		ts.sort()
+		ts.stale = true
 	}
+	ts.stale = ts.stale || t.pool != vm.Pool
 	t.pool = vm.Pool
 	t.domain = vm.Domain
 	t.leaving = vm.Leaving
@@ -50,7 +66,7 @@
 
 func (ts *targets) remove(vm core.VM) {
 	delete(ts.byVM, vm)
-	ts.sort()
+	ts.stale = true
 }
 
 // leaving reports whether a target is known to leave or to drain.
@@ -59,18 +75,29 @@
 	return t != nil && (t.leaving || t.node == n && t.load.Draining)
 }
 
-// sort rebuilds the list after a target came or went.
-func (ts *targets) sort() {
-	ts.list = slices.SortedFunc(maps.Values(ts.byVM), func(a, b *target) int {
-		return cmp.Compare(a.node.VM, b.node.VM)
-	})
+// refresh rebuilds the lists after a target came or went, and from time to time
+// to leave out those that no program uses any more.
+func (ts *targets) refresh(now core.Instant) {
+	if !ts.stale && now.Sub(ts.knownAt) < helloPeriod {
+		return
+	}
+	if ts.stale {
+		ts.list = slices.SortedFunc(maps.Values(ts.byVM), func(a, b *target) int {
+			return cmp.Compare(a.node.VM, b.node.VM)
+		})
+		ts.selectSubset()
+	}
+	ts.selectKnown(now)
+	ts.stale = false
+	ts.knownAt = now
 }
 
 // tickTargets renews the subscriptions to load reports. A target that is late
 // with its report is asked more often: it may have restarted, which ends the
 // calls that it had.
 func (e *Entry) tickTargets() {
-	for _, t := range e.targets.list {
+	e.targets.refresh(e.now)
+	for _, t := range e.targets.known {
 		period := helloPeriod
 		if e.now.Sub(t.reportedAt) >= reportLate {
 			period = min(period, e.times.heartbeat)
@@ -91,8 +118,12 @@
 		return
 	}
 	if t.node != from {
-		*t = target{node: from, leaving: t.leaving, helloAt: t.helloAt}
+		*t = target{
+			node: from, pool: t.pool, leaving: t.leaving, helloAt: t.helloAt,
+			score: t.score, chosen: t.chosen, usedAt: t.usedAt,
+		}
 	}
+	e.targets.stale = e.targets.stale || t.pool != load.Pool
 	t.pool = load.Pool
 	t.domain = load.Domain
 	t.load = load
@@ -111,7 +142,8 @@
 // pool returns the usable targets of a pool by VM.
 func (e *Entry) pool(pool core.Pool) []*target {
 	var ts []*target
-	for _, t := range e.targets.list {
+	e.targets.refresh(e.now)
+	for _, t := range e.targets.known {
 		if e.usable(t, pool) {
 			ts = append(ts, t)
 		}
