core/entry: heartbeats at the full rate only to fellow members and ring neighbours

Cause: an entry sent every heartbeat to every other entry. Change: the other members of an entry's slots and 8 ring neighbours on each side get every heartbeat; every other peer gets one of eight, and one at once when it starts. A heartbeat tells the period of the next (a new field), and silence is judged against it. An entry is alone if it has heard no peer for the suspicion time, whatever was owed. The order of the peers is kept, not sorted for every tick.

--- a/core/entry/drain.go
+++ b/core/entry/drain.go
@@ -21,6 +21,7 @@
 func (e *Entry) drainRequested() {
 	e.drain.requested = true
 	e.members.beatAt = 0
+	e.members.round = 0
 	e.tickMembers()
 }
 
--- a/core/entry/maintain.go
+++ b/core/entry/maintain.go
@@ -105,7 +105,7 @@
 		return false
 	}
 	for _, p := range e.members.peers {
-		if e.alive(p) {
+		if p.heard > 0 && e.now.Sub(p.heard) < e.times.suspect {
 			return false
 		}
 	}
--- a/core/entry/members.go
+++ b/core/entry/members.go
@@ -28,6 +28,16 @@
 	// list says that the list was read at least once.
 	list   bool
 	beatAt core.Instant
+	// round counts the rounds of heartbeats; the first goes to every peer.
+	round uint64
+	// ordered holds the peers by VM, or nil after one came or went.
+	ordered []*peer
+	// neighbours is the number of ring neighbours on each side, and near holds
+	// the ring neighbours, or nil after a peer came or went.
+	neighbours int
+	near       map[core.VM]bool
+	// shared counts the slots of which this entry's VM and a peer are members.
+	shared map[core.VM]int
 }
 
 // peer is another entry.
@@ -41,6 +51,15 @@
 	leaving  bool
 	draining bool
 	asked    core.Instant
+	// owed is the time beyond the heartbeat period within which the peer owes its
+	// next heartbeat.
+	owed core.Duration
+	// point is the peer's place on the ring.
+	point uint64
+	// greet says that the peer's life is new and gets a heartbeat at once.
+	greet bool
+	// close says that the peer got its last heartbeat at the full rate.
+	close bool
 }
 
 func newMembers(self core.Node) members {
@@ -51,8 +70,10 @@
 		gone:   map[core.VM]bool{},
 		listed: map[core.VM]core.VMInfo{},
 		absent: map[core.VM]core.Instant{},
+		shared: map[core.VM]int{},
 
-		listLag: defaultListLag,
+		listLag:    defaultListLag,
+		neighbours: ringNeighbours,
 	}
 }
 
@@ -92,7 +113,7 @@
 		return
 	}
 	if p.node != n {
-		*p = peer{node: n, domain: p.domain, since: now, leaving: p.leaving}
+		*p = peer{node: n, domain: p.domain, since: now, leaving: p.leaving, point: p.point, greet: true}
 	}
 	p.heard = now
 }
@@ -101,17 +122,22 @@
 func (m *members) peer(vm core.VM) *peer {
 	p := m.peers[vm]
 	if p == nil {
-		p = &peer{node: core.Node{VM: vm}}
+		p = &peer{node: core.Node{VM: vm}, point: ringPoint(vm), greet: true}
 		m.peers[vm] = p
+		m.ordered = nil
 	}
 	return p
 }
 
-// sorted returns the peers by VM.
+// sorted returns the peers by VM. The caller must not change the slice.
 func (m *members) sorted() []*peer {
-	return slices.SortedFunc(maps.Values(m.peers), func(a, b *peer) int {
-		return cmp.Compare(a.node.VM, b.node.VM)
-	})
+	if m.ordered == nil {
+		m.near = nil
+		m.ordered = slices.SortedFunc(maps.Values(m.peers), func(a, b *peer) int {
+			return cmp.Compare(a.node.VM, b.node.VM)
+		})
+	}
+	return m.ordered
 }
 
 // vmList takes in a reading of the platform's VM list.
@@ -125,6 +151,7 @@
 		if _, ok := next[vm]; !ok {
 			m.gone[vm] = true
 			delete(m.peers, vm)
+			m.ordered = nil
 			e.targets.remove(vm)
 		}
 	}
@@ -154,9 +181,10 @@
 	p.leaving = vm.Leaving
 }
 
-// alive reports whether the peer's life was heard recently.
+// alive reports whether the peer's life was heard recently, judged against the
+// heartbeats that it owes.
 func (e *Entry) alive(p *peer) bool {
-	return p.heard > 0 && e.now.Sub(p.heard) < e.times.suspect
+	return p.heard > 0 && e.now.Sub(p.heard) < e.times.suspect+p.owed
 }
 
 // silent reports whether a life has not been heard for the suspicion time. An
@@ -165,13 +193,14 @@
 	return n != e.self && e.silence(n) >= e.times.suspect
 }
 
-// silence returns the time since a life was heard.
+// silence returns the time since a life was heard, less the time that it may
+// take for its heartbeats beyond the period of the configuration.
 func (e *Entry) silence(n core.Node) core.Duration {
 	p := e.members.peers[n.VM]
 	if p == nil || p.node != n || p.heard == 0 {
 		return e.now.Sub(e.started)
 	}
-	return e.now.Sub(p.heard)
+	return max(0, e.now.Sub(p.heard)-p.owed)
 }
 
 // leavingEntry reports whether an entry is draining or leaving.
@@ -190,27 +219,9 @@
 	e.members.observe(from, e.now)
 	p.domain = h.Domain
 	p.draining = h.Draining
+	p.owed = min(max(0, h.Period-e.times.heartbeat), maxOwed*e.times.heartbeat)
 	if h.MapSum != e.mapSum && e.now.Sub(p.asked) >= e.times.heartbeat {
 		p.asked = e.now
 		e.send(from, core.SlotQuery{})
 	}
 }
-
-// tickMembers sends heartbeats to the peers and subscribes to load reports.
-func (e *Entry) tickMembers() {
-	e.tickTargets()
-	if e.members.beatAt > 0 && e.now.Sub(e.members.beatAt) < e.times.heartbeat {
-		return
-	}
-	e.members.beatAt = e.now
-	h := core.Heartbeat{
-		Domain:     e.domain,
-		Generation: e.generation,
-		MapSum:     e.mapSum,
-		Draining:   e.drain.active(),
-	}
-	for _, p := range e.members.sorted() {
-		// Incarnation zero also reaches a life that is not known yet.
-		e.send(core.Node{VM: p.node.VM}, h)
-	}
-}
--- a/core/entry/slotmap.go
+++ b/core/entry/slotmap.go
@@ -166,6 +166,8 @@
 		return
 	}
 	e.mapSum += mapTerm(o.Epoch) - mapTerm(s.owner.Epoch)
+	e.members.share(s.owner, -1)
+	e.members.share(o, 1)
 	s.owner = o
 	s.changedAt = e.now
 	s.ownerless = 0
--- a/core/message.go
+++ b/core/message.go
@@ -84,6 +84,9 @@
 	// MapSum is the sum of all slot versions and ranks known to the sender.
 	MapSum   uint64
 	Draining bool
+	// Period is the time within which the sender owes the next heartbeat; zero
+	// means the period of the configuration.
+	Period Duration
 }
 
 // SlotUpdate passes slot owners on to peers.
--- a/rpc/wire/decode.go
+++ b/rpc/wire/decode.go
@@ -44,6 +44,7 @@
 			Generation: p.Heartbeat.GetGeneration(),
 			MapSum:     p.Heartbeat.GetMapSum(),
 			Draining:   p.Heartbeat.GetDraining(),
+			Period:     p.Heartbeat.GetPeriod(),
 		}, nil
 	case *peerpb.Envelope_Hello:
 		return core.Hello{}, nil
--- a/rpc/wire/encode.go
+++ b/rpc/wire/encode.go
@@ -41,7 +41,8 @@
 			Req: fromRequest(m.Req), Program: string(m.Program), Account: string(m.Account)}}
 	case core.Heartbeat:
 		env.Message = &peerpb.Envelope_Heartbeat{Heartbeat: &peerpb.Heartbeat{
-			Domain: string(m.Domain), Generation: m.Generation, MapSum: m.MapSum, Draining: m.Draining}}
+			Domain: string(m.Domain), Generation: m.Generation, MapSum: m.MapSum, Draining: m.Draining,
+			Period: m.Period}}
 	case core.Hello:
 		env.Message = &peerpb.Envelope_Hello{Hello: &peerpb.Hello{}}
 	case core.AckResult:
