core/entry: the rendezvous order of a slot is kept until the candidates change

Cause: every tick sorted the candidates anew for every slot of a home, with two hashes of formatted keys a comparison. Change: the order is kept while the candidates are the same, and a sort hashes each candidate once.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -52,6 +52,9 @@
 	drain   drain
 	// offeredAt is when a slot was last offered to another entry.
 	offeredAt core.Instant
+	// cands holds the candidates last returned, and scratch their next reading.
+	cands   []candidate
+	scratch []candidate
 	// counts are the programs under way by account, as of countedAt.
 	counts    map[core.Account]int
 	countedAt core.Instant
--- a/core/entry/maintain.go
+++ b/core/entry/maintain.go
@@ -21,7 +21,7 @@
 // right number of sound mirrors, the newest epoch in the key-value service, and
 // the slot at the first entry in rendezvous order.
 func (e *Entry) maintain(s *slot, cs []candidate) {
-	order := ranked(s.id, cs)
+	order := s.order(cs)
 	heir := e.heir(order)
 	want := e.wanted(s, order, heir)
 	if s.frozen() || s.owner.Epoch.Rank > 0 || !sameMembers(want, s.owner.Mirrors) {
--- a/core/entry/slot.go
+++ b/core/entry/slot.go
@@ -31,6 +31,9 @@
 	forgotAt core.Instant
 	requests map[core.RequestID]*request
 	dirty    bool
+	// orderKept is the rendezvous order of the candidates that begin at orderOf.
+	orderKept []candidate
+	orderOf   *candidate
 }
 
 // image is this entry's copy of a slot. The programs in it are never changed in
--- a/core/entry/slotmap.go
+++ b/core/entry/slotmap.go
@@ -15,9 +15,10 @@
 	domain core.Domain
 }
 
-// candidates returns the live entries that are neither leaving nor draining.
+// candidates returns the live entries that are neither leaving nor draining. It
+// returns the same slice until they change; the caller must not change it.
 func (e *Entry) candidates() []candidate {
-	var cs []candidate
+	cs := e.scratch[:0]
 	if !e.leavingEntry(e.self) {
 		cs = append(cs, candidate{e.self, e.domain})
 	}
@@ -26,7 +27,24 @@
 			cs = append(cs, candidate{p.node, p.domain})
 		}
 	}
-	return cs
+	e.scratch = cs
+	if !slices.Equal(cs, e.cands) {
+		e.cands = slices.Clone(cs)
+	}
+	return e.cands
+}
+
+// order returns the candidates in rendezvous order for a slot. It is kept until
+// the candidates change, as every tick asks for it.
+func (s *slot) order(cs []candidate) []candidate {
+	if len(cs) == 0 {
+		return nil
+	}
+	if s.orderOf != &cs[0] || len(s.orderKept) != len(cs) {
+		s.orderOf = &cs[0]
+		s.orderKept = ranked(s.id, cs)
+	}
+	return s.orderKept
 }
 
 // score is the rendezvous weight of a VM for a slot. It does not depend on the
@@ -37,10 +55,14 @@
 
 // ranked returns the candidates in rendezvous order for a slot.
 func ranked(id core.SlotID, cs []candidate) []candidate {
+	scores := make(map[core.VM]uint64, len(cs))
+	for _, c := range cs {
+		scores[c.node.VM] = score(id, c.node.VM)
+	}
 	out := slices.Clone(cs)
 	slices.SortFunc(out, func(a, b candidate) int {
 		return cmp.Or(
-			-cmp.Compare(score(id, a.node.VM), score(id, b.node.VM)),
+			cmp.Compare(scores[b.node.VM], scores[a.node.VM]),
 			cmp.Compare(a.node.VM, b.node.VM))
 	})
 	return out
@@ -138,7 +160,7 @@
 	if !e.store.ranged || !e.settled() {
 		return
 	}
-	order := ranked(s.id, cs)
+	order := s.order(cs)
 	if len(order) == 0 || order[0].node != e.self {
 		return
 	}
--- a/core/entry/takeover.go
+++ b/core/entry/takeover.go
@@ -124,7 +124,7 @@
 // nextOwner returns the owner entry of the next version that keeps the slot's
 // memory, with this entry as home.
 func (e *Entry) nextOwner(s *slot, kept []core.Member, cs []candidate) core.SlotOwner {
-	o := e.newOwner(s, ranked(s.id, cs), kept)
+	o := e.newOwner(s, s.order(cs), kept)
 	o.Remembers = s.owner.Remembers
 	for _, m := range s.members() {
 		if m.Node == e.self {
@@ -139,7 +139,7 @@
 // member without an image finds out from the others, once the home is dead by
 // evidence: a request to promise would end the time of a home that lives.
 func (e *Entry) takeEmpty(s *slot, cs []candidate) {
-	order := ranked(s.id, cs)
+	order := s.order(cs)
 	member := slices.ContainsFunc(s.members(), func(m core.Member) bool { return m.Node == e.self })
 	first := len(order) > 0 && order[0].node == e.self
 	mine := member && (e.members.dead(s.homeNode()) || s.homeNode() == e.self)
