core/entry: an isolated entry refuses arriving calls at once and is unhealthy

Cause: an entry that heard no other entry and no key-value service kept calls waiting that it could not forward, and the balancer went on sending it more. Change: an entry that hears none of its peers for the suspicion time probes the service. While that fails or is silent for the suspicion time too, a call that arrives is answered not_run, no_owner, with a hint, unless this entry is the slot's home and completes writes. Status says Isolated; /healthz, now also at the callers' port, answers 503. A sole entry is never isolated.

--- a/core/entry/edge.go
+++ b/core/entry/edge.go
@@ -53,7 +53,8 @@
 }
 
 // arrived starts a request. It is refused at once when its slot has had no
-// reachable home for longer than a takeover takes.
+// reachable home for longer than a takeover takes, or when this entry is isolated
+// and not the home itself.
 func (e *Entry) arrived(r *request) {
 	if _, ok := e.requests[r.id]; ok {
 		return
@@ -71,7 +72,7 @@
 	r.period = e.times.suspect
 	e.requests[r.id] = r
 	s.requests[r.id] = r
-	if e.unreachable(s) {
+	if e.unreachable(s) || e.isolated() && !e.servesItself(s) {
 		e.reply(r, refusal(core.ReasonNoOwner, retryHint))
 		return
 	}
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -47,6 +47,7 @@
 	// mapSum is the sum of the epochs of all owners known.
 	mapSum  uint64
 	store   store
+	probe   probe
 	places  map[core.Pool]place.Policy
 	budgets map[retryKey]*retry.Budget
 	drain   drain
@@ -148,6 +149,7 @@
 func (e *Entry) tick() {
 	e.tickMembers()
 	e.tickStore()
+	e.tickProbe()
 	e.tickSlots()
 	e.tickRequests()
 	e.tickRefusals()
--- a/core/entry/status.go
+++ b/core/entry/status.go
@@ -12,6 +12,8 @@
 	Draining   bool
 	// StoreFailed says that the key-value service did not answer last time.
 	StoreFailed bool
+	// Isolated says that this entry hears no other entry and no key-value service.
+	Isolated bool
 	// Home and Mirror count the slots that this entry is home or mirror of;
 	// Ownerless counts those with no owner or one that is dead or silent.
 	Home      int
@@ -77,6 +79,7 @@
 		Generation:  e.generation,
 		Draining:    e.drain.active(),
 		StoreFailed: e.store.failed,
+		Isolated:    e.isolated(),
 		Requests:    len(e.requests),
 	}
 	for _, s := range e.slots {
--- a/core/entry/store.go
+++ b/core/entry/store.go
@@ -34,6 +34,8 @@
 	opEscrowGet
 	opEscrowSwap
 	opEscrowReadBack
+	// opProbe asks whether the service answers.
+	opProbe
 )
 
 // storeOp is an operation whose answer is awaited.
@@ -76,6 +78,8 @@
 		e.ranged(r)
 	case opOwnerGet, opOwnerSwap, opOwnerReadBack:
 		e.ownerResult(op, r)
+	case opProbe:
+		e.probe.busy = false
 	case opEscrowGet:
 		e.escrowRead(op, r)
 	case opEscrowSwap:
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -67,7 +67,13 @@
 		},
 		Run:    d.run,
 		Status: func() any { return d.reducer.Status() },
-		Watch:  []string{core.SlotPrefix, core.ConfigHeadKey},
+		Unhealthy: func() string {
+			if d.reducer.Isolated() {
+				return "the entry hears no other entry and no key-value service"
+			}
+			return ""
+		},
+		Watch: []string{core.SlotPrefix, core.ConfigHeadKey},
 	})
 	if err != nil {
 		return nil, err
@@ -106,6 +112,10 @@
 	if files := d.node.TLS(); files != nil {
 		server.TLSConfig = files.Server(false)
 	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", d.node.ServeHealth)
+	mux.Handle("/", server.Handler)
+	server.Handler = mux
 	d.callers = server
 	d.node.Serve(server, listener, "callers")
 	return nil
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -53,6 +53,9 @@
 	// Status returns the reducer's state for operators; it is called between
 	// two events.
 	Status func() any
+	// Unhealthy returns why the balancer should leave the node out, or nothing; it
+	// is called between two events and may be nil.
+	Unhealthy func() string
 	// Answers is where a sidecar keeps its answers; nil for an entry.
 	Answers peer.Answers
 	// ConfigFromPeers makes other entries the first source of the configuration.
--- a/daemon/node/serve.go
+++ b/daemon/node/serve.go
@@ -85,7 +85,7 @@
 	n.operators = listener.Addr().String()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /status", n.serveStatus)
-	mux.HandleFunc("GET /healthz", n.serveHealth)
+	mux.HandleFunc("GET /healthz", n.ServeHealth)
 	mux.HandleFunc("POST /drain", n.serveDrain)
 	mux.Handle("GET /events", n.Events)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(n.Metrics.registry, promhttp.HandlerOpts{}))
@@ -176,15 +176,25 @@
 	_ = json.NewEncoder(w).Encode(status)
 }
 
-// serveHealth answers 200 while the reducer takes events and a configuration
-// is in force.
-func (n *Node) serveHealth(w http.ResponseWriter, r *http.Request) {
+// ServeHealth answers 200 while the reducer takes events and calls itself
+// healthy, and a configuration is in force.
+func (n *Node) ServeHealth(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), statusTimeout)
 	defer cancel()
-	if err := n.loop.Look(ctx, func() {}); err != nil {
+	var reason string
+	look := func() {
+		if n.options.Unhealthy != nil {
+			reason = n.options.Unhealthy()
+		}
+	}
+	if err := n.loop.Look(ctx, look); err != nil {
 		http.Error(w, "the reducer takes no events", http.StatusServiceUnavailable)
 		return
 	}
+	if reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
 	if n.Config() == nil {
 		http.Error(w, "no configuration is in force", http.StatusServiceUnavailable)
 		return
