capacity: rows of the subsets, from slopes of far peers and of targets not known

bench slopes measures heartbeats up to 96 entries and load reports up to 384 targets of one pool; peers are measured with one slot, so that the cost of a home's own slots does not hide theirs.

--- a/bench/slopes/cluster.go
+++ b/bench/slopes/cluster.go
@@ -64,9 +64,14 @@
 
 // newCluster starts entries and sidecars and lets them settle.
 func newCluster(seed uint64, entries, sidecars int) *cluster {
+	return newClusterOf(seed, entries, sidecars, slots)
+}
+
+// newClusterOf is newCluster with a number of slots.
+func newClusterOf(seed uint64, entries, sidecars int, slots uint32) *cluster {
 	c := &cluster{seed: seed, roles: map[core.VMRole]*meter{core.RoleEntry: {}, core.RoleSidecar: {}}}
 	c.sim = sim.New(sim.Options{Seed: seed, Hooks: sim.Hooks{Effect: c.effect}})
-	c.sim.Apply(settings())
+	c.sim.Apply(settings(slots))
 	for i := range entries {
 		vm := core.VM(fmt.Sprintf("entry-%d", i))
 		c.entries = append(c.entries, vm)
@@ -106,7 +111,7 @@
 }
 
 // settings returns the configuration of the measurements.
-func settings() *config.Set {
+func settings(slots uint32) *config.Set {
 	set := &config.Set{
 		Deployment: "slopes",
 		Ownership: config.Ownership{
--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/bench/path"
 	"github.com/rhubarbsaddle/rhubarbsaddle/bench/slopes"
@@ -67,51 +68,63 @@
 	copies := w.size.copiesPerEntry()
 	records := copies * w.slope("program_copy_bytes")
 	perTarget := w.slope("target_heap_bytes")
-	all := float64(w.size.Targets) * perTarget
 	subset := w.size.targetSubset() * perTarget
 	w.add(Row{
 		Role: "entry", Resource: "memory, program records", Value: records / mega, Unit: "MB",
 		Working:   fmt.Sprintf("%.0f copies × %.0f B", copies, w.slope("program_copy_bytes")),
 		Mechanism: "records without conversation text, slot mirrors", Built: true,
 	})
-	w.add(Row{
-		Role: "entry", Resource: "memory, all targets known", Value: (idle + records + all) / mega, Unit: "MB", Limit: maxControlMemoryBytes / mega,
-		Working:   fmt.Sprintf("idle %.0f MB + records + %d targets × %.0f B (with their stand-ins)", idle/mega, w.size.Targets, perTarget),
-		Mechanism: "full view of the targets", Built: true,
-	})
 	w.add(Row{
 		Role: "entry", Resource: "memory, subset of targets", Value: (idle + records + subset) / mega, Unit: "MB", Limit: maxControlMemoryBytes / mega,
 		Working:   fmt.Sprintf("idle + records + %.0f targets × %.0f B", w.size.targetSubset(), perTarget),
-		Mechanism: "rendezvous subset of each pool", Built: false,
+		Mechanism: "rendezvous subset of each pool; the others cost a list entry each, not measured", Built: true,
 	})
 }
 
+// entryControl adds processor time and bytes of an entry's control traffic.
 func (w *worker) entryControl() {
-	peers, targets := float64(w.size.Entries-1), float64(w.size.Targets)
-	w.controlRows("full mesh", "heartbeats to all entries, load reports of all targets", true, peers, targets)
-	w.controlRows("subsets", "heartbeats to members of own slots and a few more, rendezvous subset of targets", false,
-		w.size.peerSubset(), w.size.targetSubset())
-}
-
-// controlRows adds processor time and bytes of an entry's control traffic.
-func (w *worker) controlRows(name, mechanism string, built bool, peers, targets float64) {
+	near, known := w.size.peerSubset(), w.size.targetSubset()
+	far, other := float64(w.size.Entries-1)-near, float64(w.size.Targets)-known
+	mechanism := "heartbeats to fellow members of slots and 16 neighbours, an eighth of them to the others; rendezvous subset of targets"
+	parts := []part{
+		{near, "near peers", "entry_peer_"},
+		{far, "far peers", "entry_far_peer_"},
+		{known, "known targets", "entry_target_"},
+		{other, "other targets", "entry_other_target_"},
+	}
 	fixed := w.fixed("entry_target_microseconds")
-	micros := fixed + peers*w.slope("entry_peer_microseconds") + targets*w.slope("entry_target_microseconds")
-	bytes := peers*w.slope("entry_peer_bytes") + targets*w.slope("entry_target_bytes")
+	micros, working := w.sum(parts, "microseconds", "µs")
 	w.add(Row{
-		Role: "entry", Resource: "control processor time, " + name, Value: micros / 1e4, Unit: "% of a core", Limit: maxControlCPUPercent,
-		Working: fmt.Sprintf("%.0f µs + %.0f peers × %.3g µs + %.0f targets × %.2g µs, a second",
-			fixed, peers, w.slope("entry_peer_microseconds"), targets, w.slope("entry_target_microseconds")),
-		Mechanism: mechanism, Built: built,
+		Role: "entry", Resource: "control processor time", Value: (fixed + micros) / 1e4, Unit: "% of a core", Limit: maxControlCPUPercent,
+		Working: fmt.Sprintf("%.0f µs + %s, a second", fixed, working), Mechanism: mechanism, Built: true,
 	})
+	bytes, working := w.sum(parts, "bytes", "B")
 	w.add(Row{
-		Role: "entry", Resource: "control bytes, " + name, Value: bytes / 1e3, Unit: "KB/s", Limit: maxControlBytes / 1e3,
-		Working: fmt.Sprintf("%.0f peers × %.3g B + %.0f targets × %.3g B, a second",
-			peers, w.slope("entry_peer_bytes"), targets, w.slope("entry_target_bytes")),
-		Mechanism: mechanism, Built: built,
+		Role: "entry", Resource: "control bytes", Value: bytes / 1e3, Unit: "KB/s", Limit: maxControlBytes / 1e3,
+		Working: working + ", a second", Mechanism: mechanism, Built: true,
 	})
 }
 
+// part is a number of units whose slopes have a common prefix.
+type part struct {
+	count float64
+	unit  string
+	slope string
+}
+
+// sum returns the cost of all parts and its working. A slope below zero is the
+// noise of the measurement and counts as zero.
+func (w *worker) sum(parts []part, suffix, unit string) (float64, string) {
+	var total float64
+	var working []string
+	for _, p := range parts {
+		each := max(0, w.slope(p.slope+suffix))
+		total += p.count * each
+		working = append(working, fmt.Sprintf("%.0f %s × %.2g %s", p.count, p.unit, each, unit))
+	}
+	return total, strings.Join(working, " + ")
+}
+
 func (w *worker) entryCalls() {
 	calls := w.size.callsPerEntry()
 	micros := calls * w.slope("entry_call_microseconds")
@@ -136,18 +149,12 @@
 }
 
 func (w *worker) sidecar() {
-	listeners := float64(w.size.Entries)
 	perListener := w.slope("sidecar_listener_bytes")
-	w.add(Row{
-		Role: "sidecar", Resource: "load reports, full mesh", Value: listeners * perListener / 1e3, Unit: "KB/s", Limit: maxControlBytes / 1e3,
-		Working:   fmt.Sprintf("%.0f listening entries × %.3g B a second", listeners, perListener),
-		Mechanism: "reports to every entry that asks", Built: true,
-	})
 	subset := w.size.listenersOfSubset()
 	w.add(Row{
-		Role: "sidecar", Resource: "load reports, subsets", Value: subset * perListener / 1e3, Unit: "KB/s", Limit: maxControlBytes / 1e3,
+		Role: "sidecar", Resource: "load reports", Value: subset * perListener / 1e3, Unit: "KB/s", Limit: maxControlBytes / 1e3,
 		Working:   fmt.Sprintf("%.0f listening entries × %.3g B a second", subset, perListener),
-		Mechanism: "rendezvous subset of each pool", Built: false,
+		Mechanism: "rendezvous subset of each pool", Built: true,
 	})
 	w.add(Row{
 		Role: "sidecar", Resource: "decisions for calls", Value: w.size.callsPerTarget() * w.slope("sidecar_call_microseconds") / 1e4, Unit: "% of a core",
