core/entry: a tick looks at its own slots and at 256 of the others in turn

Cause: every tick looked at every slot. Change: slots of other entries are looked at 256 a tick in turn; up to 256 slots all are looked at in every tick as before.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -44,6 +44,7 @@
 	targets  targets
 	requests map[core.RequestID]*request
 	slots    []*slot
+	walk     walk
 	// mapSum is the sum of the epochs of all owners known.
 	mapSum  uint64
 	store   store
@@ -83,6 +84,7 @@
 		targets:  newTargets(o.Self.VM),
 		requests: map[core.RequestID]*request{},
 		store:    newStore(),
+		walk:     walk{limit: slotsPerTick, stale: true},
 		places:   map[core.Pool]place.Policy{},
 		budgets:  map[retryKey]*retry.Budget{},
 		refusals: map[core.RequestID]*refusedRequest{},
--- a/core/entry/mirror.go
+++ b/core/entry/mirror.go
@@ -276,6 +276,7 @@
 		}
 	}
 	s.home = h
+	e.walk.stale = true
 	s.promised = s.owner.Epoch
 	s.image.epoch = s.owner.Epoch
 	s.image.remembers = max(s.image.remembers, s.owner.Remembers)
--- a/core/entry/proposal.go
+++ b/core/entry/proposal.go
@@ -63,11 +63,13 @@
 		promises: map[core.Node]core.PromiseReply{},
 	}
 	e.store.proposals++
+	e.walk.stale = true
 	e.readOwner(s, opOwnerGet)
 }
 
 func (e *Entry) endProposal(s *slot) {
 	s.proposal = nil
+	e.walk.stale = true
 	e.store.proposals--
 }
 
--- a/core/entry/slotmap.go
+++ b/core/entry/slotmap.go
@@ -126,7 +126,7 @@
 		return
 	}
 	cs := e.candidates()
-	for _, s := range e.slots {
+	for _, s := range e.slotsDue() {
 		e.tickOwnership(s, cs)
 		if s.home != nil {
 			e.tickLinks(s)
@@ -188,6 +188,7 @@
 		return
 	}
 	e.mapSum += mapTerm(o.Epoch) - mapTerm(s.owner.Epoch)
+	e.walk.stale = true
 	e.members.share(s.owner, -1)
 	e.members.share(o, 1)
 	s.owner = o
