--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -44,14 +44,19 @@
 	targets  targets
 	requests map[core.RequestID]*request
 	slots    []*slot
+	walk     walk
 	// mapSum is the sum of the epochs of all owners known.
 	mapSum  uint64
 	store   store
+	probe   probe
 	places  map[core.Pool]place.Policy
 	budgets map[retryKey]*retry.Budget
 	drain   drain
 	// offeredAt is when a slot was last offered to another entry.
 	offeredAt core.Instant
+	// cands holds the candidates last returned, and scratch their next reading.
+	cands   []candidate
+	scratch []candidate
 	// counts are the programs under way by account, as of countedAt.
 	counts    map[core.Account]int
 	countedAt core.Instant
@@ -76,9 +81,10 @@
 		rng:      rand.New(rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15)),
 		times:    timesOf(nil),
 		members:  newMembers(o.Self),
-		targets:  newTargets(),
+		targets:  newTargets(o.Self.VM),
 		requests: map[core.RequestID]*request{},
 		store:    newStore(),
+		walk:     walk{limit: slotsPerTick, stale: true},
 		places:   map[core.Pool]place.Policy{},
 		budgets:  map[retryKey]*retry.Budget{},
 		refusals: map[core.RequestID]*refusedRequest{},
@@ -145,6 +151,7 @@
 func (e *Entry) tick() {
 	e.tickMembers()
 	e.tickStore()
+	e.tickProbe()
 	e.tickSlots()
 	e.tickRequests()
 	e.tickRefusals()
--- a/core/entry/maintain.go
+++ b/core/entry/maintain.go
@@ -21,7 +21,7 @@
 // right number of sound mirrors, the newest epoch in the key-value service, and
 // the slot at the first entry in rendezvous order.
 func (e *Entry) maintain(s *slot, cs []candidate) {
-	order := ranked(s.id, cs)
+	order := s.order(cs)
 	heir := e.heir(order)
 	want := e.wanted(s, order, heir)
 	if s.frozen() || s.owner.Epoch.Rank > 0 || !sameMembers(want, s.owner.Mirrors) {
@@ -105,7 +105,7 @@
 		return false
 	}
 	for _, p := range e.members.peers {
-		if e.alive(p) {
+		if p.heard > 0 && e.now.Sub(p.heard) < e.times.suspect {
 			return false
 		}
 	}
--- a/core/entry/mirror.go
+++ b/core/entry/mirror.go
@@ -276,6 +276,7 @@
 		}
 	}
 	s.home = h
+	e.walk.stale = true
 	s.promised = s.owner.Epoch
 	s.image.epoch = s.owner.Epoch
 	s.image.remembers = max(s.image.remembers, s.owner.Remembers)
@@ -296,6 +297,7 @@
 	}
 	if old == nil {
 		s.image.rebase()
+		e.useTargets(s)
 		e.durable(s, func() { e.serve(s) })
 	}
 }
