--- a/core/entry/mirror.go
+++ b/core/entry/mirror.go
@@ -24,6 +24,8 @@
 	// requests that came before.
 	ready bool
 	early []core.Recv
+	// fencing is set while the home waits for sidecars; nil otherwise.
+	fencing *fencing
 	// deciding holds the refusals that wait for a complete write.
 	deciding []*refusedRequest
 	after    []pending
@@ -284,6 +286,7 @@
 		h.since = old.since
 		h.ready = old.ready
 		h.early = old.early
+		h.fencing = old.fencing
 		h.deciding = old.deciding
 		h.lanes = old.lanes
 		h.after = old.after
@@ -303,9 +306,14 @@
 }
 
 // serve begins to serve the slot once the first write of a new home is complete:
-// only then it is certain that no other home can write.
+// only then it is certain that no other home can write. A home without the
+// slot's memory also waits for the sidecars' fences.
 func (e *Entry) serve(s *slot) {
 	h := s.home
+	if h.fencing != nil {
+		h.fencing.written = true
+		return
+	}
 	h.ready = true
 	e.reopen(s)
 	early := h.early
--- a/core/entry/outcome.go
+++ b/core/entry/outcome.go
@@ -18,6 +18,10 @@
 		e.stepDown(s, r.Epoch)
 		return
 	}
+	if r.Attempt.N == 0 {
+		e.fenceRaised(s, from)
+		return
+	}
 	if !s.home.ready {
 		return
 	}
--- a/core/entry/slotmap.go
+++ b/core/entry/slotmap.go
@@ -136,6 +136,7 @@
 		case s.home.ready:
 			e.tickCalls(s)
 		default:
+			e.tickFencing(s)
 			e.tickEarly(s)
 		}
 	}
@@ -227,7 +228,7 @@
 	}
 	e.becomeHome(s)
 	if forgotten {
-		e.raiseFences(s)
+		e.beginFencing(s)
 	}
 	e.gossip(s)
 }
