--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -165,4 +165,10 @@
 		Role: "sidecar", Resource: "memory, idle", Value: float64(w.measured.Path.SidecarIdle) / mega, Unit: "MB", Limit: maxControlMemoryBytes / mega,
 		Working: "bench path", Mechanism: "one small process a target", Built: true,
 	})
+	bodies := w.size.Programs * historyTokens * historyCopies / float64(w.size.Targets)
+	w.add(Row{
+		Role: "sidecar", Resource: "memory, kept conversations, all at full length", Value: bodies * w.slope("history_token_bytes") / mega, Unit: "MB",
+		Working:   fmt.Sprintf("%.0f tokens × %.3g B (stand-in's text), two copies", bodies, w.slope("history_token_bytes")),
+		Mechanism: "compressed bodies, bounded store, spool on VMs with a disk", Built: true,
+	})
 }
--- a/capacity/size.go
+++ b/capacity/size.go
@@ -50,6 +50,10 @@
 	// gossipPeers is the number of peers outside its own slots that an entry
 	// keeps in touch with when heartbeats are sent to a subset.
 	gossipPeers = 16
+	// historyTokens is the longest conversation and historyCopies the number of
+	// sidecars that keep it.
+	historyTokens = 160_000
+	historyCopies = 2
 	// subsetTargets is the number of targets of a pool that an entry knows when
 	// it keeps a subset.
 	subsetTargets = 64
