--- a/platform/etcdjson/client.go
+++ b/adapter/etcdjson/client.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
+	"github.com/rhubarbsaddle/rhubarbsaddle/store"
 )
 
 // DefaultTimeout bounds a call when Options.Timeout is zero.
--- a/platform/etcdjson/lease.go
+++ b/adapter/etcdjson/lease.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
+	"github.com/rhubarbsaddle/rhubarbsaddle/store"
 )
 
 // errLeaseEnded is the cause when a lease has ended.
--- a/platform/etcdjson/watch.go
+++ b/adapter/etcdjson/watch.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
+	"github.com/rhubarbsaddle/rhubarbsaddle/store"
 )
 
 // errSilent is the cause when a watch brought no message for too long.
--- a/cli/store.go
+++ b/cli/store.go
@@ -6,9 +6,9 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/adapter/etcdjson"
 	"github.com/rhubarbsaddle/rhubarbsaddle/config"
 	"github.com/rhubarbsaddle/rhubarbsaddle/config/publish"
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/etcdjson"
 )
 
 // defaultStorePrefix begins the keys of a deployment unless --prefix is given.
--- a/config/load/load.go
+++ b/config/load/load.go
@@ -71,16 +71,38 @@
 		return nil, Errors{fault}
 	}
 	node.ApplyDefaults()
-	var errs Errors
-	for _, p := range node.Check() {
-		errs = append(errs, &Error{File: name, Line: doc.line(p.Path), Field: p.Path, Text: p.Text, Fix: p.Fix})
-	}
-	if len(errs) > 0 {
+	if errs := located(name, doc, node.Check()); len(errs) > 0 {
 		return nil, errs
 	}
 	return node, nil
 }
 
+// Resident reads and checks the settings of a process on the users' platform.
+func Resident(file string) (*config.Resident, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	resident := &config.Resident{}
+	doc, fault := decode(file, data, resident)
+	if fault != nil {
+		return nil, Errors{fault}
+	}
+	if errs := located(file, doc, resident.Check()); len(errs) > 0 {
+		return nil, errs
+	}
+	return resident, nil
+}
+
+// located gives each problem the line of its field.
+func located(name string, doc *document, problems []config.Problem) Errors {
+	var errs Errors
+	for _, p := range problems {
+		errs = append(errs, &Error{File: name, Line: doc.line(p.Path), Field: p.Path, Text: p.Text, Fix: p.Fix})
+	}
+	return errs
+}
+
 // yamlFiles lists the YAML files of a directory in the order of their names.
 func yamlFiles(dir string) ([]string, error) {
 	entries, err := os.ReadDir(dir)
--- a/config/publish/adapter.go
+++ b/config/publish/adapter.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
+	"github.com/rhubarbsaddle/rhubarbsaddle/store"
 )
 
 // keyValue narrows the port to the key-value service to what publishing needs.
--- /dev/null
+++ b/config/resident.go
@@ -0,0 +1,92 @@
+package config
+
+import "time"
+
+// Resident is the settings file of a process that runs on the users' platform:
+// an entry or a ledger member.
+type Resident struct {
+	// VM is the name of the process's VM.
+	VM string `yaml:"vm"`
+	// Role is entry or ledger.
+	Role string `yaml:"role"`
+	// Domain is the VM's failure domain.
+	Domain string `yaml:"domain"`
+	// Address is the VM's IP address.
+	Address string `yaml:"address"`
+	// FirstStart says that the whole system starts for the first time, with empty
+	// disks.
+	FirstStart bool `yaml:"first_start"`
+	// Data is the folder of a ledger member's segments.
+	Data string `yaml:"data"`
+	// Listen gives the process's own addresses.
+	Listen ResidentListen `yaml:"listen"`
+	// Seeds are ledger members to ask when the platform's store is away, host and
+	// port. They may be out of date.
+	Seeds []string `yaml:"seeds"`
+	// Store is the platform's key-value service, host and port.
+	Store string `yaml:"store"`
+	// DisksLost is how many disks may be lost at the same time.
+	DisksLost int `yaml:"disks_lost"`
+	// MemoryMB bounds the process's memory, in megabytes.
+	MemoryMB int `yaml:"memory_mb"`
+	// Bounds are the times that the platform names.
+	Bounds ResidentBounds `yaml:"bounds"`
+	// Log sets what is logged.
+	Log Log `yaml:"log"`
+}
+
+// ResidentListen gives the addresses that a process listens on.
+type ResidentListen struct {
+	// Callers is where an entry serves callers.
+	Callers string `yaml:"callers"`
+	// Ready answers the balancer's readiness checks.
+	Ready string `yaml:"ready"`
+	// Ledger is where a ledger member serves entries and other members.
+	Ledger string `yaml:"ledger"`
+	// Metrics serves the process's metrics.
+	Metrics string `yaml:"metrics"`
+}
+
+// ResidentBounds are times that the platform names.
+type ResidentBounds struct {
+	// GraceS is the time from SIGTERM to SIGKILL, in seconds.
+	GraceS float64 `yaml:"grace_s"`
+}
+
+// Grace returns the time from SIGTERM to SIGKILL.
+func (b ResidentBounds) Grace() time.Duration {
+	return time.Duration(b.GraceS * float64(time.Second))
+}
+
+// Roles of resident processes.
+const (
+	ResidentEntry  = "entry"
+	ResidentLedger = "ledger"
+)
+
+// Check returns every problem of the settings.
+func (r *Resident) Check() []Problem {
+	c := &checker{}
+	c.required("vm", r.VM)
+	c.required("role", r.Role)
+	c.oneOf("role", r.Role, []string{ResidentEntry, ResidentLedger})
+	c.addrPort("store", r.Store, true)
+	if r.Role == ResidentEntry {
+		c.addrPort("listen.callers", r.Listen.Callers, true)
+		c.addrPort("listen.ready", r.Listen.Ready, true)
+	}
+	if r.Role == ResidentLedger {
+		c.addrPort("listen.ledger", r.Listen.Ledger, true)
+		c.required("data", r.Data)
+	}
+	if r.DisksLost < 0 {
+		c.add("disks_lost", "give 0 or more", "is %d", r.DisksLost)
+	}
+	if r.MemoryMB < 0 {
+		c.add("memory_mb", "give megabytes, or 0 for no bound", "is %d", r.MemoryMB)
+	}
+	if r.Bounds.GraceS <= 0 {
+		c.add("bounds.grace_s", "give seconds", "is %v", r.Bounds.GraceS)
+	}
+	return c.problems
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -10,15 +10,15 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/adapter/etcdjson"
+	"github.com/rhubarbsaddle/rhubarbsaddle/adapter/vmlist"
 	"github.com/rhubarbsaddle/rhubarbsaddle/config"
 	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/entry"
 	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/sidecar"
 	"github.com/rhubarbsaddle/rhubarbsaddle/engine"
 	"github.com/rhubarbsaddle/rhubarbsaddle/engine/openai"
 	"github.com/rhubarbsaddle/rhubarbsaddle/engine/service"
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/etcdjson"
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/vmlist"
+	"github.com/rhubarbsaddle/rhubarbsaddle/store"
 )
 
 // watchSilence is the time without a message after which a watch of the
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/adapter/vmlist"
 	"github.com/rhubarbsaddle/rhubarbsaddle/config"
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 	reducer "github.com/rhubarbsaddle/rhubarbsaddle/core/entry"
@@ -19,8 +20,7 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/history"
 	"github.com/rhubarbsaddle/rhubarbsaddle/invariant"
 	"github.com/rhubarbsaddle/rhubarbsaddle/observe"
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/vmlist"
+	"github.com/rhubarbsaddle/rhubarbsaddle/store"
 )
 
 // DefaultDrainTimeout bounds a graceful shutdown.
--- a/daemon/node/effects.go
+++ b/daemon/node/effects.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
+	"github.com/rhubarbsaddle/rhubarbsaddle/store"
 )
 
 // defaultStoreTimeout bounds a call of the key-value service.
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -12,15 +12,15 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/adapter/vmlist"
 	"github.com/rhubarbsaddle/rhubarbsaddle/config"
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/loop"
 	"github.com/rhubarbsaddle/rhubarbsaddle/invariant"
 	"github.com/rhubarbsaddle/rhubarbsaddle/observe"
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/vmlist"
 	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/peer"
 	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/tlsfile"
+	"github.com/rhubarbsaddle/rhubarbsaddle/store"
 )
 
 // StepError is a failure of the shell.
--- a/daemon/node/ports.go
+++ b/daemon/node/ports.go
@@ -6,7 +6,7 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/config"
 	"github.com/rhubarbsaddle/rhubarbsaddle/config/publish"
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
+	"github.com/rhubarbsaddle/rhubarbsaddle/store"
 )
 
 // Applied is a configuration in force.
--- a/daemon/node/security_test.go
+++ b/daemon/node/security_test.go
@@ -8,10 +8,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/adapter/etcdjson"
 	"github.com/rhubarbsaddle/rhubarbsaddle/config"
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 	"github.com/rhubarbsaddle/rhubarbsaddle/invariant"
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/etcdjson"
 	"github.com/rhubarbsaddle/rhubarbsaddle/rpc/tlsfile"
 	"github.com/rhubarbsaddle/rhubarbsaddle/standin/ca"
 	"github.com/rhubarbsaddle/rhubarbsaddle/standin/kv"
--- /dev/null
+++ b/daemon/resident/ledger.go
@@ -0,0 +1,34 @@
+package resident
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/discovery"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/member"
+	"github.com/rhubarbsaddle/rhubarbsaddle/platform"
+)
+
+// runLedger runs a ledger member until SIGTERM. Its records are durable as soon
+// as they are acknowledged, so it may end at any moment.
+func (p *process) runLedger(ctx context.Context) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	var follower *discovery.Follower
+	follower = p.newFollower(func() []string { return p.seeds(follower.Directory.Snapshot()) }, func(discovery.Snapshot) {})
+	go follower.Run(ctx)
+	m, err := member.Open(member.Options{
+		Name: p.settings.VM, Domain: p.settings.Domain, Addr: p.settings.Listen.Ledger, Dir: p.settings.Data,
+		FirstStart: p.settings.FirstStart, DisksLost: p.settings.DisksLost,
+		Store: follower.Store, Directory: follower.Directory,
+		RetireKey:    platform.RetireKey(p.settings.VM),
+		RetireStatus: func(completed bool) (string, []byte) { return platform.RetireStatus(p.settings.VM, completed) },
+		Log:          p.log,
+	})
+	if err != nil {
+		return err
+	}
+	m.Register(p.registry)
+	return m.Run(ctx)
+}
--- /dev/null
+++ b/daemon/resident/resident.go
@@ -0,0 +1,209 @@
+// Package resident runs the processes that live on the users' platform: entries,
+// which serve callers, and ledger members.
+package resident
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/config"
+	"github.com/rhubarbsaddle/rhubarbsaddle/config/load"
+	"github.com/rhubarbsaddle/rhubarbsaddle/discovery"
+	"github.com/rhubarbsaddle/rhubarbsaddle/netopt"
+	"github.com/rhubarbsaddle/rhubarbsaddle/platform"
+)
+
+const (
+	// SettingsVariable names the settings file.
+	SettingsVariable = "RHUBARBSADDLE_CONFIG"
+	// memoryShare is the share of the VM's memory at which the collector works
+	// harder. The rest is for buffers of the kernel and for peaks.
+	memoryShare = 0.7
+	// collectPercent is the growth of the heap between two collections. Memory is
+	// dearer than processor time on these VMs.
+	collectPercent = 60
+	// logQueue bounds the log lines that wait to be written; more are dropped.
+	logQueue = 4096
+	// settingsPeriod is the time between two looks at the settings file, which may
+	// change without a signal.
+	settingsPeriod = 2 * time.Second
+	// headerTimeout bounds the reading of a request's header on ports that the
+	// operators' limits do not cover.
+	headerTimeout = 5 * time.Second
+)
+
+// Error is a failure of a resident process.
+type Error struct {
+	// Step is settings, listen or serve.
+	Step string
+	// Peer is the file or address.
+	Peer string
+	Err  error
+}
+
+// Error returns the step, the peer and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("%s %s: %v", e.Step, e.Peer, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// process is what both roles share.
+type process struct {
+	file     string
+	settings *config.Resident
+	log      *log.Logger
+	registry *prometheus.Registry
+}
+
+// Run runs the role that the settings name until SIGTERM.
+func Run(ctx context.Context, role string) error {
+	file := os.Getenv(SettingsVariable)
+	settings, err := load.Resident(file)
+	if err != nil {
+		return &Error{Step: "settings", Peer: file, Err: err}
+	}
+	if settings.Role != role {
+		return &Error{Step: "settings", Peer: file, Err: fmt.Errorf("role is %s, the command is %s", settings.Role, role)}
+	}
+	limitMemory(settings)
+	p := &process{file: file, settings: settings, log: newLogger(settings), registry: prometheus.NewRegistry()}
+	p.log.Info().Str("event", "start").Str("role", role).Str("domain", settings.Domain).Bool("first_start", settings.FirstStart).Msg("")
+	go p.watchSettings(ctx)
+	p.serveMetrics()
+	if role == config.ResidentLedger {
+		err = p.runLedger(ctx)
+	} else {
+		err = p.runEntry(ctx)
+	}
+	p.log.Info().Str("event", "stop").Err(err).Msg("")
+	return err
+}
+
+func limitMemory(settings *config.Resident) {
+	debug.SetGCPercent(collectPercent)
+	if settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.MemoryMB) * memoryShare * (1 << 20)))
+	}
+}
+
+// newLogger returns a logger of JSON lines that never blocks its callers.
+func newLogger(settings *config.Resident) *log.Logger {
+	level := log.InfoLevel
+	if settings.Log.Level != "" {
+		level = log.ParseLevel(settings.Log.Level)
+	}
+	return &log.Logger{
+		Level:      level,
+		TimeFormat: time.RFC3339Nano,
+		Context:    log.NewContext(nil).Str("vm", settings.VM).Value(),
+		Writer: &log.AsyncWriter{
+			Writer: &log.IOWriter{Writer: os.Stdout}, ChannelSize: logQueue, DiscardOnFull: true,
+		},
+	}
+}
+
+// watchSettings reads the settings again on SIGHUP and when the file changes.
+func (p *process) watchSettings(ctx context.Context) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	ticker := time.NewTicker(settingsPeriod)
+	defer ticker.Stop()
+	read := p.modified()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		case <-ticker.C:
+			if p.modified().Equal(read) {
+				continue
+			}
+		}
+		read = p.modified()
+		p.reload()
+	}
+}
+
+func (p *process) modified() time.Time {
+	info, err := os.Stat(p.file)
+	if err != nil {
+		p.log.Warn().Str("event", "settings_unreadable").Err(err).Msg("the settings in force stay")
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// reload applies what may change while the process runs: the log's level. Other
+// settings are in force from the next start.
+func (p *process) reload() {
+	settings, err := load.Resident(p.file)
+	if err != nil {
+		p.log.Error().Str("event", "reload_failed").Err(err).Msg("the settings in force stay")
+		return
+	}
+	if settings.Log.Level != "" {
+		p.log.SetLevel(log.ParseLevel(settings.Log.Level))
+	}
+	p.log.Info().Str("event", "reload").Str("level", settings.Log.Level).Msg("")
+}
+
+// serveMetrics serves the metrics if the settings give an address.
+func (p *process) serveMetrics() {
+	addr := p.settings.Listen.Metrics
+	if addr == "" {
+		return
+	}
+	listener, err := netopt.ListenConfig().Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		p.log.Error().Str("event", "metrics_off").Str("peer", addr).Err(err).Msg("")
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	go func() {
+		if err := server.Serve(listener); err != nil {
+			p.log.Error().Str("event", "metrics_off").Str("peer", addr).Err(err).Msg("")
+		}
+	}()
+}
+
+// newFollower returns a follower of the platform's store that does not run yet.
+func (p *process) newFollower(peers func() []string, changed func(discovery.Snapshot)) *discovery.Follower {
+	decoder := discovery.Decoder{
+		ConfigKey: platform.ConfigKey, TargetPrefix: platform.TargetPrefix,
+		Config: platform.DecodeConfig, Target: platform.DecodeTarget, TargetID: platform.TargetID,
+	}
+	return &discovery.Follower{
+		Directory: discovery.NewDirectory(decoder, p.log, changed),
+		Store:     platform.NewStore(p.settings.Store),
+		Peers:     peers,
+	}
+}
+
+// seeds returns the seeds and the members of a view.
+func (p *process) seeds(s discovery.Snapshot) []string {
+	addrs := make([]string, 0, len(p.settings.Seeds)+len(s.View.Seats))
+	for _, seat := range s.View.Seats {
+		if seat.Name != p.settings.VM {
+			addrs = append(addrs, seat.Addr)
+		}
+	}
+	if len(addrs) == 0 {
+		addrs = append(addrs, p.settings.Seeds...)
+	}
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	return addrs
+}
--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -7,6 +7,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/adapter/vmlist"
 	"github.com/rhubarbsaddle/rhubarbsaddle/config"
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 	reducer "github.com/rhubarbsaddle/rhubarbsaddle/core/sidecar"
@@ -14,8 +15,7 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/node"
 	"github.com/rhubarbsaddle/rhubarbsaddle/engine"
 	"github.com/rhubarbsaddle/rhubarbsaddle/invariant"
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/vmlist"
+	"github.com/rhubarbsaddle/rhubarbsaddle/store"
 )
 
 // DefaultDrainTimeout bounds a graceful shutdown: the longest call has to end.
--- /dev/null
+++ b/discovery/follow.go
@@ -0,0 +1,149 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/transport"
+	"github.com/rhubarbsaddle/rhubarbsaddle/store"
+)
+
+const (
+	// retryMin and retryMax bound the pause after a failed call to the store, so
+	// that its return is noticed within a configuration's time to apply and its
+	// rates are not used up by callers that come back.
+	retryMin = 100 * time.Millisecond
+	retryMax = 800 * time.Millisecond
+	// askPeriod is the time between two questions to ledger members while the
+	// store is away.
+	askPeriod = time.Second
+	// askTimeout bounds one of them.
+	askTimeout = 700 * time.Millisecond
+	// expirePeriod is the time between two looks at lapsed entries.
+	expirePeriod = 250 * time.Millisecond
+)
+
+// Follower keeps a directory up to date.
+type Follower struct {
+	Directory *Directory
+	Store     store.Store
+	// Peers returns the addresses of ledger members that may know what the store
+	// holds.
+	Peers func() []string
+
+	connected atomic.Bool
+}
+
+// Connected says whether the store answered last.
+func (f *Follower) Connected() bool { return f.connected.Load() }
+
+// Run follows the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	go f.expire(ctx)
+	go f.askPeers(ctx)
+	pause := retryMin
+	for ctx.Err() == nil {
+		err := f.follow(ctx, func() { pause = retryMin })
+		if ctx.Err() != nil {
+			return
+		}
+		f.lost(err)
+		wait(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, retryMax)
+	}
+}
+
+// follow reads everything and watches it until a call fails.
+func (f *Follower) follow(ctx context.Context, answered func()) error {
+	entries, revision, err := f.Store.Range(ctx, "")
+	if err != nil {
+		return err
+	}
+	f.Directory.Replace(entries, revision, time.Now())
+	f.back(answered)
+	return f.Store.Watch(ctx, "", revision, func(changes []core.StoreEntry) {
+		f.back(answered)
+		f.Directory.Change(changes, time.Now())
+	})
+}
+
+func (f *Follower) back(answered func()) {
+	answered()
+	if f.connected.Swap(true) {
+		return
+	}
+	f.Directory.log.Info().Str("event", "store_regained").Msg("")
+}
+
+func (f *Follower) lost(err error) {
+	var failure *store.Error
+	if errors.As(err, &failure) && failure.Kind == store.KindCompacted {
+		// The store is there; it only forgot what changed meanwhile.
+		f.Directory.log.Info().Str("event", "store_compacted").Msg("reading everything again")
+		return
+	}
+	f.Directory.Disturbed(time.Now())
+	if f.connected.Swap(false) {
+		f.Directory.log.Warn().Str("event", "store_lost").Err(err).Msg("")
+	}
+}
+
+func (f *Follower) expire(ctx context.Context) {
+	ticker := time.NewTicker(expirePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			if f.connected.Load() {
+				f.Directory.Expire(now)
+			}
+		}
+	}
+}
+
+// askPeers learns from ledger members while the store is away.
+func (f *Follower) askPeers(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait(ctx, askPeriod/2+rand.N(askPeriod))
+		if f.connected.Load() {
+			continue
+		}
+		for _, addr := range f.Peers() {
+			f.ask(ctx, addr)
+		}
+	}
+}
+
+func (f *Follower) ask(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	conn, err := transport.Dial(ctx, addr)
+	if err != nil {
+		// Seeds may be out of date or down; the next one is asked.
+		f.Directory.log.Debug().Str("event", "peer_unreachable").Str("peer", addr).Err(err).Msg("")
+		return
+	}
+	defer conn.Close()
+	response, err := conn.Call(ctx, &ledgerpb.Request{Call: &ledgerpb.Request_ReadState{ReadState: &ledgerpb.ReadState{}}})
+	if err != nil {
+		f.Directory.log.Debug().Str("event", "peer_unreachable").Str("peer", addr).Err(err).Msg("")
+		return
+	}
+	f.Directory.Learn(response.GetState(), time.Now())
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,348 @@
+// Package fleet knows the targets and chooses one for each call. It is pure: it
+// has no clock and no network, and is not safe for concurrent use.
+package fleet
+
+import (
+	"time"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
+)
+
+const (
+	// loadHalfLife is the time in which what others have running at a target is
+	// taken as half over since it was last told. A turn takes about half a second.
+	loadHalfLife = 400 * time.Millisecond
+	// tokensPerMS is how many prompt tokens an engine reads in a millisecond.
+	tokensPerMS = 170.0
+	// engineNeighbourMS is what one more running request costs a turn and those
+	// beside it, in milliseconds: a step of a batch slows by some hundredths of a
+	// millisecond a request, for the some hundred tokens of a turn.
+	engineNeighbourMS = 12.0
+	// serviceNeighbourMS spreads calls of plain services over idle targets.
+	serviceNeighbourMS = 2.0
+	// otherDomainMS is the way to another failure domain and back.
+	otherDomainMS = 2.0
+	// initialRunMS is the expected duration of a run before any was seen.
+	initialRunMS = 300.0
+	// runWeight is the weight of a new duration in the average.
+	runWeight = 0.05
+	// queuePerSlot is how many calls may wait at a target for each of its slots
+	// before it counts as full. Targets queue about three times their slots.
+	queuePerSlot = 1.5
+)
+
+// Load is what a target tells of its load with an answer.
+type Load struct{ Running, Waiting, Slots int }
+
+// Outcome is how an attempt at a target ended.
+type Outcome uint8
+
+// Outcomes of attempts.
+const (
+	// Answered means that the target answered, whatever it said.
+	Answered Outcome = iota
+	// Refused means that the target did not run the call.
+	Refused
+	// Unreachable means that no connection could be made.
+	Unreachable
+	// Broken means that the connection or the answer failed under way.
+	Broken
+	// Abandoned means that the caller or this process gave up; it says nothing
+	// about the target.
+	Abandoned
+	// Silent means that the target did not answer in the time expected of it.
+	Silent
+	// Failed means that the target answered with an error of its own.
+	Failed
+)
+
+// Query asks for a target for a call.
+type Query struct {
+	Service string
+	// Domain is the failure domain of the caller's entry.
+	Domain string
+	Prompt []Part
+	// Without names targets that were tried or are not wanted.
+	Without []catalog.TargetKey
+	// Force also takes full targets.
+	Force bool
+}
+
+// target is what is known of one life of a target.
+type target struct {
+	catalog.Target
+	// own is the calls outstanding from this process.
+	own int
+	// others is what other processes had outstanding when the target last told.
+	others   float64
+	othersAt time.Time
+	cache    *cacheModel
+	health   health
+}
+
+// service is what is known of one service's targets together.
+type service struct {
+	engine bool
+	// runMS is the average duration of a run, in milliseconds.
+	runMS   float64
+	targets []*target
+}
+
+// Fleet is the table of all targets.
+type Fleet struct {
+	targets  map[catalog.TargetKey]*target
+	services map[string]*service
+	// turn breaks ties between equal targets.
+	turn uint64
+}
+
+// New returns an empty fleet. Seed sets the order among equal targets.
+func New(seed uint64) *Fleet {
+	return &Fleet{targets: make(map[catalog.TargetKey]*target), services: make(map[string]*service), turn: seed}
+}
+
+// Update takes the targets that count now. A target that stays keeps what is
+// known of it.
+func (f *Fleet) Update(targets []catalog.Target, services map[string]catalog.Service) {
+	known := f.targets
+	old := f.services
+	f.targets = make(map[catalog.TargetKey]*target, len(targets))
+	f.services = make(map[string]*service)
+	for _, declared := range targets {
+		t := known[declared.TargetKey]
+		if t == nil {
+			t = &target{}
+		}
+		t.Target = declared
+		s := f.services[declared.Service]
+		if s == nil {
+			s = &service{runMS: initialRunMS}
+			if before := old[declared.Service]; before != nil {
+				s.runMS = before.runMS
+			}
+			f.services[declared.Service] = s
+		}
+		if engine := services[declared.Service].Engine; engine != nil {
+			s.engine = true
+			if t.cache == nil || t.cache.capacity != engine.CacheTokens {
+				t.cache = newCacheModel(engine.CacheTokens)
+			}
+		}
+		f.targets[declared.TargetKey] = t
+		s.targets = append(s.targets, t)
+	}
+}
+
+// Has says whether a target still counts and takes new work.
+func (f *Fleet) Has(key catalog.TargetKey) bool {
+	t := f.targets[key]
+	return t != nil && !t.Draining
+}
+
+// load returns how many calls are expected at the target.
+func (t *target) load(now time.Time) float64 {
+	age := now.Sub(t.othersAt)
+	if t.others <= 0 || age >= 8*loadHalfLife {
+		return float64(t.own)
+	}
+	return float64(t.own) + t.others*halved(age)
+}
+
+// halved returns the share that is left of a load after an age.
+func halved(age time.Duration) float64 {
+	share := 1.0
+	for ; age >= loadHalfLife; age -= loadHalfLife {
+		share /= 2
+	}
+	return share * (1 - 0.5*float64(age)/float64(loadHalfLife))
+}
+
+// full says whether a target should not be given more work.
+func (t *target) full(now time.Time) bool {
+	return t.load(now) >= float64(t.Slots)*(1+queuePerSlot)
+}
+
+// Choice is the answer to a Query.
+type Choice struct {
+	Target catalog.Target
+	// CostMS is the expected cost of the choice, in milliseconds.
+	CostMS float64
+	// Load is the number of calls expected at the target, Kept the prompt's
+	// tokens that it is expected to keep.
+	Load float64
+	Kept int
+}
+
+// Pick returns the target with the lowest expected cost. It returns false if none
+// takes work; WaitMS then tells how long until one is expected to.
+func (f *Fleet) Pick(q Query, now time.Time) (choice Choice, ok bool) {
+	s := f.services[q.Service]
+	if s == nil {
+		return Choice{}, false
+	}
+	f.turn++
+	best := -1.0
+	n := uint64(len(s.targets))
+	for i := range n {
+		t := s.targets[(f.turn+i)%n]
+		if t.Draining || excluded(q.Without, t.TargetKey) || !t.health.usable(now) || !q.Force && t.full(now) {
+			continue
+		}
+		cost, kept := s.cost(t, q, now)
+		if best < 0 || cost < best {
+			best = cost
+			choice = Choice{Target: t.Target, CostMS: cost, Load: t.load(now), Kept: kept}
+		}
+	}
+	if best < 0 {
+		return f.pickSuspect(s, q, now)
+	}
+	return choice, true
+}
+
+// pickSuspect takes a target that is out of use for its failures rather than
+// none: if all have failed, the cause is likely elsewhere.
+func (f *Fleet) pickSuspect(s *service, q Query, now time.Time) (Choice, bool) {
+	for _, t := range s.targets {
+		if !t.Draining && !excluded(q.Without, t.TargetKey) && t.health.usable(now) {
+			// A usable target is full, so the service is overloaded, not broken.
+			return Choice{}, false
+		}
+	}
+	var found *target
+	for _, t := range s.targets {
+		if t.Draining || excluded(q.Without, t.TargetKey) || t.full(now) {
+			continue
+		}
+		if found == nil || t.health.until.Before(found.health.until) {
+			found = t
+		}
+	}
+	if found == nil {
+		return Choice{}, false
+	}
+	return Choice{Target: found.Target, Load: found.load(now)}, true
+}
+
+func excluded(without []catalog.TargetKey, key catalog.TargetKey) bool {
+	for _, k := range without {
+		if k == key {
+			return true
+		}
+	}
+	return false
+}
+
+// cost estimates what a call costs at a target, in milliseconds: the wait for a
+// slot, the reading of what is not kept, the slowing of the batch and the way.
+func (s *service) cost(t *target, q Query, now time.Time) (ms float64, kept int) {
+	load := t.load(now)
+	slots := float64(t.Slots)
+	neighbour := serviceNeighbourMS
+	if s.engine {
+		neighbour = engineNeighbourMS
+	}
+	ms = min(load, slots) * neighbour
+	if load >= slots {
+		ms += (load - slots + 1) * s.runMS / slots
+	}
+	if t.cache != nil {
+		kept = t.cache.kept(q.Prompt)
+		total := 0
+		for _, p := range q.Prompt {
+			total += p.Tokens
+		}
+		ms += float64(total-kept) / tokensPerMS
+	}
+	if t.Domain != q.Domain {
+		ms += otherDomainMS
+	}
+	return ms + t.health.penaltyMS(now), kept
+}
+
+// Begin records that an attempt is sent to a target.
+func (f *Fleet) Begin(key catalog.TargetKey, prompt []Part) {
+	t := f.targets[key]
+	if t == nil {
+		return
+	}
+	t.own++
+	if t.cache != nil {
+		t.cache.read(prompt)
+	}
+}
+
+// Told records a target's load as it tells it. Its count includes the calls of
+// this process.
+func (f *Fleet) Told(key catalog.TargetKey, load Load, now time.Time) {
+	t := f.targets[key]
+	if t == nil {
+		return
+	}
+	t.others = max(0, float64(load.Running+load.Waiting-t.own))
+	t.othersAt = now
+	if load.Slots > 0 {
+		t.Slots = load.Slots
+	}
+}
+
+// End records how an attempt ended and how long it ran.
+func (f *Fleet) End(key catalog.TargetKey, outcome Outcome, ran time.Duration, now time.Time) {
+	t := f.targets[key]
+	if t == nil {
+		return
+	}
+	t.own = max(0, t.own-1)
+	t.health.record(outcome, now)
+	if outcome != Answered {
+		return
+	}
+	if s := f.services[t.Service]; s != nil {
+		s.runMS += runWeight * (float64(ran.Milliseconds()) - s.runMS)
+	}
+}
+
+// RetryAfter estimates when a slot of a service is free again.
+func (f *Fleet) RetryAfter(name string, now time.Time) time.Duration {
+	s := f.services[name]
+	if s == nil {
+		return unknownServiceRetry
+	}
+	slots, excess := 0.0, 0.0
+	for _, t := range s.targets {
+		if t.Draining {
+			continue
+		}
+		slots += float64(t.Slots)
+		excess += max(0, t.load(now)-float64(t.Slots))
+	}
+	if slots == 0 {
+		return unknownServiceRetry
+	}
+	wait := time.Duration((excess + 1) / slots * s.runMS * float64(time.Millisecond))
+	return min(max(wait, minRetry), maxRetry)
+}
+
+const (
+	// unknownServiceRetry is told when a service has no target: targets register
+	// within a heartbeat, about a second, of their start.
+	unknownServiceRetry = time.Second
+	// minRetry and maxRetry bound what callers are told, so that they neither come
+	// back before anything can have changed nor stay away past their deadlines.
+	minRetry = 50 * time.Millisecond
+	maxRetry = time.Second
+)
+
+// Overloaded says whether no usable target of a service has a free slot.
+func (f *Fleet) Overloaded(name string, now time.Time) bool {
+	s := f.services[name]
+	if s == nil {
+		return false
+	}
+	for _, t := range s.targets {
+		if !t.Draining && t.health.usable(now) && t.load(now) < float64(t.Slots) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/ledger/budget.go
@@ -0,0 +1,40 @@
+package ledger
+
+import "github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
+
+// Spending is the union of what members know of a program's attempts.
+type Spending struct {
+	attempts map[uint64]attempt
+}
+
+// attempt is what is known of one attempt of a program.
+type attempt struct {
+	tokens  uint64
+	settled bool
+}
+
+// Merge adds one member's knowledge. A settlement replaces a reservation.
+func (s *Spending) Merge(budget *ledgerpb.Budget) {
+	if s.attempts == nil {
+		s.attempts = make(map[uint64]attempt, len(budget.GetAttempts()))
+	}
+	for _, a := range budget.GetAttempts() {
+		if known, ok := s.attempts[a.GetKey()]; ok && known.settled {
+			continue
+		}
+		s.attempts[a.GetKey()] = attempt{tokens: a.GetTokens(), settled: a.GetSettled()}
+	}
+}
+
+// Committed returns the tokens that the program's other attempts have spent or
+// may still spend.
+func (s *Spending) Committed(self string) int {
+	own := AttemptKey(self)
+	total := uint64(0)
+	for key, a := range s.attempts {
+		if key != own {
+			total += a.tokens
+		}
+	}
+	return int(total)
+}
--- /dev/null
+++ b/ledger/member/commit.go
@@ -0,0 +1,140 @@
+package member
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
+)
+
+const (
+	// maxCommits bounds the writes that wait for the disk. At the heaviest load
+	// of a member, some thousand writes a second, they are a second's worth.
+	maxCommits = 4096
+	// maxBatchBytes bounds one write to the disk, so that a batch takes
+	// milliseconds on disks of a hundred megabytes a second.
+	maxBatchBytes = 1 << 20
+)
+
+// stats are counts for metrics.
+type stats struct {
+	records, programs          atomic.Int64
+	syncs, written, failed     atomic.Int64
+	syncNanos                  atomic.Int64
+	appends, chains, staleView atomic.Int64
+}
+
+// commit makes writes durable: one sync serves all that came meanwhile.
+func (m *Member) commit(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-m.commits:
+			m.commitBatch(m.gather(first))
+		}
+	}
+}
+
+// gather takes the writes that wait, up to the size of a batch.
+func (m *Member) gather(first ledger.Write) []ledger.Write {
+	batch := []ledger.Write{first}
+	size := sizeOf(first)
+	for size < maxBatchBytes {
+		select {
+		case next := <-m.commits:
+			batch = append(batch, next)
+			size += sizeOf(next)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func sizeOf(w ledger.Write) int {
+	size := 0
+	for _, rec := range w.Records {
+		size += proto.Size(rec)
+	}
+	return size
+}
+
+func (m *Member) commitBatch(batch []ledger.Write) {
+	var payloads [][]byte
+	for _, w := range batch {
+		for _, rec := range w.Records {
+			payload, err := proto.Marshal(rec)
+			if err != nil {
+				m.log.Error().Str("event", "record_rejected").Err(err).Msg("")
+				payload = nil
+			}
+			payloads = append(payloads, payload)
+		}
+	}
+	began := time.Now()
+	locations, err := m.disk.Append(payloads)
+	m.stats.syncNanos.Add(int64(time.Since(began)))
+	m.stats.syncs.Add(1)
+	if err != nil {
+		m.stats.failed.Add(int64(len(batch)))
+		m.log.Error().Str("event", "write_failed").Err(err).Int("writes", len(batch)).Msg("other members make the quorum")
+	}
+	m.stats.written.Add(int64(len(locations)))
+	for _, w := range batch {
+		stored := ledger.Stored{Ticket: w.Ticket, Keys: w.Keys, Records: w.Records, Failed: err != nil}
+		if err == nil {
+			stored.Locations, locations = locations[:len(w.Records)], locations[len(w.Records):]
+		}
+		m.post(stored)
+	}
+}
+
+// replyChain reads a chain of turns and answers with its text.
+func (m *Member) replyChain(e ledger.ReplyChain) {
+	var text []byte
+	for _, at := range e.Locations {
+		rec, err := m.readRecord(at)
+		if err != nil {
+			m.log.Error().Str("event", "read_failed").Err(err).Msg("")
+			m.reply(e.Ticket, &ledgerpb.Response{Status: ledgerpb.Status_STATUS_FAILED})
+			return
+		}
+		text = append(text, rec.GetTurn().GetInput()...)
+		text = append(text, rec.GetTurn().GetOutput()...)
+	}
+	m.stats.chains.Add(1)
+	m.reply(e.Ticket, &ledgerpb.Response{Status: ledgerpb.Status_STATUS_OK, Chain: text})
+}
+
+func (m *Member) readRecord(at ledger.Location) (*ledgerpb.Record, error) {
+	payload, err := m.disk.Read(at)
+	if err != nil {
+		return nil, err
+	}
+	rec := &ledgerpb.Record{}
+	return rec, proto.Unmarshal(payload, rec)
+}
+
+// replyRecords answers with stored records.
+func (m *Member) replyRecords(e ledger.ReplyRecords) {
+	response := &ledgerpb.Response{Status: ledgerpb.Status_STATUS_OK}
+	size := 0
+	for _, at := range e.Locations {
+		payload, err := m.disk.Read(at)
+		if err != nil {
+			m.log.Error().Str("event", "read_failed").Err(err).Msg("the record is left out")
+			continue
+		}
+		response.Records = append(response.Records, payload)
+		size += len(payload)
+		if size > maxBatchBytes {
+			break
+		}
+	}
+	m.reply(e.Ticket, response)
+}
--- /dev/null
+++ b/ledger/member/member.go
@@ -0,0 +1,260 @@
+// Package member runs one ledger member: its replica in an actor, its disk, its
+// place in the membership and its connections.
+package member
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/phuslu/log"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/discovery"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/segment"
+	"github.com/rhubarbsaddle/rhubarbsaddle/netopt"
+	"github.com/rhubarbsaddle/rhubarbsaddle/store"
+)
+
+// tickPeriod is the time between two ticks of the replica.
+const tickPeriod = time.Second
+
+// Options set up a Member.
+type Options struct {
+	// Name is the VM's name, Domain its failure domain.
+	Name   string
+	Domain string
+	// Addr is the address to listen on, IP and port.
+	Addr string
+	// Dir is the folder of the member's disk.
+	Dir string
+	// FirstStart says that the whole system starts with empty disks.
+	FirstStart bool
+	// DisksLost is how many disks may be lost at the same time.
+	DisksLost int
+	Store     store.Store
+	Directory *discovery.Directory
+	// RetireKey is where operators ask that the VM be emptied, RetireStatus the
+	// key and value that tell how far it is.
+	RetireKey    string
+	RetireStatus func(completed bool) (string, []byte)
+	Log          *log.Logger
+}
+
+// Member is a running ledger member.
+type Member struct {
+	options Options
+	log     *log.Logger
+	disk    *segment.Log
+	// identity marks the disk. After Open only keepSeat uses it.
+	identity identity
+	// seatedOnce says that this process has had a seat; retired that it gave it up
+	// as operators asked. Only keepSeat uses them.
+	seatedOnce, retired bool
+	replica             *ledger.Replica
+	system              *actor.ActorSystem
+	pid                 *actor.PID
+	commits             chan ledger.Write
+	listener            net.Listener
+	ready               atomic.Bool
+	stats               stats
+
+	mu      sync.Mutex
+	ticket  uint64
+	answers map[uint64]func(*ledgerpb.Response)
+}
+
+// Open reads the member's disk and listens.
+func Open(options Options) (*Member, error) {
+	m := &Member{
+		options: options, log: options.Log,
+		commits: make(chan ledger.Write, maxCommits),
+		answers: make(map[uint64]func(*ledgerpb.Response)),
+	}
+	if err := m.load(); err != nil {
+		return nil, err
+	}
+	listener, err := netopt.ListenConfig().Listen(context.Background(), "tcp", options.Addr)
+	if err != nil {
+		return nil, &Error{Step: "listen", Peer: options.Addr, Err: err}
+	}
+	m.listener = listener
+	quiet := func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) }
+	m.system = actor.NewActorSystem(actor.WithLoggerFactory(quiet))
+	m.pid = m.system.Root.Spawn(actor.PropsFromFunc(m.receive))
+	return m, nil
+}
+
+// load reads the disk and makes the replica.
+func (m *Member) load() error {
+	var records []ledger.Loaded
+	disk, damaged, err := segment.Open(filepath.Join(m.options.Dir, "segments"), func(at ledger.Location, payload []byte) error {
+		rec := &ledgerpb.Record{}
+		if err := proto.Unmarshal(payload, rec); err != nil {
+			return err
+		}
+		if turn := rec.GetTurn(); turn != nil {
+			// The replica only keeps where a turn's text lies.
+			turn.Input, turn.Output = nil, nil
+		}
+		records = append(records, ledger.Loaded{Record: rec, Location: at})
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	m.disk = disk
+	m.identity, err = readIdentity(m.options.Dir)
+	if err != nil {
+		return err
+	}
+	if m.identity.Member != m.options.Name {
+		complete := m.options.FirstStart && len(records) == 0
+		if err := m.mark(identity{Member: m.options.Name, Incarnation: rand.Uint64(), Complete: complete}); err != nil {
+			return err
+		}
+	}
+	complete := m.identity.Complete && !damaged
+	m.replica = ledger.NewReplica(complete)
+	m.ready.Store(complete)
+	now := time.Now()
+	for _, r := range records {
+		m.replica.Step(r, now)
+	}
+	m.log.Info().Str("event", "disk_read").Int("records", len(records)).Bool("complete", complete).
+		Bool("damaged", damaged).Uint64("incarnation", m.identity.Incarnation).Msg("")
+	return nil
+}
+
+// mark changes the disk's identity.
+func (m *Member) mark(id identity) error {
+	if err := writeIdentity(m.options.Dir, id); err != nil {
+		return err
+	}
+	m.identity = id
+	return nil
+}
+
+// Run serves until ctx ends.
+func (m *Member) Run(ctx context.Context) error {
+	go m.commit(ctx)
+	go m.tick(ctx)
+	go m.keepSeat(ctx)
+	go func() {
+		<-ctx.Done()
+		_ = m.listener.Close()
+	}()
+	for {
+		nc, err := m.listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return &Error{Step: "accept", Peer: m.options.Addr, Err: err}
+			}
+			m.log.Warn().Str("event", "accept_failed").Err(err).Msg("")
+			pause(ctx, acceptPause)
+			continue
+		}
+		go m.serve(ctx, nc)
+	}
+}
+
+// Ready says whether the member's answers count.
+func (m *Member) Ready() bool { return m.ready.Load() }
+
+func (m *Member) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			m.post(ledger.Tick{})
+		}
+	}
+}
+
+func (m *Member) post(ev ledger.Event) { m.system.Root.Send(m.pid, ev) }
+
+// look is a request to read the replica between two events.
+type look struct {
+	read func(*ledger.Replica)
+	done chan struct{}
+}
+
+// inspect reads the replica between two events.
+func (m *Member) inspect(read func(*ledger.Replica)) {
+	request := &look{read: read, done: make(chan struct{})}
+	m.system.Root.Send(m.pid, request)
+	<-request.done
+}
+
+// receive runs in the actor, which owns the replica.
+func (m *Member) receive(c actor.Context) {
+	switch msg := c.Message().(type) {
+	case ledger.Event:
+		for _, effect := range m.replica.Step(msg, time.Now()) {
+			m.run(effect)
+		}
+		m.stats.records.Store(int64(m.replica.Records()))
+		m.stats.programs.Store(int64(m.replica.Programs()))
+	case *look:
+		msg.read(m.replica)
+		close(msg.done)
+	}
+}
+
+// run takes an effect of the replica. It runs in the actor and does not block on
+// the disk.
+func (m *Member) run(effect ledger.Effect) {
+	switch e := effect.(type) {
+	case ledger.Write:
+		select {
+		case m.commits <- e:
+		default:
+			// The disk hangs. Others make the quorum.
+			m.reply(e.Ticket, &ledgerpb.Response{Status: ledgerpb.Status_STATUS_FAILED})
+		}
+	case ledger.Reply:
+		m.reply(e.Ticket, e.Response)
+	case ledger.ReplyChain:
+		go m.replyChain(e)
+	case ledger.ReplyRecords:
+		go m.replyRecords(e)
+	case ledger.DropSegment:
+		if err := m.disk.Drop(e.Segment); err != nil {
+			m.log.Error().Str("event", "segment_kept").Err(err).Msg("")
+		}
+	}
+}
+
+// expect returns a ticket whose answer goes to answer.
+func (m *Member) expect(answer func(*ledgerpb.Response)) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ticket++
+	m.answers[m.ticket] = answer
+	return m.ticket
+}
+
+func (m *Member) reply(ticket uint64, response *ledgerpb.Response) {
+	m.mu.Lock()
+	answer := m.answers[ticket]
+	delete(m.answers, ticket)
+	m.mu.Unlock()
+	if answer != nil {
+		answer(response)
+	}
+}
--- /dev/null
+++ b/ledger/member/serve.go
@@ -0,0 +1,129 @@
+package member
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/transport"
+)
+
+const (
+	// acceptPause is the pause after a failed accept, such as for want of
+	// descriptors.
+	acceptPause = 50 * time.Millisecond
+	// queuedAnswers bounds the answers that wait to be written. A peer that does
+	// not read so many loses its connection.
+	queuedAnswers = 4096
+	bufferBytes   = 16 << 10
+)
+
+// serve answers the calls of one connection.
+func (m *Member) serve(ctx context.Context, nc net.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// The peer sees the end; a failure to close changes nothing.
+	defer nc.Close()
+	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
+	defer stop()
+	out := make(chan *ledgerpb.Response, queuedAnswers)
+	go writeAnswers(ctx, cancel, nc, out)
+	in := bufio.NewReaderSize(nc, bufferBytes)
+	options := protodelim.UnmarshalOptions{MaxSize: transport.MaxFrameBytes}
+	for {
+		req := &ledgerpb.Request{}
+		if err := options.UnmarshalFrom(in, req); err != nil {
+			return
+		}
+		seq := req.GetSeq()
+		m.handle(req, func(response *ledgerpb.Response) {
+			response.Seq = seq
+			select {
+			case out <- response:
+			default:
+				cancel()
+			}
+		})
+	}
+}
+
+func writeAnswers(ctx context.Context, cancel func(), nc net.Conn, out <-chan *ledgerpb.Response) {
+	defer cancel()
+	buffered := bufio.NewWriterSize(nc, bufferBytes)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case response := <-out:
+			if _, err := protodelim.MarshalTo(buffered, response); err != nil {
+				return
+			}
+		}
+		if len(out) > 0 {
+			continue
+		}
+		if err := buffered.Flush(); err != nil {
+			return
+		}
+	}
+}
+
+// handle answers one call.
+func (m *Member) handle(req *ledgerpb.Request, answer func(*ledgerpb.Response)) {
+	switch call := req.GetCall().(type) {
+	case *ledgerpb.Request_Append:
+		if m.isStale(req) {
+			answer(m.staleView())
+			return
+		}
+		m.stats.appends.Add(1)
+		m.post(ledger.AppendArrived{Ticket: m.expect(answer), Records: call.Append.GetRecords()})
+	case *ledgerpb.Request_ReadChain:
+		m.readChain(req, call.ReadChain.GetTurn(), answer)
+	case *ledgerpb.Request_ReadState:
+		answer(&ledgerpb.Response{Status: ledgerpb.Status_STATUS_OK, State: m.options.Directory.State()})
+	case *ledgerpb.Request_ListKeys:
+		// A member that copies from this one relies on it to refuse writers that
+		// act on the membership before, so this one must know the new membership.
+		if m.options.Directory.Snapshot().View.Version < req.GetViewVersion() {
+			answer(&ledgerpb.Response{Status: ledgerpb.Status_STATUS_FAILED})
+			return
+		}
+		m.post(ledger.KeysAsked{Ticket: m.expect(answer)})
+	case *ledgerpb.Request_ReadRecords:
+		m.post(ledger.RecordsAsked{Ticket: m.expect(answer), Keys: call.ReadRecords.GetKeys()})
+	default:
+		answer(&ledgerpb.Response{Status: ledgerpb.Status_STATUS_FAILED})
+	}
+}
+
+// readChain answers with a chain of turns. What this member does not know counts
+// only for callers that act on the current membership.
+func (m *Member) readChain(req *ledgerpb.Request, turn string, answer func(*ledgerpb.Response)) {
+	stale := m.isStale(req)
+	ticket := m.expect(func(response *ledgerpb.Response) {
+		if stale && response.GetStatus() == ledgerpb.Status_STATUS_NOT_FOUND {
+			response = m.staleView()
+		}
+		answer(response)
+	})
+	m.post(ledger.ChainAsked{Ticket: ticket, Turn: turn})
+}
+
+// isStale says whether the caller acts on an old membership.
+func (m *Member) isStale(req *ledgerpb.Request) bool {
+	return req.GetViewVersion() < m.options.Directory.Snapshot().View.Version
+}
+
+func (m *Member) staleView() *ledgerpb.Response {
+	m.stats.staleView.Add(1)
+	return &ledgerpb.Response{
+		Status: ledgerpb.Status_STATUS_STALE_VIEW,
+		State:  &ledgerpb.State{View: m.options.Directory.Snapshot().View.Encode()},
+	}
+}
--- /dev/null
+++ b/ledger/record.go
@@ -0,0 +1,65 @@
+package ledger
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
+)
+
+// Key identifies a record. Two records with one key state the same fact.
+type Key uint64
+
+// Kinds of records within keys.
+const (
+	keyReservation = "r"
+	keySettlement  = "s"
+	keyTurn        = "t"
+)
+
+// KeyOf returns the record's key, or false for a record that states no fact about
+// a program.
+func KeyOf(rec *ledgerpb.Record) (Key, bool) {
+	switch fact := rec.GetFact().(type) {
+	case *ledgerpb.Record_Reservation:
+		return keyFor(keyReservation, fact.Reservation.GetProgram(), fact.Reservation.GetAttempt()), true
+	case *ledgerpb.Record_Settlement:
+		return keyFor(keySettlement, fact.Settlement.GetProgram(), fact.Settlement.GetAttempt()), true
+	case *ledgerpb.Record_Turn:
+		return keyFor(keyTurn, fact.Turn.GetProgram(), fact.Turn.GetId()), true
+	default:
+		return 0, false
+	}
+}
+
+func keyFor(kind, program, id string) Key {
+	var d xxhash.Digest
+	d.Reset()
+	// Hash digests never fail to write.
+	_, _ = d.WriteString(kind)
+	_, _ = d.WriteString(program)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(id)
+	return Key(d.Sum64())
+}
+
+// AttemptKey identifies an attempt within its program's budget.
+func AttemptKey(attempt string) uint64 { return xxhash.Sum64String(attempt) }
+
+// NewReservation returns the record of an attempt that may generate up to tokens.
+func NewReservation(program, attempt string, tokens int, retentionMS uint64) *ledgerpb.Record {
+	return &ledgerpb.Record{Fact: &ledgerpb.Record_Reservation{Reservation: &ledgerpb.Reservation{
+		Program: program, Attempt: attempt, Tokens: uint64(max(tokens, 0)), RetentionMs: retentionMS,
+	}}}
+}
+
+// NewSettlement returns the record of what an attempt generated.
+func NewSettlement(program, attempt string, tokens int) *ledgerpb.Record {
+	return &ledgerpb.Record{Fact: &ledgerpb.Record_Settlement{Settlement: &ledgerpb.Settlement{
+		Program: program, Attempt: attempt, Tokens: uint64(max(tokens, 0)),
+	}}}
+}
+
+// NewTurn returns the record of a kept turn.
+func NewTurn(turn *ledgerpb.Turn) *ledgerpb.Record {
+	return &ledgerpb.Record{Fact: &ledgerpb.Record_Turn{Turn: turn}}
+}
--- a/local/local.go
+++ b/local/local.go
@@ -14,16 +14,16 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/adapter/etcdjson"
+	vmlistport "github.com/rhubarbsaddle/rhubarbsaddle/adapter/vmlist"
 	"github.com/rhubarbsaddle/rhubarbsaddle/config"
 	"github.com/rhubarbsaddle/rhubarbsaddle/config/publish"
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 	"github.com/rhubarbsaddle/rhubarbsaddle/core/entry"
 	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/node"
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/etcdjson"
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
-	vmlistport "github.com/rhubarbsaddle/rhubarbsaddle/platform/vmlist"
 	"github.com/rhubarbsaddle/rhubarbsaddle/standin/kv"
 	"github.com/rhubarbsaddle/rhubarbsaddle/standin/vmlist"
+	"github.com/rhubarbsaddle/rhubarbsaddle/store"
 )
 
 // loopback lets the system choose a port.
--- /dev/null
+++ b/relay/exchange.go
@@ -0,0 +1,246 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
+	"github.com/rhubarbsaddle/rhubarbsaddle/fleet"
+)
+
+const (
+	// defaultWait is how long a caller is taken to wait that does not say.
+	defaultWait = 10 * time.Second
+	// answerMargin is taken off the caller's time, so that it has the answer
+	// before it gives up.
+	answerMargin = 25 * time.Millisecond
+	// maxSends bounds the sends of one request, refused ones included.
+	maxSends = 6
+	// configRetry is told while no configuration is known. A process that starts
+	// learns it within a second.
+	configRetry = 500 * time.Millisecond
+	// targetRetry is told when no target takes work for other causes than load.
+	targetRetry = 300 * time.Millisecond
+	// hundred scales a hash to a point in [0, 1).
+	hashRange = 1 << 32
+)
+
+// exchange is one request of a caller on its way.
+type exchange struct {
+	relay   *Relay
+	w       http.ResponseWriter
+	req     *http.Request
+	arrived time.Time
+
+	call     Call
+	route    *catalog.Route
+	config   *catalog.Config
+	service  string
+	body     []byte
+	deadline time.Time
+
+	// sends counts attempts, runs those that a target may have run.
+	sends, runs int
+	tried       []catalog.TargetKey
+	// last is why the last attempt failed.
+	last error
+}
+
+// serve answers the request.
+func (e *exchange) serve() {
+	e.call = e.relay.dialect.ReadCall(e.req.Header)
+	e.config = e.relay.config.Load()
+	if e.config == nil {
+		e.refuse(reasonNoConfig, configRetry)
+		return
+	}
+	e.route = e.config.Match(hostOf(e.req.Host), e.req.URL.EscapedPath())
+	if e.route == nil {
+		e.reject(http.StatusNotFound, reasonNoRoute)
+		return
+	}
+	e.service = e.route.ServiceFor(e.point())
+	wait := e.call.Left
+	if wait <= 0 {
+		wait = defaultWait
+	}
+	e.deadline = e.arrived.Add(wait - answerMargin)
+	if e.route.Timeout > 0 && e.route.Timeout < wait {
+		e.deadline = e.arrived.Add(e.route.Timeout - answerMargin)
+	}
+	if !e.readBody() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(e.req.Context(), e.deadline)
+	defer cancel()
+	if e.route.Kind == catalog.Streaming {
+		e.serveTurn(ctx)
+		return
+	}
+	e.servePlain(ctx)
+}
+
+// hostOf returns the host without a port.
+func hostOf(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+// point places the request among a split route's services. The calls of one
+// session stay together, so that what its engine keeps is of use.
+func (e *exchange) point() float64 {
+	id := e.call.Session
+	if id == "" {
+		id = e.call.ID
+	}
+	return float64(xxhash.Sum64String(id)%hashRange) / hashRange
+}
+
+// readBody reads the request's body and reports whether it could.
+func (e *exchange) readBody() bool {
+	limit := e.config.Limits.BodyBytes
+	reader := io.Reader(e.req.Body)
+	if limit > 0 {
+		if e.req.ContentLength > limit {
+			e.reject(http.StatusRequestEntityTooLarge, reasonTooLarge)
+			return false
+		}
+		reader = http.MaxBytesReader(e.w, e.req.Body, limit)
+	}
+	var err error
+	if n := e.req.ContentLength; n > 0 {
+		e.body = make([]byte, n)
+		_, err = io.ReadFull(reader, e.body)
+	} else if n < 0 {
+		e.body, err = io.ReadAll(reader)
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		e.reject(http.StatusRequestEntityTooLarge, reasonTooLarge)
+		return false
+	}
+	if err != nil {
+		e.reject(http.StatusBadRequest, reasonBadBody)
+		return false
+	}
+	return true
+}
+
+// servePlain answers a request of a plain service.
+func (e *exchange) servePlain(ctx context.Context) {
+	for {
+		a, ok := e.attempt(ctx, e.body, "")
+		if !ok {
+			return
+		}
+		body, err := io.ReadAll(a.response.Body)
+		if err != nil {
+			a.abort(ctx)
+			if !e.mayGoOn(ctx, &failure{fate: mayHaveRun, err: err}) {
+				return
+			}
+			continue
+		}
+		a.complete()
+		if e.shouldRepeat(a) {
+			continue
+		}
+		e.answer(a, body)
+		return
+	}
+}
+
+// shouldRepeat says whether a target's failure is worth another target.
+func (e *exchange) shouldRepeat(a *attempt) bool {
+	return a.response.StatusCode >= http.StatusInternalServerError && e.route.Repeatable() &&
+		e.runs < e.route.MaxTargets && e.sends < maxSends && time.Until(e.deadline) > e.route.LatencyTarget
+}
+
+// attempt sends the request until a target answers it. If it returns false, the
+// caller has its answer.
+func (e *exchange) attempt(ctx context.Context, body []byte, resumeAfter string) (*attempt, bool) {
+	for {
+		choice, ok := e.relay.pick(fleet.Query{
+			Service: e.service, Domain: e.relay.domain, Prompt: e.call.PromptParts, Without: e.tried,
+		})
+		if !ok {
+			e.noTarget()
+			return nil, false
+		}
+		e.sends++
+		a, fail := e.relay.start(ctx, e, choice.Target, body, resumeAfter)
+		if fail == nil && a.answer.NotRun {
+			fail = e.takeRefusal(a)
+		}
+		if fail == nil {
+			e.runs++
+			e.tried = append(e.tried, choice.Target.TargetKey)
+			return a, true
+		}
+		e.tried = append(e.tried, choice.Target.TargetKey)
+		e.logAttempt(choice, fail)
+		if !e.mayGoOn(ctx, fail) {
+			return nil, false
+		}
+	}
+}
+
+// takeRefusal reads a refusal to its end.
+func (e *exchange) takeRefusal(a *attempt) *failure {
+	status := a.response.StatusCode
+	if _, err := io.Copy(io.Discard, a.response.Body); err != nil {
+		a.abort(context.Background())
+	} else {
+		a.complete()
+	}
+	return &failure{fate: notRun, status: status}
+}
+
+// mayGoOn says whether the request may be sent again after a failure. If not, the
+// caller has its answer.
+func (e *exchange) mayGoOn(ctx context.Context, fail *failure) bool {
+	e.last = fail.err
+	if fail.fate == mayHaveRun {
+		e.runs++
+	}
+	if ctx.Err() != nil {
+		e.outOfTime()
+		return false
+	}
+	repeat := fail.fate != mayHaveRun || e.route.Repeatable() && e.runs < e.route.MaxTargets
+	if repeat && e.sends < maxSends {
+		return true
+	}
+	if e.runs > 0 {
+		e.fail(http.StatusBadGateway, reasonLost)
+		return false
+	}
+	e.refuse(reasonFull, e.relay.retryAfter(e.service))
+	return false
+}
+
+// noTarget answers a request that no target takes.
+func (e *exchange) noTarget() {
+	if e.runs > 0 {
+		e.fail(http.StatusBadGateway, reasonLost)
+		return
+	}
+	e.refuse(reasonFull, e.relay.retryAfter(e.service))
+}
+
+// outOfTime answers a request whose time is over.
+func (e *exchange) outOfTime() {
+	if e.runs > 0 {
+		e.fail(http.StatusGatewayTimeout, reasonTimeout)
+		return
+	}
+	e.refuse(reasonTimeout, targetRetry)
+}
--- /dev/null
+++ b/relay/stream.go
@@ -0,0 +1,271 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/fleet"
+)
+
+const (
+	// gapFactor times the route's pause between events is the silence after which
+	// a stream that can be resumed is continued by another target.
+	gapFactor = 2.5
+	// firstEventSilence is the same before the first event, when the request may
+	// wait for a slot.
+	firstEventSilence = 1500 * time.Millisecond
+	// maxEventBytes bounds one event.
+	maxEventBytes = 1 << 20
+)
+
+var errEventTooLong = errors.New("event is too long")
+
+// event is one whole event of a stream.
+type event struct {
+	raw  []byte
+	id   string
+	data []byte
+}
+
+// progress is how far a stream has come, over all its targets.
+type progress struct {
+	started bool
+	events  int
+	lastID  string
+	first   time.Duration
+}
+
+// stream sends the turn and forwards its events. A resumable stream that breaks
+// goes on at another target within the same answer.
+func (t *turn) stream(ctx context.Context) {
+	p := &progress{lastID: t.call.ResumeAfter}
+	for {
+		a, ok := t.attemptTurn(ctx, p)
+		if !ok {
+			return
+		}
+		if a.response.StatusCode != http.StatusOK {
+			if t.passError(ctx, a, p) {
+				continue
+			}
+			return
+		}
+		err := t.forward(ctx, a, p)
+		if err == nil {
+			t.finish(ctx, p)
+			return
+		}
+		t.last = err
+		if !t.canResume(ctx) {
+			t.broken(p)
+			return
+		}
+	}
+}
+
+// attemptTurn gets the head of a target's answer. Once events went to the caller,
+// a failure can only end the stream.
+func (t *turn) attemptTurn(ctx context.Context, p *progress) (*attempt, bool) {
+	if !p.started {
+		a, ok := t.attempt(ctx, t.body, p.lastID)
+		if !ok {
+			t.settle()
+		}
+		return a, ok
+	}
+	for t.sends < maxSends && ctx.Err() == nil {
+		choice, ok := t.relay.pick(fleet.Query{
+			Service: t.service, Domain: t.relay.domain, Prompt: t.call.PromptParts, Without: t.tried, Force: true,
+		})
+		if !ok {
+			break
+		}
+		t.sends++
+		t.tried = append(t.tried, choice.Target.TargetKey)
+		a, fail := t.relay.start(ctx, t.exchange, choice.Target, t.body, p.lastID)
+		if fail == nil && a.answer.NotRun {
+			fail = t.takeRefusal(a)
+		}
+		if fail == nil {
+			t.runs++
+			return a, true
+		}
+		t.logAttempt(choice, fail)
+		t.last = fail.err
+		if fail.fate == mayHaveRun {
+			t.runs++
+			if !t.canResume(ctx) {
+				break
+			}
+		}
+	}
+	t.broken(p)
+	return nil, false
+}
+
+// canResume says whether another target may continue the stream.
+func (t *turn) canResume(ctx context.Context) bool {
+	return t.route.Resumable && ctx.Err() == nil && t.runs < t.route.MaxTargets && t.sends < maxSends
+}
+
+// broken ends a stream that cannot go on.
+func (t *turn) broken(p *progress) {
+	t.settle()
+	if p.started {
+		t.logTurn(p.events, p.first, reasonStream)
+		t.abort(reasonStream)
+	}
+	if t.req.Context().Err() == nil && time.Now().Before(t.deadline) {
+		t.fail(http.StatusBadGateway, reasonLost)
+		return
+	}
+	t.outOfTime()
+}
+
+// passError passes a target's failure on, or returns true to try another target.
+func (t *turn) passError(ctx context.Context, a *attempt, p *progress) bool {
+	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxEventBytes))
+	if err != nil {
+		a.abort(ctx)
+		t.last = err
+		if t.canResume(ctx) {
+			return true
+		}
+		t.broken(p)
+		return false
+	}
+	a.complete()
+	if t.canResume(ctx) && a.response.StatusCode >= http.StatusInternalServerError {
+		return true
+	}
+	if p.started {
+		t.broken(p)
+		return false
+	}
+	t.settle()
+	t.answer(a, body)
+	return false
+}
+
+// forward passes the events of one target on as they come.
+func (t *turn) forward(ctx context.Context, a *attempt, p *progress) error {
+	in := bufio.NewReaderSize(a.response.Body, connBuffer)
+	flusher := http.NewResponseController(t.w)
+	watch := t.watchSilence(a)
+	defer watch.stop()
+	for {
+		ev, err := readEvent(in)
+		if errors.Is(err, io.EOF) {
+			a.complete()
+			return nil
+		}
+		if err != nil {
+			if watch.fired() {
+				a.outcome = fleet.Silent
+			}
+			a.abort(ctx)
+			return err
+		}
+		watch.heard()
+		if !p.started {
+			maps.Copy(t.w.Header(), t.relay.dialect.AnswerHeader(a.response.Header))
+			t.w.WriteHeader(a.response.StatusCode)
+			p.started = true
+			p.first = time.Since(t.arrived)
+		}
+		if _, err := t.w.Write(ev.raw); err != nil {
+			a.abort(ctx)
+			return err
+		}
+		if err := flusher.Flush(); err != nil {
+			a.abort(ctx)
+			return err
+		}
+		t.took(ev, p)
+	}
+}
+
+// took accounts for an event that went to the caller.
+func (t *turn) took(ev event, p *progress) {
+	p.events++
+	if ev.id != "" {
+		p.lastID = ev.id
+	}
+	t.tokens += t.eventTokens()
+	if t.call.MaxTokens > 0 {
+		t.tokens = min(t.tokens, t.call.MaxTokens)
+	}
+	if t.route.KeepsTurns {
+		t.output = append(append(t.output, ev.data...), '\n')
+	}
+}
+
+// finish ends a whole stream. A kept turn must be stored before its caller can
+// see that it is whole.
+func (t *turn) finish(ctx context.Context, p *progress) {
+	if !p.started {
+		// A stream without events.
+		t.w.WriteHeader(http.StatusOK)
+	}
+	if t.route.KeepsTurns {
+		if err := t.keep(ctx); err != nil {
+			t.last = err
+			t.settle()
+			t.logTurn(p.events, p.first, reasonNotKept)
+			t.abort(reasonNotKept)
+		}
+	}
+	t.settle()
+	t.logTurn(p.events, p.first, reasonAnswered)
+	t.logEnd(http.StatusOK, reasonAnswered)
+}
+
+// readEvent reads one event. The end of the stream is io.EOF between two events;
+// an event that is cut off is io.ErrUnexpectedEOF.
+func readEvent(in *bufio.Reader) (event, error) {
+	var ev event
+	for {
+		line, err := in.ReadSlice('\n')
+		if errors.Is(err, bufio.ErrBufferFull) {
+			ev.raw = append(ev.raw, line...)
+			if len(ev.raw) > maxEventBytes {
+				return event{}, errEventTooLong
+			}
+			continue
+		}
+		if errors.Is(err, io.EOF) && len(ev.raw)+len(line) > 0 {
+			return event{}, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return event{}, err
+		}
+		ev.raw = append(ev.raw, line...)
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			ev.parse()
+			return ev, nil
+		}
+	}
+}
+
+// parse reads the fields of the event.
+func (ev *event) parse() {
+	for line := range strings.Lines(string(ev.raw)) {
+		line = strings.TrimRight(line, "\r\n")
+		if value, ok := strings.CutPrefix(line, "id:"); ok {
+			ev.id = strings.TrimPrefix(value, " ")
+		}
+		if value, ok := strings.CutPrefix(line, "data:"); ok {
+			if ev.data != nil {
+				ev.data = append(ev.data, '\n')
+			}
+			ev.data = append(ev.data, strings.TrimPrefix(value, " ")...)
+		}
+	}
+}
--- /dev/null
+++ b/relay/turn.go
@@ -0,0 +1,158 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/quorum"
+)
+
+const (
+	// ledgerTimeout bounds the wait for the ledger before a turn is sent. A
+	// quorum answers in some ten milliseconds, after the loss of a member within
+	// a second.
+	ledgerTimeout = 1200 * time.Millisecond
+	// settleTimeout bounds the writing of what a turn has generated. It runs
+	// beside the answer.
+	settleTimeout = 4 * time.Second
+	// ledgerRetry is told when the ledger has no quorum. A member that was killed
+	// is back within seconds.
+	ledgerRetry = 400 * time.Millisecond
+)
+
+// turn is a streaming request with what the ledger knows of it.
+type turn struct {
+	*exchange
+	// body is the whole prompt: the chain before and the new input.
+	body []byte
+	// reserved says that the ledger may hold a reservation.
+	reserved bool
+	// tokens counts what was handed to the caller.
+	tokens int
+	// output collects the data of the events, for kept turns.
+	output []byte
+}
+
+// serveTurn answers a streaming request.
+func (e *exchange) serveTurn(ctx context.Context) {
+	t := &turn{exchange: e, body: e.body}
+	if !t.prepare(ctx) {
+		t.settle()
+		return
+	}
+	t.stream(ctx)
+}
+
+// budgeted says whether the turn is on a budget.
+func (t *turn) budgeted() bool { return t.call.Program != "" && t.call.BudgetTokens >= 0 }
+
+func (t *turn) continues() bool { return t.route.KeepsTurns && t.call.Previous != "" }
+
+// prepare reserves the turn's tokens and assembles its prompt. If it returns
+// false, the caller has its answer.
+func (t *turn) prepare(ctx context.Context) bool {
+	if !t.budgeted() && !t.continues() {
+		return true
+	}
+	if !t.relay.ledger.Up() {
+		t.refuse(reasonLedger, ledgerRetry)
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	defer cancel()
+	var spending *ledger.Spending
+	var chain []byte
+	var reserveErr, chainErr error
+	var wait sync.WaitGroup
+	if t.continues() {
+		wait.Go(func() { chain, chainErr = t.relay.ledger.ReadChain(ctx, t.call.Previous) })
+	}
+	if t.budgeted() {
+		t.reserved = true
+		spending, reserveErr = t.relay.ledger.Append(ctx, ledger.NewReservation(
+			t.call.Program, t.call.ID, t.call.MaxTokens, uint64(t.route.Retention.Milliseconds())))
+	}
+	wait.Wait()
+	if errors.Is(chainErr, quorum.ErrNoSuchTurn) {
+		t.reject(http.StatusNotFound, reasonNoTurn)
+		return false
+	}
+	if err := errors.Join(reserveErr, chainErr); err != nil {
+		t.last = err
+		t.refuse(reasonLedger, ledgerRetry)
+		return false
+	}
+	if t.budgeted() && spending.Committed(t.call.ID)+t.call.MaxTokens > t.call.BudgetTokens {
+		t.reject(http.StatusPaymentRequired, reasonBudget)
+		return false
+	}
+	if len(chain) > 0 {
+		t.body = append(chain, t.exchange.body...)
+	}
+	return true
+}
+
+// settle writes, beside the answer, what the turn has generated.
+func (t *turn) settle() {
+	if !t.reserved {
+		return
+	}
+	t.reserved = false
+	record := ledger.NewSettlement(t.call.Program, t.call.ID, t.tokens)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+		defer cancel()
+		if _, err := t.relay.ledger.Append(ctx, record); err != nil {
+			// The reservation stands for it, which is never too little.
+			t.relay.log.Warn().Str("event", "settlement_lost").Str("request", t.call.ID).
+				Str("program", t.call.Program).Err(err).Msg("the program's budget counts the most that the turn may generate")
+		}
+	}()
+}
+
+// keep stores a turn that was answered whole, with what it has generated.
+func (t *turn) keep(ctx context.Context) error {
+	records := []*ledgerpb.Record{ledger.NewTurn(&ledgerpb.Turn{
+		Program: t.program(), Id: t.call.ID, Previous: t.call.Previous,
+		Input: t.exchange.body, Output: t.output, RetentionMs: uint64(t.route.Retention.Milliseconds()),
+	})}
+	if t.reserved {
+		records = append(records, ledger.NewSettlement(t.call.Program, t.call.ID, t.tokens))
+	}
+	if _, err := t.relay.ledger.Append(ctx, records...); err != nil {
+		return err
+	}
+	t.reserved = false
+	return nil
+}
+
+// program returns the program that a kept turn belongs to. A turn without one
+// stands for itself.
+func (t *turn) program() string {
+	if t.call.Program != "" {
+		return t.call.Program
+	}
+	return "turn/" + t.call.ID
+}
+
+// eventTokens returns how many tokens one event stands for.
+func (t *turn) eventTokens() int {
+	if engine := t.config.Services[t.service].Engine; engine != nil {
+		return engine.EventTokens
+	}
+	return 1
+}
+
+// logTurn writes the line of a turn's end.
+func (t *turn) logTurn(events int, first time.Duration, reason string) {
+	t.relay.metrics.firstEvent(first)
+	t.relay.log.Debug().Str("event", "turn_end").Str("request", t.call.ID).Str("program", t.call.Program).
+		Int("events", events).Int("tokens", t.tokens).Str("first_ms", strconv.FormatInt(first.Milliseconds(), 10)).
+		Str("reason", reason).Msg("")
+}
--- a/standin/kv/calls.go
+++ b/standin/kv/calls.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"time"
 
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/etcdjson"
+	"github.com/rhubarbsaddle/rhubarbsaddle/adapter/etcdjson"
 )
 
 // serveRange reads keys.
--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -1,5 +1,5 @@
 // Package kv is a stand-in for the platform's key-value service. It speaks
-// etcd's published v3 JSON API over HTTP, as far as package platform/etcdjson
+// etcd's published v3 JSON API over HTTP, as far as package adapter/etcdjson
 // uses it: range, put, deleterange, txn, leases and watches.
 //
 // Beside the faults of package standin/fault it has rate limits for reads and
@@ -15,7 +15,7 @@
 	"sync"
 	"time"
 
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/etcdjson"
+	"github.com/rhubarbsaddle/rhubarbsaddle/adapter/etcdjson"
 )
 
 // maxHistory bounds the changes that a watch can go back over.
--- a/standin/kv/kv_test.go
+++ b/standin/kv/kv_test.go
@@ -9,10 +9,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/adapter/etcdjson"
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/etcdjson"
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/store"
 	"github.com/rhubarbsaddle/rhubarbsaddle/standin/fault"
+	"github.com/rhubarbsaddle/rhubarbsaddle/store"
 )
 
 // generous bounds waits that end long before in a sound program.
--- a/standin/kv/server.go
+++ b/standin/kv/server.go
@@ -9,7 +9,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/etcdjson"
+	"github.com/rhubarbsaddle/rhubarbsaddle/adapter/etcdjson"
 	"github.com/rhubarbsaddle/rhubarbsaddle/standin/fault"
 )
 
--- a/standin/vmlist/vmlist.go
+++ b/standin/vmlist/vmlist.go
@@ -1,7 +1,7 @@
 // Package vmlist is a stand-in for the platform's VM list over HTTP.
 //
 // GET /vms answers with the list as it was a lag ago, in the format of package
-// platform/vmlist; PUT /vms replaces it. The faults are those of package
+// adapter/vmlist; PUT /vms replaces it. The faults are those of package
 // standin/fault.
 package vmlist
 
@@ -11,8 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/adapter/vmlist"
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/vmlist"
 	"github.com/rhubarbsaddle/rhubarbsaddle/standin/fault"
 )
 
--- a/standin/vmlist/vmlist_test.go
+++ b/standin/vmlist/vmlist_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/adapter/vmlist"
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
-	"github.com/rhubarbsaddle/rhubarbsaddle/platform/vmlist"
 	"github.com/rhubarbsaddle/rhubarbsaddle/standin/fault"
 )
 
--- a/platform/store/store.go
+++ b/store/store.go
@@ -1,5 +1,5 @@
 // Package store is the port to the platform's key-value service. Package
-// platform/etcdjson is its adapter.
+// adapter/etcdjson is its adapter.
 package store
 
 import (
