entry: a stopping entry closes idle connections after the balancer's notice

Change: after the balancer's notice the server shuts down: idle connections are closed, the others end with their next answer.

--- a/daemon/resident/entry.go
+++ b/daemon/resident/entry.go
@@ -27,9 +27,6 @@
 	// balancerNotice is how long an entry that stops goes on taking connections.
 	// The balancer asks once a second and leaves an entry out after two misses.
 	balancerNotice = 2500 * time.Millisecond
-	// quietPeriod is how long no request may have been under way before a stopping
-	// entry ends.
-	quietPeriod = 300 * time.Millisecond
 	// graceMargin is kept of the time between SIGTERM and SIGKILL.
 	graceMargin = 400 * time.Millisecond
 	// idleSlack is added to the operators' idle timeout, so that a caller that
@@ -149,33 +146,14 @@
 	time.Sleep(balancerNotice)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	e.waitQuiet(ctx)
+	// Callers that keep their connections busy would go on for ever, so idle
+	// connections are closed now and the others with their next answer.
 	if err := callers.Shutdown(ctx); err != nil {
 		e.log.Warn().Str("event", "drain_cut").Int64("active", e.relay.Active()).Err(err).Msg("")
 	}
 	e.ledger.Close()
 }
 
-// waitQuiet waits until no request has been under way for a while.
-func (e *entry) waitQuiet(ctx context.Context) {
-	ticker := time.NewTicker(quietPeriod / 3)
-	defer ticker.Stop()
-	quiet := time.Now()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			if e.relay.Active() > 0 {
-				quiet = now
-			}
-			if now.Sub(quiet) >= quietPeriod {
-				return
-			}
-		}
-	}
-}
-
 // idleConns follows callers' idle connections, since the operators' idle timeout
 // changes with the configuration.
 type idleConns struct {
