ledger: chains are read from several members; entries tunnel to members they cannot reach

(3) An idle connection could be closed while a request was being read from it. Changes: links fall back to a tunnel through another entry; an entry without the ledger leaves the balancer; a member answers with the part of a chain it holds and names the turn it lacks; members catch up after a restart; a request read from a connection that was just closed is not passed on.

--- a/config/resident.go
+++ b/config/resident.go
@@ -43,6 +43,9 @@
 	Ready string `yaml:"ready"`
 	// Ledger is where a ledger member serves entries and other members.
 	Ledger string `yaml:"ledger"`
+	// Tunnel is where an entry passes connections of other entries on to ledger
+	// members.
+	Tunnel string `yaml:"tunnel"`
 	// Metrics serves the process's metrics.
 	Metrics string `yaml:"metrics"`
 }
@@ -74,6 +77,7 @@
 	if r.Role == ResidentEntry {
 		c.addrPort("listen.callers", r.Listen.Callers, true)
 		c.addrPort("listen.ready", r.Listen.Ready, true)
+		c.addrPort("listen.tunnel", r.Listen.Tunnel, true)
 	}
 	if r.Role == ResidentLedger {
 		c.addrPort("listen.ledger", r.Listen.Ledger, true)
--- a/daemon/resident/entry.go
+++ b/daemon/resident/entry.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -16,6 +15,7 @@
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/discovery"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/quorum"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/transport"
 	"github.com/rhubarbsaddle/rhubarbsaddle/netopt"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform"
 	"github.com/rhubarbsaddle/rhubarbsaddle/relay"
@@ -27,11 +27,18 @@
 	// balancerNotice is how long an entry that stops goes on taking connections.
 	// The balancer asks once a second and leaves an entry out after two misses.
 	balancerNotice = 2500 * time.Millisecond
+	// drainPoll is the time between two looks whether all answers are out.
+	drainPoll = 50 * time.Millisecond
 	// graceMargin is kept of the time between SIGTERM and SIGKILL.
 	graceMargin = 400 * time.Millisecond
 	// idleSlack is added to the operators' idle timeout, so that a caller that
 	// keeps to it never meets the close.
 	idleSlack = time.Second
+	// ledgerAway is how long the ledger may be out of reach before the entry leaves
+	// the balancer. A connection that broke is back sooner.
+	ledgerAway = time.Second
+	// withdrawTimeout bounds the removal of the announcement at the end.
+	withdrawTimeout = 300 * time.Millisecond
 	// defaultHeaderTimeout bounds the reading of a header; the operators' limit is
 	// not known when the server starts.
 	defaultHeaderTimeout = 10 * time.Second
@@ -46,14 +53,20 @@
 	ledger   *quorum.Client
 	follower *discovery.Follower
 	stopping atomic.Bool
-	idle     idleConns
+	// ledgerSeen is when the ledger's quorum was last connected, in Unix
+	// nanoseconds.
+	ledgerSeen atomic.Int64
+	idle       *idleConns
 }
 
 // runEntry serves callers until SIGTERM, and then until they have their answers.
 func (p *process) runEntry(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	e := &entry{process: p, ledger: quorum.NewClient(p.settings.Domain, p.settings.DisksLost)}
+	e := &entry{process: p, idle: newIdleConns()}
+	e.ledger = quorum.NewClient(p.settings.Domain, p.settings.DisksLost, func() []string {
+		return e.follower.Directory.Entries(p.settings.VM)
+	})
 	e.relay = relay.New(relay.Options{
 		Dialect: platform.Dialect{}, Ledger: e.ledger, Domain: p.settings.Domain, Log: p.log,
 		Metrics: relay.NewMetrics(p.registry), Seed: xxhash.Sum64String(p.settings.VM),
@@ -71,6 +84,9 @@
 	if err != nil {
 		return err
 	}
+	if err := e.serveTunnel(ctx); err != nil {
+		return err
+	}
 	go e.sweep(ctx)
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
@@ -90,7 +106,7 @@
 		return nil, &Error{Step: "listen", Peer: addr, Err: err}
 	}
 	server := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if e.stopping.Load() || !e.relay.Configured() {
+		if !e.isReady() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})}
@@ -98,26 +114,69 @@
 	return server, nil
 }
 
+// isReady says whether callers are served better here than at other entries. An
+// entry without the ledger has to refuse every turn.
+func (e *entry) isReady() bool {
+	now := time.Now().UnixNano()
+	if e.ledger.Up() {
+		e.ledgerSeen.Store(now)
+	}
+	away := time.Duration(now - e.ledgerSeen.Load())
+	return !e.stopping.Load() && e.relay.Configured() && away < ledgerAway
+}
+
+// serveTunnel passes other entries' connections on to ledger members and tells
+// the others where.
+func (e *entry) serveTunnel(ctx context.Context) error {
+	addr := e.settings.Listen.Tunnel
+	listener, err := netopt.ListenConfig().Listen(ctx, "tcp", addr)
+	if err != nil {
+		return &Error{Step: "listen", Peer: addr, Err: err}
+	}
+	tunnel := &transport.Tunnel{Log: e.log, Allowed: func(member string) bool {
+		for _, seat := range e.follower.Directory.Snapshot().View.Seats {
+			if seat.Addr == member {
+				return true
+			}
+		}
+		return false
+	}}
+	go func() {
+		if err := tunnel.Serve(listener); err != nil {
+			e.log.Error().Str("event", "tunnel_off").Err(err).Msg("")
+		}
+	}()
+	go e.follower.Announce(ctx, discovery.EntryPrefix+e.settings.VM, []byte(addr))
+	return nil
+}
+
 func (e *entry) serve(server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		e.log.Error().Str("event", "serve_failed").Str("peer", listener.Addr().String()).Err(err).Msg("")
 	}
 }
 
-func (e *entry) serveCallers() (*http.Server, error) {
+// callers is the server of callers and its listener.
+type callers struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+func (e *entry) serveCallers() (*callers, error) {
 	addr := e.settings.Listen.Callers
 	listener, err := netopt.ListenConfig().Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, &Error{Step: "listen", Peer: addr, Err: err}
 	}
 	server := &http.Server{
-		Handler:           e.relay,
+		Handler:           e.idle.guard(e.relay),
 		ReadHeaderTimeout: defaultHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         e.idle.follow,
+		ConnContext:       e.idle.context,
 	}
 	go e.serve(server, listener)
-	return server, nil
+	return &callers{server: server, listener: listener}, nil
 }
 
 func (e *entry) sweep(ctx context.Context) {
@@ -130,57 +189,44 @@
 		case now := <-ticker.C:
 			e.relay.Sweep(now)
 			if limit := e.relay.Limits().IdleTimeout; limit > 0 {
-				e.idle.closeOlder(now.Add(-limit - idleSlack))
+				if n := e.idle.closeOlder(now.Add(-limit - idleSlack)); n > 0 {
+					e.log.Info().Str("event", "idle_closed").Int("connections", n).Dur("limit", limit).Msg("")
+				}
 			}
 		}
 	}
 }
 
-// drain ends the entry without cutting off a request: it is out of the balancer
-// first, then waits for the answers under way.
-func (e *entry) drain(callers *http.Server) {
+// drain ends the entry without cutting off a request: it leaves the balancer, then
+// takes no more connections, and ends when the answers under way are out. Callers
+// that keep their connections busy would go on for ever, so idle connections are
+// closed and the others end with their next answer.
+func (e *entry) drain(c *callers) {
 	e.log.Info().Str("event", "drain").Int64("active", e.relay.Active()).Msg("")
 	e.stopping.Store(true)
 	e.relay.Stop()
 	end := time.Now().Add(e.settings.Bounds.Grace() - graceMargin)
 	time.Sleep(balancerNotice)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	// Callers that keep their connections busy would go on for ever, so idle
-	// connections are closed now and the others with their next answer.
-	if err := callers.Shutdown(ctx); err != nil {
-		e.log.Warn().Str("event", "drain_cut").Int64("active", e.relay.Active()).Err(err).Msg("")
+	if err := c.listener.Close(); err != nil {
+		e.log.Warn().Str("event", "listener_kept").Err(err).Msg("")
 	}
-	e.ledger.Close()
-}
-
-// idleConns follows callers' idle connections, since the operators' idle timeout
-// changes with the configuration.
-type idleConns struct {
-	mu    sync.Mutex
-	since map[net.Conn]time.Time
-}
-
-func (i *idleConns) follow(c net.Conn, state http.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.since == nil {
-		i.since = make(map[net.Conn]time.Time)
+	for time.Now().Before(end) {
+		e.idle.closeOlder(time.Now())
+		if e.relay.Active() == 0 {
+			break
+		}
+		time.Sleep(drainPoll)
 	}
-	if state == http.StateIdle || state == http.StateNew {
-		i.since[c] = time.Now()
-	} else {
-		delete(i.since, c)
+	if active := e.relay.Active(); active > 0 {
+		e.log.Warn().Str("event", "drain_cut").Int64("active", active).Msg("")
 	}
-}
-
-func (i *idleConns) closeOlder(limit time.Time) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for c, since := range i.since {
-		if since.Before(limit) {
-			// The server sees the close and drops the connection.
-			_ = c.Close()
-		}
+	// Answers that were just written leave their buffers before the server ends.
+	time.Sleep(drainPoll)
+	if err := c.server.Close(); err != nil {
+		e.log.Warn().Str("event", "server_close").Err(err).Msg("")
 	}
+	e.ledger.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
+	defer cancel()
+	e.follower.Withdraw(ctx, discovery.EntryPrefix+e.settings.VM)
 }
--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -22,6 +22,10 @@
 // ViewKey is where the ledger's membership lies in the store.
 const ViewKey = "rhubarbsaddle/ledger/view"
 
+// EntryPrefix stands before the keys at which entries tell the address of their
+// tunnel.
+const EntryPrefix = "rhubarbsaddle/entries/"
+
 // Decoder reads the values that the platform's other users write.
 type Decoder struct {
 	// ConfigKey is where the operators' configuration lies.
@@ -149,7 +153,8 @@
 		return
 	}
 	d.config = config
-	d.log.Info().Str("event", "config_applied").Int64("version", config.Version).Int("routes", len(config.Routes)).Msg("")
+	d.log.Info().Str("event", "config_applied").Int64("version", config.Version).Int("routes", len(config.Routes)).
+		Dur("idle_timeout", config.Limits.IdleTimeout).Dur("header_timeout", config.Limits.HeaderTimeout).Msg("")
 }
 
 func (d *Directory) applyView(value []byte) {
@@ -199,6 +204,19 @@
 	return d.entries[key]
 }
 
+// Entries returns the addresses of the entries' tunnels but that of the VM itself.
+func (d *Directory) Entries(self string) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var addrs []string
+	for key, value := range d.entries {
+		if vm, ok := strings.CutPrefix(key, EntryPrefix); ok && vm != self {
+			addrs = append(addrs, string(value))
+		}
+	}
+	return addrs
+}
+
 // LearnView takes a membership that another process told.
 func (d *Directory) LearnView(view ledger.View) {
 	d.mu.Lock()
--- a/ledger/member/commit.go
+++ b/ledger/member/commit.go
@@ -108,7 +108,11 @@
 		text = append(text, rec.GetTurn().GetOutput()...)
 	}
 	m.stats.chains.Add(1)
-	m.reply(e.Ticket, &ledgerpb.Response{Status: ledgerpb.Status_STATUS_OK, Chain: text})
+	status := ledgerpb.Status_STATUS_OK
+	if e.Missing != "" {
+		status = ledgerpb.Status_STATUS_PARTIAL
+	}
+	m.reply(e.Ticket, &ledgerpb.Response{Status: status, Chain: text, Missing: e.Missing})
 }
 
 func (m *Member) readRecord(at ledger.Location) (*ledgerpb.Record, error) {
--- a/ledger/member/copy.go
+++ b/ledger/member/copy.go
@@ -50,6 +50,30 @@
 	return nil
 }
 
+// catchUp copies what the others wrote while this member was away. Its answers
+// count without, since a quorum of the others knows what it lacks; but each such
+// gap would cost readers a question more.
+func (m *Member) catchUp(ctx context.Context) {
+	if !m.ready.Load() || m.options.FirstStart {
+		return
+	}
+	for ctx.Err() == nil {
+		view := m.options.Directory.Snapshot().View
+		if view.Version == 0 {
+			pause(ctx, seatPeriod)
+			continue
+		}
+		for _, seat := range view.Seats {
+			if seat.Name == m.options.Name {
+				continue
+			}
+			records, err := m.copyFrom(ctx, seat, view.Version)
+			m.log.Info().Str("event", "caught_up").Str("peer", seat.Name).Int("records", records).Err(err).Msg("")
+		}
+		return
+	}
+}
+
 // copyFrom copies the records that another member holds and this one does not.
 func (m *Member) copyFrom(ctx context.Context, seat ledger.Seat, version uint64) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
--- a/ledger/member/member.go
+++ b/ledger/member/member.go
@@ -149,6 +149,7 @@
 	go m.commit(ctx)
 	go m.tick(ctx)
 	go m.keepSeat(ctx)
+	go m.catchUp(ctx)
 	go func() {
 		<-ctx.Done()
 		_ = m.listener.Close()
--- a/ledger/quorum/client.go
+++ b/ledger/quorum/client.go
@@ -44,6 +44,7 @@
 type Client struct {
 	disksLost int
 	domain    string
+	vias      func() []string
 
 	mu    sync.RWMutex
 	view  ledger.View
@@ -51,9 +52,9 @@
 }
 
 // NewClient returns a client in a failure domain. It serves once SetView was
-// called.
-func NewClient(domain string, disksLost int) *Client {
-	return &Client{disksLost: disksLost, domain: domain, links: make(map[string]*link)}
+// called. Vias returns the entries through which members may be reached.
+func NewClient(domain string, disksLost int, vias func() []string) *Client {
+	return &Client{disksLost: disksLost, domain: domain, vias: vias, links: make(map[string]*link)}
 }
 
 // SetView takes a newer membership and reports whether it was one.
@@ -69,7 +70,7 @@
 		id := seat.Name + "/" + seat.Addr
 		wanted[id] = true
 		if c.links[id] == nil {
-			c.links[id] = newLink(seat)
+			c.links[id] = newLink(seat, c.vias)
 		}
 	}
 	for id, l := range c.links {
@@ -226,13 +227,30 @@
 }
 
 // ReadChain returns a turn's text: for it and each turn before it, oldest first,
-// the input and the output.
+// the input and the output. A member that was away for a while may lack a part of
+// the chain; the rest is then read from the others.
 func (c *Client) ReadChain(ctx context.Context, turn string) ([]byte, error) {
+	text, missing, err := c.readPart(ctx, turn)
+	for err == nil && missing != "" {
+		var before []byte
+		lacking := missing
+		before, missing, err = c.readPart(ctx, lacking)
+		if errors.Is(err, ErrNoSuchTurn) {
+			err = &Error{Step: "read", Peer: "a quorum", Err: fmt.Errorf("the chain's turn %s is not known", lacking)}
+		}
+		text = append(before, text...)
+	}
+	return text, err
+}
+
+// readPart returns the longest part of a turn's chain that a member holds, and the
+// turn that it goes on from, if any.
+func (c *Client) readPart(ctx context.Context, turn string) (text []byte, missing string, err error) {
 	view, links := c.all()
 	if view.Version == 0 {
-		return nil, &Error{Step: "read", Peer: "no member", Err: ErrNoMembership}
+		return nil, "", &Error{Step: "read", Peer: "no member", Err: ErrNoMembership}
 	}
-	r := &readCall{turn: turn, version: view.Version, missing: make(map[string]bool), done: make(chan struct{}),
+	r := &readCall{client: c, turn: turn, version: view.Version, unknown: make(map[string]bool), done: make(chan struct{}),
 		miss: make(chan struct{}, 1), quorum: view.Quorum(c.disksLost)}
 	near := min(1, len(links))
 	for _, l := range links[:near] {
@@ -253,15 +271,16 @@
 	}
 	select {
 	case <-r.done:
-		return r.chain, r.err
+		return r.text, r.before, r.err
 	case <-ctx.Done():
 		answers := r.abandon()
-		return nil, &Error{Step: "read", Peer: fmt.Sprintf("%d of %d members", answers, len(view.Seats)), Err: ctx.Err()}
+		return nil, "", &Error{Step: "read", Peer: fmt.Sprintf("%d of %d members", answers, len(view.Seats)), Err: ctx.Err()}
 	}
 }
 
 // readCall waits for a member that knows a turn, or a quorum that does not.
 type readCall struct {
+	client  *Client
 	turn    string
 	version uint64
 	quorum  int
@@ -270,10 +289,12 @@
 	miss chan struct{}
 
 	mu      sync.Mutex
-	missing map[string]bool
-	chain   []byte
-	err     error
-	over    bool
+	unknown map[string]bool
+	text    []byte
+	// before is the turn that text goes on from; empty if it is whole.
+	before string
+	err    error
+	over   bool
 }
 
 func (r *readCall) isOver() bool {
@@ -299,14 +320,19 @@
 		return
 	}
 	switch response.GetStatus() {
-	case ledgerpb.Status_STATUS_OK:
-		r.chain = response.GetChain()
+	case ledgerpb.Status_STATUS_OK, ledgerpb.Status_STATUS_PARTIAL:
+		r.text, r.before = response.GetChain(), response.GetMissing()
 		r.over = true
 		close(r.done)
 		return
+	case ledgerpb.Status_STATUS_STALE_VIEW:
+		// The next call acts on the newer membership.
+		if view, err := ledger.DecodeView(response.GetState().GetView()); err == nil {
+			r.client.SetView(view)
+		}
 	case ledgerpb.Status_STATUS_NOT_FOUND:
-		r.missing[seat.Name] = true
-		if len(r.missing) >= r.quorum {
+		r.unknown[seat.Name] = true
+		if len(r.unknown) >= r.quorum {
 			r.err = ErrNoSuchTurn
 			r.over = true
 			close(r.done)
@@ -323,5 +349,5 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.over = true
-	return len(r.missing)
+	return len(r.unknown)
 }
--- a/ledger/quorum/link.go
+++ b/ledger/quorum/link.go
@@ -16,6 +16,11 @@
 	// They stay well under the time in which a member that is back has to serve.
 	redialMin = 50 * time.Millisecond
 	redialMax = 400 * time.Millisecond
+	// viaTimeout bounds the search for an entry that can reach the member.
+	viaTimeout = 500 * time.Millisecond
+	// directPeriod is the time between two attempts to reach a member directly
+	// that is reached through an entry.
+	directPeriod = 2 * time.Second
 	// maxParked bounds the calls that wait for a connection; a caller in need of
 	// more has other members.
 	maxParked = 1024
@@ -34,16 +39,21 @@
 // unanswered are sent again: records are facts, which may be told twice.
 type link struct {
 	seat ledger.Seat
+	// vias returns the entries through which the member may be reached while it
+	// cannot be reached directly.
+	vias func() []string
 	stop context.CancelFunc
 
-	mu     sync.Mutex
-	conn   *transport.Conn
-	parked []call
+	mu   sync.Mutex
+	conn *transport.Conn
+	// indirect says that the connection goes through an entry.
+	indirect bool
+	parked   []call
 }
 
-func newLink(seat ledger.Seat) *link {
+func newLink(seat ledger.Seat, vias func() []string) *link {
 	ctx, stop := context.WithCancel(context.Background())
-	l := &link{seat: seat, stop: stop}
+	l := &link{seat: seat, vias: vias, stop: stop}
 	go l.run(ctx)
 	return l
 }
@@ -52,7 +62,7 @@
 func (l *link) run(ctx context.Context) {
 	pause := redialMin
 	for ctx.Err() == nil {
-		conn, err := transport.Dial(ctx, l.seat.Addr)
+		conn, err := l.dial(ctx)
 		if err != nil {
 			sleep(ctx, pause+rand.N(pause))
 			pause = min(2*pause, redialMax)
@@ -60,17 +70,102 @@
 		}
 		pause = redialMin
 		l.connected(conn)
+		l.hold(ctx, conn)
+		l.mu.Lock()
+		l.conn, l.indirect = nil, false
+		l.mu.Unlock()
+	}
+}
+
+// dial connects directly or, if that fails, through the first entry that can.
+func (l *link) dial(ctx context.Context) (*transport.Conn, error) {
+	conn, err := transport.Dial(ctx, l.seat.Addr)
+	vias := l.vias()
+	if err == nil || len(vias) == 0 {
+		return conn, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, viaTimeout)
+	defer cancel()
+	won := make(chan *transport.Conn, len(vias))
+	for _, entry := range vias {
+		go func() {
+			conn, err := dialVia(ctx, entry, l.seat.Addr)
+			if err != nil {
+				conn = nil
+			}
+			won <- conn
+		}()
+	}
+	for left := len(vias); left > 0; left-- {
+		if conn = <-won; conn != nil {
+			go closeOthers(won, left-1)
+			l.mu.Lock()
+			l.indirect = true
+			l.mu.Unlock()
+			return conn, nil
+		}
+	}
+	return nil, err
+}
+
+// closeOthers closes the connections that lost a race.
+func closeOthers(conns <-chan *transport.Conn, left int) {
+	for range left {
+		if conn := <-conns; conn != nil {
+			conn.Close()
+		}
+	}
+}
+
+// dialVia connects through an entry. The entry takes connections also for members
+// that it cannot reach, so the member has to answer once.
+func dialVia(ctx context.Context, entry, addr string) (*transport.Conn, error) {
+	conn, err := transport.DialVia(ctx, entry, addr)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := conn.Call(ctx, &ledgerpb.Request{Call: &ledgerpb.Request_ReadRecords{ReadRecords: &ledgerpb.ReadRecords{}}}); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+// hold keeps a connection until it ends. One through an entry is given up as soon
+// as the member can be reached directly.
+func (l *link) hold(ctx context.Context, conn *transport.Conn) {
+	ticker := time.NewTicker(directPeriod)
+	defer ticker.Stop()
+	for {
 		select {
 		case <-conn.Gone():
+			return
 		case <-ctx.Done():
 			conn.Close()
+			return
+		case <-ticker.C:
+			if l.isIndirect() && l.reachesDirectly(ctx) {
+				conn.Close()
+			}
 		}
-		l.mu.Lock()
-		l.conn = nil
-		l.mu.Unlock()
 	}
 }
 
+func (l *link) isIndirect() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.indirect
+}
+
+func (l *link) reachesDirectly(ctx context.Context) bool {
+	conn, err := transport.Dial(ctx, l.seat.Addr)
+	if err != nil {
+		return false
+	}
+	conn.Close()
+	return true
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/ledger/replica.go
+++ b/ledger/replica.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
@@ -93,9 +94,11 @@
 }
 
 // ReplyChain answers a ticket with the turns at the locations, oldest first.
+// Missing is the turn before them if this member lacks it.
 type ReplyChain struct {
 	Ticket    uint64
 	Locations []Location
+	Missing   string
 }
 
 // ReplyRecords answers a ticket with the records at the locations.
@@ -340,26 +343,29 @@
 	return ""
 }
 
-// chain finds a turn and those before it. A member that lacks one of them cannot
-// say more than that it does not know.
+// chain finds a turn and those before it. Only the turn that was asked for can be
+// unknown: one before it exists, and a member that lacks it names it, so that the
+// caller asks the others.
 func (r *Replica) chain(e ChainAsked) Effect {
 	var locations []Location
-	for id := e.Turn; id != ""; {
+	id := e.Turn
+	for id != "" {
 		t, ok := r.turns[id]
 		if !ok {
-			status := ledgerpb.Status_STATUS_NOT_FOUND
-			if !r.ready {
-				status = ledgerpb.Status_STATUS_RECOVERING
-			}
-			return Reply{Ticket: e.Ticket, Response: &ledgerpb.Response{Status: status}}
+			break
 		}
 		locations = append(locations, t.location)
 		id = t.previous
 	}
-	for i, j := 0, len(locations)-1; i < j; i, j = i+1, j-1 {
-		locations[i], locations[j] = locations[j], locations[i]
+	if len(locations) == 0 {
+		status := ledgerpb.Status_STATUS_NOT_FOUND
+		if !r.ready {
+			status = ledgerpb.Status_STATUS_RECOVERING
+		}
+		return Reply{Ticket: e.Ticket, Response: &ledgerpb.Response{Status: status}}
 	}
-	return ReplyChain{Ticket: e.Ticket, Locations: locations}
+	slices.Reverse(locations)
+	return ReplyChain{Ticket: e.Ticket, Locations: locations, Missing: id}
 }
 
 func (r *Replica) keys(e KeysAsked) Effect {
--- a/ledger/transport/transport.go
+++ b/ledger/transport/transport.go
@@ -20,13 +20,13 @@
 const (
 	// dialTimeout bounds a connection attempt. VMs of a region are a few
 	// milliseconds apart; one that is cut off does not answer at all.
-	dialTimeout = 500 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// AnswerTimeout is the age of an unanswered call at which the connection is
 	// taken as silent. A sync takes milliseconds; a disk that hangs for longer is
 	// no use to a caller that waits.
-	AnswerTimeout = 1500 * time.Millisecond
+	AnswerTimeout = 600 * time.Millisecond
 	// checkPeriod is the time between two looks at the oldest call.
-	checkPeriod = 250 * time.Millisecond
+	checkPeriod = 100 * time.Millisecond
 	// queuedFrames bounds the calls that wait to be written.
 	queuedFrames = 4096
 	bufferBytes  = 16 << 10
@@ -79,11 +79,14 @@
 
 // Dial connects to a member.
 func Dial(ctx context.Context, addr string) (*Conn, error) {
-	dialer := netopt.Dialer(dialTimeout)
-	nc, err := dialer.DialContext(ctx, "tcp", addr)
+	nc, err := netopt.Dialer(dialTimeout).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, &Error{Step: "dial", Peer: addr, Err: err}
 	}
+	return newConn(nc, addr), nil
+}
+
+func newConn(nc net.Conn, addr string) *Conn {
 	c := &Conn{
 		addr:    addr,
 		nc:      nc,
@@ -94,7 +97,7 @@
 	go c.write()
 	go c.read()
 	go c.watch()
-	return c, nil
+	return c
 }
 
 // Gone is closed when the connection has ended.
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -17,7 +17,7 @@
 	// ledgerTimeout bounds the wait for the ledger before a turn is sent. A
 	// quorum answers in some ten milliseconds, after the loss of a member within
 	// a second.
-	ledgerTimeout = 1200 * time.Millisecond
+	ledgerTimeout = 1500 * time.Millisecond
 	// settleTimeout bounds the writing of what a turn has generated. It runs
 	// beside the answer.
 	settleTimeout = 4 * time.Second
@@ -61,7 +61,7 @@
 		return true
 	}
 	if !t.relay.ledger.Up() {
-		t.refuse(reasonLedger, ledgerRetry)
+		t.refuseLedger()
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
@@ -85,7 +85,7 @@
 	}
 	if err := errors.Join(reserveErr, chainErr); err != nil {
 		t.last = err
-		t.refuse(reasonLedger, ledgerRetry)
+		t.refuseLedger()
 		return false
 	}
 	if t.budgeted() && spending.Committed(t.call.ID)+t.call.MaxTokens > t.call.BudgetTokens {
@@ -98,6 +98,13 @@
 	return true
 }
 
+// refuseLedger refuses a turn for want of the ledger. The caller's next connection
+// goes to an entry that has it, if there is one.
+func (t *turn) refuseLedger() {
+	t.w.Header().Set("Connection", "close")
+	t.refuse(reasonLedger, ledgerRetry)
+}
+
 // settle writes, beside the answer, what the turn has generated.
 func (t *turn) settle() {
 	if !t.reserved {
