ledger members keep what the store held on their disks; entries ask them at once

Change: members write configuration, targets and membership to their disks and read them at the start; an entry without a configuration asks members every 100 ms.

--- a/daemon/resident/entry.go
+++ b/daemon/resident/entry.go
@@ -190,7 +190,7 @@
 			e.relay.Sweep(now)
 			if limit := e.relay.Limits().IdleTimeout; limit > 0 {
 				if n := e.idle.closeOlder(now.Add(-limit - idleSlack)); n > 0 {
-					e.log.Info().Str("event", "idle_closed").Int("connections", n).Dur("limit", limit).Msg("")
+					e.log.Debug().Str("event", "idle_closed").Int("connections", n).Dur("limit", limit).Msg("")
 				}
 			}
 		}
--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -22,6 +22,9 @@
 	// askPeriod is the time between two questions to ledger members while the
 	// store is away.
 	askPeriod = time.Second
+	// askAtStart is the same while no configuration is known. The store answers in
+	// milliseconds if it is there.
+	askAtStart = 100 * time.Millisecond
 	// askTimeout bounds one of them.
 	askTimeout = 700 * time.Millisecond
 	// expirePeriod is the time between two looks at lapsed entries.
@@ -110,8 +113,8 @@
 
 // askPeers learns from ledger members while the store is away.
 func (f *Follower) askPeers(ctx context.Context) {
-	for ctx.Err() == nil {
-		wait(ctx, askPeriod/2+rand.N(askPeriod))
+	wait(ctx, askAtStart)
+	for ; ctx.Err() == nil; wait(ctx, f.askPause()) {
 		if f.connected.Load() {
 			continue
 		}
@@ -121,6 +124,15 @@
 	}
 }
 
+// askPause returns the time to the next question. A process that has no
+// configuration can serve nobody.
+func (f *Follower) askPause() time.Duration {
+	if f.Directory.Snapshot().Config == nil {
+		return askAtStart
+	}
+	return askPeriod/2 + rand.N(askPeriod)
+}
+
 func (f *Follower) ask(ctx context.Context, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
--- a/ledger/member/identity.go
+++ b/ledger/member/identity.go
@@ -45,6 +45,12 @@
 	if err != nil {
 		return &Error{Step: "write", Peer: path, Err: err}
 	}
+	return replaceFile(path, data)
+}
+
+// replaceFile replaces a file durably: after a loss of power it holds either the
+// old content or the new.
+func replaceFile(path string, data []byte) error {
 	if err := writeSynced(path+".new", data); err != nil {
 		return &Error{Step: "write", Peer: path, Err: err}
 	}
@@ -52,7 +58,7 @@
 		return &Error{Step: "write", Peer: path, Err: err}
 	}
 	// The new name is durable once its folder is.
-	folder, err := os.Open(dir)
+	folder, err := os.Open(filepath.Dir(path))
 	if err != nil {
 		return &Error{Step: "write", Peer: path, Err: err}
 	}
--- a/ledger/member/member.go
+++ b/ledger/member/member.go
@@ -83,6 +83,7 @@
 	if err := m.load(); err != nil {
 		return nil, err
 	}
+	m.loadState()
 	listener, err := netopt.ListenConfig().Listen(context.Background(), "tcp", options.Addr)
 	if err != nil {
 		return nil, &Error{Step: "listen", Peer: options.Addr, Err: err}
@@ -150,6 +151,7 @@
 	go m.tick(ctx)
 	go m.keepSeat(ctx)
 	go m.catchUp(ctx)
+	go m.keepState(ctx)
 	go func() {
 		<-ctx.Done()
 		_ = m.listener.Close()
