--- a/daemon/resident/entry.go
+++ b/daemon/resident/entry.go
@@ -53,10 +53,7 @@
 	ledger   *quorum.Client
 	follower *discovery.Follower
 	stopping atomic.Bool
-	// ledgerSeen is when the ledger's quorum was last connected, in Unix
-	// nanoseconds.
-	ledgerSeen atomic.Int64
-	idle       *idleConns
+	idle     *idleConns
 }
 
 // runEntry serves callers until SIGTERM, and then until they have their answers.
@@ -117,12 +114,7 @@
 // isReady says whether callers are served better here than at other entries. An
 // entry without the ledger has to refuse every turn.
 func (e *entry) isReady() bool {
-	now := time.Now().UnixNano()
-	if e.ledger.Up() {
-		e.ledgerSeen.Store(now)
-	}
-	away := time.Duration(now - e.ledgerSeen.Load())
-	return !e.stopping.Load() && e.relay.Configured() && away < ledgerAway
+	return !e.stopping.Load() && e.relay.Configured() && e.relay.LedgerAway() < ledgerAway
 }
 
 // serveTunnel passes other entries' connections on to ledger members and tells
--- a/ledger/quorum/client.go
+++ b/ledger/quorum/client.go
@@ -17,6 +17,9 @@
 // is some times the delay between failure domains.
 const hedgeAfter = 15 * time.Millisecond
 
+// awaitPoll is the time between two looks whether a quorum is connected.
+const awaitPoll = 10 * time.Millisecond
+
 // Errors of calls to the ledger.
 var (
 	// ErrNoSuchTurn says that a quorum knows of no such turn.
@@ -105,6 +108,21 @@
 	return up >= c.view.Quorum(c.disksLost)
 }
 
+// Await waits until a quorum of the members is connected, and reports whether it
+// is.
+func (c *Client) Await(ctx context.Context) bool {
+	for !c.Up() {
+		timer := time.NewTimer(awaitPoll)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return false
+		}
+	}
+	return true
+}
+
 // Close ends all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- /dev/null
+++ b/relay/harness_test.go
@@ -0,0 +1,215 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
+	"github.com/rhubarbsaddle/rhubarbsaddle/discovery"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/quorum"
+	"github.com/rhubarbsaddle/rhubarbsaddle/platform"
+	"github.com/rhubarbsaddle/rhubarbsaddle/platform/platformtest"
+	"github.com/rhubarbsaddle/rhubarbsaddle/relay"
+)
+
+// memory is a ledger in memory.
+type memory struct {
+	mu      sync.Mutex
+	replica *ledger.Replica
+	texts   map[string]string
+	down    bool
+	// stall keeps turns from being stored until it is closed.
+	stall chan struct{}
+	ticks int
+}
+
+func newMemory() *memory {
+	return &memory{replica: ledger.NewReplica(true), texts: make(map[string]string)}
+}
+
+func (m *memory) Up() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.down
+}
+
+func (m *memory) Await(context.Context) bool { return m.Up() }
+
+func (m *memory) setDown(down bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down = down
+}
+
+func (m *memory) Append(ctx context.Context, records ...*ledgerpb.Record) (*ledger.Spending, error) {
+	for _, rec := range records {
+		if m.stall != nil && rec.GetTurn() != nil {
+			select {
+			case <-m.stall:
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ticks++
+	effects := m.replica.Step(ledger.AppendArrived{Ticket: 1, Records: records}, time.Now())
+	if w, ok := effects[0].(ledger.Write); ok {
+		stored := ledger.Stored{Ticket: 1, Keys: w.Keys, Records: w.Records, Locations: make([]ledger.Location, len(w.Records))}
+		effects = m.replica.Step(stored, time.Now())
+	}
+	for _, rec := range records {
+		if t := rec.GetTurn(); t != nil {
+			m.texts[t.GetId()] = m.texts[t.GetPrevious()] + string(t.GetInput()) + string(t.GetOutput())
+		}
+	}
+	spending := &ledger.Spending{}
+	for _, b := range effects[0].(ledger.Reply).Response.GetBudgets() {
+		spending.Merge(b)
+	}
+	return spending, nil
+}
+
+func (m *memory) ReadChain(_ context.Context, turn string) ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	text, ok := m.texts[turn]
+	if !ok {
+		return nil, quorum.ErrNoSuchTurn
+	}
+	return []byte(text), nil
+}
+
+// spent returns the tokens that a program has spent or reserved.
+func (m *memory) spent(program string) int {
+	spending, _ := m.Append(context.Background(), ledger.NewReservation(program, "probe", 0, 1000))
+	return spending.Committed("probe")
+}
+
+// bed is a relay between a caller and targets.
+type bed struct {
+	t      *testing.T
+	relay  *relay.Relay
+	ledger *memory
+	server *httptest.Server
+	next   int
+}
+
+const (
+	host   = "h.example"
+	plain  = "/plain/"  // idempotent, two targets
+	once   = "/once/"   // non-idempotent, two targets
+	draft  = "/draft/"  // streaming, resumable
+	haggle = "/haggle/" // streaming, keeps turns
+	engine = "engine"
+)
+
+func newBed(t *testing.T, targets ...*platformtest.Target) *bed {
+	t.Helper()
+	b := &bed{t: t, ledger: newMemory()}
+	b.relay = relay.New(relay.Options{
+		Dialect: platform.Dialect{}, Ledger: b.ledger, Domain: "d", Log: &log.Logger{Level: log.PanicLevel},
+		Metrics: relay.NewMetrics(prometheus.NewRegistry()),
+	})
+	b.server = httptest.NewServer(b.relay)
+	t.Cleanup(b.server.Close)
+	b.update(targets...)
+	return b
+}
+
+// update puts a configuration with all routes to the targets in force.
+func (b *bed) update(targets ...*platformtest.Target) {
+	share := []catalog.Share{{Service: engine, Weight: 1}}
+	route := func(prefix string, kind catalog.Kind) catalog.Route {
+		return catalog.Route{Name: prefix, Host: host, Prefix: prefix, Kind: kind, Shares: share, MaxTargets: 2,
+			Timeout: 3 * time.Second, LatencyTarget: 100 * time.Millisecond, GapTarget: 100 * time.Millisecond, Retention: time.Minute}
+	}
+	config := &catalog.Config{
+		Version: 1,
+		Routes:  []catalog.Route{route(plain, catalog.Idempotent), route(once, catalog.NonIdempotent), route(draft, catalog.Streaming), route(haggle, catalog.Streaming)},
+		Services: map[string]catalog.Service{engine: {Name: engine, Engine: &catalog.Engine{
+			Slots: 4, CacheTokens: 1000, EventTokens: 10,
+		}}},
+		Limits: catalog.Limits{BodyBytes: 1 << 20},
+	}
+	config.Routes[2].Resumable = true
+	config.Routes[3].KeepsTurns = true
+	config.Index()
+	var declared []catalog.Target
+	for _, target := range targets {
+		b.t.Cleanup(target.Close)
+		declared = append(declared, catalog.Target{
+			TargetKey: catalog.TargetKey{ID: target.ID}, Service: engine, Addr: target.Addr(), Domain: "d", Slots: 4,
+		})
+	}
+	b.relay.Update(discovery.Snapshot{Config: config, Targets: declared})
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// err says that the answer did not come whole.
+	err error
+	id  string
+}
+
+// call sends a request with pairs of headers and reads the whole answer.
+func (b *bed) call(path, body string, headers ...string) reply {
+	b.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return b.callWith(ctx, path, body, headers...)
+}
+
+func (b *bed) callWith(ctx context.Context, path, body string, headers ...string) reply {
+	b.t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, b.server.URL+path, strings.NewReader(body))
+	require.NoError(b.t, err)
+	req.Host = host
+	b.next++
+	id := fmt.Sprintf("r%d", b.next)
+	req.Header.Set(platformtest.RequestID, id)
+	req.Header.Set(platformtest.Deadline, "3000")
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{err: err, id: id}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(data), err: err, id: id}
+}
+
+func events(first, last int) string {
+	text := ""
+	for i := first; i <= last; i++ {
+		text += fmt.Sprintf("id: %d\ndata: event%d\n\n", i, i)
+	}
+	return text
+}
+
+func data(last int) string {
+	text := ""
+	for i := 1; i <= last; i++ {
+		text += fmt.Sprintf("event%d\n", i)
+	}
+	return text
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -92,6 +92,8 @@
 	ReadChain(ctx context.Context, turn string) ([]byte, error)
 	// Up says whether a quorum can be reached.
 	Up() bool
+	// Await waits until a quorum can be reached and reports whether it can.
+	Await(ctx context.Context) bool
 }
 
 // Relay is the handler of callers' requests.
@@ -104,6 +106,10 @@
 	pool    *pool
 
 	config atomic.Pointer[catalog.Config]
+	// ledgerSeen is when the ledger was last within reach, in nanoseconds since
+	// began.
+	ledgerSeen atomic.Int64
+	began      time.Time
 	// stopping is set while the process ends.
 	stopping atomic.Bool
 	active   atomic.Int64
@@ -129,7 +135,7 @@
 func New(o Options) *Relay {
 	return &Relay{
 		dialect: o.Dialect, ledger: o.Ledger, domain: o.Domain, log: o.Log, metrics: o.Metrics,
-		pool: newPool(o.Metrics), fleet: fleet.New(o.Seed),
+		pool: newPool(o.Metrics), fleet: fleet.New(o.Seed), began: time.Now(),
 	}
 }
 
@@ -148,6 +154,17 @@
 // Configured says whether a configuration is in force and targets are known.
 func (r *Relay) Configured() bool { return r.config.Load() != nil }
 
+// LedgerAway returns how long the ledger has been out of reach; zero if it is
+// not.
+func (r *Relay) LedgerAway() time.Duration {
+	now := time.Since(r.began)
+	if r.ledger.Up() {
+		r.ledgerSeen.Store(int64(now))
+		return 0
+	}
+	return now - time.Duration(r.ledgerSeen.Load())
+}
+
 // Stop makes answers end their connections.
 func (r *Relay) Stop() { r.stopping.Store(true) }
 
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -18,6 +18,9 @@
 	// quorum answers in some ten milliseconds, after the loss of a member within
 	// a second.
 	ledgerTimeout = 1500 * time.Millisecond
+	// ledgerPatience is how long after the loss of the ledger turns wait for it. It
+	// is the time to find a silent connection and make another, with some margin.
+	ledgerPatience = time.Second
 	// settleTimeout bounds the writing of what a turn has generated. It runs
 	// beside the answer.
 	settleTimeout = 4 * time.Second
@@ -60,7 +63,7 @@
 	if !t.budgeted() && !t.continues() {
 		return true
 	}
-	if !t.relay.ledger.Up() {
+	if !t.awaitLedger(ctx) {
 		t.refuseLedger()
 		return false
 	}
@@ -98,6 +101,22 @@
 	return true
 }
 
+// awaitLedger waits for a ledger that was lost a moment ago: members that were
+// killed are back soon, and connections are made again in milliseconds. After that
+// turns are refused at once.
+func (t *turn) awaitLedger(ctx context.Context) bool {
+	away := t.relay.LedgerAway()
+	if away == 0 {
+		return true
+	}
+	if away >= ledgerPatience {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, ledgerPatience-away)
+	defer cancel()
+	return t.relay.ledger.Await(ctx)
+}
+
 // refuseLedger refuses a turn for want of the ledger. The caller's next connection
 // goes to an entry that has it, if there is one.
 func (t *turn) refuseLedger() {
