--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,200 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
+	"github.com/rhubarbsaddle/rhubarbsaddle/fleet"
+)
+
+var start = time.Unix(1000, 0)
+
+func key(i int) catalog.TargetKey { return catalog.TargetKey{ID: fmt.Sprintf("i%d", i)} }
+
+// newFleet returns a fleet of n model engines of four slots, in the domains d0 to
+// d2 in turn.
+func newFleet(n int) *fleet.Fleet {
+	f := fleet.New(0)
+	f.Update(engines(n), services)
+	return f
+}
+
+var services = map[string]catalog.Service{"llm": {Engine: &catalog.Engine{Slots: 4, CacheTokens: 50_000, EventTokens: 20}}}
+
+func engines(n int) []catalog.Target {
+	var targets []catalog.Target
+	for i := range n {
+		targets = append(targets, catalog.Target{TargetKey: key(i), Service: "llm", Domain: fmt.Sprintf("d%d", i%3), Slots: 4})
+	}
+	return targets
+}
+
+func query(parts ...fleet.Part) fleet.Query {
+	return fleet.Query{Service: "llm", Domain: "d0", Prompt: parts}
+}
+
+func shared(n int) fleet.Part       { return fleet.Part{ID: fmt.Sprintf("shared%d", n), Tokens: 12_600} }
+func own(session string) fleet.Part { return fleet.Part{ID: session, Tokens: 1_680} }
+
+// send picks a target and begins a call there.
+func send(t *testing.T, f *fleet.Fleet, q fleet.Query, now time.Time) catalog.TargetKey {
+	t.Helper()
+	choice, ok := f.Pick(q, now)
+	require.True(t, ok)
+	f.Begin(choice.Target.TargetKey, q.Prompt)
+	return choice.Target.TargetKey
+}
+
+// Pattern: turns of one conversation, on idle engines.
+func TestSessionStaysWhereItsPromptIsKept(t *testing.T) {
+	f := newFleet(6)
+	first := send(t, f, query(shared(1), own("a")), start)
+	f.End(first, fleet.Answered, 400*time.Millisecond, start)
+	for turn := range 5 {
+		q := query(shared(1), own("a"), own(fmt.Sprintf("turn%d", turn)))
+		again := send(t, f, q, start)
+		assert.Equal(t, first, again)
+		f.End(again, fleet.Answered, 400*time.Millisecond, start)
+	}
+}
+
+// Pattern: a burst of one kind of program, whose prompts share their first part.
+func TestBurstOfOneKindSpreadsOverTheEngines(t *testing.T) {
+	f := newFleet(6)
+	counts := map[catalog.TargetKey]int{}
+	for i := range 24 {
+		counts[send(t, f, query(shared(1), own(fmt.Sprint(i))), start)]++
+	}
+	for i := range 6 {
+		assert.InDelta(t, 4, counts[key(i)], 1, "engine %d", i)
+	}
+}
+
+// Pattern: engines that others load too, of which only answers tell.
+func TestLoadOfOthersCounts(t *testing.T) {
+	f := newFleet(2)
+	first := send(t, f, query(own("a")), start)
+	f.Told(first, fleet.Load{Running: 4, Waiting: 3, Slots: 4}, start)
+	f.End(first, fleet.Answered, time.Second, start)
+	for i := range 3 {
+		assert.NotEqual(t, first, send(t, f, query(own(fmt.Sprint(i))), start))
+	}
+	// What others had running is over some seconds later.
+	f = newFleet(1)
+	f.Told(key(0), fleet.Load{Running: 4, Waiting: 8, Slots: 4}, start)
+	_, ok := f.Pick(query(), start)
+	assert.False(t, ok)
+	_, ok = f.Pick(query(), start.Add(2*time.Second))
+	assert.True(t, ok)
+}
+
+// Pattern: a burst past capacity.
+func TestFullServiceTakesNoMoreAndTellsWhenToComeBack(t *testing.T) {
+	f := newFleet(2)
+	sent := 0
+	for {
+		choice, ok := f.Pick(query(), start)
+		if !ok {
+			break
+		}
+		f.Begin(choice.Target.TargetKey, nil)
+		sent++
+		require.Less(t, sent, 100)
+	}
+	assert.Equal(t, 20, sent, "four slots and six waiting at each")
+	assert.True(t, f.Overloaded("llm", start))
+	short := newFleet(2).RetryAfter("llm", start)
+	long := f.RetryAfter("llm", start)
+	assert.Greater(t, long, short)
+	assert.LessOrEqual(t, long, time.Second)
+	f.End(key(0), fleet.Answered, time.Second, start)
+	_, ok := f.Pick(query(), start)
+	assert.True(t, ok, "an answer makes room")
+}
+
+func TestDrainingTargetGetsNoWork(t *testing.T) {
+	f := newFleet(2)
+	list := engines(2)
+	list[0].Draining = true
+	f.Update(list, services)
+	for range 5 {
+		assert.Equal(t, key(1), send(t, f, query(), start))
+	}
+	assert.False(t, f.Has(key(0)))
+}
+
+// Pattern: an engine starts again under its old id and knows nothing of before.
+func TestNewLifeOfATargetStartsAfresh(t *testing.T) {
+	f := newFleet(2)
+	first := send(t, f, query(shared(1), own("a")), start)
+	f.End(first, fleet.Answered, time.Second, start)
+	list := engines(2)
+	for i := range list {
+		list[i].Started = 99
+	}
+	f.Update(list, services)
+	choice, ok := f.Pick(query(shared(1), own("a")), start)
+	require.True(t, ok)
+	assert.Zero(t, choice.Kept)
+	assert.EqualValues(t, 99, choice.Target.Started)
+	f.End(first, fleet.Broken, time.Second, start)
+	assert.False(t, f.Has(first))
+}
+
+// Pattern: engines fail requests while they look idle (grey failure).
+func TestFailingTargetIsLeftOutAndTriedAgain(t *testing.T) {
+	f := newFleet(3)
+	for range 2 {
+		f.End(key(0), fleet.Broken, 0, start)
+	}
+	for i := range 8 {
+		assert.NotEqual(t, key(0), send(t, f, query(own(fmt.Sprint(i))), start))
+	}
+	later := start.Add(3 * time.Second)
+	found := false
+	for i := range 12 {
+		found = found || send(t, f, query(own(fmt.Sprint("later", i))), later) == key(0)
+	}
+	assert.True(t, found)
+	f.End(key(0), fleet.Answered, time.Second, later)
+}
+
+// Pattern: all targets fail at once, so the cause lies elsewhere.
+func TestSuspectsAreBetterThanNone(t *testing.T) {
+	f := newFleet(2)
+	for i := range 2 {
+		for range 3 {
+			f.End(key(i), fleet.Broken, 0, start)
+		}
+	}
+	_, ok := f.Pick(query(), start)
+	assert.True(t, ok)
+}
+
+func TestTriedTargetsAreExcluded(t *testing.T) {
+	f := newFleet(2)
+	q := query()
+	q.Without = []catalog.TargetKey{key(0), key(1)}
+	_, ok := f.Pick(q, start)
+	assert.False(t, ok)
+	_, ok = f.Pick(fleet.Query{Service: "unknown"}, start)
+	assert.False(t, ok)
+	assert.Equal(t, time.Second, f.RetryAfter("unknown", start))
+}
+
+// Pattern: more shared parts than an engine's memory holds.
+func TestLeastRecentlyUsedPartsYield(t *testing.T) {
+	f := newFleet(1)
+	for i := range 5 {
+		f.End(send(t, f, query(shared(i)), start), fleet.Answered, time.Second, start)
+	}
+	oldest, _ := f.Pick(query(shared(0)), start)
+	newest, _ := f.Pick(query(shared(4)), start)
+	assert.Zero(t, oldest.Kept)
+	assert.Equal(t, 12_600, newest.Kept)
+}
