--- a/ledger/member/cluster_test.go
+++ b/ledger/member/cluster_test.go
@@ -217,7 +217,7 @@
 		c.stop(name)
 		c.wipe(name)
 		c.start(name, false)
-		require.Eventually(t, func() bool { return holds(c.addrs[name], 3*last) }, patience, 20*time.Millisecond)
+		require.Eventually(t, func() bool { return holds(c.addrs[name], c.views.Snapshot().View.Version, 3*last) }, patience, 20*time.Millisecond)
 		c.awaitSeats("m1", "m2", "m3")
 		c.check(last)
 	}
--- a/ledger/member/copy.go
+++ b/ledger/member/copy.go
@@ -87,6 +87,7 @@
 	if err != nil {
 		return 0, err
 	}
+	m.learn(listed)
 	if listed.GetStatus() != ledgerpb.Status_STATUS_OK {
 		return 0, &Error{Step: "copy", Peer: seat.Name, Err: fmt.Errorf("status %v", listed.GetStatus())}
 	}
@@ -111,6 +112,19 @@
 	return copied, nil
 }
 
+// learn takes the membership of a member that refused an older one.
+func (m *Member) learn(response *ledgerpb.Response) {
+	if response.GetStatus() != ledgerpb.Status_STATUS_STALE_VIEW {
+		return
+	}
+	view, err := ledger.DecodeView(response.GetState().GetView())
+	if err != nil {
+		m.log.Warn().Str("event", "view_rejected").Err(err).Msg("")
+		return
+	}
+	m.options.Directory.LearnView(view)
+}
+
 // missing returns the keys of records that this member does not hold.
 func (m *Member) missing(keys []uint64) []uint64 {
 	var missing []uint64
@@ -155,13 +169,14 @@
 	}
 }
 
-// handOver gives every other member of a view the records that it lacks.
-func (m *Member) handOver(ctx context.Context, view ledger.View) error {
-	for _, seat := range view.Seats {
+// handOver gives every member of a set the records that it lacks. All of them must
+// act on the membership of that version.
+func (m *Member) handOver(ctx context.Context, seats []ledger.Seat, version uint64) error {
+	for _, seat := range seats {
 		if seat.Name == m.options.Name {
 			continue
 		}
-		handed, err := m.handTo(ctx, seat)
+		handed, err := m.handTo(ctx, seat, version)
 		if err != nil {
 			return &Error{Step: "hand over", Peer: seat.Name, Err: err}
 		}
@@ -170,8 +185,21 @@
 	return nil
 }
 
+// collect copies what the other members of a set hold.
+func (m *Member) collect(ctx context.Context, seats []ledger.Seat, version uint64) error {
+	for _, seat := range seats {
+		if seat.Name == m.options.Name {
+			continue
+		}
+		if _, err := m.copyFrom(ctx, seat, version); err != nil {
+			return &Error{Step: "collect", Peer: seat.Name, Err: err}
+		}
+	}
+	return nil
+}
+
 // handTo gives one member what it lacks.
-func (m *Member) handTo(ctx context.Context, seat ledger.Seat) (int, error) {
+func (m *Member) handTo(ctx context.Context, seat ledger.Seat, version uint64) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 	conn, err := transport.Dial(ctx, seat.Addr)
@@ -179,14 +207,18 @@
 		return 0, err
 	}
 	defer conn.Close()
-	listed, err := conn.Call(ctx, &ledgerpb.Request{Call: &ledgerpb.Request_ListKeys{ListKeys: &ledgerpb.ListKeys{}}})
+	listed, err := conn.Call(ctx, &ledgerpb.Request{ViewVersion: version, Call: &ledgerpb.Request_ListKeys{ListKeys: &ledgerpb.ListKeys{}}})
 	if err != nil {
 		return 0, err
 	}
+	m.learn(listed)
+	if status := listed.GetStatus(); status != ledgerpb.Status_STATUS_OK && status != ledgerpb.Status_STATUS_RECOVERING {
+		return 0, fmt.Errorf("status %v", status)
+	}
 	lacking := m.locations(listed.GetKeys())
 	handed := 0
 	for len(lacking) > 0 {
-		n, err := m.hand(ctx, conn, lacking)
+		n, err := m.hand(ctx, conn, lacking, version)
 		if err != nil {
 			return handed, err
 		}
@@ -209,7 +241,7 @@
 
 // hand sends the first records, as many as one frame takes, and returns how many
 // that were.
-func (m *Member) hand(ctx context.Context, conn *transport.Conn, lacking []ledger.Location) (int, error) {
+func (m *Member) hand(ctx context.Context, conn *transport.Conn, lacking []ledger.Location, version uint64) (int, error) {
 	var records []*ledgerpb.Record
 	size := 0
 	for _, at := range lacking {
@@ -222,7 +254,6 @@
 			break
 		}
 	}
-	version := m.options.Directory.Snapshot().View.Version
 	response, err := conn.Call(ctx, &ledgerpb.Request{ViewVersion: version, Call: &ledgerpb.Request_Append{Append: &ledgerpb.Append{Records: records}}})
 	if err != nil {
 		return 0, err
--- a/ledger/member/probe_test.go
+++ b/ledger/member/probe_test.go
@@ -8,8 +8,9 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/transport"
 )
 
-// holds says whether a member's answers count and it holds so many records.
-func holds(addr string, records int) bool {
+// holds says whether a member's answers count and it holds so many records, under
+// the membership of a version.
+func holds(addr string, version uint64, records int) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	conn, err := transport.Dial(ctx, addr)
@@ -17,6 +18,6 @@
 		return false
 	}
 	defer conn.Close()
-	response, err := conn.Call(ctx, &ledgerpb.Request{Call: &ledgerpb.Request_ListKeys{ListKeys: &ledgerpb.ListKeys{}}})
+	response, err := conn.Call(ctx, &ledgerpb.Request{ViewVersion: version, Call: &ledgerpb.Request_ListKeys{ListKeys: &ledgerpb.ListKeys{}}})
 	return err == nil && response.GetStatus() == ledgerpb.Status_STATUS_OK && len(response.GetKeys()) >= records
 }
--- a/ledger/member/seat.go
+++ b/ledger/member/seat.go
@@ -164,7 +164,7 @@
 		if !view.Settled(m.options.Name) {
 			return nil
 		}
-		if err := m.handOver(ctx, view); err != nil {
+		if err := m.handOver(ctx, view.Seats, view.Version); err != nil {
 			return err
 		}
 		if err := m.swapView(ctx, view, view.Without(m.options.Name)); err != nil {
@@ -176,7 +176,7 @@
 		}
 	}
 	// What was written between the handing over and the change of the membership.
-	if err := m.handOver(ctx, view); err != nil {
+	if err := m.handOver(ctx, view.Seats, view.Version); err != nil {
 		return err
 	}
 	if err := m.tellRetire(ctx, true); err != nil {
@@ -247,19 +247,26 @@
 			return
 		}
 		m.log.Warn().Str("event", "member_given_up").Str("peer", seat.Name).Dur("silent", silent).Msg("")
-		// What only the silent member and one other hold must have enough copies
-		// before the seat goes.
-		if err := m.handOver(ctx, view.Without(seat.Name)); err != nil {
-			m.log.Warn().Str("event", "seat_kept").Err(err).Msg("")
-			return
-		}
-		if err := m.swapView(ctx, view, view.Without(seat.Name)); err != nil {
+		if err := m.dropSeat(ctx, view, seat.Name); err != nil {
 			m.log.Warn().Str("event", "seat_kept").Err(err).Msg("")
 		}
 		return
 	}
 }
 
+// dropSeat gives up a member. What it held together with few others gets enough
+// copies before.
+func (m *Member) dropSeat(ctx context.Context, view ledger.View, name string) error {
+	next := view.Without(name)
+	if err := m.collect(ctx, next.Seats, view.Version); err != nil {
+		return err
+	}
+	if err := m.handOver(ctx, next.Seats, view.Version); err != nil {
+		return err
+	}
+	return m.swapView(ctx, view, next)
+}
+
 // isFirst says whether this member is the first of those heard of.
 func (m *Member) isFirst(view ledger.View, heard map[string]time.Time) bool {
 	for _, seat := range view.Seats {
--- a/ledger/member/serve.go
+++ b/ledger/member/serve.go
@@ -88,13 +88,7 @@
 	case *ledgerpb.Request_ReadState:
 		answer(&ledgerpb.Response{Status: ledgerpb.Status_STATUS_OK, State: m.options.Directory.State()})
 	case *ledgerpb.Request_ListKeys:
-		// A member that copies from this one relies on it to refuse writers that
-		// act on the membership before, so this one must know the new membership.
-		if m.options.Directory.Snapshot().View.Version < req.GetViewVersion() {
-			answer(&ledgerpb.Response{Status: ledgerpb.Status_STATUS_FAILED})
-			return
-		}
-		m.post(ledger.KeysAsked{Ticket: m.expect(answer)})
+		m.listKeys(req, answer)
 	case *ledgerpb.Request_ReadRecords:
 		m.post(ledger.RecordsAsked{Ticket: m.expect(answer), Keys: call.ReadRecords.GetKeys()})
 	default:
@@ -102,6 +96,20 @@
 	}
 }
 
+// listKeys answers to a member that copies or hands over. It relies on this one to
+// refuse writers that act on older memberships, so both must act on the same.
+func (m *Member) listKeys(req *ledgerpb.Request, answer func(*ledgerpb.Response)) {
+	known := m.options.Directory.Snapshot().View.Version
+	switch {
+	case req.GetViewVersion() < known:
+		answer(m.staleView())
+	case req.GetViewVersion() > known:
+		answer(&ledgerpb.Response{Status: ledgerpb.Status_STATUS_FAILED})
+	default:
+		m.post(ledger.KeysAsked{Ticket: m.expect(answer)})
+	}
+}
+
 // readChain answers with a chain of turns. What this member does not know counts
 // only for callers that act on the current membership.
 func (m *Member) readChain(req *ledgerpb.Request, turn string, answer func(*ledgerpb.Response)) {
--- a/ledger/view.go
+++ b/ledger/view.go
@@ -54,9 +54,15 @@
 }
 
 // Sources returns how many other members a member with an empty disk has to copy
-// from: every quorum of which it may have been part has a member among them.
+// from: every quorum of which it may have been part has a member among them. With
+// an even number of seats the membership may have been one larger, with a quorum
+// of the same size, when a member that took part in it was given up.
 func (v View) Sources(disksLost int) int {
-	return max(1, len(v.Seats)-v.Quorum(disksLost)+1)
+	n := len(v.Seats) - v.Quorum(disksLost) + 1
+	if len(v.Seats)%2 == 0 {
+		n++
+	}
+	return min(max(1, n), max(1, len(v.Seats)-1))
 }
 
 // Seat returns the seat of a name.
