--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -160,6 +160,16 @@
 	assert.Equal(t, "signed by "+first.ID, got.header.Get(platformtest.Signature))
 }
 
+// Pattern: a caller resumes after the last event (sonoro trouble-3).
+func TestStreamWithoutEventsBearsItsTargetsSignature(t *testing.T) {
+	b := newBed(t, platformtest.NewTarget("i1", platformtest.Streams(3, 0, 0)))
+	got := b.call(draft, "x", platformtest.Resume, "3")
+	require.NoError(t, got.err)
+	assert.Equal(t, http.StatusOK, got.status)
+	assert.Empty(t, got.body)
+	assert.Equal(t, "signed by i1", got.header.Get(platformtest.Signature))
+}
+
 func TestSilentResumableStreamGoesOnElsewhere(t *testing.T) {
 	stuck := func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(platformtest.Resume) == "" {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -59,6 +59,7 @@
 		}
 		err := t.forward(ctx, a, p)
 		if err == nil {
+			t.begin(a, p)
 			t.finish(ctx, p)
 			return
 		}
@@ -174,12 +175,7 @@
 			return err
 		}
 		watch.heard()
-		if !p.started {
-			maps.Copy(t.w.Header(), t.relay.dialect.AnswerHeader(a.response.Header))
-			t.w.WriteHeader(a.response.StatusCode)
-			p.started = true
-			p.first = time.Since(t.arrived)
-		}
+		t.begin(a, p)
 		if _, err := t.w.Write(ev.raw); err != nil {
 			a.abort(ctx)
 			return err
@@ -192,6 +188,18 @@
 	}
 }
 
+// begin sends the head of the answer, which is that of its first target. A stream
+// that goes on after its last event has no events.
+func (t *turn) begin(a *attempt, p *progress) {
+	if p.started {
+		return
+	}
+	maps.Copy(t.w.Header(), t.relay.dialect.AnswerHeader(a.response.Header))
+	t.w.WriteHeader(a.response.StatusCode)
+	p.started = true
+	p.first = time.Since(t.arrived)
+}
+
 // took accounts for an event that went to the caller.
 func (t *turn) took(ev event, p *progress) {
 	p.events++
@@ -210,10 +218,6 @@
 // finish ends a whole stream. A kept turn must be stored before its caller can
 // see that it is whole.
 func (t *turn) finish(ctx context.Context, p *progress) {
-	if !p.started {
-		// A stream without events.
-		t.w.WriteHeader(http.StatusOK)
-	}
 	if t.route.KeepsTurns {
 		if err := t.keep(ctx); err != nil {
 			t.last = err
