--- a/daemon/resident/entry.go
+++ b/daemon/resident/entry.go
@@ -50,7 +50,7 @@
 type entry struct {
 	*process
 	relay    *relay.Relay
-	ledger   *quorum.Client
+	ledger   *quorum.Relayed
 	follower *discovery.Follower
 	stopping atomic.Bool
 	idle     *idleConns
@@ -61,7 +61,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	e := &entry{process: p, idle: newIdleConns()}
-	e.ledger = quorum.NewClient(p.settings.Domain, p.settings.DisksLost, func() []string {
+	e.ledger = quorum.NewRelayed(p.settings.Domain, p.settings.DisksLost, func() []string {
 		return e.follower.Directory.Entries(p.settings.VM)
 	})
 	e.relay = relay.New(relay.Options{
--- a/ledger/budget.go
+++ b/ledger/budget.go
@@ -26,6 +26,15 @@
 	}
 }
 
+// Budget returns the union in the form that members exchange.
+func (s *Spending) Budget(program string) *ledgerpb.Budget {
+	budget := &ledgerpb.Budget{Program: program, Attempts: make([]*ledgerpb.Attempt, 0, len(s.attempts))}
+	for key, a := range s.attempts {
+		budget.Attempts = append(budget.Attempts, &ledgerpb.Attempt{Key: key, Tokens: a.tokens, Settled: a.settled})
+	}
+	return budget
+}
+
 // Committed returns the tokens that the program's other attempts have spent or
 // may still spend.
 func (s *Spending) Committed(self string) int {
--- a/ledger/member/member.go
+++ b/ledger/member/member.go
@@ -20,11 +20,15 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/discovery"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/quorum"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/segment"
 	"github.com/rhubarbsaddle/rhubarbsaddle/netopt"
 	"github.com/rhubarbsaddle/rhubarbsaddle/store"
 )
 
+// viewPeriod is the time between two looks at the membership.
+const viewPeriod = 50 * time.Millisecond
+
 // tickPeriod is the time between two ticks of the replica.
 const tickPeriod = time.Second
 
@@ -64,9 +68,11 @@
 	system              *actor.ActorSystem
 	pid                 *actor.PID
 	commits             chan ledger.Write
-	listener            net.Listener
-	ready               atomic.Bool
-	stats               stats
+	// peers stores records at all members, this one included, for entries.
+	peers    *quorum.Client
+	listener net.Listener
+	ready    atomic.Bool
+	stats    stats
 
 	mu      sync.Mutex
 	ticket  uint64
@@ -79,6 +85,9 @@
 		options: options, log: options.Log,
 		commits: make(chan ledger.Write, maxCommits),
 		answers: make(map[uint64]func(*ledgerpb.Response)),
+		// Members reach each other directly or not at all: an entry that finds one
+		// cut off asks another.
+		peers: quorum.NewClient(options.Domain, options.DisksLost, func() []string { return nil }),
 	}
 	if err := m.load(); err != nil {
 		return nil, err
@@ -157,12 +166,22 @@
 		// Accept returns; a failure to close changes nothing.
 		_ = m.listener.Close()
 	})
+	loops.Go(func() { m.followView(ctx) })
 	err := m.accept(ctx)
 	cancel()
+	m.peers.Close()
 	loops.Wait()
 	return errors.Join(err, m.disk.Close())
 }
 
+// followView tells the client of the peers the membership in force.
+func (m *Member) followView(ctx context.Context) {
+	for ctx.Err() == nil {
+		m.peers.SetView(m.options.Directory.Snapshot().View)
+		pause(ctx, viewPeriod)
+	}
+}
+
 // accept serves the connections that come.
 func (m *Member) accept(ctx context.Context) error {
 	for {
--- a/ledger/member/serve.go
+++ b/ledger/member/serve.go
@@ -21,6 +21,9 @@
 	// not read so many loses its connection.
 	queuedAnswers = 4096
 	bufferBytes   = 16 << 10
+	// relayTimeout bounds the wait for a quorum on an entry's behalf. Entries ask
+	// another member long before.
+	relayTimeout = 1500 * time.Millisecond
 )
 
 // serve answers the calls of one connection.
@@ -83,6 +86,8 @@
 		}
 		m.stats.appends.Add(1)
 		m.post(ledger.AppendArrived{Ticket: m.expect(answer), Records: call.Append.GetRecords()})
+	case *ledgerpb.Request_Relay:
+		go m.relay(call.Relay.GetRecords(), answer)
 	case *ledgerpb.Request_ReadChain:
 		m.readChain(req, call.ReadChain.GetTurn(), answer)
 	case *ledgerpb.Request_ReadState:
@@ -96,6 +101,30 @@
 	}
 }
 
+// relay stores records at a quorum for an entry.
+func (m *Member) relay(records []*ledgerpb.Record, answer func(*ledgerpb.Response)) {
+	failed := &ledgerpb.Response{Status: ledgerpb.Status_STATUS_FAILED}
+	if !m.peers.Up() {
+		answer(failed)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
+	defer cancel()
+	spending, err := m.peers.Append(ctx, records...)
+	if err != nil {
+		m.log.Warn().Str("event", "relay_failed").Err(err).Msg("the entry asks another member")
+		answer(failed)
+		return
+	}
+	response := &ledgerpb.Response{Status: ledgerpb.Status_STATUS_OK}
+	for _, rec := range records {
+		if reservation := rec.GetReservation(); reservation != nil {
+			response.Budgets = append(response.Budgets, spending.Budget(reservation.GetProgram()))
+		}
+	}
+	answer(response)
+}
+
 // listKeys answers to a member that copies or hands over. It relies on this one to
 // refuse writers that act on older memberships, so both must act on the same.
 func (m *Member) listKeys(req *ledgerpb.Request, answer func(*ledgerpb.Response)) {
--- a/ledger/quorum/client.go
+++ b/ledger/quorum/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -94,31 +95,33 @@
 
 // Up says whether a quorum of the members is connected.
 func (c *Client) Up() bool {
+	view := c.View()
+	return view.Version > 0 && c.connected() >= view.Quorum(c.disksLost)
+}
+
+// connected returns the number of members that are connected.
+func (c *Client) connected() int {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	if c.view.Version == 0 {
-		return false
-	}
 	up := 0
 	for _, l := range c.links {
 		if l.up() {
 			up++
 		}
 	}
-	return up >= c.view.Quorum(c.disksLost)
+	return up
 }
 
 // Await waits until a quorum of the members is connected, and reports whether it
 // is.
-func (c *Client) Await(ctx context.Context) bool {
-	for !c.Up() {
-		timer := time.NewTimer(awaitPoll)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+func (c *Client) Await(ctx context.Context) bool { return await(ctx, c.Up) }
+
+func await(ctx context.Context, up func() bool) bool {
+	for !up() {
+		if ctx.Err() != nil {
 			return false
 		}
+		pause(ctx, awaitPoll)
 	}
 	return true
 }
@@ -145,7 +148,19 @@
 			far = append(far, l)
 		}
 	}
-	return c.view, append(near, far...)
+	links := append(near, far...)
+	// A member that is not connected is asked last.
+	slices.SortStableFunc(links, func(a, b *link) int {
+		switch up, other := a.up(), b.up(); {
+		case up == other:
+			return 0
+		case up:
+			return -1
+		default:
+			return 1
+		}
+	})
+	return c.view, links
 }
 
 // Append stores records at a quorum and returns the spending of the programs of
--- a/ledger/quorum/link.go
+++ b/ledger/quorum/link.go
@@ -60,15 +60,15 @@
 
 // run keeps the link connected until ctx ends.
 func (l *link) run(ctx context.Context) {
-	pause := redialMin
+	wait := redialMin
 	for ctx.Err() == nil {
 		conn, err := l.dial(ctx)
 		if err != nil {
-			sleep(ctx, pause+rand.N(pause))
-			pause = min(2*pause, redialMax)
+			pause(ctx, wait+rand.N(wait))
+			wait = min(2*wait, redialMax)
 			continue
 		}
-		pause = redialMin
+		wait = redialMin
 		l.connected(conn)
 		l.hold(ctx, conn)
 		l.mu.Lock()
@@ -166,7 +166,7 @@
 	return true
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
