--- a/daemon/resident/entry.go
+++ b/daemon/resident/entry.go
@@ -34,6 +34,9 @@
 	// idleSlack is added to the operators' idle timeout, so that a caller that
 	// keeps to it never meets the close.
 	idleSlack = time.Second
+	// turnCacheBytes bounds the kept turns held in memory: some dozen conversations
+	// a second, of some ten seconds and some ten kilobytes each.
+	turnCacheBytes = 4 << 20
 	// ledgerAway is how long the ledger may be out of reach before the entry leaves
 	// the balancer. A connection that broke is back sooner.
 	ledgerAway = time.Second
@@ -53,7 +56,9 @@
 	ledger   *quorum.Relayed
 	follower *discovery.Follower
 	stopping atomic.Bool
-	idle     *idleConns
+	// overloaded is set while the entry is short of processor time.
+	overloaded atomic.Bool
+	idle       *idleConns
 }
 
 // runEntry serves callers until SIGTERM, and then until they have their answers.
@@ -66,7 +71,7 @@
 	})
 	e.relay = relay.New(relay.Options{
 		Dialect: platform.Dialect{}, Ledger: e.ledger, Domain: p.settings.Domain, Log: p.log,
-		Metrics: relay.NewMetrics(p.registry), Seed: xxhash.Sum64String(p.settings.VM),
+		Metrics: relay.NewMetrics(p.registry), CacheBytes: turnCacheBytes, Seed: xxhash.Sum64String(p.settings.VM),
 	})
 	e.follower = p.newFollower(func() []string { return p.seeds(e.follower.Directory.Snapshot()) }, func(s discovery.Snapshot) {
 		e.ledger.SetView(s.View)
@@ -85,6 +90,7 @@
 		return err
 	}
 	go e.sweep(ctx)
+	go e.watchPressure(ctx)
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
 	select {
@@ -114,7 +120,31 @@
 // isReady says whether callers are served better here than at other entries. An
 // entry without the ledger has to refuse every turn.
 func (e *entry) isReady() bool {
-	return !e.stopping.Load() && e.relay.Configured() && e.relay.LedgerAway() < ledgerAway
+	return !e.stopping.Load() && !e.overloaded.Load() && e.relay.Configured() && e.relay.LedgerAway() < ledgerAway
+}
+
+// watchPressure measures how late timers fire, which is how long a step of a
+// request waits for the processor.
+func (e *entry) watchPressure(ctx context.Context) {
+	p := newPressure(time.Now())
+	timer := time.NewTimer(lagPeriod)
+	defer timer.Stop()
+	due := time.Now().Add(lagPeriod)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		now := time.Now()
+		away := p.observe(now.Sub(due), now)
+		if e.overloaded.Swap(away) != away {
+			e.relay.SetShedding(away)
+			e.log.Info().Str("event", "overload").Bool("away", away).Dur("lag", p.lag).Int64("active", e.relay.Active()).Msg("")
+		}
+		due = time.Now().Add(lagPeriod)
+		timer.Reset(lagPeriod)
+	}
 }
 
 // serveTunnel passes other entries' connections on to ledger members and tells
--- a/ledger/quorum/client.go
+++ b/ledger/quorum/client.go
@@ -14,9 +14,9 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 )
 
-// hedgeAfter is the wait for the nearest member before all others are asked. It
-// is some times the delay between failure domains.
-const hedgeAfter = 15 * time.Millisecond
+// hedgeAfter is the wait for one member before the next is asked as well. Chains
+// are long and entries' links slow, so members are asked one at a time.
+const hedgeAfter = 60 * time.Millisecond
 
 // awaitPoll is the time between two looks whether a quorum is connected.
 const awaitPoll = 10 * time.Millisecond
@@ -285,21 +285,17 @@
 	}
 	r := &readCall{client: c, turn: turn, version: view.Version, unknown: make(map[string]bool), done: make(chan struct{}),
 		miss: make(chan struct{}, 1), quorum: view.Quorum(c.disksLost)}
-	near := min(1, len(links))
-	for _, l := range links[:near] {
+	hedge := time.NewTimer(hedgeAfter)
+	defer hedge.Stop()
+	for _, l := range links {
 		l.send(r)
-	}
-	timer := time.NewTimer(hedgeAfter)
-	defer timer.Stop()
-	select {
-	case <-r.done:
-	case <-timer.C:
-	case <-r.miss:
-	case <-ctx.Done():
-	}
-	if !r.isOver() {
-		for _, l := range links[near:] {
-			l.send(r)
+		hedge.Reset(hedgeAfter)
+		select {
+		case <-r.done:
+			return r.text, r.before, r.err
+		case <-r.miss:
+		case <-hedge.C:
+		case <-ctx.Done():
 		}
 	}
 	select {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"sync"
 	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
@@ -14,9 +15,9 @@
 )
 
 const (
-	// inlineBody is the size up to which a request is written before its answer is
-	// read. Larger ones are written beside, since a target may answer before it
-	// has read them and leave the rest for later.
+	// inlineBody is the size, in bytes, up to which a request is written before its
+	// answer is read. Larger ones are written beside, since a target may answer
+	// before it has read them and leave the rest for later.
 	inlineBody = 8 << 10
 	// deadlineMargin is taken off the time that a target is given, for the way
 	// back.
@@ -114,25 +115,34 @@
 	return request
 }
 
-// write sends the request. A request that was not written whole has not run.
+// write sends the request with one call of the system where the size of the
+// socket's buffer allows. A request that was not written whole has not run.
 func (a *attempt) write(request *http.Request, size int) *failure {
-	send := func() error {
-		if err := request.Write(a.conn.out); err != nil {
-			return err
-		}
-		return a.conn.out.Flush()
-	}
 	if size > inlineBody {
 		a.written = make(chan error, 1)
-		go func() { a.written <- send() }()
+		go func() { a.written <- a.send(request) }()
 		return nil
 	}
-	if err := send(); err != nil {
+	if err := a.send(request); err != nil {
 		return &failure{fate: neverSent, err: err}
 	}
 	return nil
 }
 
+func (a *attempt) send(request *http.Request) error {
+	buffer := buffers.Get().(*bytes.Buffer)
+	defer buffers.Put(buffer)
+	buffer.Reset()
+	if err := request.Write(buffer); err != nil {
+		return err
+	}
+	_, err := a.conn.nc.Write(buffer.Bytes())
+	return err
+}
+
+// buffers holds requests while they are written.
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
 // readHead reads the head of the answer to this request and passes over late
 // answers to earlier ones.
 func (a *attempt) readHead(request *http.Request, id string) *failure {
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -102,7 +102,7 @@
 
 // bed is a relay between a caller and targets.
 type bed struct {
-	t      *testing.T
+	t      testing.TB
 	relay  *relay.Relay
 	ledger *memory
 	server *httptest.Server
@@ -118,12 +118,12 @@
 	engine = "engine"
 )
 
-func newBed(t *testing.T, targets ...*platformtest.Target) *bed {
+func newBed(t testing.TB, targets ...*platformtest.Target) *bed {
 	t.Helper()
 	b := &bed{t: t, ledger: newMemory()}
 	b.relay = relay.New(relay.Options{
 		Dialect: platform.Dialect{}, Ledger: b.ledger, Domain: "d", Log: &log.Logger{Level: log.PanicLevel},
-		Metrics: relay.NewMetrics(prometheus.NewRegistry()),
+		Metrics: relay.NewMetrics(prometheus.NewRegistry()), CacheBytes: 1 << 20,
 	})
 	b.server = httptest.NewServer(b.relay)
 	t.Cleanup(b.server.Close)
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -13,6 +13,7 @@
 	first        prometheus.Histogram
 	connects     prometheus.Counter
 	staleAnswers prometheus.Counter
+	cachedChains prometheus.Counter
 }
 
 // buckets cover a few milliseconds to the longest deadlines, in seconds.
@@ -37,7 +38,10 @@
 			Name: "rhubarbsaddle_stale_answers_total", Help: "Answers of targets that belonged to earlier requests.",
 		}),
 	}
-	reg.MustRegister(m.requests, m.seconds, m.first, m.connects, m.staleAnswers)
+	m.cachedChains = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "rhubarbsaddle_cached_chains_total", Help: "Chains of turns that were assembled without the ledger.",
+	})
+	reg.MustRegister(m.requests, m.seconds, m.first, m.connects, m.staleAnswers, m.cachedChains)
 	return m
 }
 
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -23,7 +23,7 @@
 	// idleMargin is taken off the target's idle timeout, so that a request does
 	// not cross the target's close.
 	idleMargin = 700 * time.Millisecond
-	// connBuffer is the size of a connection's buffers, in bytes. Events and
+	// connBuffer is the size of a connection's read buffer, in bytes. Events and
 	// answers are mostly smaller.
 	connBuffer = 4 << 10
 )
@@ -38,7 +38,6 @@
 type conn struct {
 	nc     net.Conn
 	in     *bufio.Reader
-	out    *bufio.Writer
 	reused bool
 	// until is when an idle connection is no longer used.
 	until time.Time
@@ -73,7 +72,7 @@
 		return nil, err
 	}
 	p.metrics.connects.Inc()
-	return &conn{nc: nc, in: bufio.NewReaderSize(nc, connBuffer), out: bufio.NewWriterSize(nc, connBuffer)}, nil
+	return &conn{nc: nc, in: bufio.NewReaderSize(nc, connBuffer)}, nil
 }
 
 // take removes the connection that was used last.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -104,6 +104,7 @@
 	log     *log.Logger
 	metrics *Metrics
 	pool    *pool
+	turns   *turnCache
 
 	config atomic.Pointer[catalog.Config]
 	// ledgerSeen is when the ledger was last within reach, in nanoseconds since
@@ -112,6 +113,8 @@
 	began      time.Time
 	// stopping is set while the process ends.
 	stopping atomic.Bool
+	// shedding is set while callers are better served by other entries.
+	shedding atomic.Bool
 	active   atomic.Int64
 
 	mu    sync.Mutex
@@ -126,6 +129,8 @@
 	Domain  string
 	Log     *log.Logger
 	Metrics *Metrics
+	// CacheBytes bounds the kept turns that are held in memory.
+	CacheBytes int
 	// Seed sets the order among equal targets.
 	Seed uint64
 }
@@ -135,7 +140,7 @@
 func New(o Options) *Relay {
 	return &Relay{
 		dialect: o.Dialect, ledger: o.Ledger, domain: o.Domain, log: o.Log, metrics: o.Metrics,
-		pool: newPool(o.Metrics), fleet: fleet.New(o.Seed), began: time.Now(),
+		pool: newPool(o.Metrics), turns: newTurnCache(o.CacheBytes), fleet: fleet.New(o.Seed), began: time.Now(),
 	}
 }
 
@@ -168,6 +173,10 @@
 // Stop makes answers end their connections.
 func (r *Relay) Stop() { r.stopping.Store(true) }
 
+// SetShedding makes answers end their connections, or not, so that callers come
+// back at other entries.
+func (r *Relay) SetShedding(shedding bool) { r.shedding.Store(shedding) }
+
 // Active returns the number of requests under way.
 func (r *Relay) Active() int64 { return r.active.Load() }
 
@@ -186,7 +195,7 @@
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	r.active.Add(1)
 	defer r.active.Add(-1)
-	if r.stopping.Load() {
+	if r.stopping.Load() || r.shedding.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	e := &exchange{relay: r, w: w, req: req, arrived: time.Now()}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -8,7 +8,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/fleet"
@@ -21,6 +20,8 @@
 	// firstEventSilence is the same before the first event, when the request may
 	// wait for a slot.
 	firstEventSilence = 1500 * time.Millisecond
+	// eventBuffer holds a line of an event, in bytes; longer ones are put together.
+	eventBuffer = 1 << 10
 	// maxEventBytes bounds one event.
 	maxEventBytes = 1 << 20
 )
@@ -157,12 +158,12 @@
 
 // forward passes the events of one target on as they come.
 func (t *turn) forward(ctx context.Context, a *attempt, p *progress) error {
-	in := bufio.NewReaderSize(a.response.Body, connBuffer)
+	events := eventReader{in: bufio.NewReaderSize(a.response.Body, eventBuffer)}
 	flusher := http.NewResponseController(t.w)
 	watch := t.watchSilence(a)
 	defer watch.stop()
 	for {
-		ev, err := readEvent(in)
+		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
 			a.complete()
 			return nil
@@ -231,45 +232,63 @@
 	t.logEnd(http.StatusOK, reasonAnswered)
 }
 
-// readEvent reads one event. The end of the stream is io.EOF between two events;
-// an event that is cut off is io.ErrUnexpectedEOF.
-func readEvent(in *bufio.Reader) (event, error) {
-	var ev event
+// eventReader reads the events of a stream. An event is valid until the next one
+// is read.
+type eventReader struct {
+	in  *bufio.Reader
+	raw []byte
+}
+
+// next reads one event. The end of the stream is io.EOF between two events; an
+// event that is cut off is io.ErrUnexpectedEOF.
+func (r *eventReader) next() (event, error) {
+	r.raw = r.raw[:0]
 	for {
-		line, err := in.ReadSlice('\n')
-		if errors.Is(err, bufio.ErrBufferFull) {
-			ev.raw = append(ev.raw, line...)
-			if len(ev.raw) > maxEventBytes {
-				return event{}, errEventTooLong
-			}
+		line, err := r.in.ReadSlice('\n')
+		r.raw = append(r.raw, line...)
+		if errors.Is(err, bufio.ErrBufferFull) && len(r.raw) <= maxEventBytes {
 			continue
 		}
-		if errors.Is(err, io.EOF) && len(ev.raw)+len(line) > 0 {
+		if errors.Is(err, io.EOF) && len(r.raw) > 0 {
 			return event{}, io.ErrUnexpectedEOF
 		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			return event{}, errEventTooLong
+		}
 		if err != nil {
 			return event{}, err
 		}
-		ev.raw = append(ev.raw, line...)
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			ev.parse()
-			return ev, nil
+			return parseEvent(r.raw), nil
 		}
 	}
 }
 
-// parse reads the fields of the event.
-func (ev *event) parse() {
-	for line := range strings.Lines(string(ev.raw)) {
-		line = strings.TrimRight(line, "\r\n")
-		if value, ok := strings.CutPrefix(line, "id:"); ok {
-			ev.id = strings.TrimPrefix(value, " ")
+// parseEvent reads the fields of an event.
+func parseEvent(raw []byte) event {
+	ev := event{raw: raw}
+	for line := range bytes.Lines(raw) {
+		line = bytes.TrimRight(line, "\r\n")
+		if value, ok := bytes.CutPrefix(line, idField); ok {
+			ev.id = string(bytes.TrimPrefix(value, space))
 		}
-		if value, ok := strings.CutPrefix(line, "data:"); ok {
-			if ev.data != nil {
-				ev.data = append(ev.data, '\n')
-			}
-			ev.data = append(ev.data, strings.TrimPrefix(value, " ")...)
+		value, ok := bytes.CutPrefix(line, dataField)
+		if !ok {
+			continue
+		}
+		value = bytes.TrimPrefix(value, space)
+		if ev.data == nil {
+			ev.data = value
+			continue
 		}
+		// Several data lines are one text with line feeds between.
+		ev.data = append(append(bytes.Clone(ev.data), '\n'), value...)
 	}
+	return ev
 }
+
+var (
+	idField   = []byte("id:")
+	dataField = []byte("data:")
+	space     = []byte(" ")
+)
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -34,6 +33,8 @@
 	*exchange
 	// body is the whole prompt: the chain before and the new input.
 	body []byte
+	// prepared is how long the ledger took.
+	prepared time.Duration
 	// reserved says that the ledger may hold a reservation.
 	reserved bool
 	// tokens counts what was handed to the caller.
@@ -49,6 +50,7 @@
 		t.settle()
 		return
 	}
+	t.prepared = time.Since(t.arrived)
 	t.stream(ctx)
 }
 
@@ -74,7 +76,7 @@
 	var reserveErr, chainErr error
 	var wait sync.WaitGroup
 	if t.continues() {
-		wait.Go(func() { chain, chainErr = t.relay.ledger.ReadChain(ctx, t.call.Previous) })
+		wait.Go(func() { chain, chainErr = t.readChain(ctx) })
 	}
 	if t.budgeted() {
 		t.reserved = true
@@ -101,6 +103,15 @@
 	return true
 }
 
+// readChain returns the text that the turn continues.
+func (t *turn) readChain(ctx context.Context) ([]byte, error) {
+	if text, ok := t.relay.turns.chain(t.call.Previous, len(t.exchange.body)); ok {
+		t.relay.metrics.cachedChains.Inc()
+		return text, nil
+	}
+	return t.relay.ledger.ReadChain(ctx, t.call.Previous)
+}
+
 // awaitLedger waits for a ledger that was lost a moment ago: members that were
 // killed are back soon, and connections are made again in milliseconds. After that
 // turns are refused at once.
@@ -155,6 +166,7 @@
 		return err
 	}
 	t.reserved = false
+	t.relay.turns.put(&cachedTurn{id: t.call.ID, previous: t.call.Previous, input: t.exchange.body, output: t.output})
 	return nil
 }
 
@@ -179,6 +191,7 @@
 func (t *turn) logTurn(events int, first time.Duration, reason string) {
 	t.relay.metrics.firstEvent(first)
 	t.relay.log.Debug().Str("event", "turn_end").Str("request", t.call.ID).Str("program", t.call.Program).
-		Int("events", events).Int("tokens", t.tokens).Str("first_ms", strconv.FormatInt(first.Milliseconds(), 10)).
+		Int("events", events).Int("tokens", t.tokens).Dur("prepared_ms", t.prepared).Dur("first_ms", first).
+		Int("body_bytes", len(t.body)).
 		Str("reason", reason).Msg("")
 }
