--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -84,8 +84,12 @@
 type service struct {
 	engine bool
 	// runMS is the average duration of a run, in milliseconds.
-	runMS   float64
-	targets []*target
+	runMS float64
+	// pressure is the average of calls per slot that targets told of late, as of
+	// pressureAt.
+	pressure   float64
+	pressureAt time.Time
+	targets    []*target
 }
 
 // Fleet is the table of all targets.
@@ -118,7 +122,7 @@
 		if s == nil {
 			s = &service{runMS: initialRunMS}
 			if before := old[declared.Service]; before != nil {
-				s.runMS = before.runMS
+				s.runMS, s.pressure, s.pressureAt = before.runMS, before.pressure, before.pressureAt
 			}
 			f.services[declared.Service] = s
 		}
@@ -173,8 +177,8 @@
 	Kept int
 }
 
-// Pick returns the target with the lowest expected cost. It returns false if none
-// takes work; WaitMS then tells how long until one is expected to.
+// Pick returns the target with the lowest expected cost, or false if none takes
+// work.
 func (f *Fleet) Pick(q Query, now time.Time) (choice Choice, ok bool) {
 	s := f.services[q.Service]
 	if s == nil {
@@ -183,9 +187,10 @@
 	f.turn++
 	best := -1.0
 	n := uint64(len(s.targets))
+	trusting := s.tooManyOut(now)
 	for i := range n {
 		t := s.targets[(f.turn+i)%n]
-		if t.Draining || excluded(q.Without, t.TargetKey) || !t.health.usable(now) || !q.Force && t.full(now) {
+		if t.Draining || excluded(q.Without, t.TargetKey) || !trusting && !t.health.usable(now) || !q.Force && t.full(now) {
 			continue
 		}
 		cost, kept := s.cost(t, q, now)
@@ -194,34 +199,23 @@
 			choice = Choice{Target: t.Target, CostMS: cost, Load: t.load(now), Kept: kept}
 		}
 	}
-	if best < 0 {
-		return f.pickSuspect(s, q, now)
-	}
-	return choice, true
+	return choice, best >= 0
 }
 
-// pickSuspect takes a target that is out of use for its failures rather than
-// none: if all have failed, the cause is likely elsewhere.
-func (f *Fleet) pickSuspect(s *service, q Query, now time.Time) (Choice, bool) {
+// tooManyOut says whether more targets are out of use for their failures than may
+// be. Failures then only make a target a second choice.
+func (s *service) tooManyOut(now time.Time) bool {
+	serving, out := 0, 0
 	for _, t := range s.targets {
-		if !t.Draining && !excluded(q.Without, t.TargetKey) && t.health.usable(now) {
-			// A usable target is full, so the service is overloaded, not broken.
-			return Choice{}, false
-		}
-	}
-	var found *target
-	for _, t := range s.targets {
-		if t.Draining || excluded(q.Without, t.TargetKey) || t.full(now) {
+		if t.Draining {
 			continue
 		}
-		if found == nil || t.health.until.Before(found.health.until) {
-			found = t
+		serving++
+		if !t.health.usable(now) {
+			out++
 		}
 	}
-	if found == nil {
-		return Choice{}, false
-	}
-	return Choice{Target: found.Target, Load: found.load(now)}, true
+	return float64(out) > ejectShare*float64(serving)
 }
 
 func excluded(without []catalog.TargetKey, key catalog.TargetKey) bool {
@@ -281,8 +275,12 @@
 	}
 	t.others = max(0, float64(load.Running+load.Waiting-t.own))
 	t.othersAt = now
-	if load.Slots > 0 {
-		t.Slots = load.Slots
+	if load.Slots <= 0 {
+		return
+	}
+	t.Slots = load.Slots
+	if s := f.services[t.Service]; s != nil {
+		s.told(float64(load.Running+load.Waiting)/float64(load.Slots), now)
 	}
 }
 
@@ -332,17 +330,3 @@
 	minRetry = 50 * time.Millisecond
 	maxRetry = time.Second
 )
-
-// Overloaded says whether no usable target of a service has a free slot.
-func (f *Fleet) Overloaded(name string, now time.Time) bool {
-	s := f.services[name]
-	if s == nil {
-		return false
-	}
-	for _, t := range s.targets {
-		if !t.Draining && t.health.usable(now) && t.load(now) < float64(t.Slots) {
-			return false
-		}
-	}
-	return true
-}
--- a/fleet/health.go
+++ b/fleet/health.go
@@ -3,13 +3,15 @@
 import "time"
 
 const (
-	// ejectAfter is the number of failures in a row after which a target is left
-	// out. One failure may be a lost connection.
-	ejectAfter = 2
-	// ejectMin and ejectMax bound the time for which it is left out; it doubles
-	// with each failure of a probe.
-	ejectMin = 500 * time.Millisecond
+	// ejectMin and ejectMax bound the time for which a target is left out after a
+	// failure; it doubles with each failure of a probe. A target that fails at once
+	// looks idle and would draw all calls, so one failure is enough; the first time
+	// is short, since it may have been a lost answer.
+	ejectMin = 300 * time.Millisecond
 	ejectMax = 4 * time.Second
+	// ejectShare is the share of a service's targets that may be left out. If more
+	// fail, the cause lies elsewhere.
+	ejectShare = 0.5
 	// failureMS is the cost added for a recent failure, in milliseconds. It is
 	// about what a call that has to be sent again loses.
 	failureMS = 60.0
@@ -33,15 +35,13 @@
 	case Unreachable, Broken, Silent, Failed:
 		h.failures++
 		h.last = now
-		if h.failures >= ejectAfter || outcome == Unreachable {
-			h.until = now.Add(ejection(h.failures))
-		}
+		h.until = now.Add(ejection(h.failures))
 	}
 }
 
 func ejection(failures int) time.Duration {
 	d := ejectMin
-	for i := ejectAfter; i < failures && d < ejectMax; i++ {
+	for i := 1; i < failures && d < ejectMax; i++ {
 		d *= 2
 	}
 	return min(d, ejectMax)
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -16,6 +16,7 @@
 	reasonTooLarge   = "body_too_large"
 	reasonBadBody    = "body_unreadable"
 	reasonFull       = "targets_full"
+	reasonOverload   = "overloaded"
 	reasonTimeout    = "out_of_time"
 	reasonLost       = "answer_lost"
 	reasonBudget     = "budget_spent"
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -230,6 +230,13 @@
 	r.fleet.End(key, outcome, ran, time.Now())
 }
 
+// admits says whether a program may begin.
+func (r *Relay) admits(service string, priority int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fleet.Admits(service, priority, time.Now())
+}
+
 func (r *Relay) retryAfter(service string) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -97,6 +97,10 @@
 		t.reject(http.StatusPaymentRequired, reasonBudget)
 		return false
 	}
+	if t.budgeted() && spending.Committed(t.call.ID) == 0 && t.call.Previous == "" && !t.relay.admits(t.service, t.route.Priority) {
+		t.refuse(reasonOverload, t.relay.retryAfter(t.service))
+		return false
+	}
 	if len(chain) > 0 {
 		t.body = append(chain, t.exchange.body...)
 	}
