fleet: reading a prompt costs all that run beside it

The cost of reading counted for the turn alone. Change: the cost of reading grows with the calls that run at the engine.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -232,11 +232,12 @@
 func (s *service) cost(t *target, q Query, now time.Time) (ms float64, kept int) {
 	load := t.load(now)
 	slots := float64(t.Slots)
+	running := min(load, slots)
 	neighbour := serviceNeighbourMS
 	if s.engine {
 		neighbour = engineNeighbourMS
 	}
-	ms = min(load, slots) * neighbour
+	ms = running * neighbour
 	if load >= slots {
 		ms += (load - slots + 1) * s.runMS / slots
 	}
@@ -246,7 +247,8 @@
 		for _, p := range q.Prompt {
 			total += p.Tokens
 		}
-		ms += float64(total-kept) / tokensPerMS
+		// The steps in which a prompt is read delay all that run beside it.
+		ms += float64(total-kept) / tokensPerMS * (1 + running)
 	}
 	if t.Domain != q.Domain {
 		ms += otherDomainMS
