--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -89,6 +89,7 @@
 	// pressureAt.
 	pressure   float64
 	pressureAt time.Time
+	homes      *homes
 	targets    []*target
 }
 
@@ -120,9 +121,10 @@
 		t.Target = declared
 		s := f.services[declared.Service]
 		if s == nil {
-			s = &service{runMS: initialRunMS}
+			s = &service{runMS: initialRunMS, homes: newHomes()}
 			if before := old[declared.Service]; before != nil {
-				s.runMS, s.pressure, s.pressureAt = before.runMS, before.pressure, before.pressureAt
+				s.runMS, s.pressure, s.pressureAt, s.homes = before.runMS, before.pressure, before.pressureAt, before.homes
+				s.homes.division = nil
 			}
 			f.services[declared.Service] = s
 		}
@@ -249,6 +251,9 @@
 		}
 		// The steps in which a prompt is read delay all that run beside it.
 		ms += float64(total-kept) / tokensPerMS * (1 + running)
+		if s.homes.isStranger(t.ID, q.Prompt, s.targets, now) {
+			ms += strangerMS
+		}
 	}
 	if t.Domain != q.Domain {
 		ms += otherDomainMS
@@ -257,7 +262,7 @@
 }
 
 // Begin records that an attempt is sent to a target.
-func (f *Fleet) Begin(key catalog.TargetKey, prompt []Part) {
+func (f *Fleet) Begin(key catalog.TargetKey, prompt []Part, now time.Time) {
 	t := f.targets[key]
 	if t == nil {
 		return
@@ -266,6 +271,9 @@
 	if t.cache != nil {
 		t.cache.read(prompt)
 	}
+	if s := f.services[t.Service]; s != nil {
+		s.homes.used(prompt, now)
+	}
 }
 
 // Told records a target's load as it tells it. Its count includes the calls of
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -46,7 +46,7 @@
 	t.Helper()
 	choice, ok := f.Pick(q, now)
 	require.True(t, ok)
-	f.Begin(choice.Target.TargetKey, q.Prompt)
+	f.Begin(choice.Target.TargetKey, q.Prompt, now)
 	return choice.Target.TargetKey
 }
 
@@ -102,7 +102,7 @@
 		if !ok {
 			break
 		}
-		f.Begin(choice.Target.TargetKey, nil)
+		f.Begin(choice.Target.TargetKey, nil, start)
 		sent++
 		require.Less(t, sent, 100)
 	}
@@ -236,3 +236,33 @@
 	assert.True(t, f.Admits("llm", 1, start.Add(3*time.Second)))
 	assert.True(t, f.Admits("tools", 1, start), "only engines' programs are held back")
 }
+
+// Pattern: several entries, blind to each other, place programs of several kinds
+// whose prompts share a first part each (grown deployments).
+func TestEntriesAgreeOnWhichEnginesKeepWhichSharedPart(t *testing.T) {
+	const parts, perEntry = 3, 120
+	homes := map[string]map[int]int{}
+	for entry := range 4 {
+		f := fleet.New(uint64(entry))
+		f.Update(engines(12), services)
+		for i := range perEntry {
+			at := send(t, f, query(shared(i%parts), own(fmt.Sprint(entry, i))), start)
+			f.Told(at, fleet.Load{Running: 1, Slots: 4}, start)
+			f.End(at, fleet.Answered, 300*time.Millisecond, start)
+			if i < perEntry/2 {
+				continue
+			}
+			if homes[at.ID] == nil {
+				homes[at.ID] = map[int]int{}
+			}
+			homes[at.ID][i%parts]++
+		}
+	}
+	mixed := 0
+	for _, kinds := range homes {
+		if len(kinds) > 1 {
+			mixed++
+		}
+	}
+	assert.LessOrEqual(t, mixed, 2, "engines that serve several shared parts")
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -206,9 +206,10 @@
 func (r *Relay) pick(q fleet.Query) (fleet.Choice, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	choice, ok := r.fleet.Pick(q, time.Now())
+	now := time.Now()
+	choice, ok := r.fleet.Pick(q, now)
 	if ok {
-		r.fleet.Begin(choice.Target.TargetKey, q.Prompt)
+		r.fleet.Begin(choice.Target.TargetKey, q.Prompt, now)
 	}
 	return choice, ok
 }
