discovery: entries follow the store through ledger members

Change: members answer FollowState with what has changed since a revision; entries follow two members and read the store themselves at the start and while no member is current. Keys never go back to an older revision.

--- a/daemon/resident/entry.go
+++ b/daemon/resident/entry.go
@@ -77,6 +77,7 @@
 		e.ledger.SetView(s.View)
 		e.relay.Update(s)
 	})
+	e.follower.ThroughPeers = true
 	go e.follower.Run(ctx)
 	ready, err := e.serveReady()
 	if err != nil {
--- a/daemon/resident/resident.go
+++ b/daemon/resident/resident.go
@@ -30,9 +30,9 @@
 	// memoryShare is the share of the VM's memory at which the collector works
 	// harder. The rest is for buffers of the kernel and for peaks.
 	memoryShare = 0.7
-	// collectPercent is the growth of the heap between two collections. A collection
-	// takes milliseconds, which weigh on VMs with a seventh of a core.
-	collectPercent = 150
+	// collectPercent is the growth of the heap between two collections. Memory is
+	// dearer than processor time on these VMs.
+	collectPercent = 60
 	// logQueue bounds the log lines that wait to be written; more are dropped.
 	logQueue = 4096
 	// settingsPeriod is the time between two looks at the settings file, which may
--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -4,7 +4,6 @@
 package discovery
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -37,17 +36,29 @@
 	TargetID     func(key string) string
 }
 
-// Directory is what a process knows of the store. Invariant: the configuration
-// and the membership never go back to an older version.
+// maxChanges bounds the changes that are kept for followers. One that lags behind
+// more reads everything.
+const maxChanges = 512
+
+// Directory is what a process knows of the store. Invariants: the configuration
+// and the membership never go back to an older version, and a key never to an older
+// revision.
 type Directory struct {
 	decoder Decoder
 	log     *log.Logger
 	// changed is called after each change, one call at a time.
 	changed func(Snapshot)
 
-	mu       sync.Mutex
-	entries  map[string][]byte
+	mu sync.Mutex
+	// entries holds all keys, removed ones included.
+	entries  map[string]core.StoreEntry
 	revision int64
+	// changes are the latest changes, oldest first; since is the revision before
+	// the first of them.
+	changes  []core.StoreEntry
+	since    int64
+	current  bool
+	news     chan struct{}
 	config   *catalog.Config
 	view     ledger.View
 	registry *catalog.Registry
@@ -65,7 +76,7 @@
 func NewDirectory(decoder Decoder, logger *log.Logger, changed func(Snapshot)) *Directory {
 	return &Directory{
 		decoder: decoder, log: logger, changed: changed,
-		entries: make(map[string][]byte), registry: catalog.NewRegistry(),
+		entries: make(map[string]core.StoreEntry), registry: catalog.NewRegistry(), news: make(chan struct{}),
 	}
 }
 
@@ -76,13 +87,13 @@
 	if revision < d.revision {
 		return
 	}
-	fresh := make(map[string][]byte, len(entries))
+	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
-		fresh[e.Key] = e.Value
+		listed[e.Key] = true
 	}
-	for _, key := range slices.Collect(maps.Keys(d.entries)) {
-		if _, kept := fresh[key]; !kept {
-			d.apply(core.StoreEntry{Key: key}, now)
+	for _, key := range slices.Sorted(maps.Keys(d.entries)) {
+		if known := d.entries[key]; !listed[key] && known.Value != nil && known.Revision <= revision {
+			d.apply(core.StoreEntry{Key: key, Revision: revision}, now)
 		}
 	}
 	for _, e := range entries {
@@ -92,18 +103,29 @@
 	d.publish()
 }
 
-// Change takes changes that a watch reported.
-func (d *Directory) Change(entries []core.StoreEntry, now time.Time) {
-	if len(entries) == 0 {
-		return
-	}
+// Change takes changes that a watch reported, up to a revision.
+func (d *Directory) Change(entries []core.StoreEntry, revision int64, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	changed := false
 	for _, e := range entries {
-		d.apply(e, now)
-		d.revision = max(d.revision, e.Revision)
+		changed = d.apply(e, now) || changed
+		revision = max(revision, e.Revision)
+	}
+	d.revision = max(d.revision, revision)
+	if changed {
+		d.publish()
+	}
+}
+
+// SetCurrent records whether the store answered last.
+func (d *Directory) SetCurrent(current bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.current != current {
+		d.current = current
+		d.wake()
 	}
-	d.publish()
 }
 
 // Disturbed records that the store failed to answer.
@@ -123,17 +145,20 @@
 	}
 }
 
-// apply takes one entry; a nil value means that the key is gone.
-func (d *Directory) apply(e core.StoreEntry, now time.Time) {
-	if e.Value == nil {
-		delete(d.entries, e.Key)
+// apply takes one entry and reports whether it was news. A nil value means that
+// the key is gone.
+func (d *Directory) apply(e core.StoreEntry, now time.Time) bool {
+	known, ok := d.entries[e.Key]
+	if ok && (e.Revision <= known.Revision || e.Value == nil && known.Value == nil) || !ok && e.Value == nil {
+		return false
+	}
+	d.entries[e.Key] = e
+	d.remember(e)
+	switch {
+	case e.Value == nil:
 		if strings.HasPrefix(e.Key, d.decoder.TargetPrefix) {
 			d.registry.Remove(d.decoder.TargetID(e.Key), now)
 		}
-		return
-	}
-	d.entries[e.Key] = e.Value
-	switch {
 	case e.Key == d.decoder.ConfigKey:
 		d.applyConfig(e.Value)
 	case e.Key == ViewKey:
@@ -141,6 +166,19 @@
 	case strings.HasPrefix(e.Key, d.decoder.TargetPrefix):
 		d.applyTarget(e, now)
 	}
+	return true
+}
+
+// remember keeps a change for followers.
+func (d *Directory) remember(e core.StoreEntry) {
+	if len(d.changes) == 0 {
+		d.since = d.revision
+	}
+	d.changes = append(d.changes, e)
+	if len(d.changes) > maxChanges {
+		d.since = max(d.since, d.changes[0].Revision)
+		d.changes = slices.Delete(d.changes, 0, 1)
+	}
 }
 
 func (d *Directory) applyConfig(value []byte) {
@@ -184,7 +222,17 @@
 	d.registry.Put(target)
 }
 
-func (d *Directory) publish() { d.changed(d.snapshot()) }
+// publish tells everybody who waits for news.
+func (d *Directory) publish() {
+	d.changed(d.snapshot())
+	d.wake()
+}
+
+// wake ends the waits for news.
+func (d *Directory) wake() {
+	close(d.news)
+	d.news = make(chan struct{})
+}
 
 func (d *Directory) snapshot() Snapshot {
 	return Snapshot{Config: d.config, View: d.view, Targets: d.registry.Targets()}
@@ -201,7 +249,7 @@
 func (d *Directory) Value(key string) []byte {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.entries[key]
+	return d.entries[key].Value
 }
 
 // Entries returns the addresses of the entries' tunnels but that of the VM itself.
@@ -209,9 +257,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var addrs []string
-	for key, value := range d.entries {
-		if vm, ok := strings.CutPrefix(key, EntryPrefix); ok && vm != self {
-			addrs = append(addrs, string(value))
+	for key, e := range d.entries {
+		if vm, ok := strings.CutPrefix(key, EntryPrefix); ok && vm != self && e.Value != nil {
+			addrs = append(addrs, string(e.Value))
 		}
 	}
 	return addrs
@@ -227,22 +275,73 @@
 	}
 }
 
-// State returns what other processes may learn from this one.
+// State returns all that other processes may learn from this one.
 func (d *Directory) State() *ledgerpb.State {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return &ledgerpb.State{View: d.view.Encode(), Entries: maps.Clone(d.entries), Revision: d.revision}
+	return d.state(0)
+}
+
+// state returns what is news to a process whose knowledge is as of a revision.
+func (d *Directory) state(after int64) *ledgerpb.State {
+	state := &ledgerpb.State{View: d.view.Encode(), Revision: d.revision, Current: d.current}
+	if after > 0 && after >= d.since {
+		state.ChangesOnly = true
+		for _, e := range d.changes {
+			if e.Revision > after {
+				state.Entries = append(state.Entries, wireEntry(e))
+			}
+		}
+		return state
+	}
+	for _, key := range slices.Sorted(maps.Keys(d.entries)) {
+		if e := d.entries[key]; e.Value != nil {
+			state.Entries = append(state.Entries, wireEntry(e))
+		}
+	}
+	return state
+}
+
+func wireEntry(e core.StoreEntry) *ledgerpb.Entry {
+	return &ledgerpb.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Value == nil}
+}
+
+// News returns what is news to a process whose knowledge is as of a revision. If
+// that is nothing, the channel is closed when there is some.
+func (d *Directory) News(after int64) (*ledgerpb.State, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.revision > after {
+		return d.state(after), nil
+	}
+	return &ledgerpb.State{View: d.view.Encode(), Revision: d.revision, Current: d.current, ChangesOnly: true}, d.news
 }
 
-// Learn takes what another process knows, if it is newer.
+// Revision returns the store's revision that the directory is as of.
+func (d *Directory) Revision() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.revision
+}
+
+// Learn takes what another process knows.
 func (d *Directory) Learn(state *ledgerpb.State, now time.Time) {
 	if view, err := ledger.DecodeView(state.GetView()); err == nil {
 		d.LearnView(view)
 	}
 	entries := make([]core.StoreEntry, 0, len(state.GetEntries()))
-	for key, value := range state.GetEntries() {
-		entries = append(entries, core.StoreEntry{Key: key, Value: value, Revision: state.GetRevision()})
+	for _, e := range state.GetEntries() {
+		entry := core.StoreEntry{Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision()}
+		if e.GetDeleted() {
+			entry.Value = nil
+		} else if entry.Value == nil {
+			entry.Value = []byte{}
+		}
+		entries = append(entries, entry)
+	}
+	if state.GetChangesOnly() {
+		d.Change(entries, state.GetRevision(), now)
+		return
 	}
-	slices.SortFunc(entries, func(a, b core.StoreEntry) int { return cmp.Compare(a.Key, b.Key) })
 	d.Replace(entries, state.GetRevision(), now)
 }
--- /dev/null
+++ b/discovery/directory_test.go
@@ -0,0 +1,122 @@
+package discovery_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/discovery"
+	"github.com/rhubarbsaddle/rhubarbsaddle/platform"
+	"github.com/rhubarbsaddle/rhubarbsaddle/platform/platformtest"
+)
+
+var now = time.Unix(1000, 0)
+
+func quiet() *log.Logger { return &log.Logger{Level: log.PanicLevel} }
+
+func newDirectory() *discovery.Directory {
+	return discovery.NewDirectory(discovery.Decoder{
+		ConfigKey: platform.ConfigKey, TargetPrefix: platform.TargetPrefix,
+		Config: platform.DecodeConfig, Target: platform.DecodeTarget, TargetID: platform.TargetID,
+	}, quiet(), func(discovery.Snapshot) {})
+}
+
+func config(version int) []byte {
+	return fmt.Appendf(nil, `{"version":%d,"routes":[],"services":[],"limits":{}}`, version)
+}
+
+func entry(key string, revision int64, value string) core.StoreEntry {
+	return core.StoreEntry{Key: key, Revision: revision, Value: []byte(value)}
+}
+
+const target = `{"service":"s","address":"10.0.0.1:1","state":"ready"}`
+
+func TestNothingGoesBack(t *testing.T) {
+	d := newDirectory()
+	d.Replace([]core.StoreEntry{entry(platform.ConfigKey, 5, string(config(7)))}, 5, now)
+	// A source that lags tells older entries.
+	d.Change([]core.StoreEntry{entry(platform.ConfigKey, 4, string(config(6)))}, 4, now)
+	d.Replace(nil, 3, now)
+	assert.EqualValues(t, 7, d.Snapshot().Config.Version)
+	// An older version is refused even if it was written later.
+	d.Change([]core.StoreEntry{entry(platform.ConfigKey, 6, string(config(6)))}, 6, now)
+	assert.EqualValues(t, 7, d.Snapshot().Config.Version)
+	d.Change([]core.StoreEntry{entry(platform.ConfigKey, 8, "no JSON")}, 8, now)
+	assert.EqualValues(t, 7, d.Snapshot().Config.Version)
+	assert.EqualValues(t, 8, d.Revision())
+}
+
+func TestLateWriteDoesNotUndoARemoval(t *testing.T) {
+	d := newDirectory()
+	d.Replace([]core.StoreEntry{entry("servers/a", 2, target), entry("servers/b", 3, target)}, 3, now)
+	d.Change([]core.StoreEntry{{Key: "servers/a", Revision: 5}}, 5, now)
+	d.Change([]core.StoreEntry{entry("servers/a", 4, target)}, 4, now)
+	require.Len(t, d.Snapshot().Targets, 1)
+	assert.Equal(t, "b", d.Snapshot().Targets[0].ID)
+}
+
+func TestFollowersGetChangesOrEverything(t *testing.T) {
+	leader, follower := newDirectory(), newDirectory()
+	leader.Replace([]core.StoreEntry{entry("servers/a", 2, target), entry(platform.ConfigKey, 3, string(config(1)))}, 3, now)
+	state, _ := leader.News(0)
+	assert.False(t, state.GetChangesOnly())
+	follower.Learn(state, now)
+	assert.Equal(t, leader.Snapshot().Targets, follower.Snapshot().Targets)
+
+	state, news := leader.News(follower.Revision())
+	assert.Empty(t, state.GetEntries())
+	leader.Change([]core.StoreEntry{entry("servers/b", 5, target), {Key: "servers/a", Revision: 6}}, 6, now)
+	<-news
+	state, _ = leader.News(follower.Revision())
+	assert.True(t, state.GetChangesOnly())
+	assert.Len(t, state.GetEntries(), 2)
+	follower.Learn(state, now)
+	assert.Equal(t, leader.Snapshot().Targets, follower.Snapshot().Targets)
+
+	// One that lags far behind reads everything.
+	for i := range int64(1000) {
+		leader.Change([]core.StoreEntry{entry(fmt.Sprint("servers/x", i%7), 10+i, target)}, 10+i, now)
+	}
+	state, _ = leader.News(6)
+	assert.False(t, state.GetChangesOnly())
+	follower.Learn(state, now)
+	assert.Equal(t, leader.Snapshot().Targets, follower.Snapshot().Targets)
+}
+
+func TestDirectFollowerKeepsUpThroughOutages(t *testing.T) {
+	server := platformtest.NewStore()
+	t.Cleanup(server.Close)
+	d := newDirectory()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	f := &discovery.Follower{Directory: d, Store: platform.NewStore(server.Addr()), Peers: func() []string { return nil }}
+	go f.Run(ctx)
+	version := func() int64 {
+		if c := d.Snapshot().Config; c != nil {
+			return c.Version
+		}
+		return 0
+	}
+	expect := func(v int64) {
+		t.Helper()
+		require.Eventually(t, func() bool { return version() == v }, 10*time.Second, 5*time.Millisecond)
+	}
+	server.Put(platform.ConfigKey, config(1))
+	expect(1)
+	server.SetDown(true)
+	server.Put(platform.ConfigKey, config(2))
+	time.Sleep(200 * time.Millisecond)
+	assert.False(t, f.Connected())
+	server.SetDown(false)
+	expect(2)
+	server.Forget()
+	server.Put(platform.ConfigKey, config(3))
+	expect(3)
+	assert.True(t, f.Connected())
+}
--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -31,15 +31,22 @@
 	expirePeriod = 250 * time.Millisecond
 )
 
+// errNotCurrent says that a member cannot reach the store itself.
+var errNotCurrent = errors.New("the member cannot reach the store")
+
 // Follower keeps a directory up to date.
 type Follower struct {
 	Directory *Directory
 	Store     store.Store
 	// Peers returns the addresses of ledger members that may know what the store
-	// holds.
+	// holds, the best first.
 	Peers func() []string
+	// ThroughPeers follows members and reads the store only when none of them is
+	// current, since the platform counts every process that watches its store.
+	ThroughPeers bool
 
 	connected atomic.Bool
+	peers     peerLoops
 }
 
 // Connected says whether the store answered last.
@@ -48,7 +55,16 @@
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	go f.expire(ctx)
+	if f.ThroughPeers {
+		f.runThroughPeers(ctx)
+		return
+	}
 	go f.askPeers(ctx)
+	f.runDirectly(ctx)
+}
+
+// runDirectly reads and watches the store until ctx ends.
+func (f *Follower) runDirectly(ctx context.Context) {
 	pause := retryMin
 	for ctx.Err() == nil {
 		err := f.follow(ctx, func() { pause = retryMin })
@@ -71,12 +87,13 @@
 	f.back(answered)
 	return f.Store.Watch(ctx, "", revision, func(changes []core.StoreEntry) {
 		f.back(answered)
-		f.Directory.Change(changes, time.Now())
+		f.Directory.Change(changes, 0, time.Now())
 	})
 }
 
 func (f *Follower) back(answered func()) {
 	answered()
+	f.Directory.SetCurrent(true)
 	if f.connected.Swap(true) {
 		return
 	}
@@ -91,6 +108,7 @@
 		return
 	}
 	f.Directory.Disturbed(time.Now())
+	f.Directory.SetCurrent(false)
 	if f.connected.Swap(false) {
 		f.Directory.log.Warn().Str("event", "store_lost").Err(err).Msg("")
 	}
--- a/ledger/member/cluster_test.go
+++ b/ledger/member/cluster_test.go
@@ -55,11 +55,18 @@
 func (c *cluster) follow(ctx context.Context, changed func(discovery.Snapshot)) *discovery.Follower {
 	ctx, cancel := context.WithCancel(ctx)
 	c.t.Cleanup(cancel)
+	f := c.follower(changed)
+	go f.Run(ctx)
+	return f
+}
+
+// follower returns a follower that does not run yet.
+func (c *cluster) follower(changed func(discovery.Snapshot)) *discovery.Follower {
 	decoder := discovery.Decoder{
 		ConfigKey: platform.ConfigKey, TargetPrefix: platform.TargetPrefix,
 		Config: platform.DecodeConfig, Target: platform.DecodeTarget, TargetID: platform.TargetID,
 	}
-	f := &discovery.Follower{
+	return &discovery.Follower{
 		Directory: discovery.NewDirectory(decoder, quiet(), changed),
 		Store:     platform.NewStore(c.store.Addr()),
 		Peers: func() []string {
@@ -70,8 +77,6 @@
 			return all
 		},
 	}
-	go f.Run(ctx)
-	return f
 }
 
 // start runs a member; its disk and address stay over restarts.
@@ -258,3 +263,28 @@
 	c.stop("m2", "m1")
 	c.check(3)
 }
+
+// Entries follow members, and read the store themselves when no member can.
+func TestProcessFollowsMembersAndFallsBackToTheStore(t *testing.T) {
+	c := newCluster(t)
+	c.three()
+	f := c.follower(func(discovery.Snapshot) {})
+	f.ThroughPeers = true
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go f.Run(ctx)
+	expect := func(version int64) {
+		t.Helper()
+		c.store.Put(platform.ConfigKey, fmt.Appendf(nil, `{"version":%d,"routes":[],"services":[],"limits":{}}`, version))
+		require.Eventually(t, func() bool {
+			s := f.Directory.Snapshot()
+			return s.Config != nil && s.Config.Version == version
+		}, patience, 5*time.Millisecond)
+	}
+	expect(1)
+	require.Eventually(t, f.Connected, patience, 5*time.Millisecond)
+	c.stop("m1")
+	expect(2)
+	c.stop("m2", "m3")
+	expect(3)
+}
--- a/ledger/member/serve.go
+++ b/ledger/member/serve.go
@@ -92,6 +92,8 @@
 		m.readChain(req, call.ReadChain.GetTurn(), answer)
 	case *ledgerpb.Request_ReadState:
 		answer(&ledgerpb.Response{Status: ledgerpb.Status_STATUS_OK, State: m.options.Directory.State()})
+	case *ledgerpb.Request_FollowState:
+		go m.followState(call.FollowState, answer)
 	case *ledgerpb.Request_ListKeys:
 		m.listKeys(req, answer)
 	case *ledgerpb.Request_ReadRecords:
@@ -125,6 +127,21 @@
 	answer(response)
 }
 
+// followState answers when there is news of the store, or when the wait is over.
+func (m *Member) followState(call *ledgerpb.FollowState, answer func(*ledgerpb.Response)) {
+	state, news := m.options.Directory.News(call.GetAfter())
+	if news != nil {
+		timer := time.NewTimer(time.Duration(call.GetWaitMs()) * time.Millisecond)
+		defer timer.Stop()
+		select {
+		case <-news:
+			state, _ = m.options.Directory.News(call.GetAfter())
+		case <-timer.C:
+		}
+	}
+	answer(&ledgerpb.Response{Status: ledgerpb.Status_STATUS_OK, State: state})
+}
+
 // listKeys answers to a member that copies or hands over. It relies on this one to
 // refuse writers that act on older memberships, so both must act on the same.
 func (m *Member) listKeys(req *ledgerpb.Request, answer func(*ledgerpb.Response)) {
--- a/store/store.go
+++ b/store/store.go
@@ -52,7 +52,7 @@
 	Revoke(ctx context.Context, lease LeaseID) error
 	// Watch calls fn with the changes of the keys with a prefix after a revision,
 	// until ctx is done or the connection breaks. A removed key has a nil value
-	// and the revision zero.
+	// and the revision of its removal, or zero if the service does not tell it.
 	Watch(ctx context.Context, prefix string, after int64, fn func([]core.StoreEntry)) error
 }
 
