logs: one line a request with what decided it, written in batches that never block; runs that ended with their target do not count

A run whose target has ended (nothing listens at its address) no longer counts against the route's targets, so idempotent requests and resumable streams outlive targets that crash in turn. Test: TestRequestOutlivesTargetsThatEnd.

--- a/daemon/resident/resident.go
+++ b/daemon/resident/resident.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -21,6 +22,7 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/config/load"
 	"github.com/rhubarbsaddle/rhubarbsaddle/discovery"
 	"github.com/rhubarbsaddle/rhubarbsaddle/netopt"
+	"github.com/rhubarbsaddle/rhubarbsaddle/observe"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform"
 )
 
@@ -33,8 +35,6 @@
 	// collectPercent is the growth of the heap between two collections. Memory is
 	// dearer than processor time on these VMs.
 	collectPercent = 60
-	// logQueue bounds the log lines that wait to be written; more are dropped.
-	logQueue = 4096
 	// settingsPeriod is the time between two looks at the settings file, which may
 	// change without a signal.
 	settingsPeriod = 2 * time.Second
@@ -77,7 +77,9 @@
 		return &Error{Step: "settings", Peer: file, Err: fmt.Errorf("role is %s, the command is %s", settings.Role, role)}
 	}
 	limitMemory(settings)
-	p := &process{file: file, settings: settings, log: newLogger(settings), registry: prometheus.NewRegistry()}
+	lines := observe.NewBatchWriter(os.Stdout)
+	defer lines.Close()
+	p := &process{file: file, settings: settings, log: newLogger(settings, lines), registry: prometheus.NewRegistry()}
 	p.log.Info().Str("event", "start").Str("role", role).Str("domain", settings.Domain).Bool("first_start", settings.FirstStart).Msg("")
 	go p.watchSettings(ctx)
 	p.serveMetrics()
@@ -97,8 +99,8 @@
 	}
 }
 
-// newLogger returns a logger of JSON lines that never blocks its callers.
-func newLogger(settings *config.Resident) *log.Logger {
+// newLogger returns a logger of JSON lines.
+func newLogger(settings *config.Resident, out io.Writer) *log.Logger {
 	level := log.InfoLevel
 	if settings.Log.Level != "" {
 		level = log.ParseLevel(settings.Log.Level)
@@ -107,9 +109,7 @@
 		Level:      level,
 		TimeFormat: time.RFC3339Nano,
 		Context:    log.NewContext(nil).Str("vm", settings.VM).Value(),
-		Writer: &log.AsyncWriter{
-			Writer: &log.IOWriter{Writer: os.Stdout}, ChannelSize: logQueue, DiscardOnFull: true,
-		},
+		Writer:     &log.IOWriter{Writer: out},
 	}
 }
 
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -72,22 +72,25 @@
 	panic(http.ErrAbortHandler)
 }
 
-// logEnd writes the line of a request's end.
+// logEnd writes the line of a request's end, with what decided it.
 func (e *exchange) logEnd(status int, reason string) {
 	took := time.Since(e.arrived)
+	e.relay.metrics.observe(e.kind(), reason, took)
+	if reason == reasonAnswered && !e.relay.quota.take(time.Now()) {
+		e.relay.metrics.unlogged.Inc()
+		return
+	}
 	name := ""
 	version := int64(0)
 	if e.route != nil {
 		name = e.route.Name
 		version = e.config.Version
 	}
-	e.relay.metrics.observe(e.kind(), reason, took)
-	level := e.relay.log.Debug()
-	if reason != reasonAnswered {
-		level = e.relay.log.Info()
-	}
-	level.Str("event", "request_end").Str("request", e.call.ID).Str("program", e.call.Program).Str("route", name).
-		Int64("config", version).Int("status", status).Str("reason", reason).Int("sends", e.sends).Int("runs", e.runs).
+	e.relay.log.Info().Str("event", "request_end").Str("request", e.call.ID).Str("program", e.call.Program).
+		Str("previous", e.call.Previous).Str("route", name).Int64("config", version).Int("status", status).
+		Str("reason", reason).Int("sends", e.sends).Int("runs", e.runs).Str("target", e.choice.Target.ID).
+		Float64("load", e.choice.Load).Float64("cost_ms", e.choice.CostMS).Int("kept", e.choice.Kept).
+		Dur("ledger", e.ledgerTook).Dur("first", e.first).Int("tokens", e.tokens).
 		Dur("took", took).AnErr("cause", e.last).Msg("")
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -60,7 +60,8 @@
 
 // failure is an attempt without an answer for the caller.
 type failure struct {
-	fate fate
+	fate   fate
+	target catalog.Target
 	// status is the target's status if it refused.
 	status int
 	err    error
@@ -76,7 +77,7 @@
 			a.outcome = fleet.Abandoned
 		}
 		a.end()
-		return nil, &failure{fate: neverSent, err: err}
+		return nil, &failure{fate: neverSent, target: target, err: err}
 	}
 	a.conn = c
 	a.stop = context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(time.Unix(1, 0)) })
@@ -124,7 +125,7 @@
 		return nil
 	}
 	if err := a.send(request); err != nil {
-		return &failure{fate: neverSent, err: err}
+		return &failure{fate: neverSent, target: a.target, err: err}
 	}
 	return nil
 }
@@ -171,11 +172,11 @@
 		a.conn.close()
 		if written := <-a.written; written != nil {
 			a.written = nil
-			return &failure{fate: neverSent, err: err}
+			return &failure{fate: neverSent, target: a.target, err: err}
 		}
 		a.written = nil
 	}
-	return &failure{fate: mayHaveRun, err: err}
+	return &failure{fate: mayHaveRun, target: a.target, err: err}
 }
 
 // reusable says whether another request may follow on the connection once the
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -50,6 +50,12 @@
 	tried       []catalog.TargetKey
 	// last is why the last attempt failed.
 	last error
+	// choice is the last target that was chosen, with what decided it.
+	choice fleet.Choice
+	// ledgerTook is how long a turn waited for the ledger, first how long for its
+	// first event; tokens counts what was handed to the caller.
+	ledgerTook, first time.Duration
+	tokens            int
 }
 
 // serve answers the request.
@@ -144,7 +150,8 @@
 		body, err := io.ReadAll(a.response.Body)
 		if err != nil {
 			a.abort(ctx)
-			if !e.mayGoOn(ctx, &failure{fate: mayHaveRun, err: err}) {
+			e.runs--
+			if !e.mayGoOn(ctx, &failure{fate: mayHaveRun, target: a.target, err: err}) {
 				return
 			}
 			continue
@@ -176,6 +183,7 @@
 			return nil, false
 		}
 		e.sends++
+		e.choice = choice
 		a, fail := e.relay.start(ctx, e, choice.Target, body, resumeAfter)
 		if fail == nil && a.answer.NotRun {
 			fail = e.takeRefusal(a)
@@ -201,14 +209,14 @@
 	} else {
 		a.complete()
 	}
-	return &failure{fate: notRun, status: status}
+	return &failure{fate: notRun, target: a.target, status: status}
 }
 
 // mayGoOn says whether the request may be sent again after a failure. If not, the
 // caller has its answer.
 func (e *exchange) mayGoOn(ctx context.Context, fail *failure) bool {
 	e.last = fail.err
-	if fail.fate == mayHaveRun {
+	if fail.fate == mayHaveRun && !e.hasEnded(ctx, fail.target) {
 		e.runs++
 	}
 	if ctx.Err() != nil {
@@ -227,6 +235,12 @@
 	return false
 }
 
+// hasEnded says whether the target of a request that may run again has ended. Its
+// run then ended with it and does not count against the route's targets.
+func (e *exchange) hasEnded(ctx context.Context, target catalog.Target) bool {
+	return e.route.Repeatable() && ctx.Err() == nil && e.relay.pool.refuses(ctx, poolKey{target.TargetKey, target.Addr})
+}
+
 // noTarget answers a request that no target takes.
 func (e *exchange) noTarget() {
 	if e.runs > 0 {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -14,6 +14,7 @@
 	connects     prometheus.Counter
 	staleAnswers prometheus.Counter
 	cachedChains prometheus.Counter
+	unlogged     prometheus.Counter
 }
 
 // buckets cover a few milliseconds to the longest deadlines, in seconds.
@@ -41,7 +42,10 @@
 	m.cachedChains = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "rhubarbsaddle_cached_chains_total", Help: "Chains of turns that were assembled without the ledger.",
 	})
-	reg.MustRegister(m.requests, m.seconds, m.first, m.connects, m.staleAnswers, m.cachedChains)
+	m.unlogged = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "rhubarbsaddle_requests_unlogged_total", Help: "Answered requests without a log line, beyond the bound of lines a second.",
+	})
+	reg.MustRegister(m.unlogged, m.requests, m.seconds, m.first, m.connects, m.staleAnswers, m.cachedChains)
 	return m
 }
 
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -17,6 +17,8 @@
 	// connectTimeout bounds a connection attempt. Targets are a few milliseconds
 	// away; the first retransmission of a lost opening packet takes a second.
 	connectTimeout = 400 * time.Millisecond
+	// probeTimeout bounds the look whether a target has ended.
+	probeTimeout = 100 * time.Millisecond
 	// defaultIdle is how long an idle connection is kept if the target does not
 	// say how long it keeps it.
 	defaultIdle = 4 * time.Second
@@ -75,6 +77,27 @@
 	return &conn{nc: nc, in: bufio.NewReaderSize(nc, connBuffer)}, nil
 }
 
+// refuses says whether nothing listens at a target's address any more, as after
+// the end of its process. Its idle connections are closed then.
+func (p *pool) refuses(ctx context.Context, key poolKey) bool {
+	nc, err := netopt.Dialer(probeTimeout).DialContext(ctx, "tcp", key.addr)
+	if err == nil {
+		// Only that it was accepted matters.
+		_ = nc.Close()
+		return false
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[key] {
+		c.close()
+	}
+	delete(p.idle, key)
+	return true
+}
+
 // take removes the connection that was used last.
 func (p *pool) take(key poolKey) *conn {
 	p.mu.Lock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -105,6 +105,7 @@
 	metrics *Metrics
 	pool    *pool
 	turns   *turnCache
+	quota   lineQuota
 
 	config atomic.Pointer[catalog.Config]
 	// ledgerSeen is when the ledger was last within reach, in nanoseconds since
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -66,6 +66,25 @@
 	assert.Equal(t, 2, len(one.Runs())+len(two.Runs())+len(three.Runs()), "the route allows two targets")
 }
 
+// Pattern: targets crash one after the other (srv_flap on grown scale-1). A run that
+// ended with its target does not count against the route's targets.
+func TestRequestOutlivesTargetsThatEnd(t *testing.T) {
+	var targets []*platformtest.Target
+	for _, id := range []string{"i1", "i2", "i3"} {
+		targets = append(targets, platformtest.NewTarget(id, platformtest.Breaks))
+	}
+	for _, target := range targets {
+		target.Behave(func(http.ResponseWriter, *http.Request) { target.Die() })
+	}
+	last := platformtest.NewTarget("i4", platformtest.Says(http.StatusOK, "yes"))
+	b := newBed(t, append(targets, last)...)
+	for range 4 {
+		assert.Equal(t, http.StatusOK, b.call(plain, "x").status)
+	}
+	got := b.call(once, "x")
+	assert.Contains(t, []int{http.StatusOK, http.StatusBadGateway}, got.status)
+}
+
 func TestCutAnswerIsNotPassedAsWhole(t *testing.T) {
 	cut := platformtest.NewTarget("i1", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", "100")
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -38,9 +38,7 @@
 // progress is how far a stream has come, over all its targets.
 type progress struct {
 	started bool
-	events  int
 	lastID  string
-	first   time.Duration
 }
 
 // stream sends the turn and forwards its events. A resumable stream that breaks
@@ -65,6 +63,9 @@
 			return
 		}
 		t.last = err
+		if t.hasEnded(ctx, a.target) {
+			t.runs--
+		}
 		if !t.canResume(ctx) {
 			t.broken(p)
 			return
@@ -90,6 +91,7 @@
 			break
 		}
 		t.sends++
+		t.choice = choice
 		t.tried = append(t.tried, choice.Target.TargetKey)
 		a, fail := t.relay.start(ctx, t.exchange, choice.Target, t.body, p.lastID)
 		if fail == nil && a.answer.NotRun {
@@ -101,7 +103,7 @@
 		}
 		t.logAttempt(choice, fail)
 		t.last = fail.err
-		if fail.fate == mayHaveRun {
+		if fail.fate == mayHaveRun && !t.hasEnded(ctx, choice.Target) {
 			t.runs++
 			if !t.canResume(ctx) {
 				break
@@ -121,7 +123,6 @@
 func (t *turn) broken(p *progress) {
 	t.settle()
 	if p.started {
-		t.logTurn(p.events, p.first, reasonStream)
 		t.abort(reasonStream)
 	}
 	if t.req.Context().Err() == nil && time.Now().Before(t.deadline) {
@@ -198,12 +199,12 @@
 	maps.Copy(t.w.Header(), t.relay.dialect.AnswerHeader(a.response.Header))
 	t.w.WriteHeader(a.response.StatusCode)
 	p.started = true
-	p.first = time.Since(t.arrived)
+	t.first = time.Since(t.arrived)
+	t.relay.metrics.firstEvent(t.first)
 }
 
 // took accounts for an event that went to the caller.
 func (t *turn) took(ev event, p *progress) {
-	p.events++
 	if ev.id != "" {
 		p.lastID = ev.id
 	}
@@ -223,12 +224,10 @@
 		if err := t.keep(ctx); err != nil {
 			t.last = err
 			t.settle()
-			t.logTurn(p.events, p.first, reasonNotKept)
 			t.abort(reasonNotKept)
 		}
 	}
 	t.settle()
-	t.logTurn(p.events, p.first, reasonAnswered)
 	t.logEnd(http.StatusOK, reasonAnswered)
 }
 
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -33,12 +33,8 @@
 	*exchange
 	// body is the whole prompt: the chain before and the new input.
 	body []byte
-	// prepared is how long the ledger took.
-	prepared time.Duration
 	// reserved says that the ledger may hold a reservation.
 	reserved bool
-	// tokens counts what was handed to the caller.
-	tokens int
 	// output collects the data of the events, for kept turns.
 	output []byte
 }
@@ -50,7 +46,7 @@
 		t.settle()
 		return
 	}
-	t.prepared = time.Since(t.arrived)
+	t.ledgerTook = time.Since(t.arrived)
 	t.stream(ctx)
 }
 
@@ -190,12 +186,3 @@
 	}
 	return 1
 }
-
-// logTurn writes the line of a turn's end.
-func (t *turn) logTurn(events int, first time.Duration, reason string) {
-	t.relay.metrics.firstEvent(first)
-	t.relay.log.Debug().Str("event", "turn_end").Str("request", t.call.ID).Str("program", t.call.Program).
-		Int("events", events).Int("tokens", t.tokens).Dur("prepared_ms", t.prepared).Dur("first_ms", first).
-		Int("body_bytes", len(t.body)).
-		Str("reason", reason).Msg("")
-}
