discovery: entries tell members of their tunnels, and write nothing to the store

Cause: entries announced their tunnels with a conditional write. Change: FollowState carries the tunnel; members pass on those heard of within 30 s.

--- a/daemon/resident/entry.go
+++ b/daemon/resident/entry.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/discovery"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/quorum"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/transport"
 	"github.com/rhubarbsaddle/rhubarbsaddle/netopt"
@@ -40,8 +41,6 @@
 	// ledgerAway is how long the ledger may be out of reach before the entry leaves
 	// the balancer. A connection that broke is back sooner.
 	ledgerAway = time.Second
-	// withdrawTimeout bounds the removal of the announcement at the end.
-	withdrawTimeout = 300 * time.Millisecond
 	// defaultHeaderTimeout bounds the reading of a header; the operators' limit is
 	// not known when the server starts.
 	defaultHeaderTimeout = 10 * time.Second
@@ -67,7 +66,7 @@
 	defer cancel()
 	e := &entry{process: p, idle: newIdleConns()}
 	e.ledger = quorum.NewRelayed(p.settings.Domain, p.settings.DisksLost, func() []string {
-		return e.follower.Directory.Entries(p.settings.VM)
+		return e.follower.Directory.Tunnels(p.settings.VM)
 	})
 	e.relay = relay.New(relay.Options{
 		Dialect: platform.Dialect{}, Ledger: e.ledger, Domain: p.settings.Domain, Log: p.log,
@@ -78,6 +77,7 @@
 		e.relay.Update(s)
 	})
 	e.follower.ThroughPeers = true
+	e.follower.Tunnel = &ledgerpb.Tunnel{Vm: p.settings.VM, Addr: p.settings.Listen.Tunnel}
 	go e.follower.Run(ctx)
 	ready, err := e.serveReady()
 	if err != nil {
@@ -148,8 +148,8 @@
 	}
 }
 
-// serveTunnel passes other entries' connections on to ledger members and tells
-// the others where.
+// serveTunnel passes other entries' connections on to ledger members. The members
+// tell the others where.
 func (e *entry) serveTunnel(ctx context.Context) error {
 	addr := e.settings.Listen.Tunnel
 	listener, err := netopt.ListenConfig().Listen(ctx, "tcp", addr)
@@ -169,7 +169,6 @@
 			e.log.Error().Str("event", "tunnel_off").Err(err).Msg("")
 		}
 	}()
-	go e.follower.Announce(ctx, discovery.EntryPrefix+e.settings.VM, []byte(addr))
 	return nil
 }
 
@@ -249,7 +248,4 @@
 		e.log.Warn().Str("event", "server_close").Err(err).Msg("")
 	}
 	e.ledger.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
-	defer cancel()
-	e.follower.Withdraw(ctx, discovery.EntryPrefix+e.settings.VM)
 }
--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -21,10 +21,6 @@
 // ViewKey is where the ledger's membership lies in the store.
 const ViewKey = "rhubarbsaddle/ledger/view"
 
-// EntryPrefix stands before the keys at which entries tell the address of their
-// tunnel.
-const EntryPrefix = "rhubarbsaddle/entries/"
-
 // Decoder reads the values that the platform's other users write.
 type Decoder struct {
 	// ConfigKey is where the operators' configuration lies.
@@ -40,6 +36,10 @@
 // more reads everything.
 const maxChanges = 512
 
+// tunnelMemory is how long an entry that is not heard of any more is told to
+// others. One that ended only costs them a connection attempt.
+const tunnelMemory = 30 * time.Second
+
 // Directory is what a process knows of the store. Invariants: the configuration
 // and the membership never go back to an older version, and a key never to an older
 // revision.
@@ -59,6 +59,7 @@
 	since    int64
 	current  bool
 	news     chan struct{}
+	tunnels  map[string]tunnel
 	config   *catalog.Config
 	view     ledger.View
 	registry *catalog.Registry
@@ -76,7 +77,7 @@
 func NewDirectory(decoder Decoder, logger *log.Logger, changed func(Snapshot)) *Directory {
 	return &Directory{
 		decoder: decoder, log: logger, changed: changed,
-		entries: make(map[string]core.StoreEntry), registry: catalog.NewRegistry(), news: make(chan struct{}),
+		entries: make(map[string]core.StoreEntry), registry: catalog.NewRegistry(), news: make(chan struct{}), tunnels: make(map[string]tunnel),
 	}
 }
 
@@ -252,19 +253,50 @@
 	return d.entries[key].Value
 }
 
-// Entries returns the addresses of the entries' tunnels but that of the VM itself.
-func (d *Directory) Entries(self string) []string {
+// tunnel is an entry through which members can be reached.
+type tunnel struct {
+	addr string
+	seen time.Time
+}
+
+// NoteTunnel records an entry that passes connections on.
+func (d *Directory) NoteTunnel(vm, addr string, now time.Time) {
+	if vm == "" || addr == "" {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tunnels[vm] = tunnel{addr: addr, seen: now}
+}
+
+// Tunnels returns the addresses of the entries that pass connections on, but not
+// that of the VM itself.
+func (d *Directory) Tunnels(self string) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var addrs []string
-	for key, e := range d.entries {
-		if vm, ok := strings.CutPrefix(key, EntryPrefix); ok && vm != self && e.Value != nil {
-			addrs = append(addrs, string(e.Value))
+	for _, vm := range slices.Sorted(maps.Keys(d.tunnels)) {
+		if vm != self {
+			addrs = append(addrs, d.tunnels[vm].addr)
 		}
 	}
 	return addrs
 }
 
+// wireTunnels returns the tunnels in the form that processes exchange, and forgets
+// old ones.
+func (d *Directory) wireTunnels(now time.Time) []*ledgerpb.Tunnel {
+	var all []*ledgerpb.Tunnel
+	for vm, t := range d.tunnels {
+		if now.Sub(t.seen) > tunnelMemory {
+			delete(d.tunnels, vm)
+			continue
+		}
+		all = append(all, &ledgerpb.Tunnel{Vm: vm, Addr: t.addr})
+	}
+	return all
+}
+
 // LearnView takes a membership that another process told.
 func (d *Directory) LearnView(view ledger.View) {
 	d.mu.Lock()
@@ -284,7 +316,7 @@
 
 // state returns what is news to a process whose knowledge is as of a revision.
 func (d *Directory) state(after int64) *ledgerpb.State {
-	state := &ledgerpb.State{View: d.view.Encode(), Revision: d.revision, Current: d.current}
+	state := &ledgerpb.State{View: d.view.Encode(), Revision: d.revision, Current: d.current, Tunnels: d.wireTunnels(time.Now())}
 	if after > 0 && after >= d.since {
 		state.ChangesOnly = true
 		for _, e := range d.changes {
@@ -314,7 +346,8 @@
 	if d.revision > after {
 		return d.state(after), nil
 	}
-	return &ledgerpb.State{View: d.view.Encode(), Revision: d.revision, Current: d.current, ChangesOnly: true}, d.news
+	state := &ledgerpb.State{View: d.view.Encode(), Revision: d.revision, Current: d.current, ChangesOnly: true, Tunnels: d.wireTunnels(time.Now())}
+	return state, d.news
 }
 
 // Revision returns the store's revision that the directory is as of.
@@ -329,6 +362,9 @@
 	if view, err := ledger.DecodeView(state.GetView()); err == nil {
 		d.LearnView(view)
 	}
+	for _, t := range state.GetTunnels() {
+		d.NoteTunnel(t.GetVm(), t.GetAddr(), now)
+	}
 	entries := make([]core.StoreEntry, 0, len(state.GetEntries()))
 	for _, e := range state.GetEntries() {
 		entry := core.StoreEntry{Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision()}
--- a/discovery/directory_test.go
+++ b/discovery/directory_test.go
@@ -89,6 +89,19 @@
 	assert.Equal(t, leader.Snapshot().Targets, follower.Snapshot().Targets)
 }
 
+// Pattern: entries write nothing to the store. They tell members where their tunnels
+// are, and members tell the other entries.
+func TestTunnelsAreLearntFromMembers(t *testing.T) {
+	member, one := newDirectory(), newDirectory()
+	member.NoteTunnel("entry-1", "10.0.0.1:1", time.Now())
+	member.NoteTunnel("entry-2", "10.0.0.2:1", time.Now())
+	member.NoteTunnel("old", "10.0.0.3:1", time.Now().Add(-time.Hour))
+	member.NoteTunnel("", "", time.Now())
+	state, _ := member.News(0)
+	one.Learn(state, time.Now())
+	assert.Equal(t, []string{"10.0.0.2:1"}, one.Tunnels("entry-1"))
+}
+
 func TestDirectFollowerKeepsUpThroughOutages(t *testing.T) {
 	server := platformtest.NewStore()
 	t.Cleanup(server.Close)
--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -44,6 +44,9 @@
 	// ThroughPeers follows members and reads the store only when none of them is
 	// current, since the platform counts every process that watches its store.
 	ThroughPeers bool
+	// Tunnel is told to the members that are followed; nil if this process passes
+	// no connections on.
+	Tunnel *ledgerpb.Tunnel
 
 	connected atomic.Bool
 	peers     peerLoops
--- a/discovery/through.go
+++ b/discovery/through.go
@@ -126,7 +126,7 @@
 	defer conn.Close()
 	for {
 		response, err := conn.Call(ctx, &ledgerpb.Request{Call: &ledgerpb.Request_FollowState{FollowState: &ledgerpb.FollowState{
-			After: f.Directory.Revision(), WaitMs: uint32(followWait.Milliseconds()),
+			After: f.Directory.Revision(), WaitMs: uint32(followWait.Milliseconds()), Tunnel: f.Tunnel,
 		}}})
 		if err != nil {
 			return err
--- a/ledger/member/serve.go
+++ b/ledger/member/serve.go
@@ -129,6 +129,7 @@
 
 // followState answers when there is news of the store, or when the wait is over.
 func (m *Member) followState(call *ledgerpb.FollowState, answer func(*ledgerpb.Response)) {
+	m.options.Directory.NoteTunnel(call.GetTunnel().GetVm(), call.GetTunnel().GetAddr(), time.Now())
 	state, news := m.options.Directory.News(call.GetAfter())
 	if news != nil {
 		timer := time.NewTimer(time.Duration(call.GetWaitMs()) * time.Millisecond)
