--- /dev/null
+++ b/daemon/resident/entry_test.go
@@ -0,0 +1,182 @@
+package resident
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
+	"github.com/rhubarbsaddle/rhubarbsaddle/config"
+	"github.com/rhubarbsaddle/rhubarbsaddle/config/load"
+	"github.com/rhubarbsaddle/rhubarbsaddle/discovery"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/quorum"
+	"github.com/rhubarbsaddle/rhubarbsaddle/platform"
+	"github.com/rhubarbsaddle/rhubarbsaddle/platform/platformtest"
+	"github.com/rhubarbsaddle/rhubarbsaddle/relay"
+)
+
+// newEntry returns an entry whose only target answers after a time.
+func newEntry(t *testing.T, answersAfter time.Duration) (*entry, *callers) {
+	t.Helper()
+	target := platformtest.NewTarget("i1", func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(answersAfter)
+		_, _ = io.WriteString(w, "yes")
+	})
+	t.Cleanup(target.Close)
+	settings := &config.Resident{VM: "entry-1", Bounds: config.ResidentBounds{GraceS: 8}}
+	settings.Listen.Callers = "127.0.0.1:0"
+	registry := prometheus.NewRegistry()
+	e := &entry{
+		process: &process{settings: settings, log: &log.Logger{Level: log.PanicLevel}, registry: registry},
+		idle:    newIdleConns(),
+		ledger:  quorum.NewRelayed("d", 1, func() []string { return nil }),
+	}
+	e.relay = relay.New(relay.Options{Dialect: platform.Dialect{}, Ledger: e.ledger, Domain: "d", Log: e.log, Metrics: relay.NewMetrics(registry)})
+	conf := &catalog.Config{Version: 1, Services: map[string]catalog.Service{"s": {}}, Routes: []catalog.Route{{
+		Host: "h.example", Prefix: "/", Kind: catalog.NonIdempotent, Shares: []catalog.Share{{Service: "s", Weight: 1}},
+		Timeout: 5 * time.Second, MaxTargets: 1,
+	}}}
+	conf.Index()
+	e.relay.Update(discovery.Snapshot{Config: conf, Targets: []catalog.Target{{
+		TargetKey: catalog.TargetKey{ID: "i1"}, Service: "s", Addr: target.Addr(), Domain: "d", Slots: 1000,
+	}}})
+	c, err := e.serveCallers()
+	require.NoError(t, err)
+	return e, c
+}
+
+func call(client *http.Client, addr string, n int64) error {
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/x", strings.NewReader("x"))
+	if err != nil {
+		return err
+	}
+	req.Host = "h.example"
+	req.Header.Set(platformtest.RequestID, fmt.Sprint("r", n))
+	response, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err == nil && string(body) != "yes" {
+		return fmt.Errorf("status %d, body %q", response.StatusCode, body)
+	}
+	return err
+}
+
+// Pattern: callers keep their open connections busy while an entry is stopped
+// (sonoro scale-2 and trouble-3). No request that was read may be cut, and the entry
+// has to end in time.
+func TestStoppingEntryCutsNothingAndEndsInTime(t *testing.T) {
+	e, c := newEntry(t, 60*time.Millisecond)
+	addr := c.listener.Addr().String()
+	var served, cut atomic.Int64
+	var next atomic.Int64
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for range 12 {
+		clients.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				err := call(client, addr, next.Add(1))
+				switch {
+				case err == nil:
+					served.Add(1)
+				case errors.Is(err, syscall.ECONNREFUSED):
+					return
+				case !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET):
+					// A connection that was closed before the request was read is allowed.
+					cut.Add(1)
+				}
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	began := time.Now()
+	e.drain(c)
+	took := time.Since(began)
+	close(stop)
+	clients.Wait()
+	assert.Less(t, took, e.settings.Bounds.Grace()-graceMargin)
+	assert.Zero(t, cut.Load())
+	assert.Greater(t, served.Load(), int64(100))
+	assert.False(t, e.isReady())
+}
+
+// Pattern: a connection is closed for its idleness at the moment at which a request
+// comes on it (sonoro scale-2). The request must not reach a target.
+func TestRequestOnAClosedConnectionIsNotPassedOn(t *testing.T) {
+	idle := newIdleConns()
+	one, two := net.Pipe()
+	t.Cleanup(func() { _ = two.Close() })
+	idle.follow(one, http.StateNew)
+	passed := false
+	handler := idle.guard(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { passed = true }))
+	req, err := http.NewRequestWithContext(idle.context(context.Background(), one), http.MethodGet, "/", nil)
+	require.NoError(t, err)
+
+	handler.ServeHTTP(nil, req)
+	assert.True(t, passed)
+
+	passed = false
+	assert.Equal(t, 1, idle.closeOlder(time.Now().Add(time.Second)))
+	idle.follow(one, http.StateActive)
+	assert.Panics(t, func() { handler.ServeHTTP(nil, req) })
+	assert.False(t, passed)
+	idle.follow(one, http.StateClosed)
+	assert.Empty(t, idle.closed)
+
+	idle.follow(two, http.StateIdle)
+	idle.follow(two, http.StateActive)
+	assert.Zero(t, idle.closeOlder(time.Now().Add(time.Hour)), "a connection in use is never closed")
+}
+
+func TestSettingsAreChecked(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "settings.yaml")
+	write := func(text string) error {
+		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+		_, err := load.Resident(file)
+		return err
+	}
+	const good = `vm: "entry-1"
+role: "entry"
+store: "10.0.0.1:1"
+listen:
+  callers: "10.0.0.2:1"
+  ready: "10.0.0.2:2"
+  tunnel: "10.0.0.2:3"
+bounds:
+  grace_s: 8
+`
+	require.NoError(t, write(good))
+	for text, want := range map[string]string{
+		strings.Replace(good, "vm:", "wm:", 1):                         "wm",
+		strings.Replace(good, `"entry"`, `"ledger"`, 1):                "listen.ledger",
+		strings.Replace(good, `"10.0.0.1:1"`, `"store.example:80"`, 1): "store",
+		strings.Replace(good, "grace_s: 8", "grace_s: 0", 1):           "grace_s",
+		strings.Replace(good, `  ready: "10.0.0.2:2"`+"\n", "", 1):     "listen.ready",
+	} {
+		assert.ErrorContains(t, write(text), want)
+	}
+}
