--- a/relay/turn.go
+++ b/relay/turn.go
@@ -67,39 +67,58 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
 	defer cancel()
-	var spending *ledger.Spending
-	var chain []byte
-	var reserveErr, chainErr error
+	spending, chain, err := t.consult(ctx)
+	if errors.Is(err, quorum.ErrNoSuchTurn) {
+		t.reject(http.StatusNotFound, reasonNoTurn)
+		return false
+	}
+	if err != nil {
+		t.last = err
+		t.refuseLedger()
+		return false
+	}
+	if t.budgeted() && !t.mayBegin(spending) {
+		return false
+	}
+	if len(chain) > 0 {
+		t.body = append(chain, t.exchange.body...)
+	}
+	return true
+}
+
+// consult reserves the turn's tokens and, beside that, reads the chain that it
+// continues. An unknown turn goes before other errors: it is certain.
+func (t *turn) consult(ctx context.Context) (spending *ledger.Spending, chain []byte, err error) {
+	var chainErr error
 	var wait sync.WaitGroup
 	if t.continues() {
 		wait.Go(func() { chain, chainErr = t.readChain(ctx) })
 	}
 	if t.budgeted() {
 		t.reserved = true
-		spending, reserveErr = t.relay.ledger.Append(ctx, ledger.NewReservation(
+		spending, err = t.relay.ledger.Append(ctx, ledger.NewReservation(
 			t.call.Program, t.call.ID, t.call.MaxTokens, uint64(t.route.Retention.Milliseconds())))
 	}
 	wait.Wait()
 	if errors.Is(chainErr, quorum.ErrNoSuchTurn) {
-		t.reject(http.StatusNotFound, reasonNoTurn)
-		return false
+		return nil, nil, chainErr
 	}
-	if err := errors.Join(reserveErr, chainErr); err != nil {
-		t.last = err
-		t.refuseLedger()
-		return false
-	}
-	if t.budgeted() && spending.Committed(t.call.ID)+t.call.MaxTokens > t.call.BudgetTokens {
+	return spending, chain, errors.Join(err, chainErr)
+}
+
+// mayBegin checks the program's budget and, for a program that begins, the load. If
+// it returns false, the caller has its answer.
+func (t *turn) mayBegin(spending *ledger.Spending) bool {
+	committed := spending.Committed(t.call.ID)
+	if committed+t.call.MaxTokens > t.call.BudgetTokens {
 		t.reject(http.StatusPaymentRequired, reasonBudget)
 		return false
 	}
-	if t.budgeted() && spending.Committed(t.call.ID) == 0 && t.call.Previous == "" && !t.relay.admits(t.service, t.route.Priority) {
+	begins := committed == 0 && t.call.Previous == ""
+	if begins && !t.relay.admits(t.service, t.route.Priority) {
 		t.refuse(reasonOverload, t.relay.retryAfter(t.service))
 		return false
 	}
-	if len(chain) > 0 {
-		t.body = append(chain, t.exchange.body...)
-	}
 	return true
 }
 
