--- /dev/null
+++ b/ctxwait/ctxwait.go
@@ -0,0 +1,17 @@
+// Package ctxwait waits for a time or the end of a context.
+package ctxwait
+
+import (
+	"context"
+	"time"
+)
+
+// For returns after d, or earlier when ctx ends.
+func For(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ctxwait"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/transport"
 	"github.com/rhubarbsaddle/rhubarbsaddle/store"
@@ -75,7 +76,7 @@
 			return
 		}
 		f.lost(err)
-		wait(ctx, pause/2+rand.N(pause))
+		ctxwait.For(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, retryMax)
 	}
 }
@@ -134,8 +135,8 @@
 
 // askPeers learns from ledger members while the store is away.
 func (f *Follower) askPeers(ctx context.Context) {
-	wait(ctx, askAtStart)
-	for ; ctx.Err() == nil; wait(ctx, f.askPause()) {
+	ctxwait.For(ctx, askAtStart)
+	for ; ctx.Err() == nil; ctxwait.For(ctx, f.askPause()) {
 		if f.connected.Load() {
 			continue
 		}
@@ -171,12 +172,3 @@
 	}
 	f.Directory.Learn(response.GetState(), time.Now())
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/discovery/through.go
+++ b/discovery/through.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/ctxwait"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/transport"
 )
@@ -78,7 +79,7 @@
 	stop := func() {}
 	directly := false
 	// A process that starts may know nobody yet, so it reads the store at once.
-	for ; ctx.Err() == nil; wait(ctx, directPeriod) {
+	for ; ctx.Err() == nil; ctxwait.For(ctx, directPeriod) {
 		current := f.peers.isCurrent(time.Now())
 		switch {
 		case current && directly:
@@ -110,10 +111,10 @@
 			}
 			f.Directory.log.Debug().Str("event", "member_left").Str("peer", addr).Err(err).Msg("following another")
 			if errors.Is(err, errNotCurrent) && f.Directory.Snapshot().Config != nil {
-				wait(ctx, askPeriod/2)
+				ctxwait.For(ctx, askPeriod/2)
 			}
 		}
-		wait(ctx, peerPause)
+		ctxwait.For(ctx, peerPause)
 	}
 }
 
--- a/ledger/member/copy.go
+++ b/ledger/member/copy.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/ctxwait"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/transport"
@@ -60,7 +61,7 @@
 	for ctx.Err() == nil {
 		view := m.options.Directory.Snapshot().View
 		if view.Version == 0 {
-			pause(ctx, seatPeriod)
+			ctxwait.For(ctx, seatPeriod)
 			continue
 		}
 		for _, seat := range view.Seats {
@@ -78,20 +79,15 @@
 func (m *Member) copyFrom(ctx context.Context, seat ledger.Seat, version uint64) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	conn, err := transport.Dial(ctx, seat.Addr)
+	conn, keys, status, err := m.list(ctx, seat, version)
 	if err != nil {
 		return 0, err
 	}
 	defer conn.Close()
-	listed, err := conn.Call(ctx, &ledgerpb.Request{ViewVersion: version, Call: &ledgerpb.Request_ListKeys{ListKeys: &ledgerpb.ListKeys{}}})
-	if err != nil {
-		return 0, err
-	}
-	m.learn(listed)
-	if listed.GetStatus() != ledgerpb.Status_STATUS_OK {
-		return 0, &Error{Step: "copy", Peer: seat.Name, Err: fmt.Errorf("status %v", listed.GetStatus())}
+	if status != ledgerpb.Status_STATUS_OK {
+		return 0, &Error{Step: "copy", Peer: seat.Name, Err: fmt.Errorf("status %v", status)}
 	}
-	missing := m.missing(listed.GetKeys())
+	missing := m.missing(keys)
 	copied := 0
 	for len(missing) > 0 {
 		batch := missing[:min(copyKeys, len(missing))]
@@ -112,6 +108,22 @@
 	return copied, nil
 }
 
+// list connects to a member and asks for the keys of its records. Both must act on
+// the membership of that version.
+func (m *Member) list(ctx context.Context, seat ledger.Seat, version uint64) (*transport.Conn, []uint64, ledgerpb.Status, error) {
+	conn, err := transport.Dial(ctx, seat.Addr)
+	if err != nil {
+		return nil, nil, 0, err
+	}
+	listed, err := conn.Call(ctx, &ledgerpb.Request{ViewVersion: version, Call: &ledgerpb.Request_ListKeys{ListKeys: &ledgerpb.ListKeys{}}})
+	if err != nil {
+		conn.Close()
+		return nil, nil, 0, err
+	}
+	m.learn(listed)
+	return conn, listed.GetKeys(), listed.GetStatus(), nil
+}
+
 // learn takes the membership of a member that refused an older one.
 func (m *Member) learn(response *ledgerpb.Response) {
 	if response.GetStatus() != ledgerpb.Status_STATUS_STALE_VIEW {
@@ -202,20 +214,15 @@
 func (m *Member) handTo(ctx context.Context, seat ledger.Seat, version uint64) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	conn, err := transport.Dial(ctx, seat.Addr)
+	conn, keys, status, err := m.list(ctx, seat, version)
 	if err != nil {
 		return 0, err
 	}
 	defer conn.Close()
-	listed, err := conn.Call(ctx, &ledgerpb.Request{ViewVersion: version, Call: &ledgerpb.Request_ListKeys{ListKeys: &ledgerpb.ListKeys{}}})
-	if err != nil {
-		return 0, err
-	}
-	m.learn(listed)
-	if status := listed.GetStatus(); status != ledgerpb.Status_STATUS_OK && status != ledgerpb.Status_STATUS_RECOVERING {
+	if status != ledgerpb.Status_STATUS_OK && status != ledgerpb.Status_STATUS_RECOVERING {
 		return 0, fmt.Errorf("status %v", status)
 	}
-	lacking := m.locations(listed.GetKeys())
+	lacking := m.locations(keys)
 	handed := 0
 	for len(lacking) > 0 {
 		n, err := m.hand(ctx, conn, lacking, version)
--- a/ledger/member/member.go
+++ b/ledger/member/member.go
@@ -17,6 +17,7 @@
 	"github.com/phuslu/log"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/ctxwait"
 	"github.com/rhubarbsaddle/rhubarbsaddle/discovery"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
@@ -178,7 +179,7 @@
 func (m *Member) followView(ctx context.Context) {
 	for ctx.Err() == nil {
 		m.peers.SetView(m.options.Directory.Snapshot().View)
-		pause(ctx, viewPeriod)
+		ctxwait.For(ctx, viewPeriod)
 	}
 }
 
@@ -194,7 +195,7 @@
 		}
 		if err != nil {
 			m.log.Warn().Str("event", "accept_failed").Err(err).Msg("")
-			pause(ctx, acceptPause)
+			ctxwait.For(ctx, acceptPause)
 			continue
 		}
 		go m.serve(ctx, nc)
--- a/ledger/member/seat.go
+++ b/ledger/member/seat.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/ctxwait"
 	"github.com/rhubarbsaddle/rhubarbsaddle/discovery"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
@@ -34,7 +35,7 @@
 // keepSeat holds the member's place in the membership until ctx ends.
 func (m *Member) keepSeat(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, seatPeriod/2+rand.N(seatPeriod))
+		ctxwait.For(ctx, seatPeriod/2+rand.N(seatPeriod))
 		if err := m.stepSeat(ctx); err != nil {
 			m.log.Warn().Str("event", "seat_step_failed").Err(err).Msg("trying again")
 		}
@@ -113,7 +114,7 @@
 			if answered = answered || m.ping(ctx, seat); answered {
 				break
 			}
-			pause(ctx, seatPeriod)
+			ctxwait.For(ctx, seatPeriod)
 		}
 		if !answered {
 			return seat.Name, ctx.Err() == nil
@@ -210,7 +211,7 @@
 func (m *Member) watchOthers(ctx context.Context) {
 	heard := make(map[string]time.Time)
 	for ctx.Err() == nil {
-		pause(ctx, pingPeriod/2+rand.N(pingPeriod))
+		ctxwait.For(ctx, pingPeriod/2+rand.N(pingPeriod))
 		view := m.options.Directory.Snapshot().View
 		if !m.ready.Load() || !view.CanSpare(m.options.DisksLost) {
 			clear(heard)
@@ -276,12 +277,3 @@
 	}
 	return false
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/ledger/member/state.go
+++ b/ledger/member/state.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/ctxwait"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 )
 
@@ -44,7 +45,7 @@
 	path := filepath.Join(m.options.Dir, stateFile)
 	written := int64(0)
 	for ctx.Err() == nil {
-		pause(ctx, statePeriod)
+		ctxwait.For(ctx, statePeriod)
 		state := m.options.Directory.State()
 		if state.GetRevision() == written {
 			continue
--- a/ledger/quorum/client.go
+++ b/ledger/quorum/client.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/ctxwait"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 )
@@ -121,7 +122,7 @@
 		if ctx.Err() != nil {
 			return false
 		}
-		pause(ctx, awaitPoll)
+		ctxwait.For(ctx, awaitPoll)
 	}
 	return true
 }
--- a/ledger/quorum/link.go
+++ b/ledger/quorum/link.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/ctxwait"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/transport"
@@ -64,7 +65,7 @@
 	for ctx.Err() == nil {
 		conn, err := l.dial(ctx)
 		if err != nil {
-			pause(ctx, wait+rand.N(wait))
+			ctxwait.For(ctx, wait+rand.N(wait))
 			wait = min(2*wait, redialMax)
 			continue
 		}
@@ -166,15 +167,6 @@
 	return true
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (l *link) connected(conn *transport.Conn) {
 	l.mu.Lock()
 	l.conn = conn
--- a/ledger/quorum/relay.go
+++ b/ledger/quorum/relay.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/ctxwait"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 )
@@ -83,7 +84,7 @@
 			}
 			r.note(false)
 			sent, failures = 0, 0
-			pause(ctx, relayRetry)
+			ctxwait.For(ctx, relayRetry)
 		case <-hedge.C:
 		case <-ctx.Done():
 		}
