--- a/local/process.go
+++ b/local/process.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -63,18 +66,41 @@
 		if *addr != loopback {
 			continue
 		}
-		l, err := net.Listen("tcp", loopback)
+		free, err := freeAddress()
 		if err != nil {
 			return err
 		}
-		*addr = l.Addr().String()
-		if err := l.Close(); err != nil {
-			return err
-		}
+		*addr = free
 	}
 	return nil
 }
 
+const (
+	// firstPort and lastPort bound the ports of processes. They lie below those
+	// that the system gives to outgoing connections and to listeners that name
+	// none, which could take a port between its choice and the process's start.
+	firstPort, lastPort = 12000, 30000
+	// portAttempts bounds the search for a free port.
+	portAttempts = 100
+)
+
+// errNoPort is the cause when no port is free.
+var errNoPort = errors.New("no free port was found")
+
+// freeAddress returns a loopback address with a free port.
+func freeAddress() (string, error) {
+	for range portAttempts {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			// Another process has it.
+			continue
+		}
+		return addr, l.Close()
+	}
+	return "", errNoPort
+}
+
 // Close kills the process.
 func (p *process) Close() {
 	// The process has ended by itself if the kill fails.
