relay, ledger: ids that are no text are rejected; a call that cannot be encoded fails alone

Cause, found by reading: a caller's program or turn id may hold any bytes. Protocol Buffers refuse text that is not UTF-8, and a refused frame ended the connection that all callers of an entry share; the call was then sent again over the next one. Change: such turns get 400 before the ledger is asked; a frame that cannot be encoded fails its own call only. Both tests fail before.

--- a/ledger/quorum/client_test.go
+++ b/ledger/quorum/client_test.go
@@ -122,6 +122,21 @@
 	}
 }
 
+// One record that cannot be encoded must not end the connection that all callers
+// share.
+func TestRecordThatCannotBeEncodedFailsAlone(t *testing.T) {
+	conn, err := transport.Dial(within(t, time.Second), scripted(t, accepts))
+	require.NoError(t, err)
+	t.Cleanup(conn.Close)
+	bad := &ledgerpb.Request{Call: &ledgerpb.Request_Append{Append: &ledgerpb.Append{Records: []*ledgerpb.Record{
+		ledger.NewReservation("p\xff", "a", 1, 1),
+	}}}}
+	_, err = conn.Call(within(t, 300*time.Millisecond), bad)
+	assert.ErrorContains(t, err, "UTF-8")
+	_, err = conn.Call(within(t, 5*time.Second), &ledgerpb.Request{})
+	assert.NoError(t, err)
+}
+
 func TestUnknownTurnNeedsAQuorum(t *testing.T) {
 	client, _ := newClient(t, unknown, unknown, silent)
 	_, err := client.ReadChain(within(t, 5*time.Second), "t")
--- a/ledger/transport/transport.go
+++ b/ledger/transport/transport.go
@@ -7,11 +7,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 	"github.com/rhubarbsaddle/rhubarbsaddle/netopt"
@@ -148,7 +151,7 @@
 	for {
 		select {
 		case req := <-c.out:
-			if _, err := protodelim.MarshalTo(buffered, req); err != nil {
+			if err := c.writeFrame(buffered, req); err != nil {
 				c.end(err)
 				return
 			}
@@ -165,6 +168,21 @@
 	}
 }
 
+// writeFrame writes one call. One that cannot be encoded, such as for text that is
+// not UTF-8, fails alone; nothing of it has been written.
+func (c *Conn) writeFrame(out io.Writer, req *ledgerpb.Request) error {
+	frame, err := proto.Marshal(req)
+	if err != nil {
+		c.finish(req.GetSeq(), nil, err)
+		return nil
+	}
+	if _, err := out.Write(protowire.AppendVarint(nil, uint64(len(frame)))); err != nil {
+		return err
+	}
+	_, err = out.Write(frame)
+	return err
+}
+
 func (c *Conn) read() {
 	in := bufio.NewReaderSize(c.nc, bufferBytes)
 	options := protodelim.UnmarshalOptions{MaxSize: MaxFrameBytes}
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -15,6 +15,7 @@
 	reasonNoRoute    = "no_route"
 	reasonTooLarge   = "body_too_large"
 	reasonBadBody    = "body_unreadable"
+	reasonBadID      = "bad_id"
 	reasonFull       = "targets_full"
 	reasonOverload   = "overloaded"
 	reasonTimeout    = "out_of_time"
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/phuslu/log"
 
@@ -52,6 +53,11 @@
 	ResumeAfter string
 }
 
+// storable says whether the call's ids are text that the ledger can store.
+func (c *Call) storable() bool {
+	return utf8.ValidString(c.ID) && utf8.ValidString(c.Program) && utf8.ValidString(c.Previous)
+}
+
 // Answer is what a target says with its answer.
 type Answer struct {
 	// RequestID is the request that the answer belongs to.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -267,6 +267,19 @@
 	assert.Equal(t, runs[2].Body, runs[3].Body)
 }
 
+// A caller may put any bytes into its headers. Ids that the ledger cannot store must
+// not reach it.
+func TestIDThatIsNoTextIsRejected(t *testing.T) {
+	target := platformtest.NewTarget("i1", platformtest.Streams(2, 0, 0))
+	b := newBed(t, target)
+	assert.Equal(t, http.StatusBadRequest, b.call(haggle, "x", program, "p\xff", budget, "500", usage, "5,50").status)
+	assert.Equal(t, http.StatusBadRequest, b.call(haggle, "x", before, "t\xff").status)
+	assert.Equal(t, http.StatusBadRequest, b.call(haggle, "x", platformtest.RequestID, "r\xff").status)
+	assert.Empty(t, target.Runs())
+	assert.Zero(t, b.ledger.ticks)
+	assert.Equal(t, http.StatusOK, b.call(plain, "x", program, "p\xff").status, "what needs no ledger goes on")
+}
+
 func TestUnknownTurnIsNotRun(t *testing.T) {
 	target := platformtest.NewTarget("i1", platformtest.Streams(2, 0, 0))
 	b := newBed(t, target)
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -58,6 +58,10 @@
 // prepare reserves the turn's tokens and assembles its prompt. If it returns
 // false, the caller has its answer.
 func (t *turn) prepare(ctx context.Context) bool {
+	if (t.budgeted() || t.route.KeepsTurns) && !t.call.storable() {
+		t.reject(http.StatusBadRequest, reasonBadID)
+		return false
+	}
 	if !t.budgeted() && !t.continues() {
 		return true
 	}
