mailbox: one actor for the reducers of both paths; a panic of the replica ends the member

The ledger member had its own actor beside daemon/loop's, without its guardian: the actor library restarted it after a panic and told nobody, with a replica in an unknown state. The actor, its look between two messages and its PanicError are one piece now; Loop and Member call it, and Member.Run returns the panic.

--- a/daemon/loop/loop.go
+++ b/daemon/loop/loop.go
@@ -4,14 +4,11 @@
 
 import (
 	"context"
-	"fmt"
-	"log/slog"
 	"sync"
 	"time"
 
-	"github.com/asynkron/protoactor-go/actor"
-
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/mailbox"
 )
 
 // DefaultTick is the period of core.Tick events.
@@ -20,10 +17,7 @@
 // PanicError reports that the reducer panicked. The process has to end: its
 // state can no longer be trusted, and a restart under the same incarnation
 // would break promises that the state made.
-type PanicError struct{ Reason any }
-
-// Error returns the panic's text.
-func (e *PanicError) Error() string { return fmt.Sprintf("reducer: panic: %v", e.Reason) }
+type PanicError = mailbox.PanicError
 
 // Options are the settings of a Loop.
 type Options struct {
@@ -40,42 +34,23 @@
 // Loop is a running reducer.
 type Loop struct {
 	options Options
-	system  *actor.ActorSystem
-	pid     *actor.PID
+	box     *mailbox.Mailbox
 	stop    chan struct{}
 	once    sync.Once
 }
 
-// look is a request to read the reducer's state between two events.
-type look struct {
-	read func()
-	done chan struct{}
-}
-
 // New returns a loop whose reducer has not taken any event. Post and Look may be
 // called once Start was.
 func New(options Options) (*Loop, error) {
 	if options.Tick == 0 {
 		options.Tick = DefaultTick
 	}
-	quiet := func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) }
-	l := &Loop{
-		options: options,
-		system:  actor.NewActorSystem(actor.WithLoggerFactory(quiet)),
-		stop:    make(chan struct{}),
-	}
-	decide := func(reason any) actor.Directive {
-		if options.Fatal != nil {
-			go options.Fatal(&PanicError{Reason: reason})
-		}
-		return actor.StopDirective
-	}
-	props := actor.PropsFromFunc(l.receive, actor.WithGuardian(actor.NewOneForOneStrategy(0, 0, decide)))
-	pid, err := l.system.Root.SpawnNamed(props, "reducer")
+	l := &Loop{options: options, stop: make(chan struct{})}
+	box, err := mailbox.New(l.receive, options.Fatal)
 	if err != nil {
-		return nil, fmt.Errorf("loop: spawn actor: %w", err)
+		return nil, err
 	}
-	l.pid = pid
+	l.box = box
 	return l, nil
 }
 
@@ -84,41 +59,25 @@
 func (l *Loop) Start() { go l.tick() }
 
 // Post passes an event to the reducer. It never blocks.
-func (l *Loop) Post(ev core.Event) { l.system.Root.Send(l.pid, ev) }
+func (l *Loop) Post(ev core.Event) { l.box.Post(ev) }
 
 // Look calls read between two events, so that it may read the reducer's state.
 // It returns the context's error if the loop does not come to it in time.
-func (l *Loop) Look(ctx context.Context, read func()) error {
-	request := &look{read: read, done: make(chan struct{})}
-	l.system.Root.Send(l.pid, request)
-	select {
-	case <-request.done:
-		return nil
-	case <-l.stop:
-		return context.Canceled
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
+func (l *Loop) Look(ctx context.Context, read func()) error { return l.box.Look(ctx, read) }
 
 // Stop ends the ticks and the actor.
 func (l *Loop) Stop() {
 	l.once.Do(func() {
 		close(l.stop)
-		l.system.Root.Stop(l.pid)
-		l.system.Shutdown()
+		l.box.Stop()
 	})
 }
 
-func (l *Loop) receive(ctx actor.Context) {
-	switch msg := ctx.Message().(type) {
-	case core.Event:
-		for _, eff := range l.options.Reducer.Step(msg, l.options.Clock.Now()) {
+func (l *Loop) receive(msg any) {
+	if ev, ok := msg.(core.Event); ok {
+		for _, eff := range l.options.Reducer.Step(ev, l.options.Clock.Now()) {
 			l.options.Run(eff)
 		}
-	case *look:
-		msg.read()
-		close(msg.done)
 	}
 }
 
--- a/ledger/member/copy.go
+++ b/ledger/member/copy.go
@@ -87,7 +87,10 @@
 	if status != ledgerpb.Status_STATUS_OK {
 		return 0, &Error{Step: "copy", Peer: seat.Name, Err: fmt.Errorf("status %v", status)}
 	}
-	missing := m.missing(keys)
+	missing, err := m.missing(ctx, keys)
+	if err != nil {
+		return 0, err
+	}
 	copied := 0
 	for len(missing) > 0 {
 		batch := missing[:min(copyKeys, len(missing))]
@@ -138,16 +141,20 @@
 }
 
 // missing returns the keys of records that this member does not hold.
-func (m *Member) missing(keys []uint64) []uint64 {
+func (m *Member) missing(ctx context.Context, keys []uint64) ([]uint64, error) {
 	var missing []uint64
-	m.inspect(func(r *ledger.Replica) {
+	err := m.inspect(ctx, func(r *ledger.Replica) {
 		for _, key := range keys {
 			if !r.Holds(ledger.Key(key)) {
 				missing = append(missing, key)
 			}
 		}
 	})
-	return missing
+	if err != nil {
+		// The actor may still come to the question.
+		return nil, err
+	}
+	return missing, nil
 }
 
 func fetch(ctx context.Context, conn *transport.Conn, keys []uint64) ([]*ledgerpb.Record, error) {
@@ -222,7 +229,10 @@
 	if status != ledgerpb.Status_STATUS_OK && status != ledgerpb.Status_STATUS_RECOVERING {
 		return 0, fmt.Errorf("status %v", status)
 	}
-	lacking := m.locations(keys)
+	lacking, err := m.locations(ctx, keys)
+	if err != nil {
+		return 0, err
+	}
 	handed := 0
 	for len(lacking) > 0 {
 		n, err := m.hand(ctx, conn, lacking, version)
@@ -236,14 +246,17 @@
 }
 
 // locations returns where the records lie that are not among the keys.
-func (m *Member) locations(keys []uint64) []ledger.Location {
+func (m *Member) locations(ctx context.Context, keys []uint64) ([]ledger.Location, error) {
 	known := make(map[ledger.Key]bool, len(keys))
 	for _, key := range keys {
 		known[ledger.Key(key)] = true
 	}
 	var locations []ledger.Location
-	m.inspect(func(r *ledger.Replica) { locations = r.Lacking(known) })
-	return locations
+	if err := m.inspect(ctx, func(r *ledger.Replica) { locations = r.Lacking(known) }); err != nil {
+		// The actor may still come to the question.
+		return nil, err
+	}
+	return locations, nil
 }
 
 // hand sends the first records, as many as one frame takes, and returns how many
--- a/ledger/member/member.go
+++ b/ledger/member/member.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"math/rand/v2"
 	"net"
 	"path/filepath"
@@ -13,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/asynkron/protoactor-go/actor"
 	"github.com/phuslu/log"
 	"google.golang.org/protobuf/proto"
 
@@ -23,6 +21,7 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/quorum"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/segment"
+	"github.com/rhubarbsaddle/rhubarbsaddle/mailbox"
 	"github.com/rhubarbsaddle/rhubarbsaddle/netopt"
 	"github.com/rhubarbsaddle/rhubarbsaddle/store"
 )
@@ -66,9 +65,10 @@
 	// as operators asked. Only keepSeat uses them.
 	seatedOnce, retired bool
 	replica             *ledger.Replica
-	system              *actor.ActorSystem
-	pid                 *actor.PID
+	box                 *mailbox.Mailbox
 	commits             chan ledger.Write
+	// broken takes the panic of the replica, after which the member has to end.
+	broken chan error
 	// peers stores records at all members, this one included, for entries.
 	peers    *quorum.Client
 	listener net.Listener
@@ -85,6 +85,7 @@
 	m := &Member{
 		options: options, log: options.Log,
 		commits: make(chan ledger.Write, maxCommits),
+		broken:  make(chan error, 1),
 		answers: make(map[uint64]func(*ledgerpb.Response)),
 		// Members reach each other directly or not at all: an entry that finds one
 		// cut off asks another.
@@ -99,9 +100,10 @@
 		return nil, &Error{Step: "listen", Peer: options.Addr, Err: err}
 	}
 	m.listener = listener
-	quiet := func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) }
-	m.system = actor.NewActorSystem(actor.WithLoggerFactory(quiet))
-	m.pid = m.system.Root.Spawn(actor.PropsFromFunc(m.receive))
+	m.box, err = mailbox.New(m.receive, func(err error) { m.broken <- err })
+	if err != nil {
+		return nil, errors.Join(&Error{Step: "start", Peer: options.Name, Err: err}, listener.Close())
+	}
 	return m, nil
 }
 
@@ -162,8 +164,13 @@
 	for _, loop := range []func(context.Context){m.commit, m.tick, m.keepSeat, m.watchOthers, m.catchUp, m.keepState} {
 		loops.Go(func() { loop(ctx) })
 	}
+	var broken error
 	loops.Go(func() {
-		<-ctx.Done()
+		select {
+		case <-ctx.Done():
+		case broken = <-m.broken:
+			cancel()
+		}
 		// Accept returns; a failure to close changes nothing.
 		_ = m.listener.Close()
 	})
@@ -172,7 +179,8 @@
 	cancel()
 	m.peers.Close()
 	loops.Wait()
-	return errors.Join(err, m.disk.Close())
+	m.box.Stop()
+	return errors.Join(err, broken, m.disk.Close())
 }
 
 // followView tells the client of the peers the membership in force.
@@ -218,34 +226,24 @@
 	}
 }
 
-func (m *Member) post(ev ledger.Event) { m.system.Root.Send(m.pid, ev) }
-
-// look is a request to read the replica between two events.
-type look struct {
-	read func(*ledger.Replica)
-	done chan struct{}
-}
+func (m *Member) post(ev ledger.Event) { m.box.Post(ev) }
 
 // inspect reads the replica between two events.
-func (m *Member) inspect(read func(*ledger.Replica)) {
-	request := &look{read: read, done: make(chan struct{})}
-	m.system.Root.Send(m.pid, request)
-	<-request.done
+func (m *Member) inspect(ctx context.Context, read func(*ledger.Replica)) error {
+	return m.box.Look(ctx, func() { read(m.replica) })
 }
 
 // receive runs in the actor, which owns the replica.
-func (m *Member) receive(c actor.Context) {
-	switch msg := c.Message().(type) {
-	case ledger.Event:
-		for _, effect := range m.replica.Step(msg, time.Now()) {
-			m.run(effect)
-		}
-		m.stats.records.Store(int64(m.replica.Records()))
-		m.stats.programs.Store(int64(m.replica.Programs()))
-	case *look:
-		msg.read(m.replica)
-		close(msg.done)
+func (m *Member) receive(msg any) {
+	ev, ok := msg.(ledger.Event)
+	if !ok {
+		return
+	}
+	for _, effect := range m.replica.Step(ev, time.Now()) {
+		m.run(effect)
 	}
+	m.stats.records.Store(int64(m.replica.Records()))
+	m.stats.programs.Store(int64(m.replica.Programs()))
 }
 
 // run takes an effect of the replica. It runs in the actor and does not block on
