ledger/member: a record that cannot be encoded or read fails its own call

Two causes, found by reading: a record that could not be encoded was written as an empty one, at which the next start would have taken the rest of the file for torn; and a member that could not read a record left it out of its answer, so that one that copies would have taken itself for complete. Records are encoded once, while a batch is gathered, instead of being sized first.

--- a/ledger/member/commit.go
+++ b/ledger/member/commit.go
@@ -28,6 +28,13 @@
 	appends, chains, staleView atomic.Int64
 }
 
+// batch is the writes that one sync makes durable, with their encoded records.
+type batch struct {
+	writes   []ledger.Write
+	payloads [][]byte
+	bytes    int
+}
+
 // commit makes writes durable: one sync serves all that came meanwhile.
 func (m *Member) commit(ctx context.Context) {
 	for {
@@ -41,51 +48,51 @@
 }
 
 // gather takes the writes that wait, up to the size of a batch.
-func (m *Member) gather(first ledger.Write) []ledger.Write {
-	batch := []ledger.Write{first}
-	size := sizeOf(first)
-	for size < maxBatchBytes {
+func (m *Member) gather(first ledger.Write) *batch {
+	b := &batch{}
+	m.add(b, first)
+	for b.bytes < maxBatchBytes {
 		select {
 		case next := <-m.commits:
-			batch = append(batch, next)
-			size += sizeOf(next)
+			m.add(b, next)
 		default:
-			return batch
+			return b
 		}
 	}
-	return batch
+	return b
 }
 
-func sizeOf(w ledger.Write) int {
-	size := 0
+// add encodes a write. One that cannot be encoded fails alone.
+func (m *Member) add(b *batch, w ledger.Write) {
+	payloads := make([][]byte, 0, len(w.Records))
 	for _, rec := range w.Records {
-		size += proto.Size(rec)
+		payload, err := proto.Marshal(rec)
+		if err != nil {
+			m.log.Error().Str("event", "record_rejected").Err(err).Msg("")
+			m.post(ledger.Stored{Ticket: w.Ticket, Failed: true})
+			return
+		}
+		payloads = append(payloads, payload)
+		b.bytes += len(payload)
 	}
-	return size
+	b.writes = append(b.writes, w)
+	b.payloads = append(b.payloads, payloads...)
 }
 
-func (m *Member) commitBatch(batch []ledger.Write) {
-	var payloads [][]byte
-	for _, w := range batch {
-		for _, rec := range w.Records {
-			payload, err := proto.Marshal(rec)
-			if err != nil {
-				m.log.Error().Str("event", "record_rejected").Err(err).Msg("")
-				payload = nil
-			}
-			payloads = append(payloads, payload)
-		}
+func (m *Member) commitBatch(b *batch) {
+	if len(b.writes) == 0 {
+		return
 	}
 	began := time.Now()
-	locations, err := m.disk.Append(payloads)
+	locations, err := m.disk.Append(b.payloads)
 	m.stats.syncNanos.Add(int64(time.Since(began)))
 	m.stats.syncs.Add(1)
 	if err != nil {
-		m.stats.failed.Add(int64(len(batch)))
-		m.log.Error().Str("event", "write_failed").Err(err).Int("writes", len(batch)).Msg("other members make the quorum")
+		m.stats.failed.Add(int64(len(b.writes)))
+		m.log.Error().Str("event", "write_failed").Err(err).Int("writes", len(b.writes)).Msg("other members make the quorum")
 	}
 	m.stats.written.Add(int64(len(locations)))
-	for _, w := range batch {
+	for _, w := range b.writes {
 		stored := ledger.Stored{Ticket: w.Ticket, Keys: w.Keys, Records: w.Records, Failed: err != nil}
 		if err == nil {
 			stored.Locations, locations = locations[:len(w.Records)], locations[len(w.Records):]
@@ -131,8 +138,10 @@
 	for _, at := range e.Locations {
 		payload, err := m.disk.Read(at)
 		if err != nil {
-			m.log.Error().Str("event", "read_failed").Err(err).Msg("the record is left out")
-			continue
+			// A member that copies must not take itself for complete.
+			m.log.Error().Str("event", "read_failed").Err(err).Msg("")
+			m.reply(e.Ticket, &ledgerpb.Response{Status: ledgerpb.Status_STATUS_FAILED})
+			return
 		}
 		response.Records = append(response.Records, payload)
 		size += len(payload)
--- a/ledger/member/copy.go
+++ b/ledger/member/copy.go
@@ -162,6 +162,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if response.GetStatus() != ledgerpb.Status_STATUS_OK {
+		return nil, fmt.Errorf("status %v", response.GetStatus())
+	}
 	records := make([]*ledgerpb.Record, 0, len(response.GetRecords()))
 	for _, payload := range response.GetRecords() {
 		rec := &ledgerpb.Record{}
