--- a/daemon/resident/entry.go
+++ b/daemon/resident/entry.go
@@ -157,7 +157,7 @@
 		return &Error{Step: "listen", Peer: addr, Err: err}
 	}
 	tunnel := &transport.Tunnel{Log: e.log, Allowed: func(member string) bool {
-		for _, seat := range e.follower.Directory.Snapshot().View.Seats {
+		for _, seat := range e.follower.Directory.View().Seats {
 			if seat.Addr == member {
 				return true
 			}
--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -92,16 +92,19 @@
 	for _, e := range entries {
 		listed[e.Key] = true
 	}
+	changed := false
 	for _, key := range slices.Sorted(maps.Keys(d.entries)) {
 		if known := d.entries[key]; !listed[key] && known.Value != nil && known.Revision <= revision {
-			d.apply(core.StoreEntry{Key: key, Revision: revision}, now)
+			changed = d.apply(core.StoreEntry{Key: key, Revision: revision}, now) || changed
 		}
 	}
 	for _, e := range entries {
-		d.apply(e, now)
+		changed = d.apply(e, now) || changed
 	}
 	d.revision = revision
-	d.publish()
+	if changed {
+		d.publish()
+	}
 }
 
 // Change takes changes that a watch reported, up to a revision.
@@ -246,6 +249,27 @@
 	return d.snapshot()
 }
 
+// View returns the membership in force.
+func (d *Directory) View() ledger.View {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.view
+}
+
+// Configured says whether a configuration is known.
+func (d *Directory) Configured() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.config != nil
+}
+
+// Changed returns a channel that is closed at the next change.
+func (d *Directory) Changed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.news
+}
+
 // Value returns an entry's value, or nil.
 func (d *Directory) Value(key string) []byte {
 	d.mu.Lock()
@@ -317,7 +341,7 @@
 // state returns what is news to a process whose knowledge is as of a revision.
 func (d *Directory) state(after int64) *ledgerpb.State {
 	state := &ledgerpb.State{View: d.view.Encode(), Revision: d.revision, Current: d.current, Tunnels: d.wireTunnels(time.Now())}
-	if after > 0 && after >= d.since {
+	if after >= d.revision || after > 0 && after >= d.since {
 		state.ChangesOnly = true
 		for _, e := range d.changes {
 			if e.Revision > after {
@@ -343,10 +367,10 @@
 func (d *Directory) News(after int64) (*ledgerpb.State, <-chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	state := d.state(after)
 	if d.revision > after {
-		return d.state(after), nil
+		return state, nil
 	}
-	state := &ledgerpb.State{View: d.view.Encode(), Revision: d.revision, Current: d.current, ChangesOnly: true, Tunnels: d.wireTunnels(time.Now())}
 	return state, d.news
 }
 
--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -149,7 +149,7 @@
 // askPause returns the time to the next question. A process that has no
 // configuration can serve nobody.
 func (f *Follower) askPause() time.Duration {
-	if f.Directory.Snapshot().Config == nil {
+	if !f.Directory.Configured() {
 		return askAtStart
 	}
 	return askPeriod/2 + rand.N(askPeriod)
@@ -165,7 +165,9 @@
 		return
 	}
 	defer conn.Close()
-	response, err := conn.Call(ctx, &ledgerpb.Request{Call: &ledgerpb.Request_ReadState{ReadState: &ledgerpb.ReadState{}}})
+	response, err := conn.Call(ctx, &ledgerpb.Request{Call: &ledgerpb.Request_FollowState{FollowState: &ledgerpb.FollowState{
+		After: f.Directory.Revision(),
+	}}})
 	if err != nil {
 		f.Directory.log.Debug().Str("event", "peer_unreachable").Str("peer", addr).Err(err).Msg("")
 		return
--- a/discovery/through.go
+++ b/discovery/through.go
@@ -110,7 +110,7 @@
 				return
 			}
 			f.Directory.log.Debug().Str("event", "member_left").Str("peer", addr).Err(err).Msg("following another")
-			if errors.Is(err, errNotCurrent) && f.Directory.Snapshot().Config != nil {
+			if errors.Is(err, errNotCurrent) && f.Directory.Configured() {
 				ctxwait.For(ctx, askPeriod/2)
 			}
 		}
--- a/ledger/member/copy.go
+++ b/ledger/member/copy.go
@@ -59,7 +59,7 @@
 		return
 	}
 	for ctx.Err() == nil {
-		view := m.options.Directory.Snapshot().View
+		view := m.options.Directory.View()
 		if view.Version == 0 {
 			ctxwait.For(ctx, seatPeriod)
 			continue
--- a/ledger/member/member.go
+++ b/ledger/member/member.go
@@ -26,9 +26,6 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/store"
 )
 
-// viewPeriod is the time between two looks at the membership.
-const viewPeriod = 50 * time.Millisecond
-
 // tickPeriod is the time between two ticks of the replica.
 const tickPeriod = time.Second
 
@@ -186,8 +183,12 @@
 // followView tells the client of the peers the membership in force.
 func (m *Member) followView(ctx context.Context) {
 	for ctx.Err() == nil {
-		m.peers.SetView(m.options.Directory.Snapshot().View)
-		ctxwait.For(ctx, viewPeriod)
+		changed := m.options.Directory.Changed()
+		m.peers.SetView(m.options.Directory.View())
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
 	}
 }
 
--- a/ledger/member/seat.go
+++ b/ledger/member/seat.go
@@ -9,7 +9,6 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/ctxwait"
 	"github.com/rhubarbsaddle/rhubarbsaddle/discovery"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
-	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/transport"
 	"github.com/rhubarbsaddle/rhubarbsaddle/store"
 )
@@ -44,7 +43,7 @@
 
 // stepSeat takes the next step towards a ready seat, or out of the membership.
 func (m *Member) stepSeat(ctx context.Context) error {
-	view := m.options.Directory.Snapshot().View
+	view := m.options.Directory.View()
 	if m.isRetiring() {
 		return m.retire(ctx, view)
 	}
@@ -171,7 +170,7 @@
 		if err := m.swapView(ctx, view, view.Without(m.options.Name)); err != nil {
 			return err
 		}
-		view = m.options.Directory.Snapshot().View
+		view = m.options.Directory.View()
 		if _, still := view.Seat(m.options.Name); still {
 			return nil
 		}
@@ -212,7 +211,7 @@
 	heard := make(map[string]time.Time)
 	for ctx.Err() == nil {
 		ctxwait.For(ctx, pingPeriod/2+rand.N(pingPeriod))
-		view := m.options.Directory.Snapshot().View
+		view := m.options.Directory.View()
 		if !m.ready.Load() || !view.CanSpare(m.options.DisksLost) {
 			clear(heard)
 			continue
@@ -234,8 +233,7 @@
 		return false
 	}
 	defer conn.Close()
-	_, err = conn.Call(ctx, &ledgerpb.Request{Call: &ledgerpb.Request_ReadRecords{ReadRecords: &ledgerpb.ReadRecords{}}})
-	return err == nil
+	return conn.Ping(ctx) == nil
 }
 
 func (m *Member) dropSilent(ctx context.Context, view ledger.View, heard map[string]time.Time) {
--- a/ledger/member/serve.go
+++ b/ledger/member/serve.go
@@ -90,8 +90,6 @@
 		go m.relay(call.Relay.GetRecords(), answer)
 	case *ledgerpb.Request_ReadChain:
 		m.readChain(req, call.ReadChain.GetTurn(), answer)
-	case *ledgerpb.Request_ReadState:
-		answer(&ledgerpb.Response{Status: ledgerpb.Status_STATUS_OK, State: m.options.Directory.State()})
 	case *ledgerpb.Request_FollowState:
 		go m.followState(call.FollowState, answer)
 	case *ledgerpb.Request_ListKeys:
@@ -146,7 +144,7 @@
 // listKeys answers to a member that copies or hands over. It relies on this one to
 // refuse writers that act on older memberships, so both must act on the same.
 func (m *Member) listKeys(req *ledgerpb.Request, answer func(*ledgerpb.Response)) {
-	known := m.options.Directory.Snapshot().View.Version
+	known := m.options.Directory.View().Version
 	switch {
 	case req.GetViewVersion() < known:
 		answer(m.staleView())
@@ -172,13 +170,13 @@
 
 // isStale says whether the caller acts on an old membership.
 func (m *Member) isStale(req *ledgerpb.Request) bool {
-	return req.GetViewVersion() < m.options.Directory.Snapshot().View.Version
+	return req.GetViewVersion() < m.options.Directory.View().Version
 }
 
 func (m *Member) staleView() *ledgerpb.Response {
 	m.stats.staleView.Add(1)
 	return &ledgerpb.Response{
 		Status: ledgerpb.Status_STATUS_STALE_VIEW,
-		State:  &ledgerpb.State{View: m.options.Directory.Snapshot().View.Encode()},
+		State:  &ledgerpb.State{View: m.options.Directory.View().Encode()},
 	}
 }
--- a/ledger/quorum/link.go
+++ b/ledger/quorum/link.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if _, err := conn.Call(ctx, &ledgerpb.Request{Call: &ledgerpb.Request_ReadRecords{ReadRecords: &ledgerpb.ReadRecords{}}}); err != nil {
+	if err := conn.Ping(ctx); err != nil {
 		conn.Close()
 		return nil, err
 	}
--- a/ledger/transport/transport.go
+++ b/ledger/transport/transport.go
@@ -143,6 +143,12 @@
 	}
 }
 
+// Ping asks the member for nothing and waits for its answer.
+func (c *Conn) Ping(ctx context.Context) error {
+	_, err := c.Call(ctx, &ledgerpb.Request{Call: &ledgerpb.Request_ReadRecords{ReadRecords: &ledgerpb.ReadRecords{}}})
+	return err
+}
+
 // Close ends the connection; all calls fail.
 func (c *Conn) Close() { c.end(ErrClosed) }
 
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/config"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ctxwait"
 )
 
 // Faults are the faults that a Server injects into requests.
@@ -182,7 +183,7 @@
 	}
 	f := s.take(r.URL.Path)
 	if f.Late > 0 {
-		sleep(r.Context(), time.Duration(f.Late))
+		ctxwait.For(r.Context(), time.Duration(f.Late))
 	}
 	switch {
 	case f.Hang:
@@ -228,13 +229,3 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	<-r.Context().Done()
 }
-
-// sleep waits for a time or until ctx is done.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
