relay: a run is counted where the request is sent; what nothing used is gone

- Runs were counted at three places and taken back at two, the sending of a request stood twice, and the last answer of a request without a target twice. send counts, failed takes back, giveUp answers; canRepeat replaces two checks of the same.
- Two aliases of one answer, fields that were decoded and never read (model, program's time left, signature, other life, connections, header bytes, address), and Fleet.Pressure are removed.
- A prompt's size is summed once a choice, not once a target.

--- a/catalog/config.go
+++ b/catalog/config.go
@@ -85,8 +85,6 @@
 // Service is a pool of targets.
 type Service struct {
 	Name string
-	// MaxConns bounds the connections that one target accepts from all callers.
-	MaxConns int
 	// Engine describes model engines; nil for plain services.
 	Engine *Engine
 }
@@ -103,7 +101,6 @@
 
 // Limits bound what callers may send.
 type Limits struct {
-	HeaderBytes   int
 	BodyBytes     int64
 	HeaderTimeout time.Duration
 	// IdleTimeout is how long a caller's connection may stay idle.
--- a/config/resident.go
+++ b/config/resident.go
@@ -11,8 +11,6 @@
 	Role string `yaml:"role"`
 	// Domain is the VM's failure domain.
 	Domain string `yaml:"domain"`
-	// Address is the VM's IP address.
-	Address string `yaml:"address"`
 	// FirstStart says that the whole system starts for the first time, with empty
 	// disks.
 	FirstStart bool `yaml:"first_start"`
--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -47,11 +47,3 @@
 	}
 	return s.pressureNow(now) < admitOthers
 }
-
-// Pressure returns the calls per slot of a service.
-func (f *Fleet) Pressure(name string, now time.Time) float64 {
-	if s := f.services[name]; s != nil {
-		return s.pressureNow(now)
-	}
-	return 0
-}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -190,12 +190,13 @@
 	best := -1.0
 	n := uint64(len(s.targets))
 	trusting := s.tooManyOut(now)
+	prompt := tokensOf(q.Prompt)
 	for i := range n {
 		t := s.targets[(f.turn+i)%n]
 		if t.Draining || excluded(q.Without, t.TargetKey) || !trusting && !t.health.usable(now) || !q.Force && t.full(now) {
 			continue
 		}
-		cost, kept := s.cost(t, q, now)
+		cost, kept := s.cost(t, q, prompt, now)
 		if best < 0 || cost < best {
 			best = cost
 			choice = Choice{Target: t.Target, CostMS: cost, Load: t.load(now), Kept: kept}
@@ -229,9 +230,19 @@
 	return false
 }
 
-// cost estimates what a call costs at a target, in milliseconds: the wait for a
-// slot, the reading of what is not kept, the slowing of the batch and the way.
-func (s *service) cost(t *target, q Query, now time.Time) (ms float64, kept int) {
+// tokensOf returns the size of a prompt.
+func tokensOf(prompt []Part) int {
+	total := 0
+	for _, p := range prompt {
+		total += p.Tokens
+	}
+	return total
+}
+
+// cost estimates what a call with a prompt of that many tokens costs at a target, in
+// milliseconds: the wait for a slot, the reading of what is not kept, the slowing of
+// the batch and the way.
+func (s *service) cost(t *target, q Query, prompt int, now time.Time) (ms float64, kept int) {
 	load := t.load(now)
 	slots := float64(t.Slots)
 	running := min(load, slots)
@@ -245,12 +256,8 @@
 	}
 	if t.cache != nil {
 		kept = t.cache.kept(q.Prompt)
-		total := 0
-		for _, p := range q.Prompt {
-			total += p.Tokens
-		}
 		// The steps in which a prompt is read delay all that run beside it.
-		ms += float64(total-kept) / tokensPerMS * (1 + running)
+		ms += float64(prompt-kept) / tokensPerMS * (1 + running)
 		if s.homes.isStranger(t.ID, q.Prompt, s.targets, now) {
 			ms += strangerMS
 		}
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"strconv"
 	"time"
-
-	"github.com/rhubarbsaddle/rhubarbsaddle/fleet"
 )
 
 // Reasons of answers of the system's own, as they stand in logs and metrics.
@@ -46,17 +44,11 @@
 // refuse promises that the request has not run and tells when to come back.
 func (e *exchange) refuse(reason string, after time.Duration) {
 	e.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
-	e.own(http.StatusServiceUnavailable, reason)
+	e.respond(http.StatusServiceUnavailable, reason)
 }
 
-// reject answers a request that cannot be served as it is.
-func (e *exchange) reject(status int, reason string) { e.own(status, reason) }
-
-// fail answers a request that may have run.
-func (e *exchange) fail(status int, reason string) { e.own(status, reason) }
-
-// own writes an answer of the system's own.
-func (e *exchange) own(status int, reason string) {
+// respond writes an answer of the system's own.
+func (e *exchange) respond(status int, reason string) {
 	e.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	body := reason + "\n"
 	e.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -109,7 +101,8 @@
 const maxPriorityLabel = 9
 
 // logAttempt writes the line of a failed attempt.
-func (e *exchange) logAttempt(choice fleet.Choice, fail *failure) {
+func (e *exchange) logAttempt(fail *failure) {
+	choice := e.choice
 	e.relay.log.Info().Str("event", "attempt_failed").Str("request", e.call.ID).Str("target", choice.Target.ID).
 		Str("peer", choice.Target.Addr).Int("send", e.sends).Uint8("fate", uint8(fail.fate)).Int("status", fail.status).
 		Float64("load", choice.Load).Float64("cost_ms", choice.CostMS).AnErr("cause", fail.err).Msg("")
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -27,7 +27,7 @@
 	configRetry = 500 * time.Millisecond
 	// targetRetry is told when no target takes work for other causes than load.
 	targetRetry = 300 * time.Millisecond
-	// hundred scales a hash to a point in [0, 1).
+	// hashRange scales a hash to a point in [0, 1).
 	hashRange = 1 << 32
 )
 
@@ -68,7 +68,7 @@
 	}
 	e.route = e.config.Match(hostOf(e.req.Host), e.req.URL.EscapedPath())
 	if e.route == nil {
-		e.reject(http.StatusNotFound, reasonNoRoute)
+		e.respond(http.StatusNotFound, reasonNoRoute)
 		return
 	}
 	e.service = e.route.ServiceFor(e.point())
@@ -116,7 +116,7 @@
 	reader := io.Reader(e.req.Body)
 	if limit > 0 {
 		if e.req.ContentLength > limit {
-			e.reject(http.StatusRequestEntityTooLarge, reasonTooLarge)
+			e.respond(http.StatusRequestEntityTooLarge, reasonTooLarge)
 			return false
 		}
 		reader = http.MaxBytesReader(e.w, e.req.Body, limit)
@@ -130,11 +130,11 @@
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		e.reject(http.StatusRequestEntityTooLarge, reasonTooLarge)
+		e.respond(http.StatusRequestEntityTooLarge, reasonTooLarge)
 		return false
 	}
 	if err != nil {
-		e.reject(http.StatusBadRequest, reasonBadBody)
+		e.respond(http.StatusBadRequest, reasonBadBody)
 		return false
 	}
 	return true
@@ -150,14 +150,15 @@
 		body, err := io.ReadAll(a.response.Body)
 		if err != nil {
 			a.abort(ctx)
-			e.runs--
-			if !e.mayGoOn(ctx, &failure{fate: mayHaveRun, target: a.target, err: err}) {
+			fail := &failure{fate: mayHaveRun, target: a.target, err: err}
+			e.failed(ctx, fail)
+			if !e.mayGoOn(ctx, fail) {
 				return
 			}
 			continue
 		}
 		a.complete()
-		if e.shouldRepeat(a) {
+		if a.response.StatusCode >= http.StatusInternalServerError && e.canRepeat(ctx) && time.Until(e.deadline) > e.route.LatencyTarget {
 			continue
 		}
 		e.answer(a, body)
@@ -165,36 +166,58 @@
 	}
 }
 
-// shouldRepeat says whether a target's failure is worth another target.
-func (e *exchange) shouldRepeat(a *attempt) bool {
-	return a.response.StatusCode >= http.StatusInternalServerError && e.route.Repeatable() &&
-		e.runs < e.route.MaxTargets && e.sends < maxSends && time.Until(e.deadline) > e.route.LatencyTarget
+// canRepeat says whether a request that may have run may be sent to one more
+// target.
+func (e *exchange) canRepeat(ctx context.Context) bool {
+	return e.route.Repeatable() && ctx.Err() == nil && e.runs < e.route.MaxTargets && e.sends < maxSends
+}
+
+// send chooses a target and sends the request to it once. Without a target it
+// returns neither an attempt nor a failure.
+func (e *exchange) send(ctx context.Context, body []byte, resumeAfter string, force bool) (*attempt, *failure) {
+	choice, ok := e.relay.pick(fleet.Query{
+		Service: e.service, Domain: e.relay.domain, Prompt: e.call.PromptParts, Without: e.tried, Force: force,
+	})
+	if !ok {
+		return nil, nil
+	}
+	e.sends++
+	e.runs++
+	e.choice = choice
+	e.tried = append(e.tried, choice.Target.TargetKey)
+	a, fail := e.relay.start(ctx, e, choice.Target, body, resumeAfter)
+	if fail == nil && a.answer.NotRun {
+		fail = e.takeRefusal(a)
+	}
+	if fail == nil {
+		return a, nil
+	}
+	e.logAttempt(fail)
+	e.failed(ctx, fail)
+	return nil, fail
+}
+
+// failed takes note of a failure. The run that was counted when the request was
+// sent is taken back if the target cannot have run it, or has ended with it.
+func (e *exchange) failed(ctx context.Context, fail *failure) {
+	e.last = fail.err
+	if fail.fate != mayHaveRun || e.hasEnded(ctx, fail.target) {
+		e.runs--
+	}
 }
 
 // attempt sends the request until a target answers it. If it returns false, the
 // caller has its answer.
 func (e *exchange) attempt(ctx context.Context, body []byte, resumeAfter string) (*attempt, bool) {
 	for {
-		choice, ok := e.relay.pick(fleet.Query{
-			Service: e.service, Domain: e.relay.domain, Prompt: e.call.PromptParts, Without: e.tried,
-		})
-		if !ok {
-			e.noTarget()
-			return nil, false
-		}
-		e.sends++
-		e.choice = choice
-		a, fail := e.relay.start(ctx, e, choice.Target, body, resumeAfter)
-		if fail == nil && a.answer.NotRun {
-			fail = e.takeRefusal(a)
+		a, fail := e.send(ctx, body, resumeAfter, false)
+		if a != nil {
+			return a, true
 		}
 		if fail == nil {
-			e.runs++
-			e.tried = append(e.tried, choice.Target.TargetKey)
-			return a, true
+			e.giveUp()
+			return nil, false
 		}
-		e.tried = append(e.tried, choice.Target.TargetKey)
-		e.logAttempt(choice, fail)
 		if !e.mayGoOn(ctx, fail) {
 			return nil, false
 		}
@@ -215,23 +238,14 @@
 // mayGoOn says whether the request may be sent again after a failure. If not, the
 // caller has its answer.
 func (e *exchange) mayGoOn(ctx context.Context, fail *failure) bool {
-	e.last = fail.err
-	if fail.fate == mayHaveRun && !e.hasEnded(ctx, fail.target) {
-		e.runs++
-	}
 	if ctx.Err() != nil {
 		e.outOfTime()
 		return false
 	}
-	repeat := fail.fate != mayHaveRun || e.route.Repeatable() && e.runs < e.route.MaxTargets
-	if repeat && e.sends < maxSends {
+	if fail.fate != mayHaveRun && e.sends < maxSends || e.canRepeat(ctx) {
 		return true
 	}
-	if e.runs > 0 {
-		e.fail(http.StatusBadGateway, reasonLost)
-		return false
-	}
-	e.refuse(reasonFull, e.relay.retryAfter(e.service))
+	e.giveUp()
 	return false
 }
 
@@ -241,10 +255,10 @@
 	return e.route.Repeatable() && ctx.Err() == nil && e.relay.pool.refuses(ctx, poolKey{target.TargetKey, target.Addr})
 }
 
-// noTarget answers a request that no target takes.
-func (e *exchange) noTarget() {
+// giveUp answers a request that no more target is to get.
+func (e *exchange) giveUp() {
 	if e.runs > 0 {
-		e.fail(http.StatusBadGateway, reasonLost)
+		e.respond(http.StatusBadGateway, reasonLost)
 		return
 	}
 	e.refuse(reasonFull, e.relay.retryAfter(e.service))
@@ -253,7 +267,7 @@
 // outOfTime answers a request whose time is over.
 func (e *exchange) outOfTime() {
 	if e.runs > 0 {
-		e.fail(http.StatusGatewayTimeout, reasonTimeout)
+		e.respond(http.StatusGatewayTimeout, reasonTimeout)
 		return
 	}
 	e.refuse(reasonTimeout, targetRetry)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -32,11 +32,10 @@
 	ID string
 	// Left is how long the caller will wait; zero if it does not say.
 	Left time.Duration
-	// Program, Session and ProgramLeft describe the program that the call is part
-	// of: its id, its line of turns and the time left to its objective.
-	Program     string
-	Session     string
-	ProgramLeft time.Duration
+	// Program and Session are the program that the call is part of and its line of
+	// turns.
+	Program string
+	Session string
 	// BudgetTokens is what all turns of the program may generate; negative if the
 	// call has no budget.
 	BudgetTokens int
@@ -48,7 +47,6 @@
 	Previous string
 	// PromptParts are the parts of the prompt, in order.
 	PromptParts []Part
-	Model       string
 	// ResumeAfter is the last event of a broken stream that the caller has.
 	ResumeAfter string
 }
@@ -62,14 +60,10 @@
 type Answer struct {
 	// RequestID is the request that the answer belongs to.
 	RequestID string
-	// Signed answers come from a target rather than from something between.
-	Signed bool
 	// NotRun says that the target did not run the call and never will.
-	NotRun bool
-	// WrongLife says that another target has the address.
-	WrongLife bool
-	Load      Load
-	HasLoad   bool
+	NotRun  bool
+	Load    Load
+	HasLoad bool
 	// IdleTimeout is how long the target keeps an idle connection; zero if it does
 	// not say.
 	IdleTimeout time.Duration
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -62,11 +62,8 @@
 			t.finish(ctx, p)
 			return
 		}
-		t.last = err
-		if t.hasEnded(ctx, a.target) {
-			t.runs--
-		}
-		if !t.canResume(ctx) {
+		t.failed(ctx, &failure{fate: mayHaveRun, target: a.target, err: err})
+		if !t.canRepeat(ctx) {
 			t.broken(p)
 			return
 		}
@@ -84,41 +81,18 @@
 		return a, ok
 	}
 	for t.sends < maxSends && ctx.Err() == nil {
-		choice, ok := t.relay.pick(fleet.Query{
-			Service: t.service, Domain: t.relay.domain, Prompt: t.call.PromptParts, Without: t.tried, Force: true,
-		})
-		if !ok {
-			break
-		}
-		t.sends++
-		t.choice = choice
-		t.tried = append(t.tried, choice.Target.TargetKey)
-		a, fail := t.relay.start(ctx, t.exchange, choice.Target, t.body, p.lastID)
-		if fail == nil && a.answer.NotRun {
-			fail = t.takeRefusal(a)
-		}
-		if fail == nil {
-			t.runs++
+		a, fail := t.send(ctx, t.body, p.lastID, true)
+		if a != nil {
 			return a, true
 		}
-		t.logAttempt(choice, fail)
-		t.last = fail.err
-		if fail.fate == mayHaveRun && !t.hasEnded(ctx, choice.Target) {
-			t.runs++
-			if !t.canResume(ctx) {
-				break
-			}
+		if fail == nil || fail.fate == mayHaveRun && !t.canRepeat(ctx) {
+			break
 		}
 	}
 	t.broken(p)
 	return nil, false
 }
 
-// canResume says whether another target may continue the stream.
-func (t *turn) canResume(ctx context.Context) bool {
-	return t.route.Resumable && ctx.Err() == nil && t.runs < t.route.MaxTargets && t.sends < maxSends
-}
-
 // broken ends a stream that cannot go on.
 func (t *turn) broken(p *progress) {
 	t.settle()
@@ -126,7 +100,7 @@
 		t.abort(reasonStream)
 	}
 	if t.req.Context().Err() == nil && time.Now().Before(t.deadline) {
-		t.fail(http.StatusBadGateway, reasonLost)
+		t.respond(http.StatusBadGateway, reasonLost)
 		return
 	}
 	t.outOfTime()
@@ -137,15 +111,15 @@
 	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxEventBytes))
 	if err != nil {
 		a.abort(ctx)
-		t.last = err
-		if t.canResume(ctx) {
+		t.failed(ctx, &failure{fate: mayHaveRun, target: a.target, err: err})
+		if t.canRepeat(ctx) {
 			return true
 		}
 		t.broken(p)
 		return false
 	}
 	a.complete()
-	if t.canResume(ctx) && a.response.StatusCode >= http.StatusInternalServerError {
+	if t.canRepeat(ctx) && a.response.StatusCode >= http.StatusInternalServerError {
 		return true
 	}
 	if p.started {
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -59,7 +59,7 @@
 // false, the caller has its answer.
 func (t *turn) prepare(ctx context.Context) bool {
 	if (t.budgeted() || t.route.KeepsTurns) && !t.call.storable() {
-		t.reject(http.StatusBadRequest, reasonBadID)
+		t.respond(http.StatusBadRequest, reasonBadID)
 		return false
 	}
 	if !t.budgeted() && !t.continues() {
@@ -73,7 +73,7 @@
 	defer cancel()
 	spending, chain, err := t.consult(ctx)
 	if errors.Is(err, quorum.ErrNoSuchTurn) {
-		t.reject(http.StatusNotFound, reasonNoTurn)
+		t.respond(http.StatusNotFound, reasonNoTurn)
 		return false
 	}
 	if err != nil {
@@ -115,7 +115,7 @@
 func (t *turn) mayBegin(spending *ledger.Spending) bool {
 	committed := spending.Committed(t.call.ID)
 	if committed+t.call.MaxTokens > t.call.BudgetTokens {
-		t.reject(http.StatusPaymentRequired, reasonBudget)
+		t.respond(http.StatusPaymentRequired, reasonBudget)
 		return false
 	}
 	begins := committed == 0 && t.call.Previous == ""
