ledger/transport: frames are written by one piece at both ends

The loop that writes frames, several at a time if they wait, stood in the connection and in the member. WriteFrames serves both; an answer that cannot be encoded no longer ends the caller's connection either.

--- a/ledger/member/serve.go
+++ b/ledger/member/serve.go
@@ -35,7 +35,16 @@
 	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
 	defer stop()
 	out := make(chan *ledgerpb.Response, queuedAnswers)
-	go writeAnswers(ctx, cancel, nc, out)
+	go func() {
+		defer cancel()
+		err := transport.WriteFrames(nc, out, ctx.Done(), func(_ *ledgerpb.Response, err error) {
+			// The caller sees no answer and asks another member.
+			m.log.Error().Str("event", "answer_not_encoded").Err(err).Msg("")
+		})
+		if err != nil {
+			m.log.Debug().Str("event", "connection_lost").Str("peer", nc.RemoteAddr().String()).Err(err).Msg("")
+		}
+	}()
 	in := bufio.NewReaderSize(nc, bufferBytes)
 	options := protodelim.UnmarshalOptions{MaxSize: transport.MaxFrameBytes}
 	for {
@@ -55,27 +64,6 @@
 	}
 }
 
-func writeAnswers(ctx context.Context, cancel func(), nc net.Conn, out <-chan *ledgerpb.Response) {
-	defer cancel()
-	buffered := bufio.NewWriterSize(nc, bufferBytes)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case response := <-out:
-			if _, err := protodelim.MarshalTo(buffered, response); err != nil {
-				return
-			}
-		}
-		if len(out) > 0 {
-			continue
-		}
-		if err := buffered.Flush(); err != nil {
-			return
-		}
-	}
-}
-
 // handle answers one call.
 func (m *Member) handle(req *ledgerpb.Request, answer func(*ledgerpb.Response)) {
 	switch call := req.GetCall().(type) {
--- /dev/null
+++ b/ledger/transport/frame_test.go
@@ -0,0 +1,34 @@
+package transport_test
+
+import (
+	"bufio"
+	"io"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/transport"
+)
+
+// A frame that cannot be encoded must not keep those before it from being sent.
+func TestFramesBeforeARefusedOneAreSent(t *testing.T) {
+	in, out := io.Pipe()
+	frames := make(chan *ledgerpb.Connect, 2)
+	frames <- &ledgerpb.Connect{Member: "a"}
+	frames <- &ledgerpb.Connect{Member: "\xff"}
+	gone := make(chan struct{})
+	refused := 0
+	ended := make(chan error, 1)
+	go func() {
+		ended <- transport.WriteFrames(out, frames, gone, func(*ledgerpb.Connect, error) { refused++ })
+	}()
+	var got ledgerpb.Connect
+	require.NoError(t, protodelim.UnmarshalFrom(bufio.NewReader(in), &got))
+	assert.Equal(t, "a", got.GetMember())
+	close(gone)
+	require.NoError(t, <-ended)
+	assert.Equal(t, 1, refused)
+}
--- a/ledger/transport/transport.go
+++ b/ledger/transport/transport.go
@@ -7,14 +7,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"sync"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
-	"google.golang.org/protobuf/encoding/protowire"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 	"github.com/rhubarbsaddle/rhubarbsaddle/netopt"
@@ -153,40 +150,10 @@
 func (c *Conn) Close() { c.end(ErrClosed) }
 
 func (c *Conn) write() {
-	buffered := bufio.NewWriterSize(c.nc, bufferBytes)
-	for {
-		select {
-		case req := <-c.out:
-			if err := c.writeFrame(buffered, req); err != nil {
-				c.end(err)
-				return
-			}
-		case <-c.gone:
-			return
-		}
-		if len(c.out) > 0 {
-			continue
-		}
-		if err := buffered.Flush(); err != nil {
-			c.end(err)
-			return
-		}
-	}
-}
-
-// writeFrame writes one call. One that cannot be encoded, such as for text that is
-// not UTF-8, fails alone; nothing of it has been written.
-func (c *Conn) writeFrame(out io.Writer, req *ledgerpb.Request) error {
-	frame, err := proto.Marshal(req)
+	err := WriteFrames(c.nc, c.out, c.gone, func(req *ledgerpb.Request, err error) { c.finish(req.GetSeq(), nil, err) })
 	if err != nil {
-		c.finish(req.GetSeq(), nil, err)
-		return nil
+		c.end(err)
 	}
-	if _, err := out.Write(protowire.AppendVarint(nil, uint64(len(frame)))); err != nil {
-		return err
-	}
-	_, err = out.Write(frame)
-	return err
 }
 
 func (c *Conn) read() {
