--- a/ctxwait/ctxwait.go
+++ b/ctxwait/ctxwait.go
@@ -15,3 +15,17 @@
 	case <-ctx.Done():
 	}
 }
+
+// Every calls fn once a period until ctx ends.
+func Every(ctx context.Context, period time.Duration, fn func(now time.Time)) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			fn(now)
+		}
+	}
+}
--- a/daemon/resident/entry.go
+++ b/daemon/resident/entry.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/ctxwait"
 	"github.com/rhubarbsaddle/rhubarbsaddle/discovery"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/quorum"
@@ -202,21 +203,16 @@
 }
 
 func (e *entry) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
+	ctxwait.Every(ctx, sweepPeriod, func(now time.Time) {
+		e.relay.Sweep(now)
+		limit := e.relay.Limits().IdleTimeout
+		if limit <= 0 {
 			return
-		case now := <-ticker.C:
-			e.relay.Sweep(now)
-			if limit := e.relay.Limits().IdleTimeout; limit > 0 {
-				if n := e.idle.closeOlder(now.Add(-limit - idleSlack)); n > 0 {
-					e.log.Debug().Str("event", "idle_closed").Int("connections", n).Dur("limit", limit).Msg("")
-				}
-			}
 		}
-	}
+		if n := e.idle.closeOlder(now.Add(-limit - idleSlack)); n > 0 {
+			e.log.Debug().Str("event", "idle_closed").Int("connections", n).Dur("limit", limit).Msg("")
+		}
+	})
 }
 
 // drain ends the entry without cutting off a request: it leaves the balancer, then
--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -119,18 +119,11 @@
 }
 
 func (f *Follower) expire(ctx context.Context) {
-	ticker := time.NewTicker(expirePeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			if f.connected.Load() {
-				f.Directory.Expire(now)
-			}
+	ctxwait.Every(ctx, expirePeriod, func(now time.Time) {
+		if f.connected.Load() {
+			f.Directory.Expire(now)
 		}
-	}
+	})
 }
 
 // askPeers learns from ledger members while the store is away.
--- a/ledger/member/member.go
+++ b/ledger/member/member.go
@@ -215,16 +215,7 @@
 func (m *Member) Ready() bool { return m.ready.Load() }
 
 func (m *Member) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			m.post(ledger.Tick{})
-		}
-	}
+	ctxwait.Every(ctx, tickPeriod, func(time.Time) { m.post(ledger.Tick{}) })
 }
 
 func (m *Member) post(ev ledger.Event) { m.box.Post(ev) }
