fleet: a session's part counts as kept only as far as an engine has seen it

Cause: a conversation's part of a prompt grows under one id. The cache model took an engine that had served an early turn for one that keeps the whole. Change: the kept size is the smaller of the two, and what follows is read. Entries now stick to an engine that a session has left through another entry, which they do not know.

--- a/fleet/cache.go
+++ b/fleet/cache.go
@@ -23,13 +23,19 @@
 }
 
 // kept returns how many of a prompt's tokens the engine need not read: those of
-// the parts that are kept together with all parts before them.
+// the parts that are kept together with all parts before them. A session's part
+// grows with each turn; an engine that served an earlier turn keeps what it was then.
 func (c *cacheModel) kept(prompt []Part) int {
 	tokens := 0
 	for _, p := range prompt {
-		if _, ok := c.parts[p.ID]; !ok {
+		e, ok := c.parts[p.ID]
+		if !ok {
 			return tokens
 		}
+		known := e.Value.(Part).Tokens
+		if known < p.Tokens {
+			return tokens + known
+		}
 		tokens += p.Tokens
 	}
 	return tokens
