ledger, fleet: the ledger tells which engine ran a program's last turn

Cause: half of the turns of a program arrive through another entry than the turn before. An entry knows only its own sends, so 85% of those turns went to another engine, which read the conversation again: 67 of 107 M prompt tokens read were of single sessions, and reading stalls all that an engine runs. Change: a settlement names the target that ran the attempt, a budget the target of the last one. The reservation's answer carries it, so no call is added; placement takes that engine for one that keeps the prompt.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -62,6 +62,9 @@
 	// Domain is the failure domain of the caller's entry.
 	Domain string
 	Prompt []Part
+	// Last is the id of the target that ran the program's turn before, if that is
+	// known. It keeps the prompt up to there.
+	Last string
 	// Without names targets that were tried or are not wanted.
 	Without []catalog.TargetKey
 	// Force also takes full targets.
@@ -256,6 +259,9 @@
 	}
 	if t.cache != nil {
 		kept = t.cache.kept(q.Prompt)
+		if q.Last == t.ID {
+			kept = prompt
+		}
 		// The steps in which a prompt is read delay all that run beside it.
 		ms += float64(prompt-kept) / tokensPerMS * (1 + running)
 		if s.homes.isStranger(t.ID, q.Prompt, s.targets, now) {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -266,3 +266,23 @@
 	}
 	assert.LessOrEqual(t, mixed, 2, "engines that serve several shared parts")
 }
+
+// Pattern: a conversation whose turns arrive through different entries, while its
+// engine is busier than others (sonoro-mzl-grown scale-1 and scale-2).
+func TestTurnThroughAnotherEntryGoesBackToItsEngine(t *testing.T) {
+	f := newFleet(6)
+	for range 2 {
+		f.Begin(key(4), nil, start)
+	}
+	q := query(shared(1), own("a"))
+	q.Last = key(4).ID
+	for range 4 {
+		choice, ok := f.Pick(q, start)
+		require.True(t, ok)
+		assert.Equal(t, key(4), choice.Target.TargetKey)
+	}
+	q.Without = []catalog.TargetKey{key(4)}
+	choice, ok := f.Pick(q, start)
+	require.True(t, ok)
+	assert.NotEqual(t, key(4), choice.Target.TargetKey)
+}
--- a/ledger/budget.go
+++ b/ledger/budget.go
@@ -4,7 +4,8 @@
 
 // Spending is the union of what members know of a program's attempts.
 type Spending struct {
-	attempts map[uint64]attempt
+	attempts   map[uint64]attempt
+	lastTarget string
 }
 
 // attempt is what is known of one attempt of a program.
@@ -18,6 +19,9 @@
 	if s.attempts == nil {
 		s.attempts = make(map[uint64]attempt, len(budget.GetAttempts()))
 	}
+	if budget.GetLastTarget() != "" {
+		s.lastTarget = budget.GetLastTarget()
+	}
 	for _, a := range budget.GetAttempts() {
 		if known, ok := s.attempts[a.GetKey()]; ok && known.settled {
 			continue
@@ -28,13 +32,17 @@
 
 // Budget returns the union in the form that members exchange.
 func (s *Spending) Budget(program string) *ledgerpb.Budget {
-	budget := &ledgerpb.Budget{Program: program, Attempts: make([]*ledgerpb.Attempt, 0, len(s.attempts))}
+	budget := &ledgerpb.Budget{Program: program, LastTarget: s.lastTarget, Attempts: make([]*ledgerpb.Attempt, 0, len(s.attempts))}
 	for key, a := range s.attempts {
 		budget.Attempts = append(budget.Attempts, &ledgerpb.Attempt{Key: key, Tokens: a.tokens, Settled: a.settled})
 	}
 	return budget
 }
 
+// LastTarget returns the target that ran a late attempt of the program, or nothing.
+// It is a hint: members may disagree on which attempt was the last.
+func (s *Spending) LastTarget() string { return s.lastTarget }
+
 // Committed returns the tokens that the program's other attempts have spent or
 // may still spend.
 func (s *Spending) Committed(self string) int {
--- a/ledger/member/cluster_test.go
+++ b/ledger/member/cluster_test.go
@@ -171,7 +171,7 @@
 		}
 		_, err := c.client.Append(c.context(),
 			ledger.NewReservation("p", fmt.Sprintf("t%d", i), 100, 60_000),
-			ledger.NewSettlement("p", fmt.Sprintf("t%d", i), 10),
+			ledger.NewSettlement("p", fmt.Sprintf("t%d", i), 10, ""),
 			ledger.NewTurn(&ledgerpb.Turn{Program: "p", Id: fmt.Sprintf("t%d", i), Previous: previous,
 				Input: fmt.Appendf(nil, "in%d,", i), Output: fmt.Appendf(nil, "out%d;", i), RetentionMs: 60_000}))
 		require.NoError(c.t, err)
--- a/ledger/member/commit_test.go
+++ b/ledger/member/commit_test.go
@@ -51,9 +51,9 @@
 func TestRecordThatCannotBeEncodedIsNotWritten(t *testing.T) {
 	dir := t.TempDir()
 	m := alone(t, dir)
-	bad := ledger.NewSettlement("p\xff", "a", 1)
+	bad := ledger.NewSettlement("p\xff", "a", 1, "")
 	assert.Equal(t, ledgerpb.Status_STATUS_FAILED, ask(t, m, appending(bad)).GetStatus())
-	assert.Equal(t, ledgerpb.Status_STATUS_OK, ask(t, m, appending(ledger.NewSettlement("p", "a", 1))).GetStatus())
+	assert.Equal(t, ledgerpb.Status_STATUS_OK, ask(t, m, appending(ledger.NewSettlement("p", "a", 1, ""))).GetStatus())
 	assert.Equal(t, 1, alone(t, dir).replica.Records())
 }
 
@@ -61,7 +61,7 @@
 // were none: the one that copies would take itself for complete.
 func TestRecordThatCannotBeReadFailsTheCopy(t *testing.T) {
 	m := alone(t, t.TempDir())
-	require.Equal(t, ledgerpb.Status_STATUS_OK, ask(t, m, appending(ledger.NewSettlement("p", "a", 1))).GetStatus())
+	require.Equal(t, ledgerpb.Status_STATUS_OK, ask(t, m, appending(ledger.NewSettlement("p", "a", 1, ""))).GetStatus())
 	keys := ask(t, m, func(ticket uint64) ledger.Event { return ledger.KeysAsked{Ticket: ticket} }).GetKeys()
 	require.Len(t, keys, 1)
 	reading := func(ticket uint64) ledger.Event { return ledger.RecordsAsked{Ticket: ticket, Keys: keys} }
--- a/ledger/member/panic_test.go
+++ b/ledger/member/panic_test.go
@@ -25,7 +25,7 @@
 	ended := make(chan error, 1)
 	go func() { ended <- m.Run(context.Background()) }()
 	// No disk reports a stored record without its key.
-	m.post(ledger.Stored{Records: []*ledgerpb.Record{ledger.NewSettlement("p", "a", 1)}})
+	m.post(ledger.Stored{Records: []*ledgerpb.Record{ledger.NewSettlement("p", "a", 1, "")}})
 	select {
 	case err := <-ended:
 		var panicked *mailbox.PanicError
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -52,10 +52,10 @@
 	}}}
 }
 
-// NewSettlement returns the record of what an attempt generated.
-func NewSettlement(program, attempt string, tokens int) *ledgerpb.Record {
+// NewSettlement returns the record of what an attempt generated at a target.
+func NewSettlement(program, attempt string, tokens int, target string) *ledgerpb.Record {
 	return &ledgerpb.Record{Fact: &ledgerpb.Record_Settlement{Settlement: &ledgerpb.Settlement{
-		Program: program, Attempt: attempt, Tokens: uint64(max(tokens, 0)),
+		Program: program, Attempt: attempt, Tokens: uint64(max(tokens, 0)), Target: target,
 	}}}
 }
 
--- a/ledger/replica.go
+++ b/ledger/replica.go
@@ -118,11 +118,13 @@
 
 // program is what the replica knows of one program.
 type program struct {
-	attempts  map[uint64]attempt
-	keys      []Key
-	turns     []string
-	last      time.Time
-	retention time.Duration
+	attempts map[uint64]attempt
+	// lastTarget ran the attempt that was settled last.
+	lastTarget string
+	keys       []Key
+	turns      []string
+	last       time.Time
+	retention  time.Duration
 }
 
 // turn is where a kept turn lies.
@@ -275,6 +277,7 @@
 	if p == nil {
 		return budget
 	}
+	budget.LastTarget = p.lastTarget
 	for key, a := range p.attempts {
 		budget.Attempts = append(budget.Attempts, &ledgerpb.Attempt{Key: key, Tokens: a.tokens, Settled: a.settled})
 	}
@@ -295,6 +298,9 @@
 		f := fact.Settlement
 		p := r.touch(f.GetProgram(), 0, now)
 		p.attempts[AttemptKey(f.GetAttempt())] = attempt{tokens: f.GetTokens(), settled: true}
+		if f.GetTarget() != "" {
+			p.lastTarget = f.GetTarget()
+		}
 	case *ledgerpb.Record_Turn:
 		r.touch(fact.Turn.GetProgram(), fact.Turn.GetRetentionMs(), now)
 	}
--- a/ledger/replica_test.go
+++ b/ledger/replica_test.go
@@ -79,8 +79,8 @@
 
 func TestSettlementReplacesReservationInAnyOrder(t *testing.T) {
 	for _, order := range [][]*ledgerpb.Record{
-		{ledger.NewReservation("p", "a", 300, retention), ledger.NewSettlement("p", "a", 40)},
-		{ledger.NewSettlement("p", "a", 40), ledger.NewReservation("p", "a", 300, retention)},
+		{ledger.NewReservation("p", "a", 300, retention), ledger.NewSettlement("p", "a", 40, "")},
+		{ledger.NewSettlement("p", "a", 40, ""), ledger.NewReservation("p", "a", 300, retention)},
 	} {
 		d := newDisk(true)
 		for _, rec := range order {
@@ -90,11 +90,25 @@
 	}
 }
 
+func TestBudgetNamesTheTargetThatRanLast(t *testing.T) {
+	d := newDisk(true)
+	d.append(ledger.NewReservation("p", "a", 300, retention))
+	assert.Empty(t, spending(d.append(ledger.NewReservation("p", "b", 1, retention))).LastTarget())
+	d.append(ledger.NewSettlement("p", "a", 40, "i1"))
+	// An attempt that no target ran leaves the name as it is.
+	d.append(ledger.NewSettlement("p", "b", 0, ""))
+	last := spending(d.append(ledger.NewReservation("p", "c", 1, retention)))
+	assert.Equal(t, "i1", last.LastTarget())
+	again := &ledger.Spending{}
+	again.Merge(last.Budget("p"))
+	assert.Equal(t, "i1", again.LastTarget(), "members pass it on")
+}
+
 func TestMergeIsAUnion(t *testing.T) {
 	one, two := newDisk(true), newDisk(true)
 	one.append(ledger.NewReservation("p", "x", 100, retention))
 	two.append(ledger.NewReservation("p", "y", 50, retention))
-	two.append(ledger.NewReservation("p", "x", 100, retention), ledger.NewSettlement("p", "x", 10))
+	two.append(ledger.NewReservation("p", "x", 100, retention), ledger.NewSettlement("p", "x", 10, ""))
 	s := &ledger.Spending{}
 	for _, d := range []*disk{one, two, one} {
 		for _, b := range d.append(ledger.NewReservation("p", "z", 1, retention)).GetBudgets() {
@@ -167,7 +181,7 @@
 func TestLoadedRecordsCount(t *testing.T) {
 	d := newDisk(true)
 	d.step(ledger.Loaded{Record: ledger.NewReservation("p", "a", 300, retention), Location: ledger.Location{Segment: 1}})
-	d.step(ledger.Loaded{Record: ledger.NewSettlement("p", "a", 7), Location: ledger.Location{Segment: 1, Offset: 9}})
+	d.step(ledger.Loaded{Record: ledger.NewSettlement("p", "a", 7, ""), Location: ledger.Location{Segment: 1, Offset: 9}})
 	assert.Equal(t, 7, spending(d.append(ledger.NewReservation("p", "b", 1, retention))).Committed("b"))
 	assert.Equal(t, 3, d.replica.Records())
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -50,6 +50,8 @@
 	tried       []catalog.TargetKey
 	// last is why the last attempt failed.
 	last error
+	// lastTarget ran the program's turn before, as the ledger tells.
+	lastTarget string
 	// choice is the last target that was chosen, with what decided it.
 	choice fleet.Choice
 	// ledgerTook is how long a turn waited for the ledger, first how long for its
@@ -176,7 +178,7 @@
 // returns neither an attempt nor a failure.
 func (e *exchange) send(ctx context.Context, body []byte, resumeAfter string, force bool) (*attempt, *failure) {
 	choice, ok := e.relay.pick(fleet.Query{
-		Service: e.service, Domain: e.relay.domain, Prompt: e.call.PromptParts, Without: e.tried, Force: force,
+		Service: e.service, Domain: e.relay.domain, Prompt: e.call.PromptParts, Without: e.tried, Force: force, Last: e.lastTarget,
 	})
 	if !ok {
 		return nil, nil
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -120,7 +120,13 @@
 
 func newBed(t testing.TB, targets ...*platformtest.Target) *bed {
 	t.Helper()
-	b := &bed{t: t, ledger: newMemory()}
+	return newEntry(t, newMemory(), targets...)
+}
+
+// newEntry returns a relay on a ledger that others may share.
+func newEntry(t testing.TB, m *memory, targets ...*platformtest.Target) *bed {
+	t.Helper()
+	b := &bed{t: t, ledger: m}
 	b.relay = relay.New(relay.Options{
 		Dialect: platform.Dialect{}, Ledger: b.ledger, Domain: "d", Log: &log.Logger{Level: log.PanicLevel},
 		Metrics: relay.NewMetrics(prometheus.NewRegistry()), CacheBytes: 1 << 20,
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -326,3 +327,41 @@
 	b.update(plainTarget)
 	assert.Equal(t, http.StatusOK, b.call(plain, "x").status, "what needs no ledger goes on")
 }
+
+// Pattern: a conversation whose turns arrive through different entries. The engine
+// that keeps its prompt is known from the ledger.
+func TestTurnsThroughAnyEntryGoToOneEngine(t *testing.T) {
+	const parts = "X-Rhubarbsaddle-Prefix-Hash"
+	var targets []*platformtest.Target
+	for i := range 5 {
+		targets = append(targets, platformtest.NewTarget(fmt.Sprintf("i%d", i), platformtest.Streams(2, 0, 0)))
+	}
+	one := newBed(t, targets...)
+	two := newEntry(t, one.ledger, targets...)
+	// The entries differ in which of equal engines comes next.
+	for range 2 {
+		require.Equal(t, http.StatusOK, two.call(plain, "x").status)
+	}
+	last := ""
+	for turn := range 8 {
+		entry, size := one, 100+turn
+		if turn%2 == 1 {
+			entry = two
+		}
+		entry.next = turn
+		got := entry.call(haggle, "x", program, "p", budget, "5000", usage, "5,20", before, last, parts, fmt.Sprintf("aa:600,bb:%d", size))
+		require.Equal(t, http.StatusOK, got.status)
+		last = got.id
+		require.Eventually(t, func() bool { return one.ledger.spent("p") == (turn+1)*20 }, time.Second, time.Millisecond)
+	}
+	used := 0
+	for _, target := range targets {
+		for _, run := range target.Runs() {
+			if strings.HasPrefix(run.Path, haggle) {
+				used++
+				break
+			}
+		}
+	}
+	assert.Equal(t, 1, used)
+}
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -81,8 +81,11 @@
 		t.refuseLedger()
 		return false
 	}
-	if t.budgeted() && !t.mayBegin(spending) {
-		return false
+	if t.budgeted() {
+		if !t.mayBegin(spending) {
+			return false
+		}
+		t.lastTarget = spending.LastTarget()
 	}
 	if len(chain) > 0 {
 		t.body = append(chain, t.exchange.body...)
@@ -164,7 +167,7 @@
 		return
 	}
 	t.reserved = false
-	record := ledger.NewSettlement(t.call.Program, t.call.ID, t.tokens)
+	record := ledger.NewSettlement(t.call.Program, t.call.ID, t.tokens, t.choice.Target.ID)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
@@ -183,7 +186,7 @@
 		Input: t.exchange.body, Output: t.output, RetentionMs: uint64(t.route.Retention.Milliseconds()),
 	})}
 	if t.reserved {
-		records = append(records, ledger.NewSettlement(t.call.Program, t.call.ID, t.tokens))
+		records = append(records, ledger.NewSettlement(t.call.Program, t.call.ID, t.tokens, t.choice.Target.ID))
 	}
 	if _, err := t.relay.ledger.Append(ctx, records...); err != nil {
 		return err
