relay: a plain target that is silent for long is left for another

The head of an answer was not watched at all, only the pauses of streams. Change: a request that may be repeated leaves its target after twice the route's objective (streams: 1.5 s) if another one is free. Plain requests have a budget of 10 a second, so that a slow service does not get more load.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -30,6 +30,9 @@
 // errStaleAnswer says that a connection brought only answers to other requests.
 var errStaleAnswer = errors.New("the answer belongs to another request")
 
+// errSilent says that a target was not heard of for too long.
+var errSilent = errors.New("no answer from the target")
+
 // fate says what is known of an attempt that brought no answer for the caller.
 type fate uint8
 
@@ -86,7 +89,17 @@
 		a.abort(ctx)
 		return nil, fail
 	}
-	if fail := a.readHead(request, e.call.ID); fail != nil {
+	silent := watch(a.conn, e.headSilence(), e.mayLeave())
+	fail := a.readHead(request, e.call.ID)
+	silent.stop()
+	if fail == nil && silent.fired() {
+		// The head came with the end of the wait, and the connection cannot be read.
+		fail = a.lost(errSilent)
+	}
+	if fail != nil {
+		if silent.fired() {
+			a.outcome = fleet.Silent
+		}
 		a.abort(ctx)
 		return nil, fail
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -174,12 +174,17 @@
 	return e.route.Repeatable() && ctx.Err() == nil && e.runs < e.route.MaxTargets && e.sends < maxSends
 }
 
+// query asks for a target that was not tried.
+func (e *exchange) query(force bool) fleet.Query {
+	return fleet.Query{
+		Service: e.service, Domain: e.relay.domain, Prompt: e.call.PromptParts, Without: e.tried, Force: force, Last: e.lastTarget,
+	}
+}
+
 // send chooses a target and sends the request to it once. Without a target it
 // returns neither an attempt nor a failure.
 func (e *exchange) send(ctx context.Context, body []byte, resumeAfter string, force bool) (*attempt, *failure) {
-	choice, ok := e.relay.pick(fleet.Query{
-		Service: e.service, Domain: e.relay.domain, Prompt: e.call.PromptParts, Without: e.tried, Force: force, Last: e.lastTarget,
-	})
+	choice, ok := e.relay.pick(e.query(force))
 	if !ok {
 		return nil, nil
 	}
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -183,13 +183,25 @@
 	return b.callWith(ctx, path, body, headers...)
 }
 
+// callAs sends a request with an id of its own; it may be called concurrently.
+func (b *bed) callAs(id, path, body string, headers ...string) reply {
+	b.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return b.send(ctx, id, path, body, headers...)
+}
+
 func (b *bed) callWith(ctx context.Context, path, body string, headers ...string) reply {
+	b.t.Helper()
+	b.next++
+	return b.send(ctx, fmt.Sprintf("r%d", b.next), path, body, headers...)
+}
+
+func (b *bed) send(ctx context.Context, id, path, body string, headers ...string) reply {
 	b.t.Helper()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, b.server.URL+path, strings.NewReader(body))
 	require.NoError(b.t, err)
 	req.Host = host
-	b.next++
-	id := fmt.Sprintf("r%d", b.next)
 	req.Header.Set(platformtest.RequestID, id)
 	req.Header.Set(platformtest.Deadline, "3000")
 	for i := 0; i < len(headers); i += 2 {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -12,6 +12,7 @@
 	"unicode/utf8"
 
 	"github.com/phuslu/log"
+	"golang.org/x/time/rate"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
 	"github.com/rhubarbsaddle/rhubarbsaddle/discovery"
@@ -106,6 +107,8 @@
 	pool    *pool
 	turns   *turnCache
 	quota   lineQuota
+	// silent bounds the attempts that are given up for their silence.
+	silent *rate.Limiter
 
 	config atomic.Pointer[catalog.Config]
 	// ledgerSeen is when the ledger was last within reach, in nanoseconds since
@@ -142,6 +145,7 @@
 	return &Relay{
 		dialect: o.Dialect, ledger: o.Ledger, domain: o.Domain, log: o.Log, metrics: o.Metrics,
 		pool: newPool(o.Metrics), turns: newTurnCache(o.CacheBytes), fleet: fleet.New(o.Seed), began: time.Now(),
+		silent: newSilenceBudget(),
 	}
 }
 
@@ -215,6 +219,14 @@
 	return choice, ok
 }
 
+// hasTarget says whether a target would take a call.
+func (r *Relay) hasTarget(q fleet.Query) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.fleet.Pick(q, time.Now())
+	return ok
+}
+
 // told records a target's load.
 func (r *Relay) told(key catalog.TargetKey, answer Answer) {
 	if !answer.HasLoad {
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -3,34 +3,57 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
+)
+
+const (
+	// silentObjectives times the route's latency objective is the silence after
+	// which a request that may be repeated goes to another target. A single
+	// answer that is late is not worth the target's work twice.
+	silentObjectives = 2
+	// silentPerSecond and silentBurst bound the requests that are given up for
+	// their silence, so that targets that are slow for their load do not get more
+	// of it. An entry forwards some hundred calls a second.
+	silentPerSecond = 10
+	silentBurst     = 20
 )
 
-// silence ends an attempt whose stream pauses for too long, so that another
-// target can continue it.
+// newSilenceBudget returns the bound of requests that are given up for their
+// silence.
+func newSilenceBudget() *rate.Limiter { return rate.NewLimiter(silentPerSecond, silentBurst) }
+
+// silence ends an attempt that is not heard of for too long, so that another
+// target can take over.
 type silence struct {
 	timer *time.Timer
-	gap   time.Duration
 	over  atomic.Bool
 }
 
-// watchSilence starts to watch a stream. One that cannot be resumed is left to
-// its deadline, since nothing is won by ending it.
-func (t *turn) watchSilence(a *attempt) *silence {
-	s := &silence{gap: time.Duration(gapFactor * float64(t.route.GapTarget))}
-	if !t.route.Resumable || s.gap <= 0 || t.runs >= t.route.MaxTargets {
+// watch starts to watch a connection. After the limit it ends the attempt if
+// mayLeave allows; without a limit it never does.
+func watch(c *conn, limit time.Duration, mayLeave func() bool) *silence {
+	s := &silence{}
+	if limit <= 0 {
 		return s
 	}
-	s.timer = time.AfterFunc(firstEventSilence, func() {
+	s.timer = time.AfterFunc(limit, func() {
+		if !mayLeave() {
+			return
+		}
 		s.over.Store(true)
 		// The read that waits fails.
-		_ = a.conn.nc.SetReadDeadline(time.Unix(1, 0))
+		_ = c.nc.SetReadDeadline(time.Unix(1, 0))
 	})
 	return s
 }
 
-func (s *silence) heard() {
+// heard starts the time again, for the next pause.
+func (s *silence) heard(limit time.Duration) {
 	if s.timer != nil && s.timer.Stop() {
-		s.timer.Reset(s.gap)
+		s.timer.Reset(limit)
 	}
 }
 
@@ -41,3 +64,28 @@
 		s.timer.Stop()
 	}
 }
+
+// headSilence returns how long the head of an answer is awaited before another
+// target is tried; zero if none is, since then nothing is won by giving up.
+func (e *exchange) headSilence() time.Duration {
+	if !e.route.Repeatable() || e.runs >= e.route.MaxTargets {
+		return 0
+	}
+	if e.route.Kind == catalog.Streaming {
+		return firstEventSilence
+	}
+	limit := silentObjectives * e.route.LatencyTarget
+	if time.Until(e.deadline) < limit+e.route.LatencyTarget {
+		return 0
+	}
+	return limit
+}
+
+// mayLeave returns what says whether a silent target may be left: another one is
+// free, and plain requests are within the budget. Streams are few, and without
+// their events nothing is served.
+func (e *exchange) mayLeave() func() bool {
+	// The timer may still run when the exchange goes on.
+	query, isStream := e.query(false), e.route.Kind == catalog.Streaming
+	return func() bool { return e.relay.hasTarget(query) && (isStream || e.relay.silent.Allow()) }
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -135,8 +135,9 @@
 func (t *turn) forward(ctx context.Context, a *attempt, p *progress) error {
 	events := eventReader{in: bufio.NewReaderSize(a.response.Body, eventBuffer)}
 	flusher := http.NewResponseController(t.w)
-	watch := t.watchSilence(a)
-	defer watch.stop()
+	first, gap := t.pauseLimits()
+	silent := watch(a.conn, first, t.mayLeave())
+	defer silent.stop()
 	for {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -144,13 +145,13 @@
 			return nil
 		}
 		if err != nil {
-			if watch.fired() {
+			if silent.fired() {
 				a.outcome = fleet.Silent
 			}
 			a.abort(ctx)
 			return err
 		}
-		watch.heard()
+		silent.heard(gap)
 		t.begin(a, p)
 		if _, err := t.w.Write(ev.raw); err != nil {
 			a.abort(ctx)
@@ -164,6 +165,16 @@
 	}
 }
 
+// pauseLimits returns the silence before the first event and between events after
+// which another target continues the stream; zero if none can.
+func (t *turn) pauseLimits() (first, gap time.Duration) {
+	gap = time.Duration(gapFactor * float64(t.route.GapTarget))
+	if !t.route.Resumable || t.runs >= t.route.MaxTargets || gap <= 0 {
+		return 0, 0
+	}
+	return firstEventSilence, gap
+}
+
 // begin sends the head of the answer, which is that of its first target. A stream
 // that goes on after its last event has no events.
 func (t *turn) begin(a *attempt, p *progress) {
