fleet: a target that failed is tried by one call; calls that must not run twice avoid it

Change: a circuit breaker, half open for one call. Calls that must not run twice do not try a target that failed in the last 4 s while others are left, and count a failure of that age as 400 ms.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -65,6 +65,8 @@
 	// Last is the id of the target that ran the program's turn before, if that is
 	// known. It keeps the prompt up to there.
 	Last string
+	// Fragile calls must not run twice: they are lost with their target.
+	Fragile bool
 	// Without names targets that were tried or are not wanted.
 	Without []catalog.TargetKey
 	// Force also takes full targets.
@@ -196,7 +198,7 @@
 	prompt := tokensOf(q.Prompt)
 	for i := range n {
 		t := s.targets[(f.turn+i)%n]
-		if t.Draining || excluded(q.Without, t.TargetKey) || !trusting && !t.health.usable(now) || !q.Force && t.full(now) {
+		if t.Draining || excluded(q.Without, t.TargetKey) || !trusting && !t.health.usable(q.Fragile, now) || !q.Force && t.full(now) {
 			continue
 		}
 		cost, kept := s.cost(t, q, prompt, now)
@@ -217,7 +219,7 @@
 			continue
 		}
 		serving++
-		if !t.health.usable(now) {
+		if !t.health.usable(false, now) {
 			out++
 		}
 	}
@@ -271,7 +273,7 @@
 	if t.Domain != q.Domain {
 		ms += otherDomainMS
 	}
-	return ms + t.health.penaltyMS(now), kept
+	return ms + t.health.penaltyMS(q.Fragile, now), kept
 }
 
 // Begin records that an attempt is sent to a target.
@@ -281,6 +283,7 @@
 		return
 	}
 	t.own++
+	t.health.begin()
 	if t.cache != nil {
 		t.cache.read(prompt)
 	}
--- a/fleet/health.go
+++ b/fleet/health.go
@@ -17,17 +17,31 @@
 	failureMS = 60.0
 	// failureMemory is how long a failure counts.
 	failureMemory = 2 * time.Second
+	// fragileMS is the cost added for a failure within fragileMemory to calls that
+	// must not run twice, in milliseconds. It is about what a turn takes, which is
+	// lost with its target.
+	fragileMS = 400.0
+	// fragileMemory is longer than three heartbeats, after which a target that has
+	// gone is out of the store. Until then it may come and go.
+	fragileMemory = 4 * time.Second
 )
 
-// health judges a target by what calls to it show.
+// health judges a target by what calls to it show. After a failure it is a circuit
+// breaker: open for a time, then half open for one call.
 type health struct {
 	failures int
 	last     time.Time
 	// until is when the target is tried again.
 	until time.Time
+	// probing is set while one call tries the target.
+	probing bool
 }
 
+// begin takes note of a call that is sent.
+func (h *health) begin() { h.probing = h.failures > 0 }
+
 func (h *health) record(outcome Outcome, now time.Time) {
+	h.probing = false
 	switch outcome {
 	case Answered:
 		h.failures = 0
@@ -47,12 +61,23 @@
 	return min(d, ejectMax)
 }
 
-func (h *health) usable(now time.Time) bool { return !now.Before(h.until) }
+// usable says whether the target may get a call. Calls that must not run twice do
+// not try a target that has failed, unless nothing else does.
+func (h *health) usable(fragile bool, now time.Time) bool {
+	if fragile && h.failures > 0 && now.Sub(h.last) < ejectMax {
+		return false
+	}
+	return !now.Before(h.until) && !h.probing
+}
 
 // penaltyMS makes targets that failed of late a second choice.
-func (h *health) penaltyMS(now time.Time) float64 {
-	if h.failures == 0 || now.Sub(h.last) > failureMemory {
-		return 0
+func (h *health) penaltyMS(fragile bool, now time.Time) float64 {
+	ms := 0.0
+	if h.failures > 0 && now.Sub(h.last) <= failureMemory {
+		ms = failureMS * float64(h.failures)
+	}
+	if fragile && !h.last.IsZero() && now.Sub(h.last) <= fragileMemory {
+		ms += fragileMS
 	}
-	return failureMS * float64(h.failures)
+	return ms
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -178,6 +178,7 @@
 func (e *exchange) query(force bool) fleet.Query {
 	return fleet.Query{
 		Service: e.service, Domain: e.relay.domain, Prompt: e.call.PromptParts, Without: e.tried, Force: force, Last: e.lastTarget,
+		Fragile: !e.route.Repeatable(),
 	}
 }
 
