--- a/discovery/through.go
+++ b/discovery/through.go
@@ -33,8 +33,8 @@
 	mu sync.Mutex
 	// following names the members that are followed.
 	following map[string]bool
-	// currentAt is when a member that was current answered last.
-	currentAt time.Time
+	// currentAt is when each member that was current answered last.
+	currentAt map[string]time.Time
 }
 
 // claim returns a member that is not followed yet.
@@ -59,16 +59,36 @@
 	delete(p.following, addr)
 }
 
-func (p *peerLoops) noteCurrent(now time.Time) {
+func (p *peerLoops) noteCurrent(addr string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.currentAt = now
+	if p.currentAt == nil {
+		p.currentAt = make(map[string]time.Time)
+	}
+	p.currentAt[addr] = now
 }
 
+// noteLost records that a member says itself that it is not current.
+func (p *peerLoops) noteLost(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.currentAt, addr)
+}
+
+// isCurrent says whether a member was current of late. One that cannot be reached
+// counts for a while; mostly another one takes its place.
 func (p *peerLoops) isCurrent(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return now.Sub(p.currentAt) < peerPatience
+	current := false
+	for addr, at := range p.currentAt {
+		if now.Sub(at) < peerPatience {
+			current = true
+		} else {
+			delete(p.currentAt, addr)
+		}
+	}
+	return current
 }
 
 // runThroughPeers follows members, and the store itself while none is current.
@@ -138,8 +158,9 @@
 		}
 		f.Directory.Learn(response.GetState(), now)
 		if !response.GetState().GetCurrent() {
+			f.peers.noteLost(addr)
 			return errNotCurrent
 		}
-		f.peers.noteCurrent(now)
+		f.peers.noteCurrent(addr, now)
 	}
 }
--- a/ledger/member/cluster_test.go
+++ b/ledger/member/cluster_test.go
@@ -302,3 +302,41 @@
 	c.stop("m2", "m3")
 	expect(3)
 }
+
+// The store answers some VMs and says nothing to others (platform_down, nodes silent).
+// A process that follows members of the second kind must not go on with what they
+// knew: a target that leaves may get no request after two seconds.
+func TestProcessDoesNotTrustMembersThatTheStoreIsSilentTo(t *testing.T) {
+	c := newCluster(t)
+	c.three()
+	config := func(version int) []byte {
+		return fmt.Appendf(nil, `{"version":%d,"routes":[],"services":[],"limits":{}}`, version)
+	}
+	c.store.Put(platform.ConfigKey, config(1))
+	f := c.follower(func(discovery.Snapshot) {})
+	f.ThroughPeers = true
+	answers := platformtest.NewStore()
+	t.Cleanup(answers.Close)
+	f.Store = platform.NewStore(answers.Addr())
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go f.Run(ctx)
+	version := func() int64 {
+		if s := f.Directory.Snapshot(); s.Config != nil {
+			return s.Config.Version
+		}
+		return 0
+	}
+	require.Eventually(t, func() bool { return version() == 1 && f.Connected() }, patience, 5*time.Millisecond)
+	// The store that was read at the start is left for the members.
+	time.Sleep(500 * time.Millisecond)
+	c.store.SetSilent(true)
+	t.Cleanup(func() { c.store.SetSilent(false) })
+	for range 100 {
+		// The revisions of the store that answers go beyond what members knew.
+		answers.Put("other", []byte("x"))
+	}
+	answers.Put(platform.ConfigKey, config(2))
+	const drain = 2 * time.Second
+	require.Eventually(t, func() bool { return version() == 2 }, drain, 5*time.Millisecond)
+}
