discovery: a target that leaves is dropped while the store refuses single members

Cause, traced by a test: a process that follows a member to which the store is closed, and another that is current, took each answer of the first for an outage of the store, every half second. Change: an outage counts only while the store is seen neither through another member nor directly.

--- a/discovery/through.go
+++ b/discovery/through.go
@@ -153,14 +153,18 @@
 			return err
 		}
 		now := time.Now()
-		if !response.GetState().GetCurrent() {
+		if response.GetState().GetCurrent() {
+			f.Directory.Learn(response.GetState(), now)
+			f.peers.noteCurrent(addr, now)
+			continue
+		}
+		f.peers.noteLost(addr)
+		// The store may refuse single VMs. While it is seen through others, an entry
+		// that is missing has been removed.
+		if !f.peers.isCurrent(now) && !f.connected.Load() {
 			f.Directory.Disturbed(now)
 		}
 		f.Directory.Learn(response.GetState(), now)
-		if !response.GetState().GetCurrent() {
-			f.peers.noteLost(addr)
-			return errNotCurrent
-		}
-		f.peers.noteCurrent(addr, now)
+		return errNotCurrent
 	}
 }
