--- a/cli/explain.go
+++ b/cli/explain.go
@@ -14,11 +14,14 @@
 	return &cli.Command{
 		Name:      "explain",
 		Usage:     "show where a program's time went and why its calls ran where they did",
-		ArgsUsage: "PROGRAM",
+		ArgsUsage: "PROGRAM or, with --logs, REQUEST",
 		Description: "Examples:\n" +
 			"  rhubarbsaddle explain --data events.jsonl haggle-1\n" +
-			"  rhubarbsaddle explain --from http://127.0.0.1:9100 --json haggle-1",
-		Flags:  append(eventFlags(), &cli.BoolFlag{Name: "json", Usage: "write JSON instead of a table"}),
+			"  rhubarbsaddle explain --from http://127.0.0.1:9100 --json haggle-1\n" +
+			"  rhubarbsaddle explain --logs entry-1.log --logs ledger-1.log 9c568acb405c068a",
+		Flags: append(eventFlags(),
+			&cli.BoolFlag{Name: "json", Usage: "write JSON instead of a table"},
+			&cli.StringSliceFlag{Name: "logs", Usage: "`FILE` of log lines of rhubarbsaddled, or - for standard input; explains a request or program from them"}),
 		Action: runExplain,
 	}
 }
@@ -28,6 +31,9 @@
 	if err != nil {
 		return err
 	}
+	if cmd.IsSet("logs") {
+		return runExplainLogs(cmd, program)
+	}
 	var decisions []observe.Decision
 	err = readEvents(ctx, cmd, func(l observe.Line) {
 		if l.Decision != nil {
