--- a/cli/explain_logs.go
+++ b/cli/explain_logs.go
@@ -26,7 +26,7 @@
 	}
 	t := timeline.New(id, all)
 	if len(t.Lines) == 0 {
-		return fmt.Errorf("explain %s: %d log lines tell of no such request or program; lines of answered ones may have been left out under load", id, len(all))
+		return fmt.Errorf("explain %s: %d log lines tell of no such request or program; lines of answered ones are left out under load, and a process that is killed writes none for what it had under way", id, len(all))
 	}
 	return t.Write(cmd.Root().Writer)
 }
--- a/report/timeline/timeline.go
+++ b/report/timeline/timeline.go
@@ -19,6 +19,10 @@
 // effects within the time that turns wait, some seconds.
 const contextBefore = 5 * time.Second
 
+// ownDeadline is in the cause of a read that the entry itself ended, when the time
+// of the request was over or its caller had left.
+const ownDeadline = "i/o timeout"
+
 // meanings say in words how a request ended, by its reason.
 var meanings = map[string]string{
 	"answered":           "a target's answer was passed on whole",
@@ -104,8 +108,11 @@
 	if !ok {
 		meaning = "for a reason that this version does not know, " + end.Reason
 	}
-	if end.Reason == "answered" {
+	switch {
+	case end.Reason == "answered":
 		meaning = "the target answered so itself"
+	case end.Reason == "stream_broken" && strings.Contains(end.Cause, ownDeadline):
+		meaning = "its time was over in the middle of the stream"
 	}
 	text := fmt.Sprintf("request %s at %s ended with %d: %s", end.Request, end.VM, end.Status, meaning)
 	if end.Cause != "" {
