core/entry: word of a copy that overtakes the answer counts

Cause of the known-red TestEitherCopyOutlivesTheOther, as far as traced: the sidecar that takes a copy of a conversation and the one that answers the call are different senders. Word of the copy that came first named a state that the home did not know yet, was dropped, and nothing told it again until the next turn; the record named one copy for good. Change: the home remembers such word with the call and records it with the answer. Test: a copy that is told before the answer; one copy before, two now.

--- a/core/entry/kept.go
+++ b/core/entry/kept.go
@@ -110,12 +110,29 @@
 	}
 	kept := core.HistoryCopy{Node: m.Node, Digest: m.Digest, Blocks: m.Blocks}
 	if !current(p, kept) {
+		keptEarly(s, p, kept)
 		return
 	}
-	p = s.edit(p.ID)
+	e.recordCopy(s, s.edit(p.ID), kept)
+}
+
+func (e *Entry) recordCopy(s *slot, p *core.Program, kept core.HistoryCopy) {
 	old := addCopy(p, kept)
 	e.mark(s)
-	e.durable(s, func() { e.dropCopies(s, m.Program, old) })
+	e.durable(s, func() { e.dropCopies(s, p.ID, old) })
+}
+
+// keptEarly remembers a copy of a newer state than is known: the sidecar that took
+// it and the one that answers the call are different senders.
+func keptEarly(s *slot, p *core.Program, kept core.HistoryCopy) {
+	if kept.Blocks <= p.HistoryBlocks {
+		return
+	}
+	for _, c := range s.home.attempts {
+		if c.program == p.ID && len(c.early) < maxCopies {
+			c.early = append(c.early, kept)
+		}
+	}
 }
 
 // passKept passes word of a copy on to the slot's home: the sidecar knows the
--- a/core/entry/kept_test.go
+++ b/core/entry/kept_test.go
@@ -68,3 +68,33 @@
 	require.Len(t, taken.HistoryCopies, 2)
 	require.Equal(t, holder, taken.HistoryCopies[1].Node)
 }
+
+// TestCopyThatIsToldBeforeTheAnswerCounts lets word of a copy overtake the answer, as
+// on a VM whose processor is short.
+func TestCopyThatIsToldBeforeTheAnswerCounts(t *testing.T) {
+	c := newCluster(t, 3)
+	c.settled()
+	for _, p := range c.procs {
+		if p.side != nil {
+			p.side.hold = true
+		}
+	}
+	req := c.call(c.procs["e0"], turn("p", 1))
+	home := c.homeOf("p")
+	holder := core.Node{VM: "m9", Inc: 1}
+	// The engine adds one block to the one of the call.
+	c.deliver(home, core.Recv{From: holder, Msg: core.HistoryKept{
+		Node: holder, Slot: home.entry.slotOf("p").id, Program: "p", Digest: 1001, Blocks: 2,
+	}})
+	require.Empty(t, c.replies[req])
+	for _, p := range c.procs {
+		if p.side != nil {
+			p.side.release()
+		}
+	}
+	require.Equal(t, core.OutcomeRan, c.reply(req).Outcome)
+	p := home.entry.slotOf("p").image.programs["p"]
+	require.EqualValues(t, 1001, p.HistoryDigest)
+	require.Len(t, p.HistoryCopies, 2)
+	require.Equal(t, holder, p.HistoryCopies[1].Node)
+}
--- a/core/entry/lane.go
+++ b/core/entry/lane.go
@@ -46,7 +46,10 @@
 	reported uint64
 	tokens   uint64
 	// history is the part of the prompt computed by earlier calls, in tokens.
-	history  uint32
+	history uint32
+	// early holds copies of the conversation with this call's answer of which word
+	// came before the answer.
+	early    []core.HistoryCopy
 	askedAt  core.Instant
 	seen     bool
 	canceled bool
--- a/core/entry/outcome.go
+++ b/core/entry/outcome.go
@@ -75,6 +75,11 @@
 	if rec.Kind == core.CallModel {
 		c.history = historyTokens(p, c.body)
 		e.recordHistory(p, c.body, r, c.target)
+		for _, kept := range c.early {
+			if current(p, kept) {
+				e.recordCopy(s, p, kept)
+			}
+		}
 		p.Turns++
 		p.Last = c.target
 	}
