--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -191,6 +191,16 @@
 	if s == nil {
 		return Choice{}, false
 	}
+	choice, ok = f.pick(s, q, now)
+	if !ok && q.Fragile {
+		// Better at a target that failed of late than nowhere.
+		q.Fragile = false
+		choice, ok = f.pick(s, q, now)
+	}
+	return choice, ok
+}
+
+func (f *Fleet) pick(s *service, q Query, now time.Time) (choice Choice, ok bool) {
 	f.turn++
 	best := -1.0
 	n := uint64(len(s.targets))
--- a/fleet/health_test.go
+++ b/fleet/health_test.go
@@ -80,3 +80,15 @@
 	}
 	assert.True(t, seen[key(0)])
 }
+
+// Pattern: a service with one target, whose answer was lost once.
+func TestOnlyTargetIsUsedAfterAFailure(t *testing.T) {
+	f := newFleet(1)
+	fail(f, key(0), start)
+	fragile := query(own("a"))
+	fragile.Fragile = true
+	for _, after := range []time.Duration{100 * time.Millisecond, time.Second, 3 * time.Second} {
+		_, ok := f.Pick(fragile, start.Add(after))
+		assert.True(t, ok, "%v later", after)
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -91,13 +91,13 @@
 	}
 	silent := watch(a.conn, e.headSilence(), e.mayLeave())
 	fail := a.readHead(request, e.call.ID)
-	silent.stop()
-	if fail == nil && silent.fired() {
+	leave := silent.stop()
+	if fail == nil && leave {
 		// The head came with the end of the wait, and the connection cannot be read.
 		fail = a.lost(errSilent)
 	}
 	if fail != nil {
-		if silent.fired() {
+		if leave {
 			a.outcome = fleet.Silent
 		}
 		a.abort(ctx)
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -1,7 +1,7 @@
 package relay
 
 import (
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -29,7 +29,11 @@
 // target can take over.
 type silence struct {
 	timer *time.Timer
-	over  atomic.Bool
+
+	mu sync.Mutex
+	// over says that the attempt was ended, stopped that it must not be any more:
+	// its connection may serve another request by then.
+	over, stopped bool
 }
 
 // watch starts to watch a connection. After the limit it ends the attempt if
@@ -40,16 +44,25 @@
 		return s
 	}
 	s.timer = time.AfterFunc(limit, func() {
-		if !mayLeave() {
-			return
+		if mayLeave() {
+			s.end(c)
 		}
-		s.over.Store(true)
-		// The read that waits fails.
-		_ = c.nc.SetReadDeadline(time.Unix(1, 0))
 	})
 	return s
 }
 
+// end lets the read that waits fail.
+func (s *silence) end(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		return
+	}
+	s.over = true
+	// A connection that is closed already has ended the read itself.
+	_ = c.nc.SetReadDeadline(time.Unix(1, 0))
+}
+
 // heard starts the time again, for the next pause.
 func (s *silence) heard(limit time.Duration) {
 	if s.timer != nil && s.timer.Stop() {
@@ -57,12 +70,16 @@
 	}
 }
 
-func (s *silence) fired() bool { return s.over.Load() }
-
-func (s *silence) stop() {
-	if s.timer != nil {
-		s.timer.Stop()
+// stop ends the watch and reports whether it had ended the attempt.
+func (s *silence) stop() bool {
+	if s.timer == nil {
+		return false
 	}
+	s.timer.Stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+	return s.over
 }
 
 // headSilence returns how long the head of an answer is awaited before another
@@ -81,9 +98,9 @@
 	return limit
 }
 
-// mayLeave returns what says whether a silent target may be left: another one is
-// free, and plain requests are within the budget. Streams are few, and without
-// their events nothing is served.
+// mayLeave returns a function that reports whether a silent target may be left:
+// another one is free, and plain requests are within the budget. Streams are few,
+// and without their events nothing is served.
 func (e *exchange) mayLeave() func() bool {
 	// The timer may still run when the exchange goes on.
 	query, isStream := e.query(false), e.route.Kind == catalog.Streaming
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -141,11 +141,12 @@
 	for {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
+			silent.stop()
 			a.complete()
 			return nil
 		}
 		if err != nil {
-			if silent.fired() {
+			if silent.stop() {
 				a.outcome = fleet.Silent
 			}
 			a.abort(ctx)
