ledger/quorum: send calls of a broken connection on the newer one

Cause: a call in flight on a connection that breaks was queued for the next connection. If the link already had that connection, the queue was flushed before, and the call waited until the next break.

Change: such a call is sent on the current connection unless that is the one that failed.

TestCallOfBrokenConnectionIsSentOnNewerConnection fails before (5 s without an answer), passes after.

--- a/ledger/quorum/link.go
+++ b/ledger/quorum/link.go
@@ -189,11 +189,18 @@
 }
 
 // send sends the call to the member, at once or as soon as the link is connected.
-func (l *link) send(c call) {
+func (l *link) send(c call) { l.sendExceptOn(c, nil) }
+
+// sendExceptOn sends the call on the current connection, or queues it if there is none
+// or if it is failed, the connection that the call was already sent on. The link may have
+// connected again before the call's failure is handled; the call must not be queued then,
+// since only the next connection sends queued calls.
+func (l *link) sendExceptOn(c call, failed *transport.Conn) {
 	l.mu.Lock()
 	conn := l.conn
-	if conn == nil {
+	if conn == nil || conn == failed {
 		l.enqueue(c)
+		conn = nil
 	}
 	l.mu.Unlock()
 	if conn == nil {
@@ -205,20 +212,13 @@
 	}
 	conn.Go(req, func(response *ledgerpb.Response, err error) {
 		if err != nil {
-			l.requeue(c)
+			l.sendExceptOn(c, conn)
 			return
 		}
 		c.handleResponse(l.seat, response)
 	})
 }
 
-// requeue queues a call for the next connection.
-func (l *link) requeue(c call) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.enqueue(c)
-}
-
 // enqueue queues a call until the link is connected. The caller must hold l.mu.
 func (l *link) enqueue(c call) {
 	if len(l.queued) >= maxQueuedCalls {
--- /dev/null
+++ b/ledger/quorum/link_test.go
@@ -0,0 +1,82 @@
+package quorum
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/transport"
+)
+
+// reconnectingCall reconnects its link before the link learns that the call failed.
+type reconnectingCall struct {
+	reconnect func()
+	requests  int
+	answered  chan struct{}
+}
+
+func (c *reconnectingCall) request() *ledgerpb.Request {
+	if c.requests++; c.requests == 1 {
+		c.reconnect()
+	}
+	return &ledgerpb.Request{Call: &ledgerpb.Request_ReadRecords{ReadRecords: &ledgerpb.ReadRecords{}}}
+}
+
+func (c *reconnectingCall) handleResponse(ledger.Seat, *ledgerpb.Response) { close(c.answered) }
+
+// A call in flight on a connection that breaks is sent on the link's next connection, also
+// if the link has that connection before it learns that the call failed.
+func TestCallOfBrokenConnectionIsSentOnNewerConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go answerAll(listener)
+	dial := func() *transport.Conn {
+		conn, err := transport.Dial(context.Background(), listener.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(conn.Close)
+		return conn
+	}
+	l := &link{tunnels: func() []string { return nil }}
+	broken := dial()
+	l.setConn(broken)
+	c := &reconnectingCall{answered: make(chan struct{}), reconnect: func() {
+		broken.Close()
+		l.setConn(dial())
+	}}
+	l.send(c)
+	select {
+	case <-c.answered:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the call was not sent on the newer connection")
+	}
+}
+
+func answerAll(listener net.Listener) {
+	for {
+		nc, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer nc.Close()
+			in := bufio.NewReader(nc)
+			for {
+				req := &ledgerpb.Request{}
+				if protodelim.UnmarshalFrom(in, req) != nil {
+					return
+				}
+				if _, err := protodelim.MarshalTo(nc, &ledgerpb.Response{Seq: req.GetSeq()}); err != nil {
+					return
+				}
+			}
+		}()
+	}
+}
