history, daemon/sidecar: close the store with the daemon

Cause: a sidecar stores a conversation in the background after the answer.

Change: Store.Close waits for the change in progress and rejects later ones.

--- a/daemon/sidecar/sidecar.go
+++ b/daemon/sidecar/sidecar.go
@@ -91,6 +91,7 @@
 	d.node = n
 	d.history.node = n
 	if err := n.Start(); err != nil {
+		replicator.store.Close()
 		return nil, err
 	}
 	go d.pollLoad()
@@ -101,15 +102,19 @@
 // Node returns the part of the runtime that all roles share.
 func (d *Daemon) Node() *node.Node { return d.node }
 
-// Close stops the daemon abruptly, like a crash.
-func (d *Daemon) Close() { d.node.Close() }
+// Close stops the daemon abruptly, like a crash. Afterwards nothing is written to the data
+// directory any more.
+func (d *Daemon) Close() {
+	d.node.Close()
+	d.history.store.Close()
+}
 
 // Drain shuts down gracefully: it waits until the attempts at the target have ended
 // and their results are acknowledged, copies the stored conversations to other
 // sidecars, and waits until all readers have reached the end of their answers. It
 // returns an error if ctx ends before that.
 func (d *Daemon) Drain(ctx context.Context) error {
-	defer d.node.Close()
+	defer d.Close()
 	if err := d.node.DrainAndWait(ctx); err != nil {
 		return err
 	}
--- a/history/error.go
+++ b/history/error.go
@@ -1,11 +1,15 @@
 package history
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 )
 
+// ErrClosed reports that the store is closed.
+var ErrClosed = errors.New("history: store is closed")
+
 // NotFoundError reports that the store has no conversation of the program, or
 // only an older one.
 type NotFoundError struct {
--- a/history/store.go
+++ b/history/store.go
@@ -39,6 +39,7 @@
 	lru *list.List
 	// fences holds the highest epoch seen for each slot.
 	fences map[core.SlotID]core.Epoch
+	closed bool
 }
 
 // Open returns a store with the conversations found in its directory.
@@ -65,6 +66,14 @@
 	return s, err
 }
 
+// Close waits for the change of the directory that is in progress, if any, and makes all
+// later changes fail with ErrClosed, so that the directory may be opened again.
+func (s *Store) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+}
+
 // Compress checks that messages have the digest in m, and returns them in compressed
 // form.
 func (s *Store) Compress(m Meta, messages []byte) (*StoredConversation, error) {
@@ -75,7 +84,7 @@
 }
 
 // Put stores a conversation and replaces the program's older one. It fails with a
-// *FenceError, *AccountError, *StaleError, *TooLargeError or *DiskError.
+// *FenceError, *AccountError, *StaleError, *TooLargeError, *DiskError or ErrClosed.
 func (s *Store) Put(e *StoredConversation) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -231,8 +240,11 @@
 }
 
 // advanceFence records the epoch of a slot. It returns a *FenceError if a higher
-// one has been seen.
+// one has been seen, and ErrClosed if the store is closed.
 func (s *Store) advanceFence(slot core.SlotID, epoch core.Epoch) error {
+	if s.closed {
+		return ErrClosed
+	}
 	seen := s.fences[slot]
 	if epoch.Less(seen) {
 		return &FenceError{Slot: slot, Got: epoch, Seen: seen}
--- a/history/store_test.go
+++ b/history/store_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -235,6 +236,33 @@
 	require.NoError(t, err)
 }
 
+// TestClosedStoreWritesNothing closes a store while others write to it, and checks that
+// its directory can be removed: no write is in progress any more and none begins.
+func TestClosedStoreWritesNothing(t *testing.T) {
+	for range 20 {
+		dir := filepath.Join(t.TempDir(), "history")
+		s := openStore(t, Options{Dir: dir})
+		var writers sync.WaitGroup
+		for w := range 4 {
+			writers.Go(func() {
+				for i := range 50 {
+					messages, ref := conversation(t, core.ProgramID(fmt.Sprint(w)), fmt.Sprint(i))
+					if putConversation(t, s, attempt(1, uint64(i)), messages, ref) != nil {
+						return
+					}
+				}
+			})
+		}
+		s.Close()
+		require.NoError(t, os.RemoveAll(dir))
+		writers.Wait()
+		_, err := os.Stat(dir)
+		require.ErrorIs(t, err, os.ErrNotExist)
+		messages, ref := conversation(t, "p", "late")
+		require.ErrorIs(t, putConversation(t, s, attempt(1, 99), messages, ref), ErrClosed)
+	}
+}
+
 // TestStaleConversationIsNeverReturned extends and resets random conversations,
 // stores only some of their states, and checks that reading a state either fails
 // or returns exactly that state.
