ledger: restart from an index of the segment files instead of the records

Change: each segment file gets an index file, written once a second after the records are durable, checksummed, versioned, without gaps. A restart reads the index and scans only what follows it. Disks without an index are read as before and get one. Reads check the record's checksum; all records are verified in the background 15 s after the start, and a damaged one makes the member incomplete until it has copied it. The replica works on summaries of records.

--- a/ledger/member/commit.go
+++ b/ledger/member/commit.go
@@ -96,9 +96,12 @@
 	}
 	m.stats.written.Add(int64(len(locations)))
 	for _, w := range b.writes {
-		stored := ledger.Stored{RequestID: w.RequestID, Keys: w.Keys, Records: w.Records, Failed: err != nil}
+		stored := ledger.Stored{RequestID: w.RequestID, Summaries: w.Summaries, Records: w.Records, Failed: err != nil}
 		if err == nil {
 			stored.Locations, locations = locations[:len(w.Records)], locations[len(w.Records):]
+			for i, at := range stored.Locations {
+				m.index.add(w.Summaries[i], at)
+			}
 		}
 		m.post(stored)
 	}
@@ -126,7 +129,7 @@
 }
 
 func (m *Member) readRecord(at ledger.Location) (*ledgerpb.Record, error) {
-	payload, err := m.disk.Read(at)
+	payload, err := m.read(at)
 	if err != nil {
 		return nil, err
 	}
@@ -140,7 +143,7 @@
 	response := &ledgerpb.Response{Status: ledgerpb.Status_STATUS_OK}
 	size := 0
 	for _, at := range e.Locations {
-		payload, err := m.disk.Read(at)
+		payload, err := m.read(at)
 		if err != nil {
 			// If the record were skipped, the copying member would consider itself
 			// complete.
--- a/ledger/member/commit_test.go
+++ b/ledger/member/commit_test.go
@@ -14,14 +14,16 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 )
 
+func quietLogger() *log.Logger { return &log.Logger{Level: log.PanicLevel} }
+
+func emptyDirectory() *discovery.Directory {
+	return discovery.NewDirectory(discovery.Decoder{}, quietLogger(), func(discovery.Snapshot) {})
+}
+
 // startSingleMember opens a member without peers and starts its commit loop.
 func startSingleMember(t *testing.T, dir string) *Member {
 	t.Helper()
-	quiet := &log.Logger{Level: log.PanicLevel}
-	m, err := Open(Options{
-		Name: "m1", Addr: "127.0.0.1:0", Dir: dir, FirstStart: true, Log: quiet,
-		Directory: discovery.NewDirectory(discovery.Decoder{}, quiet, func(discovery.Snapshot) {}),
-	})
+	m, err := Open(Options{Name: "m1", Addr: "127.0.0.1:0", Dir: dir, FirstStart: true, Log: quietLogger(), Directory: emptyDirectory()})
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	go m.commitWrites(ctx)
--- a/ledger/member/error.go
+++ b/ledger/member/error.go
@@ -1,6 +1,12 @@
 package member
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
+
+// errFrameRange means that the records of an index frame do not fill its range.
+var errFrameRange = errors.New("the records of the index frame do not fill its range")
 
 // Error is a failed operation of a member.
 type Error struct {
--- a/ledger/member/member.go
+++ b/ledger/member/member.go
@@ -13,8 +13,6 @@
 	"time"
 
 	"github.com/phuslu/log"
-	"google.golang.org/protobuf/proto"
-
 	"github.com/rhubarbsaddle/rhubarbsaddle/ctxwait"
 	"github.com/rhubarbsaddle/rhubarbsaddle/discovery"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
@@ -56,6 +54,9 @@
 	options Options
 	log     *log.Logger
 	disk    *segment.Log
+	index   indexQueue
+	// hasDamage is set if a damaged record was found that maintainSeat has not handled yet.
+	hasDamage atomic.Bool
 	// identity identifies the disk. After Open only maintainSeat uses it.
 	identity identity
 	// hadSeat means that this process has had a seat. retired means that its seat was
@@ -108,41 +109,36 @@
 
 // loadDisk reads the disk and creates the replica from its records.
 func (m *Member) loadDisk() error {
-	var records []ledger.Loaded
-	disk, damaged, err := segment.Open(filepath.Join(m.options.Dir, "segments"), func(at ledger.Location, payload []byte) error {
-		rec := &ledgerpb.Record{}
-		if err := proto.Unmarshal(payload, rec); err != nil {
-			return err
-		}
-		if turn := rec.GetTurn(); turn != nil {
-			// The replica only needs the location of a turn's text.
-			turn.Input, turn.Output = nil, nil
-		}
-		records = append(records, ledger.Loaded{Record: rec, Location: at})
-		return nil
-	})
-	if err != nil {
+	var err error
+	if m.identity, err = readIdentity(m.options.Dir); err != nil {
 		return err
 	}
-	m.disk = disk
-	m.identity, err = readIdentity(m.options.Dir)
+	m.replica = ledger.NewReplica(false)
+	now, scanned := time.Now(), 0
+	disk, damaged, err := segment.Open(filepath.Join(m.options.Dir, "segments"), segment.Visitor{
+		Frame: func(described segment.Range, content []byte) error { return m.loadFrame(described, content, now) },
+		Record: func(at ledger.Location, payload []byte) error {
+			scanned++
+			return m.loadRecord(at, payload, now)
+		},
+	})
 	if err != nil {
 		return err
 	}
+	m.disk = disk
+	records := m.replica.Records()
 	if m.identity.Member != m.options.Name {
-		complete := m.options.FirstStart && len(records) == 0
+		complete := m.options.FirstStart && records == 0
 		if err := m.setIdentity(identity{Member: m.options.Name, Incarnation: rand.Uint64(), Complete: complete}); err != nil {
 			return err
 		}
 	}
 	complete := m.identity.Complete && !damaged
-	m.replica = ledger.NewReplica(complete)
-	m.ready.Store(complete)
-	now := time.Now()
-	for _, r := range records {
-		m.replica.Step(r, now)
+	if complete {
+		m.replica.Step(ledger.Recovered{}, now)
 	}
-	m.log.Info().Str("event", "disk_read").Int("records", len(records)).Bool("complete", complete).
+	m.ready.Store(complete)
+	m.log.Info().Str("event", "disk_read").Int("records", records).Int("scanned", scanned).Bool("complete", complete).
 		Bool("damaged", damaged).Uint64("incarnation", m.identity.Incarnation).Msg("")
 	return nil
 }
@@ -160,7 +156,7 @@
 func (m *Member) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){m.commitWrites, m.tick, m.maintainSeat, m.removeUnresponsiveMembers, m.catchUp, m.persistState} {
+	for _, loop := range []func(context.Context){m.commitWrites, m.tick, m.maintainSeat, m.removeUnresponsiveMembers, m.catchUp, m.persistState, m.writeIndex, m.verifyDisk} {
 		loops.Go(func() { loop(ctx) })
 	}
 	var panicErr error
--- a/ledger/member/seat.go
+++ b/ledger/member/seat.go
@@ -42,6 +42,12 @@
 
 // reconcileSeat takes the next step towards a ready seat, or towards retirement.
 func (m *Member) reconcileSeat(ctx context.Context) error {
+	if m.hasDamage.Swap(false) {
+		if err := m.markIncomplete(); err != nil {
+			m.hasDamage.Store(true)
+			return err
+		}
+	}
 	view := m.options.Directory.View()
 	if m.isRetiring() {
 		return m.retire(ctx, view)
@@ -89,8 +95,8 @@
 	return m.compareAndSwapView(ctx, view, view.With(m.seat(m.ready.Load())))
 }
 
-// markIncomplete marks the member's disk as lacking the records that were written while
-// it had no seat.
+// markIncomplete marks the member's disk as lacking records: those that were written while
+// it had no seat, or those that are damaged.
 func (m *Member) markIncomplete() error {
 	if !m.ready.Load() {
 		return nil
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -16,21 +16,6 @@
 	keyTurn        = "t"
 )
 
-// KeyOf returns the record's key. It returns false if the record's fact is missing or of
-// an unknown kind.
-func KeyOf(rec *ledgerpb.Record) (Key, bool) {
-	switch fact := rec.GetFact().(type) {
-	case *ledgerpb.Record_Reservation:
-		return keyFor(keyReservation, fact.Reservation.GetProgram(), fact.Reservation.GetAttempt()), true
-	case *ledgerpb.Record_Settlement:
-		return keyFor(keySettlement, fact.Settlement.GetProgram(), fact.Settlement.GetAttempt()), true
-	case *ledgerpb.Record_Turn:
-		return keyFor(keyTurn, fact.Turn.GetProgram(), fact.Turn.GetId()), true
-	default:
-		return 0, false
-	}
-}
-
 func keyFor(kind, program, id string) Key {
 	var d xxhash.Digest
 	d.Reset()
--- a/ledger/replica.go
+++ b/ledger/replica.go
@@ -31,7 +31,7 @@
 // Stored reports the outcome of a Write: the records are durable, or Failed is set.
 type Stored struct {
 	RequestID uint64
-	Keys      []Key
+	Summaries []Summary
 	Records   []*ledgerpb.Record
 	Locations []Location
 	// Failed means that the write failed and the records are not durable.
@@ -53,12 +53,17 @@
 	Keys      []uint64
 }
 
-// Loaded reports a record that was found on the disk at startup.
+// Loaded reports a record that was found on the disk at startup, in the order in which
+// the records were written.
 type Loaded struct {
-	Record   *ledgerpb.Record
+	Summary  Summary
 	Location Location
 }
 
+// Damaged reports stored records that cannot be read any more. The replica then lacks
+// them until they are copied from other members.
+type Damaged struct{ Locations []Location }
+
 // Recovered reports that the replica has copied every record that a quorum has stored.
 type Recovered struct{}
 
@@ -74,6 +79,7 @@
 func (KeysRequested) event()    {}
 func (RecordsRequested) event() {}
 func (Loaded) event()           {}
+func (Damaged) event()          {}
 func (Recovered) event()        {}
 func (Outdated) event()         {}
 func (Tick) event()             {}
@@ -84,7 +90,7 @@
 // Write requests that records be made durable; the outcome is reported by Stored.
 type Write struct {
 	RequestID uint64
-	Keys      []Key
+	Summaries []Summary
 	Records   []*ledgerpb.Record
 }
 
@@ -206,10 +212,11 @@
 	case RecordsRequested:
 		return []Effect{r.readRecords(e)}
 	case Loaded:
-		if key, ok := KeyOf(e.Record); ok {
-			r.applyFact(e.Record, now)
-			r.indexRecord(key, e.Record, e.Location)
-		}
+		r.applyFact(&e.Summary, now)
+		r.indexRecord(&e.Summary, e.Location)
+	case Damaged:
+		r.forget(e.Locations)
+		r.ready = false
 	case Recovered:
 		r.ready = true
 	case Outdated:
@@ -225,22 +232,22 @@
 // durable, so that two concurrent reservations see each other.
 func (r *Replica) startAppend(e AppendRequested, now time.Time) []Effect {
 	var missing []*ledgerpb.Record
-	var keys []Key
+	var summaries []Summary
 	for _, rec := range e.Records {
-		key, ok := KeyOf(rec)
+		summary, ok := Summarize(rec)
 		if !ok {
 			continue
 		}
-		r.applyFact(rec, now)
-		if _, stored := r.locations[key]; !stored {
+		r.applyFact(&summary, now)
+		if _, stored := r.locations[summary.Key]; !stored {
 			missing = append(missing, rec)
-			keys = append(keys, key)
+			summaries = append(summaries, summary)
 		}
 	}
 	if len(missing) == 0 {
 		return []Effect{Reply{RequestID: e.RequestID, Response: r.appendResponse(e.Records)}}
 	}
-	return []Effect{Write{RequestID: e.RequestID, Keys: keys, Records: missing}}
+	return []Effect{Write{RequestID: e.RequestID, Summaries: summaries, Records: missing}}
 }
 
 // finishAppend indexes the records of a completed write and responds to the append.
@@ -248,8 +255,8 @@
 	if e.Failed {
 		return []Effect{Reply{RequestID: e.RequestID, Response: &ledgerpb.Response{Status: ledgerpb.Status_STATUS_FAILED}}}
 	}
-	for i, rec := range e.Records {
-		r.indexRecord(e.Keys[i], rec, e.Locations[i])
+	for i := range e.Summaries {
+		r.indexRecord(&e.Summaries[i], e.Locations[i])
 	}
 	return []Effect{Reply{RequestID: e.RequestID, Response: r.appendResponse(e.Records)}}
 }
@@ -289,24 +296,18 @@
 }
 
 // applyFact updates the state of the record's program.
-func (r *Replica) applyFact(rec *ledgerpb.Record, now time.Time) {
-	switch fact := rec.GetFact().(type) {
-	case *ledgerpb.Record_Reservation:
-		f := fact.Reservation
-		p := r.retainProgram(f.GetProgram(), f.GetRetentionMs(), now)
-		key := AttemptKey(f.GetAttempt())
-		if known, ok := p.attempts[key]; !ok || !known.settled {
-			p.attempts[key] = attempt{tokens: f.GetTokens()}
+func (r *Replica) applyFact(s *Summary, now time.Time) {
+	p := r.retainProgram(s.Program, s.RetentionMS, now)
+	switch s.Kind {
+	case ReservationKind:
+		if known, ok := p.attempts[s.Attempt]; !ok || !known.settled {
+			p.attempts[s.Attempt] = attempt{tokens: s.Tokens}
 		}
-	case *ledgerpb.Record_Settlement:
-		f := fact.Settlement
-		p := r.retainProgram(f.GetProgram(), 0, now)
-		p.attempts[AttemptKey(f.GetAttempt())] = attempt{tokens: f.GetTokens(), settled: true}
-		if f.GetTarget() != "" {
-			p.lastTarget = f.GetTarget()
+	case SettlementKind:
+		p.attempts[s.Attempt] = attempt{tokens: s.Tokens, settled: true}
+		if s.Target != "" {
+			p.lastTarget = s.Target
 		}
-	case *ledgerpb.Record_Turn:
-		r.retainProgram(fact.Turn.GetProgram(), fact.Turn.GetRetentionMs(), now)
 	}
 }
 
@@ -323,37 +324,52 @@
 	return p
 }
 
-// indexRecord records the location of a stored record.
-func (r *Replica) indexRecord(key Key, rec *ledgerpb.Record, at Location) {
+// indexRecord records the location of a stored record. If the record has been stored
+// before, the newer location replaces the older one, which may be damaged.
+func (r *Replica) indexRecord(s *Summary, at Location) {
 	r.newestSegment = max(r.newestSegment, at.Segment)
-	if _, known := r.locations[key]; known {
-		return
+	old, known := r.locations[s.Key]
+	if known {
+		r.liveRecords[old.Segment]--
 	}
-	r.locations[key] = at
+	r.locations[s.Key] = at
 	r.liveRecords[at.Segment]++
-	p := r.programs[programOf(rec)]
+	if s.Kind == TurnKind {
+		r.turns[s.Turn] = turn{previous: s.Previous, location: at}
+	}
+	if known {
+		return
+	}
+	p := r.programs[s.Program]
 	if p == nil {
 		// The program expired while the record was being written. If no further record
 		// arrives, the next check for expired programs removes it again.
-		p = r.retainProgram(programOf(rec), 0, time.Time{})
+		p = r.retainProgram(s.Program, 0, time.Time{})
 	}
-	p.recordKeys = append(p.recordKeys, key)
-	if t := rec.GetTurn(); t != nil {
-		r.turns[t.GetId()] = turn{previous: t.GetPrevious(), location: at}
-		p.turnIDs = append(p.turnIDs, t.GetId())
+	p.recordKeys = append(p.recordKeys, s.Key)
+	if s.Kind == TurnKind {
+		p.turnIDs = append(p.turnIDs, s.Turn)
 	}
 }
 
-func programOf(rec *ledgerpb.Record) string {
-	switch fact := rec.GetFact().(type) {
-	case *ledgerpb.Record_Reservation:
-		return fact.Reservation.GetProgram()
-	case *ledgerpb.Record_Settlement:
-		return fact.Settlement.GetProgram()
-	case *ledgerpb.Record_Turn:
-		return fact.Turn.GetProgram()
+// forget removes the records at the locations from the index. Their effect on the
+// spending of programs remains.
+func (r *Replica) forget(lost []Location) {
+	isLost := make(map[Location]bool, len(lost))
+	for _, at := range lost {
+		isLost[at] = true
+	}
+	for key, at := range r.locations {
+		if isLost[at] {
+			r.liveRecords[at.Segment]--
+			delete(r.locations, key)
+		}
+	}
+	for id, t := range r.turns {
+		if isLost[t.location] {
+			delete(r.turns, id)
+		}
 	}
-	return ""
 }
 
 // readChain locates a turn and its predecessors. NOT_FOUND is only returned for the
--- a/ledger/replica_test.go
+++ b/ledger/replica_test.go
@@ -39,7 +39,7 @@
 }
 
 func (d *disk) complete(w ledger.Write) ledger.Stored {
-	stored := ledger.Stored{RequestID: w.RequestID, Keys: w.Keys, Records: w.Records, Failed: d.fail}
+	stored := ledger.Stored{RequestID: w.RequestID, Summaries: w.Summaries, Records: w.Records, Failed: d.fail}
 	for range w.Records {
 		stored.Locations = append(stored.Locations, ledger.Location{Segment: d.segment, Offset: d.offset, Length: 1})
 		d.offset++
@@ -62,6 +62,13 @@
 
 const retention = uint64(60_000)
 
+func summary(t *testing.T, rec *ledgerpb.Record) ledger.Summary {
+	t.Helper()
+	s, ok := ledger.Summarize(rec)
+	require.True(t, ok)
+	return s
+}
+
 func turnRecord(program, id, previous string) *ledgerpb.Record {
 	return ledger.NewTurn(&ledgerpb.Turn{Program: program, Id: id, Previous: previous, RetentionMs: retention})
 }
@@ -180,8 +187,55 @@
 
 func TestRecordsLoadedAtStartAffectBudget(t *testing.T) {
 	d := newDisk(true)
-	d.step(ledger.Loaded{Record: ledger.NewReservation("p", "a", 300, retention), Location: ledger.Location{Segment: 1}})
-	d.step(ledger.Loaded{Record: ledger.NewSettlement("p", "a", 7, ""), Location: ledger.Location{Segment: 1, Offset: 9}})
+	d.step(ledger.Loaded{Summary: summary(t, ledger.NewReservation("p", "a", 300, retention)), Location: ledger.Location{Segment: 1}})
+	d.step(ledger.Loaded{Summary: summary(t, ledger.NewSettlement("p", "a", 7, "")), Location: ledger.Location{Segment: 1, Offset: 9}})
 	assert.Equal(t, 7, spending(d.append(ledger.NewReservation("p", "b", 1, retention))).Committed("b"))
 	assert.Equal(t, 3, d.replica.Records())
 }
+
+// A damaged record is missing until it is copied from another member, which makes the
+// replica ready again. The spending that it stated remains.
+func TestDamagedRecordIsStoredAgain(t *testing.T) {
+	d := newDisk(true)
+	d.append(ledger.NewSettlement("p", "a", 7, ""))
+	d.append(turnRecord("p", "t1", ""))
+	d.append(turnRecord("p", "t2", "t1"))
+	chain := d.step(ledger.ChainRequested{Turn: "t2"})[0].(ledger.ReplyChain)
+	d.step(ledger.Damaged{Locations: chain.Locations[:1]})
+	assert.False(t, d.replica.Ready())
+	assert.Equal(t, 2, d.replica.Records())
+	assert.Equal(t, "t1", d.step(ledger.ChainRequested{Turn: "t2"})[0].(ledger.ReplyChain).Missing)
+	d.append(turnRecord("p", "t1", ""))
+	d.step(ledger.Recovered{})
+	assert.Len(t, d.step(ledger.ChainRequested{Turn: "t2"})[0].(ledger.ReplyChain).Locations, 2)
+	assert.Equal(t, 7, spending(d.append(ledger.NewReservation("p", "b", 1, retention))).Committed("b"))
+}
+
+// After the next start the disk has both copies of a record that was damaged.
+func TestNewerCopyReplacesDamagedOneAtStart(t *testing.T) {
+	d := newDisk(true)
+	s := summary(t, turnRecord("p", "t1", ""))
+	d.step(ledger.Loaded{Summary: s, Location: ledger.Location{Segment: 1}})
+	newer := ledger.Location{Segment: 2, Offset: 5}
+	d.step(ledger.Loaded{Summary: s, Location: newer})
+	assert.Equal(t, []ledger.Location{newer}, d.step(ledger.ChainRequested{Turn: "t1"})[0].(ledger.ReplyChain).Locations)
+	assert.Equal(t, []ledger.Effect{ledger.DropSegment{Segment: 1}}, d.step(ledger.Tick{}))
+}
+
+func TestIndexFrameKeepsSummaries(t *testing.T) {
+	var records []ledger.Indexed
+	for i, rec := range []*ledgerpb.Record{
+		ledger.NewReservation("p", "a", 300, retention), ledger.NewSettlement("p", "a", 7, "i1"),
+		turnRecord("p", "t1", ""), turnRecord("q", "t2", "t1"),
+	} {
+		records = append(records, ledger.Indexed{Summary: summary(t, rec), Length: uint32(i)})
+	}
+	frame := ledger.EncodeFrame(records)
+	var decoded []ledger.Indexed
+	require.NoError(t, ledger.DecodeFrame(frame, func(r ledger.Indexed) { decoded = append(decoded, r) }))
+	assert.Equal(t, records, decoded)
+	frame.Programs[0] = uint32(len(frame.Names))
+	assert.Error(t, ledger.DecodeFrame(frame, func(ledger.Indexed) { t.Error("a malformed frame was visited") }))
+	frame.Programs = frame.Programs[1:]
+	assert.Error(t, ledger.DecodeFrame(frame, func(ledger.Indexed) { t.Error("a malformed frame was visited") }))
+}
--- a/ledger/segment/segment.go
+++ b/ledger/segment/segment.go
@@ -1,6 +1,7 @@
 // Package segment stores records in append-only files. Each record carries a
 // checksum. When the files are opened, reading stops at a record that a power failure
-// left incomplete at the end of the last file, and later appends overwrite it.
+// left incomplete at the end of the last file, and later appends overwrite it. Records
+// that an index file describes are not read then; Read checks each one.
 package segment
 
 import (
@@ -52,23 +53,37 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// ErrDamaged means that a stored record does not match its checksum.
+var ErrDamaged = errors.New("the record is damaged")
+
 // Log is the set of segment files in a directory. Only one goroutine may call Append;
-// Read and Drop may be called concurrently.
+// Read, Drop and AppendIndex may be called concurrently.
 type Log struct {
 	dir string
 
 	mu    sync.RWMutex
 	files map[uint32]*os.File
 
+	indexMu sync.Mutex
+	indexes map[uint32]indexFile
+
 	current uint32
 	size    int64
 	buffer  []byte
 }
 
-// Open reads the files of the directory and passes each record to visit, oldest
-// first. Damaged is true if a file other than the last has a synced record that cannot
-// be read, so that the directory lacks records that were acknowledged.
-func Open(dir string, visit func(ledger.Location, []byte) error) (log *Log, damaged bool, err error) {
+// Visitor receives what Open finds, in the order in which it was written.
+type Visitor struct {
+	// Frame receives the content of an index frame and the range that it describes.
+	Frame func(described Range, content []byte) error
+	// Record receives a record that no index frame describes.
+	Record func(ledger.Location, []byte) error
+}
+
+// Open reads the files of the directory and passes their content to the visitor. Damaged
+// is true if a synced record cannot be read, so that the directory lacks records that were
+// acknowledged. Records that an index describes are not read.
+func Open(dir string, visitor Visitor) (log *Log, damaged bool, err error) {
 	if err := os.MkdirAll(dir, 0o750); err != nil {
 		return nil, false, &Error{Step: "open", Peer: dir, Err: err}
 	}
@@ -76,18 +91,17 @@
 	if err != nil {
 		return nil, false, err
 	}
-	l := &Log{dir: dir, files: make(map[uint32]*os.File)}
+	l := &Log{dir: dir, files: make(map[uint32]*os.File), indexes: make(map[uint32]indexFile)}
+	if err := l.removeOrphanedIndexes(); err != nil {
+		return nil, false, err
+	}
 	for i, number := range numbers {
-		validSize, err := l.loadFile(number, visit)
+		validSize, fileSize, lostRecords, err := l.loadFile(number, visitor)
 		if err != nil {
 			return nil, false, err
 		}
-		last := i == len(numbers)-1
-		if !last {
-			fileSize, err := l.files[number].Seek(0, io.SeekEnd)
-			if err != nil {
-				return nil, false, &Error{Step: "scan", Peer: l.path(number), Err: err}
-			}
+		damaged = damaged || lostRecords
+		if i < len(numbers)-1 {
 			damaged = damaged || fileSize > validSize
 			continue
 		}
@@ -117,16 +131,30 @@
 	return filepath.Join(l.dir, fmt.Sprintf("%08d%s", number, fileSuffix))
 }
 
-// loadFile opens one file and returns the offset at which its valid records end.
-func (l *Log) loadFile(number uint32, visit func(ledger.Location, []byte) error) (int64, error) {
+// loadFile opens one file. It returns the offset at which its valid records end, its size
+// and whether it has lost records that its index describes.
+func (l *Log) loadFile(number uint32, visitor Visitor) (validSize, fileSize int64, lostRecords bool, err error) {
 	path := l.path(number)
 	file, err := os.OpenFile(path, os.O_RDWR, 0o640)
 	if err != nil {
-		return 0, &Error{Step: "open", Peer: path, Err: err}
+		return 0, 0, false, &Error{Step: "open", Peer: path, Err: err}
 	}
 	l.files[number] = file
-	in := bufio.NewReaderSize(file, scanBufferBytes)
-	offset := int64(0)
+	if fileSize, err = file.Seek(0, io.SeekEnd); err != nil {
+		return 0, 0, false, &Error{Step: "scan", Peer: path, Err: err}
+	}
+	covered, lostRecords, err := l.loadIndex(number, fileSize, visitor.Frame)
+	if err != nil {
+		return 0, 0, false, err
+	}
+	validSize, err = l.scan(number, int64(covered), fileSize, visitor.Record)
+	return validSize, fileSize, lostRecords, err
+}
+
+// scan reads the records of a file from an offset to its end, and returns the offset at
+// which the valid ones end.
+func (l *Log) scan(number uint32, offset, fileSize int64, visit func(ledger.Location, []byte) error) (int64, error) {
+	in := bufio.NewReaderSize(io.NewSectionReader(l.files[number], offset, fileSize-offset), scanBufferBytes)
 	for {
 		payload, ok := readRecord(in)
 		if !ok {
@@ -134,7 +162,7 @@
 		}
 		at := ledger.Location{Segment: number, Offset: uint32(offset + headerBytes), Length: uint32(len(payload))}
 		if err := visit(at, payload); err != nil {
-			return 0, &Error{Step: "scan", Peer: path, Err: err}
+			return 0, &Error{Step: "scan", Peer: l.path(number), Err: err}
 		}
 		offset += int64(headerBytes + len(payload))
 	}
@@ -249,7 +277,8 @@
 	return nil
 }
 
-// Read returns the record at a location.
+// Read returns the record at a location. It returns ErrDamaged if the record does not
+// match its checksum or is beyond the end of the file.
 func (l *Log) Read(at ledger.Location) ([]byte, error) {
 	l.mu.RLock()
 	file := l.files[at.Segment]
@@ -257,14 +286,28 @@
 	if file == nil {
 		return nil, &Error{Step: "read", Peer: l.path(at.Segment), Err: os.ErrNotExist}
 	}
-	data := make([]byte, at.Length)
-	if _, err := file.ReadAt(data, int64(at.Offset)); err != nil {
+	data := make([]byte, headerBytes+at.Length)
+	if _, err := file.ReadAt(data, int64(at.Offset)-headerBytes); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = ErrDamaged
+		}
 		return nil, &Error{Step: "read", Peer: file.Name(), Err: err}
 	}
-	return data, nil
+	header, payload := data[:headerBytes], data[headerBytes:]
+	if binary.LittleEndian.Uint32(header) != at.Length || binary.LittleEndian.Uint32(header[4:]) != crc32.Checksum(payload, castagnoli) {
+		return nil, &Error{Step: "read", Peer: file.Name(), Err: ErrDamaged}
+	}
+	return payload, nil
+}
+
+// has reports whether there is a file with that number.
+func (l *Log) has(number uint32) bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.files[number] != nil
 }
 
-// Drop closes and deletes a file. It does nothing if there is no such file.
+// Drop closes and deletes a file with its index. It does nothing if there is no such file.
 func (l *Log) Drop(number uint32) error {
 	l.mu.Lock()
 	file := l.files[number]
@@ -274,7 +317,7 @@
 		return nil
 	}
 	closeErr := file.Close()
-	if err := errors.Join(closeErr, os.Remove(l.path(number))); err != nil {
+	if err := errors.Join(closeErr, os.Remove(l.path(number)), l.dropIndex(number)); err != nil {
 		return &Error{Step: "remove", Peer: l.path(number), Err: err}
 	}
 	return nil
--- a/ledger/segment/segment_test.go
+++ b/ledger/segment/segment_test.go
@@ -14,12 +14,26 @@
 
 func open(t *testing.T, dir string) (log *segment.Log, records []string, damaged bool) {
 	t.Helper()
-	log, damaged, err := segment.Open(dir, func(_ ledger.Location, payload []byte) error {
-		records = append(records, string(payload))
-		return nil
+	log, frames, records, damaged := openIndexed(t, dir)
+	require.Empty(t, frames)
+	return log, records, damaged
+}
+
+// openIndexed also returns the content of the index frames.
+func openIndexed(t *testing.T, dir string) (log *segment.Log, frames, records []string, damaged bool) {
+	t.Helper()
+	log, damaged, err := segment.Open(dir, segment.Visitor{
+		Frame: func(_ segment.Range, content []byte) error {
+			frames = append(frames, string(content))
+			return nil
+		},
+		Record: func(_ ledger.Location, payload []byte) error {
+			records = append(records, string(payload))
+			return nil
+		},
 	})
 	require.NoError(t, err)
-	return log, records, damaged
+	return log, frames, records, damaged
 }
 
 func payloads(texts ...string) [][]byte {
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -70,7 +70,7 @@
 	m.appends++
 	effects := m.replica.Step(ledger.AppendRequested{RequestID: 1, Records: records}, time.Now())
 	if w, ok := effects[0].(ledger.Write); ok {
-		stored := ledger.Stored{RequestID: 1, Keys: w.Keys, Records: w.Records, Locations: make([]ledger.Location, len(w.Records))}
+		stored := ledger.Stored{RequestID: 1, Summaries: w.Summaries, Records: w.Records, Locations: make([]ledger.Location, len(w.Records))}
 		effects = m.replica.Step(stored, time.Now())
 	}
 	for _, rec := range records {
