daemon/resident: collect garbage at 30 percent growth

Cause: memory at its peak is what these VMs are charged for, processor time is not scarce (entries use a ninth of their share).

--- a/daemon/resident/resident.go
+++ b/daemon/resident/resident.go
@@ -34,7 +34,7 @@
 	memoryLimitShare = 0.7
 	// gcPercent is the growth of the heap in percent that triggers a garbage collection. It
 	// is below the default because memory is scarcer than CPU time on these VMs.
-	gcPercent = 60
+	gcPercent = 30
 	// settingsPollPeriod is the time between two checks for a changed settings file, which
 	// may change without a signal.
 	settingsPollPeriod = 2 * time.Second
