--- a/daemon/resident/entry.go
+++ b/daemon/resident/entry.go
@@ -60,7 +60,8 @@
 	ledger     *quorum.RelayClient
 	follower   *discovery.Follower
 	isDraining atomic.Bool
-	// isOverloaded is set while the entry is unready because of CPU overload.
+	// isOverloaded is set while the entry is unready because it lacks CPU time or network
+	// bandwidth.
 	isOverloaded atomic.Bool
 	idle         *idleConns
 }
@@ -130,7 +131,7 @@
 }
 
 // watchOverload measures how late timers fire, which is how long a step of a request
-// waits for the CPU. While the detector reports overload, the entry is unready and
+// waits for the CPU, and how slowly the ledger responds over the entry's link. While the detector reports overload, the entry is unready and
 // the relay sheds load.
 func (e *entry) watchOverload(ctx context.Context) {
 	detector := newOverloadDetector(time.Now())
@@ -144,10 +145,10 @@
 		case <-timer.C:
 		}
 		now := time.Now()
-		unready := detector.observe(now.Sub(due), now)
+		unready := detector.observe(now.Sub(due), e.relay.LedgerDelay(now), now)
 		if e.isOverloaded.Swap(unready) != unready {
 			e.relay.SetShedding(unready)
-			e.log.Info().Str("event", "overload").Bool("away", unready).Dur("lag", detector.timerDelay).Int64("active", e.relay.Active()).Msg("")
+			e.log.Info().Str("event", "overload").Bool("away", unready).Dur("lag", detector.timerDelay).Dur("ledger", detector.ledgerDelay).Int64("active", e.relay.Active()).Msg("")
 		}
 		due = time.Now().Add(delayPeriod)
 		timer.Reset(delayPeriod)
--- a/daemon/resident/overload.go
+++ b/daemon/resident/overload.go
@@ -14,6 +14,12 @@
 	// which it counts as recovered; the gap prevents a change with every measurement.
 	overloadDelay  = 8 * time.Millisecond
 	recoveredDelay = 2 * time.Millisecond
+	// overloadLedgerDelay is the average response time of the ledger above which an entry
+	// counts as overloaded, and recoveredLedgerDelay the one below which it has recovered.
+	// A turn needs the ledger twice. The ledger responds within some ten milliseconds,
+	// also if single members are slow, unless the entry's network link is saturated.
+	overloadLedgerDelay  = 150 * time.Millisecond
+	recoveredLedgerDelay = 60 * time.Millisecond
 	// unreadyShare is the share of its time that an entry may be unready because of CPU
 	// overload. The platform expects entries to be ready for seven eighths of the time.
 	unreadyShare = 0.08
@@ -24,12 +30,14 @@
 	minUnreadyTime = 1500 * time.Millisecond
 )
 
-// overloadDetector decides when an entry that lacks CPU time reports itself unready, so
-// that the balancer sends new connections to entries on larger VMs. It is not safe for
-// concurrent use.
+// overloadDetector decides when an entry that lacks CPU time or network bandwidth reports
+// itself unready, so that the balancer sends new connections to entries on larger VMs. It
+// is not safe for concurrent use.
 type overloadDetector struct {
-	timerDelay time.Duration
-	isUnready  bool
+	// timerDelay is the moving average of how late timers fire, ledgerDelay the last known
+	// average response time of the ledger.
+	timerDelay, ledgerDelay time.Duration
+	isUnready               bool
 	// changedAt is the time of the last change of isUnready, measuredAt the time of the
 	// last measurement. unreadyBudget is the remaining time that the entry may be
 	// unready, as of measuredAt.
@@ -42,10 +50,11 @@
 	return &overloadDetector{changedAt: now, measuredAt: now, unreadyBudget: maxUnreadyBudget}
 }
 
-// observe records how late a timer fired and reports whether the entry should be
-// unready.
-func (d *overloadDetector) observe(delay time.Duration, now time.Time) bool {
+// observe records how late a timer fired and the average response time of the ledger, and
+// reports whether the entry should be unready.
+func (d *overloadDetector) observe(delay, ledgerDelay time.Duration, now time.Time) bool {
 	d.timerDelay += time.Duration(delaySmoothing * float64(delay-d.timerDelay))
+	d.ledgerDelay = ledgerDelay
 	elapsed := now.Sub(d.measuredAt)
 	d.measuredAt = now
 	if d.isUnready {
@@ -54,10 +63,18 @@
 		d.unreadyBudget = min(maxUnreadyBudget, d.unreadyBudget+time.Duration(unreadyShare*float64(elapsed)))
 	}
 	switch {
-	case d.isUnready && (d.unreadyBudget <= 0 || d.timerDelay < recoveredDelay && now.Sub(d.changedAt) >= minUnreadyTime):
+	case d.isUnready && (d.unreadyBudget <= 0 || d.hasRecovered() && now.Sub(d.changedAt) >= minUnreadyTime):
 		d.isUnready, d.changedAt = false, now
-	case !d.isUnready && d.timerDelay > overloadDelay && d.unreadyBudget >= minUnreadyTime:
+	case !d.isUnready && d.isOverloaded() && d.unreadyBudget >= minUnreadyTime:
 		d.isUnready, d.changedAt = true, now
 	}
 	return d.isUnready
 }
+
+func (d *overloadDetector) isOverloaded() bool {
+	return d.timerDelay > overloadDelay || d.ledgerDelay > overloadLedgerDelay
+}
+
+func (d *overloadDetector) hasRecovered() bool {
+	return d.timerDelay < recoveredDelay && d.ledgerDelay < recoveredLedgerDelay
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -118,6 +118,7 @@
 	// ledgerAvailableAt is when the ledger was last seen available, in nanoseconds
 	// since startedAt.
 	ledgerAvailableAt atomic.Int64
+	ledgerDelay       ledgerDelay
 	startedAt         time.Time
 	// stopping is set once the process has begun to shut down.
 	stopping atomic.Bool
@@ -180,6 +181,9 @@
 	return now - time.Duration(r.ledgerAvailableAt.Load())
 }
 
+// LedgerDelay returns the moving average of how long turns wait for the ledger.
+func (r *Relay) LedgerDelay(now time.Time) time.Duration { return r.ledgerDelay.get(now) }
+
 // SetStopping makes the relay close callers' connections after the next
 // answer.
 func (r *Relay) SetStopping() { r.stopping.Store(true) }
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -73,7 +73,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
 	defer cancel()
+	asked := time.Now()
 	spending, chain, err := t.reserveAndReadChain(ctx)
+	t.relay.ledgerDelay.observe(time.Since(asked), time.Now())
 	if errors.Is(err, quorum.ErrNoSuchTurn) {
 		t.respond(http.StatusNotFound, reasonUnknownTurn)
 		return false
