fleet, platform: calls for one object prefer one target of a plain service

Routes with sticky name the object of a request in a cookie; a target that has handled it lately is faster. Rendezvous hashing chooses the same target at all entries; others cost half a call's duration more, so a loaded or ejected target is left. The average duration of a service's calls starts with the first one measured instead of moving from a constant.

--- a/catalog/config.go
+++ b/catalog/config.go
@@ -51,6 +51,9 @@
 	MaxTargets int
 	// Resumable is set if another target may continue an interrupted stream.
 	Resumable bool
+	// Sticky is set if a target is faster for an object that it has handled recently.
+	// Requests name their object by an affinity key.
+	Sticky bool
 	// StoresTurns is set if requests contain only the new input of a turn and the
 	// system stores the previous turns.
 	StoresTurns bool
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -72,6 +72,9 @@
 	// LastTarget is the id of the target that executed the program's previous turn, if
 	// known. That target has the conversation so far cached.
 	LastTarget string
+	// AffinityKey names the object that the call concerns, or is empty. Calls with the same
+	// key prefer the same target, which is faster for an object that it knows.
+	AffinityKey string
 	// AtMostOnce calls must not be executed twice, so they fail if their target fails.
 	AtMostOnce bool
 	// Exclude lists targets that must not be chosen, such as those already tried.
@@ -96,14 +99,16 @@
 // service is the state shared by one service's targets.
 type service struct {
 	isEngine bool
-	// durationMS is the moving average of the duration of a call, in milliseconds.
-	durationMS float64
+	// durationMS is the moving average of the duration of a call, in milliseconds. Until a
+	// call has ended, it is initialDurationMS and hasDuration is not set.
+	durationMS  float64
+	hasDuration bool
 	// loadPerSlot is the moving average of the calls per slot that the targets
 	// reported. It was last updated at loadPerSlotAt.
 	loadPerSlot   float64
 	loadPerSlotAt time.Time
-	affinity      *affinity
-	targets       []*target
+	affinity   *affinity
+	targets    []*target
 }
 
 // Fleet holds the state of all targets and services.
@@ -136,8 +141,8 @@
 		if s == nil {
 			s = &service{durationMS: initialDurationMS, affinity: newAffinity()}
 			if before := old[declared.Service]; before != nil {
-				s.durationMS, s.loadPerSlot, s.loadPerSlotAt, s.affinity = before.durationMS, before.loadPerSlot, before.loadPerSlotAt, before.affinity
-				s.affinity.assignment = nil
+				*s = *before
+				s.isEngine, s.targets, s.affinity.assignment = false, nil, nil
 			}
 			f.services[declared.Service] = s
 		}
@@ -215,12 +220,16 @@
 	n := uint64(len(s.targets))
 	ignoreEjections := s.tooManyEjected(now)
 	promptSize := promptTokens(q.Prompt)
+	preferred := s.preferredFor(q.AffinityKey)
 	for i := range n {
 		t := s.targets[(f.rotation+i)%n]
 		if t.Draining || excluded(q.Exclude, t.TargetKey) || !ignoreEjections && !t.health.usable(q.AtMostOnce, now) || !q.AllowFull && t.isFull(now) {
 			continue
 		}
 		cost, cachedTokens := s.estimateCost(t, q, promptSize, now)
+		if preferred != nil && t != preferred {
+			cost += affinityMissShare * s.durationMS
+		}
 		if best < 0 || cost < best {
 			best = cost
 			choice = Choice{Target: t.Target, CostMS: cost, Load: t.load(now), CachedTokens: cachedTokens}
@@ -343,8 +352,26 @@
 		return
 	}
 	if s := f.services[t.Service]; s != nil {
-		s.durationMS += durationWeight * (float64(duration.Milliseconds()) - s.durationMS)
+		s.recordDuration(float64(duration) / float64(time.Millisecond))
+	}
+}
+
+func (s *service) recordDuration(ms float64) {
+	if !s.hasDuration {
+		s.durationMS, s.hasDuration = ms, true
+		return
+	}
+	s.durationMS += durationWeight * (ms - s.durationMS)
+}
+
+// ExpectedDuration returns the average duration of a service's calls; zero if none has
+// ended yet.
+func (f *Fleet) ExpectedDuration(name string) time.Duration {
+	s := f.services[name]
+	if s == nil || !s.hasDuration {
+		return 0
 	}
+	return time.Duration(s.durationMS * float64(time.Millisecond))
 }
 
 // RetryAfter estimates how long it takes until a slot of a service is free.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -186,10 +186,14 @@
 
 // targetQuery returns the query for a target that has not been tried yet.
 func (e *exchange) targetQuery(allowFull bool) fleet.Query {
-	return fleet.Query{
+	query := fleet.Query{
 		Service: e.service, Domain: e.relay.domain, Prompt: e.call.PromptParts, Exclude: e.tried, AllowFull: allowFull, LastTarget: e.lastTarget,
 		AtMostOnce: !e.route.Retryable(),
 	}
+	if e.route.Sticky {
+		query.AffinityKey = e.call.AffinityKey
+	}
+	return query
 }
 
 // send chooses a target and sends the request to it once. If no target is available,
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -49,6 +49,8 @@
 	Previous string
 	// PromptParts are the parts of the prompt, in order.
 	PromptParts []Part
+	// AffinityKey names the object that the request concerns, or is empty.
+	AffinityKey string
 	// ResumeAfter is the id of the last event that the caller has received of an
 	// interrupted stream.
 	ResumeAfter string
