relay: refuse calls at once that cannot end before the caller's deadline

A call whose time left is under a quarter of its service's average duration is now refused with 503 and Retry-After before any target has it.

TestCallThatCannotEndInTimeIsRefusedAtOnce; without the check the target gets the call.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -30,6 +30,10 @@
 	// timeoutRetryAfter is the Retry-After of requests that timed out without being
 	// executed.
 	timeoutRetryAfter = 300 * time.Millisecond
+	// minDurationDivisor is the divisor of a service's average duration that gives the time
+	// below which a call is not sent, since its target would not finish it. The caller is
+	// told at once that the call was not executed.
+	minDurationDivisor = 4
 	// hashRange is the number of distinct hash values; a hash divided by it is
 	// in [0, 1).
 	hashRange = 1 << 32
@@ -196,6 +200,12 @@
 	return query
 }
 
+// canFinish reports whether a call that is sent now may end before the deadline. The
+// fastest calls take a fraction of the average duration.
+func (e *exchange) canFinish() bool {
+	return time.Until(e.deadline) >= e.relay.expectedDuration(e.service)/minDurationDivisor
+}
+
 // send chooses a target and sends the request to it once. If no target is available,
 // it returns neither an attempt nor a failure.
 func (e *exchange) send(ctx context.Context, body []byte, resumeAfter string, allowFull bool) (*attempt, *failure) {
@@ -233,6 +243,10 @@
 // If it returns false, it has answered the caller.
 func (e *exchange) sendUntilAnswered(ctx context.Context, body []byte, resumeAfter string) (*attempt, bool) {
 	for {
+		if e.executions == 0 && !e.canFinish() {
+			e.respondTimeout()
+			return nil, false
+		}
 		a, fail := e.send(ctx, body, resumeAfter, false)
 		if a != nil {
 			return a, true
@@ -288,7 +302,7 @@
 	e.respondUnavailable(reasonTargetsFull, e.relay.retryAfter(e.service))
 }
 
-// respondTimeout answers a request whose deadline has passed.
+// respondTimeout answers a request whose deadline has passed or is too close.
 func (e *exchange) respondTimeout() {
 	if e.executions > 0 {
 		e.respond(http.StatusGatewayTimeout, reasonTimeout)
--- a/relay/failover_test.go
+++ b/relay/failover_test.go
@@ -68,3 +68,21 @@
 	}
 	assert.LessOrEqual(t, runs, calls+40, "failovers are limited to a burst of 20 and 10 a second")
 }
+
+// Callers come back after an outage with a few milliseconds left (further trouble-1). A
+// call that cannot end before its deadline is refused at once, and no target executes it.
+func TestCallThatCannotEndInTimeIsRefusedAtOnce(t *testing.T) {
+	slow := platformtest.NewTarget("i1", func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(400 * time.Millisecond)
+		platformtest.Respond(http.StatusOK, "late")(w, r)
+	})
+	b := newTestbed(t, slow)
+	require.Equal(t, "late", b.call(nonIdempotentPath, "x").body)
+	began := time.Now()
+	got := b.callWithID("r2", nonIdempotentPath, "x", platformtest.Deadline, "80")
+	assert.Equal(t, http.StatusServiceUnavailable, got.status)
+	assert.NotEmpty(t, got.header.Get("Retry-After"))
+	assert.Less(t, time.Since(began), 80*time.Millisecond)
+	assert.Len(t, slow.Requests(), 1, "the call was not sent")
+	assert.Equal(t, "late", b.callWithID("r3", nonIdempotentPath, "x", platformtest.Deadline, "2000").body)
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -264,6 +264,14 @@
 	return r.fleet.Admits(service, priority, time.Now())
 }
 
+// expectedDuration returns how long a call of a service takes on average; zero if that is
+// not known.
+func (r *Relay) expectedDuration(service string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fleet.ExpectedDuration(service)
+}
+
 func (r *Relay) retryAfter(service string) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
