fleet: the admission limit adapts to missed objectives

Pattern: engines slower than their load needs.

Change: the limit of calls a slot falls by 0.02 with each objective missed (the first event's of the route, the end's of the program) and rises by 0.005 with each one met, between 0.45 and 0.95; urgent programs get 1.2 times as much, and others the same while they are under 15 percent of the admitted. Below a load of 0.45 a slot a miss does not count, as after a restart. Streams that end at the caller's deadline are logged as out_of_time.

--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -12,15 +12,42 @@
 	loadAveragingTime = 400 * time.Millisecond
 	// loadReportWeight is the weight of one target's load report in the average.
 	loadReportWeight = 0.15
-	// urgentAdmitLimit and otherAdmitLimit are average numbers of calls per slot. A
-	// new program may start while the average is below the limit of its priority:
-	// urgentAdmitLimit for priority 0, otherAdmitLimit for all others. Above these
-	// limits, engines queue calls, and the running programs miss their objectives as
-	// well as the new ones.
-	urgentAdmitLimit = 1.15
-	otherAdmitLimit  = 0.95
+	// maxAdmitLimit and minAdmitLimit bound a service's admission limit, an average
+	// number of calls per slot. A new program may start while the average is below the
+	// limit. Above maxAdmitLimit, engines queue calls, and the running programs miss
+	// their objectives as well as the new ones.
+	maxAdmitLimit = 0.95
+	minAdmitLimit = 0.45
+	// urgentAdmitFactor is the limit of priority 0 as a multiple of the limit of all other
+	// priorities.
+	urgentAdmitFactor = 1.2
+	// limitDecrease and limitIncrease are the changes of the limit with each objective
+	// that was missed and with each one that was met. The limit is stable while one in
+	// five is missed.
+	limitDecrease = 0.02
+	limitIncrease = 0.005
+	// minOtherShare is the share of the recently admitted programs below which those that
+	// are not urgent get the limit of urgent ones. admissionWeight is the weight of one
+	// admitted program in that share.
+	minOtherShare   = 0.15
+	admissionWeight = 0.05
 )
 
+// RecordObjective records whether a turn met an objective: its first event that of its
+// route, or its end that of its program. The admission limit falls while objectives are
+// missed, and rises again while they are met. At a load below minAdmitLimit the load
+// cannot be the cause, and the limit only rises.
+func (f *Fleet) RecordObjective(name string, met bool, now time.Time) {
+	s := f.services[name]
+	switch {
+	case s == nil:
+	case met:
+		s.admitLimit = min(maxAdmitLimit, s.admitLimit+limitIncrease)
+	case s.currentLoadPerSlot(now) > minAdmitLimit:
+		s.admitLimit = max(minAdmitLimit, s.admitLimit-limitDecrease)
+	}
+}
+
 // recordLoad adds the calls per slot that one target reported to the average.
 func (s *service) recordLoad(ratio float64, now time.Time) {
 	known := s.currentLoadPerSlot(now)
@@ -39,15 +66,32 @@
 	return s.loadPerSlot * math.Exp(-float64(age)/float64(4*loadAveragingTime))
 }
 
-// Admits reports whether a new program with a priority may start at a service now.
-// Running programs are never refused, since that would waste the work done for them.
+// Admits reports whether a new program with a priority may start at a service now, and
+// counts it if so. Running programs are never refused, since that would waste the work
+// done for them.
 func (f *Fleet) Admits(name string, priority int, now time.Time) bool {
 	s := f.services[name]
 	if s == nil || !s.isEngine {
 		return true
 	}
-	if priority == 0 {
-		return s.currentLoadPerSlot(now) < urgentAdmitLimit
+	isUrgent := priority == 0
+	if s.currentLoadPerSlot(now) >= s.admitLimitFor(isUrgent) {
+		return false
+	}
+	share := 0.0
+	if !isUrgent {
+		share = 1
+	}
+	s.otherShare += admissionWeight * (share - s.otherShare)
+	return true
+}
+
+// admitLimitFor returns the limit of urgent programs or of all others. Others get the
+// limit of urgent ones while they have too small a share of the admitted programs, so that
+// urgent programs alone do not keep them out.
+func (s *service) admitLimitFor(isUrgent bool) float64 {
+	if isUrgent || s.otherShare < minOtherShare {
+		return s.admitLimit * urgentAdmitFactor
 	}
-	return s.currentLoadPerSlot(now) < otherAdmitLimit
+	return s.admitLimit
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -107,6 +107,12 @@
 	// reported. It was last updated at loadPerSlotAt.
 	loadPerSlot   float64
 	loadPerSlotAt time.Time
+	// admitLimit is the average number of calls per slot below which new programs may
+	// start.
+	admitLimit float64
+	// otherShare is the moving average of the share of admitted programs that are not
+	// urgent.
+	otherShare float64
 	affinity   *affinity
 	targets    []*target
 }
@@ -139,7 +145,7 @@
 		t.Target = declared
 		s := f.services[declared.Service]
 		if s == nil {
-			s = &service{durationMS: initialDurationMS, affinity: newAffinity()}
+			s = &service{durationMS: initialDurationMS, admitLimit: maxAdmitLimit, otherShare: 1, affinity: newAffinity()}
 			if before := old[declared.Service]; before != nil {
 				*s = *before
 				s.isEngine, s.targets, s.affinity.assignment = false, nil, nil
--- /dev/null
+++ b/fleet/overload_test.go
@@ -0,0 +1,216 @@
+package fleet_test
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
+	"github.com/rhubarbsaddle/rhubarbsaddle/fleet"
+)
+
+// The simulated load: programs of several turns on a few slow engines, two and a half
+// times as many as these can serve. Each turn holds a slot and slows the others of its
+// engine; a caller gives up after turnTimeout, by then the work is wasted, and the program
+// sends the turn again.
+const (
+	overloadEngines  = 6
+	overloadSlots    = 4
+	turnTime         = 800 * time.Millisecond
+	fullSlowdown     = 0.8
+	turnTimeout      = 3 * time.Second
+	turnsPerProgram  = 6
+	maxTurnAttempts  = 3
+	programPause     = 60 * time.Millisecond
+	objectiveFactor  = 1.6
+	latencyTarget    = 250 * time.Millisecond
+	overloadDuration = 60 * time.Second
+	overloadFactor   = 2.5
+)
+
+// overloadProgram is a program under way.
+type overloadProgram struct {
+	urgent         bool
+	begun          time.Time
+	turn, attempts int
+}
+
+// overloadEvent is a step of the simulation.
+type overloadEvent struct {
+	at   time.Time
+	step func(now time.Time)
+}
+
+type overloadQueue []overloadEvent
+
+func (q overloadQueue) Len() int           { return len(q) }
+func (q overloadQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+func (q overloadQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *overloadQueue) Push(x any)        { *q = append(*q, x.(overloadEvent)) }
+func (q *overloadQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// overloadSim runs the programs on a fleet and engines that serve in order of arrival.
+type overloadSim struct {
+	fleet   *fleet.Fleet
+	adapts  bool
+	events  overloadQueue
+	random  *rand.Rand
+	running map[catalog.TargetKey]int
+	waiting map[catalog.TargetKey][]func(now time.Time)
+
+	admitted, inTime, cutTurns int
+	urgentAsked, urgentInTime  int
+	otherAsked, otherInTime    int
+}
+
+func runOverload(seed uint64, adapts bool) *overloadSim {
+	s := &overloadSim{
+		fleet: fleet.New(seed), adapts: adapts, random: rand.New(rand.NewPCG(seed, 1)),
+		running: map[catalog.TargetKey]int{}, waiting: map[catalog.TargetKey][]func(time.Time){},
+	}
+	s.fleet.Update(engines(overloadEngines), services)
+	capacity := float64(overloadEngines*overloadSlots) / (turnTime.Seconds() * turnsPerProgram)
+	for at := start; at.Before(start.Add(overloadDuration)); {
+		at = at.Add(time.Duration(s.random.ExpFloat64() / (capacity * overloadFactor) * float64(time.Second)))
+		s.at(at, func(now time.Time) { s.begin(&overloadProgram{urgent: s.random.IntN(3) == 0, begun: now}, now) })
+	}
+	for len(s.events) > 0 {
+		next := heap.Pop(&s.events).(overloadEvent)
+		next.step(next.at)
+	}
+	return s
+}
+
+func (s *overloadSim) at(at time.Time, step func(time.Time)) {
+	heap.Push(&s.events, overloadEvent{at, step})
+}
+
+func (s *overloadSim) begin(p *overloadProgram, now time.Time) {
+	priority := 1
+	if p.urgent {
+		priority = 0
+		s.urgentAsked++
+	} else {
+		s.otherAsked++
+	}
+	if s.fleet.Admits("llm", priority, now) {
+		s.admitted++
+		s.sendTurn(p, now)
+	}
+}
+
+// sendTurn places a turn at an engine, where it waits for a slot.
+func (s *overloadSim) sendTurn(p *overloadProgram, now time.Time) {
+	choice, ok := s.fleet.Pick(fleet.Query{Service: "llm", Domain: "d0", AllowFull: true}, now)
+	if !ok {
+		return
+	}
+	target := choice.Target.TargetKey
+	s.fleet.RecordStart(target, nil, now)
+	sent, deadline := now, now.Add(turnTimeout)
+	run := func(now time.Time) {
+		s.running[target]++
+		s.recordObjective(now.Sub(sent) <= latencyTarget, now)
+		slowdown := 1 + fullSlowdown*float64(s.running[target])/overloadSlots
+		end := now.Add(time.Duration((0.5 + s.random.Float64()) * slowdown * float64(turnTime)))
+		if end.After(deadline) {
+			end = deadline
+		}
+		s.at(end, func(now time.Time) { s.endTurn(p, target, now.Before(deadline), now) })
+	}
+	s.waiting[target] = append(s.waiting[target], func(now time.Time) {
+		if now.Before(deadline) {
+			run(now)
+			return
+		}
+		s.fleet.RecordEnd(target, fleet.Refused, turnTimeout, now)
+		s.turnFailed(p, now)
+	})
+	s.startWaiting(target, now)
+}
+
+func (s *overloadSim) startWaiting(target catalog.TargetKey, now time.Time) {
+	for s.running[target] < overloadSlots && len(s.waiting[target]) > 0 {
+		next := s.waiting[target][0]
+		s.waiting[target] = s.waiting[target][1:]
+		next(now)
+	}
+	s.fleet.RecordLoad(target, fleet.Load{Running: s.running[target], Waiting: len(s.waiting[target]), Slots: overloadSlots}, now)
+}
+
+func (s *overloadSim) recordObjective(met bool, now time.Time) {
+	if s.adapts {
+		s.fleet.RecordObjective("llm", met, now)
+	}
+}
+
+func (s *overloadSim) endTurn(p *overloadProgram, target catalog.TargetKey, complete bool, now time.Time) {
+	s.running[target]--
+	s.fleet.RecordEnd(target, fleet.Answered, turnTime, now)
+	s.startWaiting(target, now)
+	objective := p.begun.Add(time.Duration(objectiveFactor * turnsPerProgram * float64(turnTime+programPause)))
+	s.recordObjective(complete && !now.After(objective), now)
+	if !complete {
+		s.turnFailed(p, now)
+		return
+	}
+	p.attempts = 0
+	if p.turn++; p.turn < turnsPerProgram {
+		s.at(now.Add(programPause), func(now time.Time) { s.sendTurn(p, now) })
+		return
+	}
+	if now.After(objective) {
+		return
+	}
+	s.inTime++
+	if p.urgent {
+		s.urgentInTime++
+	} else {
+		s.otherInTime++
+	}
+}
+
+func (s *overloadSim) turnFailed(p *overloadProgram, now time.Time) {
+	s.cutTurns++
+	if p.attempts++; p.attempts < maxTurnAttempts {
+		s.at(now.Add(programPause), func(now time.Time) { s.sendTurn(p, now) })
+	}
+}
+
+// Engines that are slower than their load needs must not lose their capacity to turns
+// that callers give up (further scale-1 with engines at three tenths of their speed).
+// With the limit that adapts to missed objectives, more programs end in time, fewer turns
+// are wasted, and urgent programs still go before others.
+func TestAdmissionLimitAdaptsToOverload(t *testing.T) {
+	for seed := range uint64(5) {
+		constant, adaptive := runOverload(seed, false), runOverload(seed, true)
+		assert.Greater(t, adaptive.inTime, constant.inTime, "seed %d", seed)
+		assert.LessOrEqual(t, adaptive.cutTurns, constant.cutTurns, "seed %d", seed)
+		assert.Greater(t, adaptive.inTime*constant.admitted, constant.inTime*adaptive.admitted, "share of the admitted, seed %d", seed)
+		urgent := float64(adaptive.urgentInTime) / float64(adaptive.urgentAsked)
+		other := float64(adaptive.otherInTime) / float64(adaptive.otherAsked)
+		assert.Greater(t, urgent, other, "seed %d", seed)
+		assert.Positive(t, adaptive.otherInTime, "no kind is starved")
+	}
+}
+
+// Turns that miss their objective on idle engines, as after a restart of all processes,
+// must not keep new programs out.
+func TestMissedObjectivesOnIdleEnginesRefuseNobody(t *testing.T) {
+	f := newFleet(6)
+	for range 200 {
+		f.RecordLoad(key(0), fleet.Load{Running: 1, Slots: 4}, start)
+		f.RecordObjective("llm", false, start)
+	}
+	for range 50 {
+		f.RecordLoad(key(0), fleet.Load{Running: 3, Slots: 4}, start)
+	}
+	assert.True(t, f.Admits("llm", 1, start))
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -41,6 +41,10 @@
 	// BudgetTokens is how many tokens all turns of the program together may
 	// generate; negative if the program has no budget.
 	BudgetTokens int
+	// ObjectiveLeft is the time until the program should be finished; it is negative after
+	// that. It is only known if HasObjective is set.
+	HasObjective  bool
+	ObjectiveLeft time.Duration
 	// PromptTokens is the size of the prompt, MaxTokens the most tokens that the call
 	// may generate.
 	PromptTokens int
@@ -264,6 +268,14 @@
 	return r.fleet.Admits(service, priority, time.Now())
 }
 
+// recordObjective records whether a turn met an objective: its first event that of its
+// route, or its end that of its program.
+func (r *Relay) recordObjective(service string, met bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleet.RecordObjective(service, met, time.Now())
+}
+
 // expectedDuration returns how long a call of a service takes on average; zero if that is
 // not known.
 func (r *Relay) expectedDuration(service string) time.Duration {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -99,14 +99,20 @@
 // failStream ends a stream that can't be continued.
 func (t *turn) failStream(p *progress) {
 	t.settle()
-	if p.started {
-		t.abort(reasonStreamBroken)
+	timedOut := !time.Now().Before(t.deadline)
+	if timedOut {
+		t.relay.recordObjective(t.service, false)
 	}
-	if t.req.Context().Err() == nil && time.Now().Before(t.deadline) {
+	switch {
+	case p.started && timedOut:
+		t.abort(reasonTimeout)
+	case p.started:
+		t.abort(reasonStreamBroken)
+	case t.req.Context().Err() == nil && !timedOut:
 		t.respond(http.StatusBadGateway, reasonAnswerLost)
-		return
+	default:
+		t.respondTimeout()
 	}
-	t.respondTimeout()
 }
 
 // forwardError forwards a target's error response to the caller, or returns true if
@@ -193,6 +199,9 @@
 	p.started = true
 	t.firstEventAfter = time.Since(t.arrived)
 	t.relay.metrics.observeFirstEvent(t.firstEventAfter)
+	if t.route.LatencyTarget > 0 {
+		t.relay.recordObjective(t.service, t.firstEventAfter <= t.route.LatencyTarget)
+	}
 }
 
 // recordEvent counts an event that was forwarded to the caller, and adds its data to
@@ -221,6 +230,9 @@
 		}
 	}
 	t.settle()
+	if t.call.HasObjective {
+		t.relay.recordObjective(t.service, time.Since(t.arrived) <= t.call.ObjectiveLeft)
+	}
 	t.logRequestEnd(http.StatusOK, reasonAnswered)
 }
 
