fleet, relay: only load lowers the admission limit

Change: the first event's objective is measured without the wait for the ledger, and a program's miss counts once, in the turn in which its objective passes.

--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -21,11 +21,13 @@
 	// urgentAdmitFactor is the limit of priority 0 as a multiple of the limit of all other
 	// priorities.
 	urgentAdmitFactor = 1.2
-	// limitDecrease and limitIncrease are the changes of the limit with each objective
-	// that was missed and with each one that was met. The limit is stable while one in
-	// five is missed.
-	limitDecrease = 0.02
-	limitIncrease = 0.005
+	// limitIncrease is the increase of the limit with each turn whose first event met the
+	// objective of its route, limitDecrease the decrease with each one that missed it, so
+	// that the limit is stable while one in five misses it. programDecrease is the decrease
+	// with each program that missed its objective; a program has several turns.
+	limitIncrease   = 0.005
+	limitDecrease   = 0.02
+	programDecrease = 0.04
 	// minOtherShare is the share of the recently admitted programs below which those that
 	// are not urgent get the limit of urgent ones. admissionWeight is the weight of one
 	// admitted program in that share.
@@ -33,19 +35,40 @@
 	admissionWeight = 0.05
 )
 
-// RecordObjective records whether a turn met an objective: its first event that of its
-// route, or its end that of its program. The admission limit falls while objectives are
-// missed, and rises again while they are met. At a load below minAdmitLimit the load
-// cannot be the cause, and the limit only rises.
-func (f *Fleet) RecordObjective(name string, met bool, now time.Time) {
+// Objective is the outcome of an objective.
+type Objective uint8
+
+// Outcomes of objectives.
+const (
+	// FirstEventMet and FirstEventMissed state whether the first event of a turn met the
+	// objective of its route.
+	FirstEventMet Objective = iota
+	FirstEventMissed
+	// ProgramMissed means that a program's objective passed, or its caller gave up, during
+	// a turn.
+	ProgramMissed
+)
+
+// RecordObjective records the outcome of an objective. The admission limit falls while
+// objectives are missed, and rises again while they are met. At a load below minAdmitLimit
+// the load cannot be the cause, and the limit only rises.
+func (f *Fleet) RecordObjective(name string, outcome Objective, now time.Time) {
 	s := f.services[name]
-	switch {
-	case s == nil:
-	case met:
+	if s == nil {
+		return
+	}
+	if outcome == FirstEventMet {
 		s.admitLimit = min(maxAdmitLimit, s.admitLimit+limitIncrease)
-	case s.currentLoadPerSlot(now) > minAdmitLimit:
-		s.admitLimit = max(minAdmitLimit, s.admitLimit-limitDecrease)
+		return
+	}
+	if s.currentLoadPerSlot(now) <= minAdmitLimit {
+		return
+	}
+	decrease := limitDecrease
+	if outcome == ProgramMissed {
+		decrease = programDecrease
 	}
+	s.admitLimit = max(minAdmitLimit, s.admitLimit-decrease)
 }
 
 // recordLoad adds the calls per slot that one target reported to the average.
--- a/fleet/overload_test.go
+++ b/fleet/overload_test.go
@@ -36,6 +36,8 @@
 	urgent         bool
 	begun          time.Time
 	turn, attempts int
+	// late is set once the objective has passed.
+	late bool
 }
 
 // overloadEvent is a step of the simulation.
@@ -117,7 +119,11 @@
 	sent, deadline := now, now.Add(turnTimeout)
 	run := func(now time.Time) {
 		s.running[target]++
-		s.recordObjective(now.Sub(sent) <= latencyTarget, now)
+		if now.Sub(sent) <= latencyTarget {
+			s.recordObjective(fleet.FirstEventMet, now)
+		} else {
+			s.recordObjective(fleet.FirstEventMissed, now)
+		}
 		slowdown := 1 + fullSlowdown*float64(s.running[target])/overloadSlots
 		end := now.Add(time.Duration((0.5 + s.random.Float64()) * slowdown * float64(turnTime)))
 		if end.After(deadline) {
@@ -145,9 +151,9 @@
 	s.fleet.RecordLoad(target, fleet.Load{Running: s.running[target], Waiting: len(s.waiting[target]), Slots: overloadSlots}, now)
 }
 
-func (s *overloadSim) recordObjective(met bool, now time.Time) {
+func (s *overloadSim) recordObjective(outcome fleet.Objective, now time.Time) {
 	if s.adapts {
-		s.fleet.RecordObjective("llm", met, now)
+		s.fleet.RecordObjective("llm", outcome, now)
 	}
 }
 
@@ -156,7 +162,10 @@
 	s.fleet.RecordEnd(target, fleet.Answered, turnTime, now)
 	s.startWaiting(target, now)
 	objective := p.begun.Add(time.Duration(objectiveFactor * turnsPerProgram * float64(turnTime+programPause)))
-	s.recordObjective(complete && !now.After(objective), now)
+	if !complete || now.After(objective) && !p.late {
+		p.late = now.After(objective)
+		s.recordObjective(fleet.ProgramMissed, now)
+	}
 	if !complete {
 		s.turnFailed(p, now)
 		return
@@ -207,7 +216,7 @@
 	f := newFleet(6)
 	for range 200 {
 		f.RecordLoad(key(0), fleet.Load{Running: 1, Slots: 4}, start)
-		f.RecordObjective("llm", false, start)
+		f.RecordObjective("llm", fleet.ProgramMissed, start)
 	}
 	for range 50 {
 		f.RecordLoad(key(0), fleet.Load{Running: 3, Slots: 4}, start)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -268,12 +268,11 @@
 	return r.fleet.Admits(service, priority, time.Now())
 }
 
-// recordObjective records whether a turn met an objective: its first event that of its
-// route, or its end that of its program.
-func (r *Relay) recordObjective(service string, met bool) {
+// recordObjective records the outcome of an objective.
+func (r *Relay) recordObjective(service string, outcome fleet.Objective) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.fleet.RecordObjective(service, met, time.Now())
+	r.fleet.RecordObjective(service, outcome, time.Now())
 }
 
 // expectedDuration returns how long a call of a service takes on average; zero if that is
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -101,7 +101,7 @@
 	t.settle()
 	timedOut := !time.Now().Before(t.deadline)
 	if timedOut {
-		t.relay.recordObjective(t.service, false)
+		t.relay.recordObjective(t.service, fleet.ProgramMissed)
 	}
 	switch {
 	case p.started && timedOut:
@@ -199,9 +199,7 @@
 	p.started = true
 	t.firstEventAfter = time.Since(t.arrived)
 	t.relay.metrics.observeFirstEvent(t.firstEventAfter)
-	if t.route.LatencyTarget > 0 {
-		t.relay.recordObjective(t.service, t.firstEventAfter <= t.route.LatencyTarget)
-	}
+	t.recordFirstEvent()
 }
 
 // recordEvent counts an event that was forwarded to the caller, and adds its data to
@@ -230,9 +228,7 @@
 		}
 	}
 	t.settle()
-	if t.call.HasObjective {
-		t.relay.recordObjective(t.service, time.Since(t.arrived) <= t.call.ObjectiveLeft)
-	}
+	t.recordEnd()
 	t.logRequestEnd(http.StatusOK, reasonAnswered)
 }
 
