--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -35,7 +35,7 @@
 	admissionWeight = 0.05
 )
 
-// Objective is the outcome of an objective.
+// Objective is the outcome of a time objective of a turn or program.
 type Objective uint8
 
 // Outcomes of objectives.
--- a/ledger/member/index.go
+++ b/ledger/member/index.go
@@ -91,7 +91,8 @@
 	}
 }
 
-// loadFrame passes the records of an index frame to the replica.
+// loadFrame passes the records of an index frame to the replica. Records of an unknown
+// kind are skipped.
 func (m *Member) loadFrame(described segment.Range, content []byte, now time.Time) error {
 	frame := &ledgerpb.IndexFrame{}
 	if err := proto.Unmarshal(content, frame); err != nil {
--- a/ledger/member/verify.go
+++ b/ledger/member/verify.go
@@ -38,6 +38,8 @@
 	slices.SortFunc(locations, func(a, b ledger.Location) int {
 		return cmp.Or(cmp.Compare(a.Segment, b.Segment), cmp.Compare(a.Offset, b.Offset))
 	})
+	// The burst admits the largest record. It is used up first, so that the rate also holds
+	// at the beginning.
 	limiter := rate.NewLimiter(verifyBytesPerSecond, segment.MaxRecordBytes)
 	limiter.AllowN(time.Now(), segment.MaxRecordBytes)
 	damaged := 0
