--- a/report/timeline/timeline.go
+++ b/report/timeline/timeline.go
@@ -34,7 +34,7 @@
 	"bad_id":             "an id in its headers is not text",
 	"targets_full":       "no target took work; it did not run",
 	"overloaded":         "the engines had more calls than slots, and new programs were refused; it did not run",
-	"out_of_time":        "its time was over before a target answered",
+	"out_of_time":        "its time was over, or too short, before a target answered",
 	"answer_lost":        "a target may have run it and its answer was lost; it must not run again",
 	"budget_spent":       "its program's budget is spent; it did not run",
 	"no_such_turn":       "it continues a turn that the ledger does not know",
@@ -115,6 +115,8 @@
 	switch {
 	case end.Reason == "answered":
 		meaning = "the target answered so itself"
+	case end.Reason == "out_of_time" && end.Status == 0:
+		meaning = "its time was over in the middle of the stream"
 	case end.Reason == "stream_broken" && strings.Contains(end.Cause, readTimeoutText):
 		meaning = "its time was over in the middle of the stream"
 	}
--- a/report/timeline/timeline_test.go
+++ b/report/timeline/timeline_test.go
@@ -63,11 +63,14 @@
 	assert.Contains(t, out.String(), "reason=overloaded")
 }
 
+// Older versions named such a stream stream_broken.
 func TestStreamPastDeadlineIsNotAttributedToItsEngine(t *testing.T) {
-	lines, _, err := timeline.Read(strings.NewReader(
-		`{"time":"2026-07-15T10:49:05Z","vm":"edge-1","event":"request_end","request":"r1","status":0,"reason":"stream_broken","cause":"read tcp 10.1.0.1:1->10.1.0.2:2: i/o timeout"}`))
-	require.NoError(t, err)
-	assert.Contains(t, timeline.New("r1", lines).Causes()[0], "its time was over in the middle of the stream")
+	for _, reason := range []string{"out_of_time", "stream_broken"} {
+		lines, _, err := timeline.Read(strings.NewReader(
+			`{"time":"2026-07-15T10:49:05Z","vm":"edge-1","event":"request_end","request":"r1","status":0,"reason":"` + reason + `","cause":"read tcp 10.1.0.1:1->10.1.0.2:2: i/o timeout"}`))
+		require.NoError(t, err)
+		assert.Contains(t, timeline.New("r1", lines).Causes()[0], "its time was over in the middle of the stream", reason)
+	}
 }
 
 func TestUnknownRequestHasNoTimeline(t *testing.T) {
