ledger/member: remember durably that a disk has lost records

A segment file shorter than its index made the member incomplete in memory only, and its index was written anew; killed before it had copied the records, it called itself complete at the next start and could answer for records that it lacked.

Change: the identity says incomplete before the member serves. The verification logs read errors other than damage. Two comments and an import group.

TestLostRecordsAreRememberedAcrossRestarts fails before.

--- a/daemon/resident/entry.go
+++ b/daemon/resident/entry.go
@@ -131,8 +131,8 @@
 }
 
 // watchOverload measures how late timers fire, which is how long a step of a request
-// waits for the CPU, and how slowly the ledger responds over the entry's link. While the detector reports overload, the entry is unready and
-// the relay sheds load.
+// waits for the CPU, and how slowly the ledger responds over the entry's link. While the
+// detector reports overload, the entry is unready and the relay sheds load.
 func (e *entry) watchOverload(ctx context.Context) {
 	detector := newOverloadDetector(time.Now())
 	timer := time.NewTimer(delayPeriod)
--- a/ledger/member/member.go
+++ b/ledger/member/member.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+
 	"github.com/rhubarbsaddle/rhubarbsaddle/ctxwait"
 	"github.com/rhubarbsaddle/rhubarbsaddle/discovery"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
@@ -133,7 +134,13 @@
 			return err
 		}
 	}
-	complete := m.identity.Complete && !damaged
+	if damaged && m.identity.Complete {
+		// The damaged files are indexed anew, so the next start would not find the damage.
+		if err := m.setIdentity(identity{Member: m.options.Name, Incarnation: m.identity.Incarnation}); err != nil {
+			return err
+		}
+	}
+	complete := m.identity.Complete
 	if complete {
 		m.replica.Step(ledger.Recovered{}, now)
 	}
--- a/ledger/member/restart_test.go
+++ b/ledger/member/restart_test.go
@@ -131,6 +131,17 @@
 	}, 10*time.Second, time.Millisecond)
 }
 
+// A segment file that lost indexed records is indexed anew. The member must still know
+// after another restart that its disk lacks records.
+func TestLostRecordsAreRememberedAcrossRestarts(t *testing.T) {
+	dir, _ := writeDisk(t, 40, 100, true)
+	require.NoError(t, os.Truncate(filepath.Join(dir, "segments", "00000001.log"), 500))
+	m := openDisk(t, dir)
+	require.False(t, m.Ready())
+	m.flushIndex()
+	assert.False(t, openDisk(t, dir).Ready(), "the process was killed before it had copied the records")
+}
+
 // benchmarkRecords is the size of the disk in BenchmarkLoadDisk.
 const benchmarkRecords = 200_000
 
--- a/ledger/member/verify.go
+++ b/ledger/member/verify.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"os"
 	"slices"
 	"time"
 
@@ -47,8 +48,13 @@
 		if err := limiter.WaitN(ctx, int(at.Length)); err != nil {
 			return
 		}
-		if _, err := m.read(at); errors.Is(err, segment.ErrDamaged) {
+		_, err := m.read(at)
+		switch {
+		case errors.Is(err, segment.ErrDamaged):
 			damaged++
+		case err != nil && !errors.Is(err, os.ErrNotExist):
+			// A segment whose records expired meanwhile no longer exists.
+			m.log.Error().Str("event", "read_failed").Err(err).Msg("this record is not verified")
 		}
 	}
 	m.log.Info().Str("event", "disk_verified").Int("records", len(locations)).Int("damaged", damaged).Msg("")
