--- a/cli/bench.go
+++ b/cli/bench.go
@@ -12,6 +12,7 @@
 			benchPolicyCommand(),
 			benchPathCommand(),
 			benchSlopesCommand(),
+			benchAblationCommand(),
 		},
 	}
 }
--- a/cmd/rhubarbsaddled/main.go
+++ b/cmd/rhubarbsaddled/main.go
@@ -31,6 +31,9 @@
 	return &cli.Command{
 		Name: name, Usage: usage,
 		Description: "Reads the settings file that is named by the environment variable " + resident.SettingsVariable + ".",
-		Action:      func(ctx context.Context, _ *cli.Command) error { return resident.Run(ctx, name) },
+		Flags:       []cli.Flag{&cli.BoolFlag{Name: "experiment", Usage: "accept settings that disable mechanisms; not for service"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return resident.Run(ctx, name, c.Bool("experiment"))
+		},
 	}
 }
--- a/config/load/load.go
+++ b/config/load/load.go
@@ -78,13 +78,14 @@
 	return node, nil
 }
 
-// Resident reads and checks the settings of a process on the users' platform.
-func Resident(file string) (*config.Resident, error) {
+// Resident reads and checks the settings of a process on the users' platform. Settings for
+// experiments are refused unless isExperiment is set.
+func Resident(file string, isExperiment bool) (*config.Resident, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return nil, err
 	}
-	resident := &config.Resident{}
+	resident := &config.Resident{Experiment: config.Experiment{Allowed: isExperiment}}
 	doc, loadErr := decode(file, data, resident)
 	if loadErr != nil {
 		return nil, Errors{loadErr}
--- a/config/resident.go
+++ b/config/resident.go
@@ -1,6 +1,10 @@
 package config
 
-import "time"
+import (
+	"time"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/mechanism"
+)
 
 // Resident holds the settings of a process that runs on the users' platform: an
 // entry or a ledger member.
@@ -31,6 +35,39 @@
 	Bounds ResidentBounds `yaml:"bounds"`
 	// Log sets the log's level.
 	Log Log `yaml:"log"`
+	// Experiment is for experiments only. A process in service refuses it.
+	Experiment Experiment `yaml:"experiment"`
+}
+
+// Experiment holds the settings of a process that is part of an experiment.
+type Experiment struct {
+	// Disable lists the mechanisms that the process does without.
+	Disable []string `yaml:"disable"`
+	// Allowed is set if the process was started for an experiment. It is not read from the
+	// settings file, so that no file alone changes what a process in service does.
+	Allowed bool `yaml:"-"`
+}
+
+// Disabled returns the mechanisms that the process does without. Check reports unknown
+// names.
+func (e Experiment) Disabled() mechanism.Set {
+	set, err := mechanism.Parse(e.Disable)
+	if err != nil || !e.Allowed {
+		return 0
+	}
+	return set
+}
+
+func (e Experiment) check(c *checker) {
+	if len(e.Disable) == 0 {
+		return
+	}
+	if !e.Allowed {
+		c.add("experiment.disable", "remove it; only processes started with --experiment accept it", "is set in service")
+	}
+	if _, err := mechanism.Parse(e.Disable); err != nil {
+		c.add("experiment.disable", "use the names of mechanisms", "%v", err)
+	}
 }
 
 // ResidentListen gives the addresses that a process listens on.
@@ -90,5 +127,6 @@
 	if r.Bounds.GraceS <= 0 {
 		c.add("bounds.grace_s", "give seconds", "is %v", r.Bounds.GraceS)
 	}
+	r.Experiment.check(c)
 	return c.problems
 }
--- a/daemon/resident/entry.go
+++ b/daemon/resident/entry.go
@@ -18,6 +18,7 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/quorum"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/transport"
+	"github.com/rhubarbsaddle/rhubarbsaddle/mechanism"
 	"github.com/rhubarbsaddle/rhubarbsaddle/netopt"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform"
 	"github.com/rhubarbsaddle/rhubarbsaddle/relay"
@@ -74,15 +75,12 @@
 	e.ledger = quorum.NewRelayClient(p.settings.Domain, p.settings.DisksLost, func() []string {
 		return e.follower.Directory.Tunnels(p.settings.VM)
 	})
-	e.relay = relay.New(relay.Options{
-		Dialect: platform.Dialect{}, Ledger: e.ledger, Domain: p.settings.Domain, Log: p.log,
-		Metrics: relay.NewMetrics(p.registry), CacheBytes: turnCacheBytes, Seed: xxhash.Sum64String(p.settings.VM),
-	})
+	e.relay = relay.New(e.relayOptions())
 	e.follower = p.newFollower(func() []string { return p.ledgerAddrs(e.follower.Directory.Snapshot()) }, func(s discovery.Snapshot) {
 		e.ledger.SetView(s.View)
 		e.relay.Update(s)
 	})
-	e.follower.ViaMembers = true
+	e.follower.ViaMembers = !p.settings.Experiment.Disabled().Disables(mechanism.FollowMembers)
 	e.follower.Tunnel = &ledgerpb.Tunnel{Vm: p.settings.VM, Addr: p.settings.Listen.Tunnel}
 	go e.follower.Run(ctx)
 	ready, err := e.serveReady()
@@ -97,7 +95,9 @@
 		return err
 	}
 	go e.runCleanup(ctx)
-	go e.watchOverload(ctx)
+	if !p.settings.Experiment.Disabled().Disables(mechanism.OverloadDetection) {
+		go e.watchOverload(ctx)
+	}
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
 	select {
@@ -108,6 +108,22 @@
 	return ready.Close()
 }
 
+func (e *entry) relayOptions() relay.Options {
+	disabled := e.settings.Experiment.Disabled()
+	o := relay.Options{
+		Dialect: platform.Dialect{}, Ledger: e.ledger, Domain: e.settings.Domain, Log: e.log,
+		Metrics: relay.NewMetrics(e.registry), CacheBytes: turnCacheBytes, Seed: xxhash.Sum64String(e.settings.VM),
+		Disabled: disabled,
+	}
+	if disabled.Disables(mechanism.RelayedAppends) {
+		o.Ledger = e.ledger.Client
+	}
+	if disabled.Disables(mechanism.TurnCache) {
+		o.CacheBytes = 0
+	}
+	return o
+}
+
 // serveReady serves the balancer's readiness checks.
 func (e *entry) serveReady() (*http.Server, error) {
 	addr := e.settings.Listen.Ready
--- a/daemon/resident/entry_test.go
+++ b/daemon/resident/entry_test.go
@@ -170,7 +170,7 @@
 	file := filepath.Join(t.TempDir(), "settings.yaml")
 	write := func(text string) error {
 		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
-		_, err := load.Resident(file)
+		_, err := load.Resident(file, false)
 		return err
 	}
 	const good = `vm: "entry-1"
@@ -190,6 +190,7 @@
 		strings.Replace(good, `"10.0.0.1:1"`, `"store.example:80"`, 1): "store",
 		strings.Replace(good, "grace_s: 8", "grace_s: 0", 1):           "grace_s",
 		strings.Replace(good, `  ready: "10.0.0.2:2"`+"\n", "", 1):     "listen.ready",
+		good + "experiment:\n  disable: [turn_cache]\n":                "experiment.disable",
 	} {
 		assert.ErrorContains(t, write(text), want)
 	}
--- a/daemon/resident/ledger.go
+++ b/daemon/resident/ledger.go
@@ -7,6 +7,7 @@
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/discovery"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/member"
+	"github.com/rhubarbsaddle/rhubarbsaddle/mechanism"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform"
 )
 
@@ -25,6 +26,7 @@
 		RetireKey:    platform.RetireKey(p.settings.VM),
 		RetireStatus: func(completed bool) (string, []byte) { return platform.RetireStatus(p.settings.VM, completed) },
 		Log:          p.log,
+		IgnoreIndex:  p.settings.Experiment.Disabled().Disables(mechanism.SegmentIndex),
 	})
 	if err != nil {
 		return err
--- a/daemon/resident/resident.go
+++ b/daemon/resident/resident.go
@@ -66,10 +66,11 @@
 	registry *prometheus.Registry
 }
 
-// Run runs the role that the settings name until SIGTERM.
-func Run(ctx context.Context, role string) error {
+// Run runs the role that the settings name until SIGTERM. Settings for experiments are
+// refused unless isExperiment is set.
+func Run(ctx context.Context, role string, isExperiment bool) error {
 	file := os.Getenv(SettingsVariable)
-	settings, err := load.Resident(file)
+	settings, err := load.Resident(file, isExperiment)
 	if err != nil {
 		return &Error{Step: "settings", Peer: file, Err: err}
 	}
@@ -80,7 +81,7 @@
 	out := observe.NewBatchWriter(os.Stdout)
 	defer out.Close()
 	p := &process{file: file, settings: settings, log: newLogger(settings, out), registry: prometheus.NewRegistry()}
-	p.log.Info().Str("event", "start").Str("role", role).Str("domain", settings.Domain).Bool("first_start", settings.FirstStart).Msg("")
+	p.log.Info().Str("event", "start").Str("role", role).Str("domain", settings.Domain).Bool("first_start", settings.FirstStart).Strs("disabled", settings.Experiment.Disable).Msg("")
 	go p.watchSettings(ctx)
 	p.serveMetrics()
 	if role == config.ResidentLedger {
@@ -148,7 +149,7 @@
 // reload applies the settings that can change while the process runs, which is only the
 // log level. Other settings take effect at the next start.
 func (p *process) reload() {
-	settings, err := load.Resident(p.file)
+	settings, err := load.Resident(p.file, p.settings.Experiment.Allowed)
 	if err != nil {
 		p.log.Error().Str("event", "reload_failed").Err(err).Msg("keeping the active settings")
 		return
--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/mechanism"
 )
 
 const (
@@ -54,7 +56,7 @@
 // the load cannot be the cause, and the limit only rises.
 func (f *Fleet) RecordObjective(name string, outcome Objective, now time.Time) {
 	s := f.services[name]
-	if s == nil {
+	if s == nil || f.disabled.Disables(mechanism.AdaptiveAdmission) {
 		return
 	}
 	if outcome == FirstEventMet {
@@ -94,11 +96,11 @@
 // done for them.
 func (f *Fleet) Admits(name string, priority int, now time.Time) bool {
 	s := f.services[name]
-	if s == nil || !s.isEngine {
+	if s == nil || !s.isEngine || f.disabled.Disables(mechanism.Admission) {
 		return true
 	}
 	isUrgent := priority == 0
-	if s.currentLoadPerSlot(now) >= s.admitLimitFor(isUrgent) {
+	if s.currentLoadPerSlot(now) >= f.admitLimit(s, isUrgent) {
 		return false
 	}
 	share := 0.0
@@ -109,11 +111,11 @@
 	return true
 }
 
-// admitLimitFor returns the limit of urgent programs or of all others. Others get the
+// admitLimit returns the limit of urgent programs or of all others. Others get the
 // limit of urgent ones while they have too small a share of the admitted programs, so that
 // urgent programs alone do not keep them out.
-func (s *service) admitLimitFor(isUrgent bool) float64 {
-	if isUrgent || s.otherShare < minOtherShare {
+func (f *Fleet) admitLimit(s *service, isUrgent bool) float64 {
+	if isUrgent || s.otherShare < minOtherShare && !f.disabled.Disables(mechanism.MinimumShare) {
 		return s.admitLimit * urgentAdmitFactor
 	}
 	return s.admitLimit
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
+	"github.com/rhubarbsaddle/rhubarbsaddle/mechanism"
 )
 
 const (
@@ -123,11 +124,15 @@
 	services map[string]*service
 	// rotation advances with each choice and breaks ties between equal targets.
 	rotation uint64
+	disabled mechanism.Set
 }
 
-// New returns an empty fleet. The seed determines the order among equal targets.
-func New(seed uint64) *Fleet {
-	return &Fleet{targets: make(map[catalog.TargetKey]*target), services: make(map[string]*service), rotation: seed}
+// New returns an empty fleet. The seed determines the order among equal targets. Disabled
+// is empty except in experiments.
+func New(seed uint64, disabled mechanism.Set) *Fleet {
+	return &Fleet{
+		targets: make(map[catalog.TargetKey]*target), services: make(map[string]*service), rotation: seed, disabled: disabled,
+	}
 }
 
 // Update replaces the registered targets and services. Targets that remain keep their
@@ -224,7 +229,8 @@
 	f.rotation++
 	best := -1.0
 	n := uint64(len(s.targets))
-	ignoreEjections := s.tooManyEjected(now)
+	ignoreEjections := f.disabled.Disables(mechanism.Ejection) || s.tooManyEjected(now)
+	q = f.withoutDisabled(q)
 	promptSize := promptTokens(q.Prompt)
 	preferred := s.preferredFor(q.AffinityKey)
 	for i := range n {
@@ -232,7 +238,7 @@
 		if t.Draining || excluded(q.Exclude, t.TargetKey) || !ignoreEjections && !t.health.usable(q.AtMostOnce, now) || !q.AllowFull && t.isFull(now) {
 			continue
 		}
-		cost, cachedTokens := s.estimateCost(t, q, promptSize, now)
+		cost, cachedTokens := f.estimateCost(s, t, q, promptSize, now)
 		if preferred != nil && t != preferred {
 			cost += affinityMissShare * s.durationMS
 		}
@@ -244,6 +250,22 @@
 	return choice, best >= 0
 }
 
+// withoutDisabled returns the query without what disabled mechanisms would use.
+func (f *Fleet) withoutDisabled(q Query) Query {
+	if f.disabled == 0 {
+		return q
+	}
+	if f.disabled.Disables(mechanism.SessionAffinity) {
+		q.LastTarget = ""
+	}
+	if f.disabled.Disables(mechanism.ObjectAffinity) {
+		q.AffinityKey = ""
+	}
+	q.AllowFull = q.AllowFull || f.disabled.Disables(mechanism.QueueLimit)
+	q.AtMostOnce = q.AtMostOnce && !f.disabled.Disables(mechanism.AtMostOncePenalty)
+	return q
+}
+
 // tooManyEjected reports whether more than maxEjectedShare of the targets are ejected
 // because of failures. Ejections are then ignored, and failures only add to a target's
 // cost.
@@ -283,7 +305,7 @@
 // a slot, the processing of prompt tokens that are not cached, the delay by the other
 // calls in the batch, the network round trip and a penalty for recent failures. The
 // prompt has promptSize tokens, of which cachedTokens are expected to be cached.
-func (s *service) estimateCost(t *target, q Query, promptSize int, now time.Time) (ms float64, cachedTokens int) {
+func (f *Fleet) estimateCost(s *service, t *target, q Query, promptSize int, now time.Time) (ms float64, cachedTokens int) {
 	load := t.load(now)
 	slots := float64(t.Slots)
 	running := min(load, slots)
@@ -296,17 +318,19 @@
 		ms += (load - slots + 1) * s.durationMS / slots
 	}
 	if t.cache != nil {
-		cachedTokens = t.cache.cachedTokens(q.Prompt)
+		if !f.disabled.Disables(mechanism.CacheModel) {
+			cachedTokens = t.cache.cachedTokens(q.Prompt)
+		}
 		if q.LastTarget == t.ID {
 			cachedTokens = promptSize
 		}
 		// The processing of a prompt also delays the calls that run at the engine.
 		ms += float64(promptSize-cachedTokens) / prefillTokensPerMS * (1 + running)
-		if s.affinity.isAssignedElsewhere(t.ID, q.Prompt, s.targets, now) {
+		if !f.disabled.Disables(mechanism.PrefixAssignment) && s.affinity.isAssignedElsewhere(t.ID, q.Prompt, s.targets, now) {
 			ms += misplacedPrefixMS
 		}
 	}
-	if t.Domain != q.Domain {
+	if t.Domain != q.Domain && !f.disabled.Disables(mechanism.DomainPreference) {
 		ms += crossDomainMS
 	}
 	return ms + t.health.penaltyMS(q.AtMostOnce, now), cachedTokens
@@ -335,8 +359,10 @@
 	if t == nil {
 		return
 	}
-	t.othersInFlight = max(0, float64(load.Running+load.Waiting-t.inFlight))
-	t.othersAt = now
+	if !f.disabled.Disables(mechanism.OthersLoad) {
+		t.othersInFlight = max(0, float64(load.Running+load.Waiting-t.inFlight))
+		t.othersAt = now
+	}
 	if load.Slots <= 0 {
 		return
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -19,7 +19,7 @@
 // newFleet returns a fleet of n model engines with four slots each, which are spread
 // over the failure domains d0 to d2.
 func newFleet(n int) *fleet.Fleet {
-	f := fleet.New(0)
+	f := fleet.New(0, 0)
 	f.Update(engines(n), services)
 	return f
 }
@@ -252,7 +252,7 @@
 	const prefixes, perEntry = 3, 120
 	runsByTarget := map[string]map[int]int{}
 	for entry := range 4 {
-		f := fleet.New(uint64(entry))
+		f := fleet.New(uint64(entry), 0)
 		f.Update(engines(12), services)
 		for i := range perEntry {
 			at := send(t, f, query(sharedPrefix(i%prefixes), sessionPart(fmt.Sprint(entry, i))), start)
--- a/fleet/objectaffinity_test.go
+++ b/fleet/objectaffinity_test.go
@@ -14,7 +14,7 @@
 // newToolFleet returns a fleet of n plain targets with four slots each, whose calls take
 // 20 ms.
 func newToolFleet(seed uint64, n int) *fleet.Fleet {
-	f := fleet.New(seed)
+	f := fleet.New(seed, 0)
 	f.Update(engines(n), nil)
 	f.RecordStart(key(0), nil, start)
 	f.RecordEnd(key(0), fleet.Answered, 20*time.Millisecond, start)
--- a/fleet/overload_test.go
+++ b/fleet/overload_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
 	"github.com/rhubarbsaddle/rhubarbsaddle/fleet"
+	"github.com/rhubarbsaddle/rhubarbsaddle/mechanism"
 )
 
 // The simulated load: programs of several turns on a few slow engines, two and a half
@@ -61,7 +62,6 @@
 // overloadSim runs the programs on a fleet and engines that serve in order of arrival.
 type overloadSim struct {
 	fleet   *fleet.Fleet
-	adapts  bool
 	events  overloadQueue
 	random  *rand.Rand
 	running map[catalog.TargetKey]int
@@ -72,9 +72,13 @@
 	otherAsked, otherInTime    int
 }
 
-func runOverload(seed uint64, adapts bool) *overloadSim {
+func runOverload(seed uint64, disabled ...string) *overloadSim {
+	set, err := mechanism.Parse(disabled)
+	if err != nil {
+		panic(err)
+	}
 	s := &overloadSim{
-		fleet: fleet.New(seed), adapts: adapts, random: rand.New(rand.NewPCG(seed, 1)),
+		fleet: fleet.New(seed, set), random: rand.New(rand.NewPCG(seed, 1)),
 		running: map[catalog.TargetKey]int{}, waiting: map[catalog.TargetKey][]func(time.Time){},
 	}
 	s.fleet.Update(engines(overloadEngines), services)
@@ -120,9 +124,9 @@
 	run := func(now time.Time) {
 		s.running[target]++
 		if now.Sub(sent) <= latencyTarget {
-			s.recordObjective(fleet.FirstEventMet, now)
+			s.fleet.RecordObjective("llm", fleet.FirstEventMet, now)
 		} else {
-			s.recordObjective(fleet.FirstEventMissed, now)
+			s.fleet.RecordObjective("llm", fleet.FirstEventMissed, now)
 		}
 		slowdown := 1 + fullSlowdown*float64(s.running[target])/overloadSlots
 		end := now.Add(time.Duration((0.5 + s.random.Float64()) * slowdown * float64(turnTime)))
@@ -151,12 +155,6 @@
 	s.fleet.RecordLoad(target, fleet.Load{Running: s.running[target], Waiting: len(s.waiting[target]), Slots: overloadSlots}, now)
 }
 
-func (s *overloadSim) recordObjective(outcome fleet.Objective, now time.Time) {
-	if s.adapts {
-		s.fleet.RecordObjective("llm", outcome, now)
-	}
-}
-
 func (s *overloadSim) endTurn(p *overloadProgram, target catalog.TargetKey, complete bool, now time.Time) {
 	s.running[target]--
 	s.fleet.RecordEnd(target, fleet.Answered, turnTime, now)
@@ -164,7 +162,7 @@
 	objective := p.begun.Add(time.Duration(objectiveFactor * turnsPerProgram * float64(turnTime+programPause)))
 	if !complete || now.After(objective) && !p.late {
 		p.late = now.After(objective)
-		s.recordObjective(fleet.ProgramMissed, now)
+		s.fleet.RecordObjective("llm", fleet.ProgramMissed, now)
 	}
 	if !complete {
 		s.turnFailed(p, now)
@@ -199,7 +197,7 @@
 // are wasted, and urgent programs still go before others.
 func TestAdmissionLimitAdaptsToOverload(t *testing.T) {
 	for seed := range uint64(5) {
-		constant, adaptive := runOverload(seed, false), runOverload(seed, true)
+		constant, adaptive := runOverload(seed, "adaptive_admission"), runOverload(seed)
 		assert.Greater(t, adaptive.inTime, constant.inTime, "seed %d", seed)
 		assert.LessOrEqual(t, adaptive.cutTurns, constant.cutTurns, "seed %d", seed)
 		assert.Greater(t, adaptive.inTime*constant.admitted, constant.inTime*adaptive.admitted, "share of the admitted, seed %d", seed)
--- a/ledger/member/member.go
+++ b/ledger/member/member.go
@@ -41,8 +41,11 @@
 	FirstStart bool
 	// DisksLost is how many disks may be lost at the same time without loss of records.
 	DisksLost int
-	Store     store.Store
-	Directory *discovery.Directory
+	// IgnoreIndex makes the member read all records of its disk at its start, in place of
+	// their index. It is for experiments.
+	IgnoreIndex bool
+	Store       store.Store
+	Directory   *discovery.Directory
 	// RetireKey is the store key that operators write to retire the VM. RetireStatus
 	// returns the key and value with which the member reports its progress.
 	RetireKey    string
@@ -116,13 +119,17 @@
 	}
 	m.replica = ledger.NewReplica(false)
 	now, scanned := time.Now(), 0
-	disk, damaged, err := segment.Open(filepath.Join(m.options.Dir, "segments"), segment.Visitor{
+	visitor := segment.Visitor{
 		Frame: func(described segment.Range, content []byte) error { return m.loadFrame(described, content, now) },
 		Record: func(at ledger.Location, payload []byte) error {
 			scanned++
 			return m.loadRecord(at, payload, now)
 		},
-	})
+	}
+	if m.options.IgnoreIndex {
+		visitor.Frame = nil
+	}
+	disk, damaged, err := segment.Open(filepath.Join(m.options.Dir, "segments"), visitor)
 	if err != nil {
 		return err
 	}
--- a/ledger/segment/index.go
+++ b/ledger/segment/index.go
@@ -100,8 +100,13 @@
 
 // loadIndex passes the frames of a segment's index to visit and returns the offset up to
 // which they describe the segment file. If the file is shorter than that, it has lost
-// synced records; the index is then not used, and damaged is true.
+// synced records; the index is then not used, and damaged is true. Without a visitor the
+// index is not used either, and AppendIndex writes a new one.
 func (l *Log) loadIndex(number uint32, fileSize int64, visit func(Range, []byte) error) (covered uint32, damaged bool, err error) {
+	if visit == nil {
+		l.indexes[number] = indexFile{}
+		return 0, false, nil
+	}
 	frames, index, err := l.readFrames(number)
 	if err != nil {
 		return 0, false, err
--- a/ledger/segment/segment.go
+++ b/ledger/segment/segment.go
@@ -74,7 +74,8 @@
 
 // Visitor receives what Open finds, in the order in which it was written.
 type Visitor struct {
-	// Frame receives the content of an index frame and the range that it describes.
+	// Frame receives the content of an index frame and the range that it describes. If it
+	// is nil, the index files are not used.
 	Frame func(described Range, content []byte) error
 	// Record receives a record that no index frame describes.
 	Record func(ledger.Location, []byte) error
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
 	"github.com/rhubarbsaddle/rhubarbsaddle/fleet"
+	"github.com/rhubarbsaddle/rhubarbsaddle/mechanism"
 )
 
 const (
@@ -203,6 +204,9 @@
 // canFinish reports whether a call that is sent now may end before the deadline. The
 // fastest calls take a fraction of the average duration.
 func (e *exchange) canFinish() bool {
+	if e.relay.disabled.Disables(mechanism.DurationCheck) {
+		return true
+	}
 	return time.Until(e.deadline) >= e.relay.expectedDuration(e.service)/minDurationDivisor
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,6 +19,7 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/fleet"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
+	"github.com/rhubarbsaddle/rhubarbsaddle/mechanism"
 )
 
 // Part is one part of a prompt.
@@ -116,6 +117,7 @@
 	pool     *pool
 	turns    *turnCache
 	logQuota logQuota
+	disabled mechanism.Set
 	// failovers limits the plain requests that fail over to another target because of
 	// a timeout.
 	failovers *rate.Limiter
@@ -148,6 +150,8 @@
 	CacheBytes int
 	// Seed determines the order among equal targets.
 	Seed uint64
+	// Disabled is empty except in experiments.
+	Disabled mechanism.Set
 }
 
 // New returns a relay that refuses all requests until Update has given it a
@@ -155,8 +159,8 @@
 func New(o Options) *Relay {
 	return &Relay{
 		dialect: o.Dialect, ledger: o.Ledger, domain: o.Domain, log: o.Log, metrics: o.Metrics,
-		pool: newPool(o.Metrics), turns: newTurnCache(o.CacheBytes), fleet: fleet.New(o.Seed), startedAt: time.Now(),
-		failovers: newFailoverLimiter(),
+		pool: newPool(o.Metrics), turns: newTurnCache(o.CacheBytes), fleet: fleet.New(o.Seed, o.Disabled), startedAt: time.Now(),
+		failovers: newFailoverLimiter(o.Disabled), disabled: o.Disabled,
 	}
 }
 
--- a/relay/stalltimer.go
+++ b/relay/stalltimer.go
@@ -7,6 +7,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
+	"github.com/rhubarbsaddle/rhubarbsaddle/mechanism"
 )
 
 const (
@@ -24,7 +25,12 @@
 )
 
 // newFailoverLimiter limits the failovers of plain requests after a timeout.
-func newFailoverLimiter() *rate.Limiter { return rate.NewLimiter(failoversPerSecond, failoverBurst) }
+func newFailoverLimiter(disabled mechanism.Set) *rate.Limiter {
+	if disabled.Disables(mechanism.FailoverBudget) {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(failoversPerSecond, failoverBurst)
+}
 
 // stallTimer interrupts an attempt whose target sends nothing for too long, so that
 // the request can fail over to another target.
@@ -89,7 +95,7 @@
 // over to another target. It returns zero if the request must not be sent to
 // another target, or if the time left would not suffice for one.
 func (e *exchange) headTimeout() time.Duration {
-	if !e.route.Retryable() || e.executions >= e.route.MaxTargets {
+	if !e.route.Retryable() || e.executions >= e.route.MaxTargets || e.relay.disabled.Disables(mechanism.Failover) {
 		return 0
 	}
 	if e.route.Kind == catalog.Streaming {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/fleet"
+	"github.com/rhubarbsaddle/rhubarbsaddle/mechanism"
 )
 
 const (
@@ -181,7 +182,7 @@
 // stream.
 func (t *turn) eventTimeouts() (first, gap time.Duration) {
 	gap = time.Duration(gapFactor * float64(t.route.MaxEventGap))
-	if !t.route.Resumable || t.executions >= t.route.MaxTargets || gap <= 0 {
+	if !t.route.Resumable || t.executions >= t.route.MaxTargets || gap <= 0 || t.relay.disabled.Disables(mechanism.Failover) {
 		return 0, 0
 	}
 	return firstEventTimeout, gap
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -10,6 +10,7 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/quorum"
+	"github.com/rhubarbsaddle/rhubarbsaddle/mechanism"
 )
 
 const (
@@ -151,7 +152,7 @@
 	if unavailable == 0 {
 		return true
 	}
-	if unavailable >= ledgerGracePeriod {
+	if unavailable >= ledgerGracePeriod || t.relay.disabled.Disables(mechanism.LedgerGrace) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, ledgerGracePeriod-unavailable)
