--- a/bench/ablation/ablation_test.go
+++ b/bench/ablation/ablation_test.go
@@ -49,7 +49,7 @@
 	root := newRepository(t)
 	var progress bytes.Buffer
 	experiment := Experiment{
-		Repository: root, Play: "sh bench.sh {deployment} {day} --why {comment}", Journal: "journal",
+		Name: "e", Repository: root, Play: "sh bench.sh {deployment} {day} --why {comment}", Journal: "journal",
 		Days: []Day{{File: "d.toml", Name: "busy"}, {File: "d.toml", Name: "broken"}}, Seeds: []int{1, 2},
 		Mechanisms: []string{"turn_cache"}, Repeats: 1, Jobs: 1, Progress: &progress,
 	}
@@ -60,7 +60,7 @@
 	plays, err := journal.Read(filepath.Join(root, "journal"))
 	require.NoError(t, err)
 	require.Len(t, plays, 4)
-	rows := Table(plays)
+	rows := Table(plays, "e")
 	require.Len(t, rows, 1)
 	assert.Equal(t, "turn_cache", rows[0].Without)
 	assert.Equal(t, 2, rows[0].Plays)
@@ -73,13 +73,14 @@
 // Plays of other days or seeds must not be compared with each other.
 func TestOnlyTheSameDaysAndSeedsAreCompared(t *testing.T) {
 	play := func(day, without string, seed int, worth float64) journal.Play {
-		return journal.Play{Deployment: "d", Day: day, Comment: Comment(without, seed), Worth: worth}
+		return journal.Play{Deployment: "d", Day: day, Comment: Comment("e", without, seed), Worth: worth}
 	}
 	rows := Table([]journal.Play{
 		play("easy", "", 1, 0.95), play("easy", "", 1, 0.97), play("hard", "", 1, 0.60),
 		play("hard", "ejection", 1, 0.55), play("hard", "ejection", 2, 0.10), play("easy", "ejection", 1, 0.97),
 		{Deployment: "d", Day: "easy", Comment: "a trial", Worth: 0.1},
-	})
+		{Deployment: "d", Day: "easy", Comment: Comment("other", "ejection", 1), Worth: 0.1},
+	}, "e")
 	require.Len(t, rows, 1)
 	assert.Equal(t, 2, rows[0].Plays)
 	assert.InDelta(t, -0.02, rows[0].Change, 1e-9)
--- a/bench/ablation/run.go
+++ b/bench/ablation/run.go
@@ -38,6 +38,9 @@
 
 // Experiment describes the plays of an experiment.
 type Experiment struct {
+	// Name distinguishes the records of this experiment from those of others. It has no
+	// spaces.
+	Name string
 	// Repository is the root of the repository. Its last commit is played, in clones.
 	Repository string
 	// Play is the command that plays one day. Its words may contain {deployment}, {day},
@@ -148,7 +151,7 @@
 }
 
 func (e *Experiment) playDay(ctx context.Context, clone string, p play) error {
-	comment := Comment(p.without, p.seed)
+	comment := Comment(e.Name, p.without, p.seed)
 	if err := command(ctx, clone, "git", "checkout", "--quiet", "--", deployDir); err != nil {
 		return &Error{Step: "prepare", Peer: comment, Err: err}
 	}
--- a/bench/ablation/table.go
+++ b/bench/ablation/table.go
@@ -23,15 +23,16 @@
 )
 
 // Comment returns the comment of a play with which Table finds it again.
-func Comment(without string, seed int) string {
-	return fmt.Sprintf("%s without=%s seed=%d", commentPrefix, cmp.Or(without, nothing), seed)
+func Comment(experiment, without string, seed int) string {
+	return fmt.Sprintf("%s experiment=%s without=%s seed=%d", commentPrefix, experiment, cmp.Or(without, nothing), seed)
 }
 
 // parseComment returns the disabled mechanism and the seed of a play, or false if the
-// comment is not of an experiment.
-func parseComment(comment string) (without string, seed int, ok bool) {
-	n, err := fmt.Sscanf(comment, commentPrefix+" without=%s seed=%d", &without, &seed)
-	return without, seed, err == nil && n == 2
+// comment is not of the experiment.
+func parseComment(comment, experiment string) (without string, seed int, ok bool) {
+	rest, isPlay := strings.CutPrefix(comment, commentPrefix+" experiment="+experiment+" ")
+	n, err := fmt.Sscanf(rest, "without=%s seed=%d", &without, &seed)
+	return without, seed, isPlay && err == nil && n == 2
 }
 
 // Row is what the plays without one mechanism show on one deployment.
@@ -61,12 +62,12 @@
 // results holds the plays of one set of mechanisms, by what was played.
 type results map[playKey][]journal.Play
 
-// Table compares the plays of experiments. The rows of a deployment are in the order of
+// Table compares the plays of one experiment. The rows of a deployment are in the order of
 // their change, the most harmful first.
-func Table(plays []journal.Play) []Row {
+func Table(plays []journal.Play, experiment string) []Row {
 	byMechanism := make(map[string]results)
 	for _, p := range plays {
-		without, seed, ok := parseComment(p.Comment)
+		without, seed, ok := parseComment(p.Comment, experiment)
 		if !ok {
 			continue
 		}
--- a/cli/bench_ablation.go
+++ b/cli/bench_ablation.go
@@ -17,6 +17,9 @@
 // defaultJournal is the directory with the records of played days.
 const defaultJournal = "journal"
 
+// defaultExperiment is the name of an experiment that is given none.
+const defaultExperiment = "mechanisms"
+
 func benchAblationCommand() *cli.Command {
 	return &cli.Command{
 		Name:     "ablation",
@@ -41,6 +44,7 @@
 			&cli.IntFlag{Name: "repeats", Value: 2, Usage: "plays of each day and seed with all mechanisms"},
 			&cli.IntFlag{Name: "jobs", Value: 1, Usage: "days that are played at the same time"},
 			&cli.StringFlag{Name: "journal", Value: defaultJournal, Usage: "directory of the bench's records, in the repository"},
+			&cli.StringFlag{Name: "name", Value: defaultExperiment, Usage: "name of the experiment, without spaces"},
 		},
 		Action: runBenchAblation,
 	}
@@ -50,6 +54,9 @@
 	if _, err := mechanism.Parse(c.StringSlice("mechanism")); err != nil {
 		return &UsageError{Err: err}
 	}
+	if strings.ContainsAny(c.String("name"), " \t") {
+		return &UsageError{Err: errors.New("--name must not contain spaces")}
+	}
 	if c.Int("jobs") < 1 || c.Int("repeats") < 1 {
 		return &UsageError{Err: errors.New("--jobs and --repeats must be 1 or more")}
 	}
@@ -62,7 +69,7 @@
 		return err
 	}
 	experiment := ablation.Experiment{
-		Repository: root, Play: c.String("play"), Journal: c.String("journal"), Days: days, Seeds: c.IntSlice("seed"),
+		Name: c.String("name"), Repository: root, Play: c.String("play"), Journal: c.String("journal"), Days: days, Seeds: c.IntSlice("seed"),
 		Mechanisms: c.StringSlice("mechanism"), Repeats: c.Int("repeats"), Jobs: c.Int("jobs"), Progress: c.Root().Writer,
 	}
 	return experiment.Run(ctx)
@@ -89,15 +96,18 @@
 func benchAblationTableCommand() *cli.Command {
 	return &cli.Command{
 		Name:        "table",
-		Usage:       "print the results of all plays that are recorded in a journal",
+		Usage:       "print the results of an experiment from the records in a journal",
 		Description: "Example:\n  rhubarbsaddle bench ablation table --journal journal",
-		Flags:       []cli.Flag{&cli.StringFlag{Name: "journal", Value: defaultJournal, Usage: "directory of the bench's records"}},
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "journal", Value: defaultJournal, Usage: "directory of the bench's records"},
+			&cli.StringFlag{Name: "name", Value: defaultExperiment, Usage: "name of the experiment"},
+		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			plays, err := journal.Read(c.String("journal"))
 			if err != nil {
 				return err
 			}
-			return ablation.WriteTable(c.Root().Writer, ablation.Table(plays))
+			return ablation.WriteTable(c.Root().Writer, ablation.Table(plays, c.String("name")))
 		},
 	}
 }
