--- a/cli/explain.go
+++ b/cli/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	"github.com/urfave/cli/v3"
@@ -18,15 +19,23 @@
 		Description: "Examples:\n" +
 			"  rhubarbsaddle explain --data events.jsonl haggle-1\n" +
 			"  rhubarbsaddle explain --from http://127.0.0.1:9100 --json haggle-1\n" +
-			"  rhubarbsaddle explain --logs entry-1.log --logs ledger-1.log 9c568acb405c068a",
+			"  rhubarbsaddle explain --logs entry-1.log --logs ledger-1.log 9c568acb405c068a\n" +
+			"  rhubarbsaddle explain --restart --logs entry-1.log --logs ledger-1.log",
 		Flags: append(eventFlags(),
 			&cli.BoolFlag{Name: "json", Usage: "write JSON instead of a table"},
-			&cli.StringSliceFlag{Name: "logs", Usage: "`FILE` of rhubarbsaddled log lines, or - for standard input, to explain a request or program from; may be repeated"}),
+			&cli.StringSliceFlag{Name: "logs", Usage: "`FILE` of rhubarbsaddled log lines, or - for standard input, to explain a request or program from; may be repeated"},
+			&cli.BoolFlag{Name: "restart", Usage: "with --logs, show the steps of each process from its start to its first turn"}),
 		Action: runExplain,
 	}
 }
 
 func runExplain(ctx context.Context, cmd *cli.Command) error {
+	if cmd.Bool("restart") {
+		if !cmd.IsSet("logs") || cmd.Args().Present() {
+			return &UsageError{Err: errors.New("--restart needs --logs and no other argument")}
+		}
+		return runExplainRestart(cmd)
+	}
 	program, err := oneArgument(cmd, "PROGRAM")
 	if err != nil {
 		return err
--- a/report/timeline/line.go
+++ b/report/timeline/line.go
@@ -11,6 +11,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -33,6 +34,10 @@
 	Status int    `json:"status"`
 	Reason string `json:"reason"`
 	Cause  string `json:"cause"`
+	// Received is the time that a supervisor has added in front of the line, in seconds since
+	// a moment of its choice; zero if there is none. Other than Time, it is comparable
+	// between VMs whose clocks differ.
+	Received time.Duration `json:"-"`
 	// Fields are the other fields, as text.
 	Fields map[string]string `json:"-"`
 }
@@ -42,8 +47,8 @@
 var separateFields = []string{"time", "level", "vm", "event", "request", "program", "status", "reason", "cause", "message"}
 
 // Read returns the lines of a log, and the number of lines that it skipped because
-// they are not in this format. It ignores text before the JSON object of a line, such
-// as a time that a supervisor adds.
+// they are not in this format. It ignores text before the JSON object of a line, except
+// for a time in seconds that a supervisor adds.
 func Read(in io.Reader) (lines []Line, skipped int, err error) {
 	scanner := bufio.NewScanner(in)
 	scanner.Buffer(nil, maxLineBytes)
@@ -61,12 +66,33 @@
 	return lines, skipped, nil
 }
 
+// at returns the time of the line by the supervisor's clock, or else by the VM's.
+func (l *Line) at() time.Time {
+	if l.Received > 0 {
+		return time.Unix(0, 0).Add(l.Received)
+	}
+	return l.Time
+}
+
+// receivedTime returns the number of seconds at the beginning of a text; zero if there is
+// none.
+func receivedTime(text []byte) time.Duration {
+	first, _, _ := bytes.Cut(bytes.TrimSpace(text), []byte(" "))
+	seconds, err := strconv.ParseFloat(string(first), 64)
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // findLine parses the log line at the end of a text. A supervisor may join an
 // incomplete line of one process with a complete line of another.
 func findLine(text []byte) (Line, bool) {
+	received := receivedTime(text)
 	for begin := bytes.IndexByte(text, '{'); begin >= 0; {
 		text = text[begin:]
 		if line, ok := parseLine(text); ok {
+			line.Received = received
 			return line, true
 		}
 		begin = bytes.IndexByte(text[1:], '{') + 1
