relay: an outage of the ledger is not a slow ledger

They left the balancer for 1.5 s and closed their callers' connections, just when they could serve again.

Change: the wait of a call that began before the ledger resumed counts from then. The ledger is taken to have resumed with the first response after 200 ms without any.

--- a/relay/ledgerdelay.go
+++ b/relay/ledgerdelay.go
@@ -12,19 +12,34 @@
 	ledgerDelayWeight = 0.05
 	// ledgerDelayTimeConstant determines how fast the average decays without turns.
 	ledgerDelayTimeConstant = time.Second
+	// minLedgerOutage is the time without a response after which the ledger is assumed to
+	// have been unavailable.
+	minLedgerOutage = 200 * time.Millisecond
 )
 
-// ledgerDelay is the moving average of how long turns wait for the ledger. It is safe for
-// concurrent use.
+// ledgerDelay is the moving average of how long turns wait for the ledger while it is
+// available. It is safe for concurrent use.
 type ledgerDelay struct {
 	mu      sync.Mutex
 	average time.Duration
 	at      time.Time
+	// respondedAt is the time of the last response, resumedAt that of the first one after an
+	// outage. The wait of calls that began before resumedAt counts from then.
+	respondedAt, resumedAt time.Time
 }
 
-func (d *ledgerDelay) observe(wait time.Duration, now time.Time) {
+// observe records the response to a call that began at asked.
+func (d *ledgerDelay) observe(asked, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if now.Sub(d.respondedAt) >= minLedgerOutage {
+		d.resumedAt = now
+	}
+	d.respondedAt = now
+	if asked.Before(d.resumedAt) {
+		asked = d.resumedAt
+	}
+	wait := now.Sub(asked)
 	known := d.current(now)
 	d.average, d.at = known+time.Duration(ledgerDelayWeight*float64(wait-known)), now
 }
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -76,7 +76,7 @@
 	defer cancel()
 	asked := time.Now()
 	spending, chain, err := t.reserveAndReadChain(ctx)
-	t.relay.ledgerDelay.observe(time.Since(asked), time.Now())
+	t.relay.ledgerDelay.observe(asked, time.Now())
 	if errors.Is(err, quorum.ErrNoSuchTurn) {
 		t.respond(http.StatusNotFound, reasonUnknownTurn)
 		return false
