fleet: choose a target in half the time

Cause: a choice among 1,000 targets took 0.4 to 0.7 ms; a profile showed the lookups of the prompt's shared prefix for each target (37 %) and the load estimated three times a target (20 %).

Change: the shared prefix is looked up once a choice, its assignment is kept with the target, the load is estimated once a target. Choices are the same.

--- a/fleet/affinity.go
+++ b/fleet/affinity.go
@@ -30,9 +30,8 @@
 type affinity struct {
 	uses     map[string]float64
 	halvedAt time.Time
-	// assignment maps the id of each engine to the shared prefix assigned to it. It
-	// was computed at assignedAt.
-	assignment map[string]string
+	// assignedAt is when prefixes were last assigned to the engines; zero if the engines have
+	// changed since.
 	assignedAt time.Time
 }
 
@@ -59,33 +58,33 @@
 	}
 }
 
-// isAssignedElsewhere reports whether a prompt has a shared prefix and a different
-// shared prefix is assigned to the engine.
-func (a *affinity) isAssignedElsewhere(engine string, prompt []Part, targets []*target, now time.Time) bool {
+// sharedPrefix returns the id of a prompt's shared prefix if prefixes are assigned to
+// engines, or an empty id. It assigns them again if that is due.
+func (a *affinity) sharedPrefix(prompt []Part, targets []*target, now time.Time) string {
 	if len(prompt) == 0 || len(a.uses) < 2 {
-		return false
+		return ""
 	}
 	if _, shared := a.uses[prompt[0].ID]; !shared {
-		return false
+		return ""
 	}
-	if a.assignment == nil || now.Sub(a.assignedAt) > assignmentPeriod {
+	if a.assignedAt.IsZero() || now.Sub(a.assignedAt) > assignmentPeriod {
 		a.assign(targets, now)
 	}
-	assigned, ok := a.assignment[engine]
-	return ok && assigned != prompt[0].ID
+	return prompt[0].ID
 }
 
 // assign assigns each engine the shared prefix with the highest score of weighted
 // rendezvous hashing.
 func (a *affinity) assign(targets []*target, now time.Time) {
-	a.assignment, a.assignedAt = make(map[string]string, len(targets)), now
+	a.assignedAt = now
 	for _, t := range targets {
+		t.assignedPrefix = ""
 		best := math.Inf(-1)
 		for id, uses := range a.uses {
 			point := (float64(xxhash.Sum64String(t.ID+"\x00"+id)>>11) + 0.5) / (1 << 53)
 			if score := -uses / math.Log(point); score > best {
 				best = score
-				a.assignment[t.ID] = id
+				t.assignedPrefix = id
 			}
 		}
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -94,6 +94,9 @@
 	othersInFlight float64
 	othersAt       time.Time
 	cache          *cacheModel
+	// assignedPrefix is the id of the shared prefix that is assigned to the engine; empty if
+	// there is none.
+	assignedPrefix string
 	health         health
 }
 
@@ -153,7 +156,7 @@
 			s = &service{durationMS: initialDurationMS, admitLimit: maxAdmitLimit, otherShare: 1, affinity: newAffinity()}
 			if before := old[declared.Service]; before != nil {
 				*s = *before
-				s.isEngine, s.targets, s.affinity.assignment = false, nil, nil
+				s.isEngine, s.targets, s.affinity.assignedAt = false, nil, time.Time{}
 			}
 			f.services[declared.Service] = s
 		}
@@ -193,9 +196,9 @@
 	return share * (1 - 0.5*float64(age)/float64(loadHalfLife))
 }
 
-// isFull reports whether a target should get no more calls.
-func (t *target) isFull(now time.Time) bool {
-	return t.load(now) >= float64(t.Slots)*(1+maxQueuedPerSlot)
+// isFullAt reports whether a target with an estimated load should get no more calls.
+func (t *target) isFullAt(load float64) bool {
+	return load >= float64(t.Slots)*(1+maxQueuedPerSlot)
 }
 
 // Choice is the target chosen for a Query.
@@ -233,18 +236,29 @@
 	q = f.withoutDisabled(q)
 	promptSize := promptTokens(q.Prompt)
 	preferred := s.preferredFor(q.AffinityKey)
+	sharedPrefix := ""
+	if !f.disabled.Disables(mechanism.PrefixAssignment) {
+		sharedPrefix = s.affinity.sharedPrefix(q.Prompt, s.targets, now)
+	}
 	for i := range n {
 		t := s.targets[(f.rotation+i)%n]
-		if t.Draining || excluded(q.Exclude, t.TargetKey) || !ignoreEjections && !t.health.usable(q.AtMostOnce, now) || !q.AllowFull && t.isFull(now) {
+		if t.Draining || excluded(q.Exclude, t.TargetKey) || !ignoreEjections && !t.health.usable(q.AtMostOnce, now) {
+			continue
+		}
+		load := t.load(now)
+		if !q.AllowFull && t.isFullAt(load) {
 			continue
 		}
-		cost, cachedTokens := f.estimateCost(s, t, q, promptSize, now)
+		cost, cachedTokens := f.estimateCost(s, t, &q, promptSize, load, now)
+		if sharedPrefix != "" && t.assignedPrefix != sharedPrefix {
+			cost += misplacedPrefixMS
+		}
 		if preferred != nil && t != preferred {
 			cost += affinityMissShare * s.durationMS
 		}
 		if best < 0 || cost < best {
 			best = cost
-			choice = Choice{Target: t.Target, CostMS: cost, Load: t.load(now), CachedTokens: cachedTokens}
+			choice = Choice{Target: t.Target, CostMS: cost, Load: load, CachedTokens: cachedTokens}
 		}
 	}
 	return choice, best >= 0
@@ -304,9 +318,9 @@
 // estimateCost estimates the cost of a call at a target in milliseconds: the wait for
 // a slot, the processing of prompt tokens that are not cached, the delay by the other
 // calls in the batch, the network round trip and a penalty for recent failures. The
-// prompt has promptSize tokens, of which cachedTokens are expected to be cached.
-func (f *Fleet) estimateCost(s *service, t *target, q Query, promptSize int, now time.Time) (ms float64, cachedTokens int) {
-	load := t.load(now)
+// target has the given load. The prompt has promptSize tokens, of which cachedTokens are
+// expected to be cached.
+func (f *Fleet) estimateCost(s *service, t *target, q *Query, promptSize int, load float64, now time.Time) (ms float64, cachedTokens int) {
 	slots := float64(t.Slots)
 	running := min(load, slots)
 	contention := plainContentionMS
@@ -326,9 +340,6 @@
 		}
 		// The processing of a prompt also delays the calls that run at the engine.
 		ms += float64(promptSize-cachedTokens) / prefillTokensPerMS * (1 + running)
-		if !f.disabled.Disables(mechanism.PrefixAssignment) && s.affinity.isAssignedElsewhere(t.ID, q.Prompt, s.targets, now) {
-			ms += misplacedPrefixMS
-		}
 	}
 	if t.Domain != q.Domain && !f.disabled.Disables(mechanism.DomainPreference) {
 		ms += crossDomainMS
