ledger/member: damage found while copying keeps the member out of the quorum

Change: Recovered names the number of Damaged events before the copying began; the replica stays unready if there were more. The member copies again. TestDamagedRecordIsStoredAgain demands it and fails before: Recovered had no number.

--- a/ledger/member/copy.go
+++ b/ledger/member/copy.go
@@ -21,11 +21,15 @@
 	maxKeysPerCopy = 2048
 )
 
-var errTooFewSources = errors.New("too few members to copy from")
+var (
+	errTooFewSources    = errors.New("too few members to copy from")
+	errDamagedMeanwhile = errors.New("another damaged record was found while records were copied")
+)
 
 // recover copies the records of all other ready members. If it could copy from enough of
-// them, this member becomes ready.
+// them, this member becomes ready, unless another damaged record was found meanwhile.
 func (m *Member) recover(ctx context.Context, view ledger.View) error {
+	damages := m.damages.Load()
 	needed := view.CopySources(m.options.DisksLost)
 	copied := 0
 	for _, seat := range view.Seats {
@@ -43,10 +47,13 @@
 	if copied < needed {
 		return &Error{Step: "copy", Peer: fmt.Sprintf("%d of %d members", copied, needed), Err: errTooFewSources}
 	}
+	if m.damages.Load() != damages {
+		return &Error{Step: "copy", Peer: m.options.Name, Err: errDamagedMeanwhile}
+	}
 	if err := m.setIdentity(identity{Member: m.options.Name, Incarnation: m.identity.Incarnation, Complete: true}); err != nil {
 		return err
 	}
-	m.post(ledger.Recovered{})
+	m.post(ledger.Recovered{Damages: damages})
 	m.ready.Store(true)
 	m.log.Info().Str("event", "recovered").Int("sources", copied).Msg("")
 	return nil
--- a/ledger/member/member.go
+++ b/ledger/member/member.go
@@ -59,8 +59,10 @@
 	log     *log.Logger
 	disk    *segment.Log
 	index   indexQueue
-	// hasDamage is set if a damaged record was found that maintainSeat has not handled yet.
-	hasDamage atomic.Bool
+	// damages counts the damaged records that were found. Those up to handledDamages are
+	// known to maintainSeat, which alone uses that field.
+	damages        atomic.Uint64
+	handledDamages uint64
 	// identity identifies the disk. After Open only maintainSeat uses it.
 	identity identity
 	// hadSeat means that this process has had a seat. retired means that its seat was
--- a/ledger/member/seat.go
+++ b/ledger/member/seat.go
@@ -42,11 +42,11 @@
 
 // reconcileSeat takes the next step towards a ready seat, or towards retirement.
 func (m *Member) reconcileSeat(ctx context.Context) error {
-	if m.hasDamage.Swap(false) {
+	if damages := m.damages.Load(); damages != m.handledDamages {
 		if err := m.markIncomplete(); err != nil {
-			m.hasDamage.Store(true)
 			return err
 		}
+		m.handledDamages = damages
 	}
 	view := m.options.Directory.View()
 	if m.isRetiring() {
--- a/ledger/member/verify.go
+++ b/ledger/member/verify.go
@@ -66,7 +66,7 @@
 	payload, err := m.disk.Read(at)
 	if errors.Is(err, segment.ErrDamaged) {
 		m.log.Error().Str("event", "record_damaged").Err(err).Uint32("offset", at.Offset).Msg("copying the record from other members")
-		m.hasDamage.Store(true)
+		m.damages.Add(1)
 		m.post(ledger.Damaged{Locations: []ledger.Location{at}})
 	}
 	return payload, err
--- a/ledger/replica.go
+++ b/ledger/replica.go
@@ -65,7 +65,9 @@
 type Damaged struct{ Locations []Location }
 
 // Recovered reports that the replica has copied every record that a quorum has stored.
-type Recovered struct{}
+// Damages is the number of Damaged events before the copying began. If there were more
+// since, the replica may lack those records and stays unready.
+type Recovered struct{ Damages uint64 }
 
 // Outdated reports that the replica may lack records that a quorum has stored.
 type Outdated struct{}
@@ -144,7 +146,9 @@
 // effects and does no I/O. Invariant: a record that was acknowledged is in records,
 // and stays there until its program expires. It is not safe for concurrent use.
 type Replica struct {
-	ready     bool
+	ready bool
+	// damages counts the Damaged events.
+	damages   uint64
 	programs  map[string]*program
 	turns     map[string]turn
 	locations map[Key]Location
@@ -216,9 +220,10 @@
 		r.indexRecord(&e.Summary, e.Location)
 	case Damaged:
 		r.forget(e.Locations)
+		r.damages++
 		r.ready = false
 	case Recovered:
-		r.ready = true
+		r.ready = r.ready || e.Damages == r.damages
 	case Outdated:
 		r.ready = false
 	case Tick:
--- a/ledger/replica_test.go
+++ b/ledger/replica_test.go
@@ -205,8 +205,12 @@
 	assert.False(t, d.replica.Ready())
 	assert.Equal(t, 2, d.replica.Records())
 	assert.Equal(t, "t1", d.step(ledger.ChainRequested{Turn: "t2"})[0].(ledger.ReplyChain).Missing)
-	d.append(turnRecord("p", "t1", ""))
 	d.step(ledger.Recovered{})
+	unknown := d.step(ledger.ChainRequested{Turn: "t1"})[0].(ledger.Reply).Response
+	assert.Equal(t, ledgerpb.Status_STATUS_RECOVERING, unknown.GetStatus(), "the copying began before the damage was found")
+	d.append(turnRecord("p", "t1", ""))
+	d.step(ledger.Recovered{Damages: 1})
+	assert.True(t, d.replica.Ready())
 	assert.Len(t, d.step(ledger.ChainRequested{Turn: "t2"})[0].(ledger.ReplyChain).Locations, 2)
 	assert.Equal(t, 7, spending(d.append(ledger.NewReservation("p", "b", 1, retention))).Committed("b"))
 }
