relay: remove the turn cache

Hypothesis: entries keep the turns that they have answered so that the next turn of a conversation need not read its chain from the ledger.

Chains of turns stay covered by TestTurnPromptIncludesPreviousTurns and TestChainIsAssembledFromMembersWithDifferentGaps.

--- a/bench/ablation/ablation_test.go
+++ b/bench/ablation/ablation_test.go
@@ -19,7 +19,7 @@
 const fakeBench = `#!/bin/sh
 [ "$2" = broken ] && { echo "no such day"; exit 1; }
 worth=0.9
-grep -q 'disable: \[turn_cache\]' deploy/settings.yaml.tmpl && grep -q 'entry --experiment"' deploy/system.toml && worth=0.8
+grep -q 'disable: \[ejection\]' deploy/settings.yaml.tmpl && grep -q 'entry --experiment"' deploy/system.toml && worth=0.8
 echo "{\"site\":\"d\",\"why\":\"$4\",\"days\":[{\"name\":\"$2\",\"G\":$worth,\"failed\":0.01}]}" > "journal/$2-$$.json"
 `
 
@@ -51,7 +51,7 @@
 	experiment := Experiment{
 		Name: "e", Repository: root, Play: "sh bench.sh {deployment} {day} --why {comment}", Journal: "journal",
 		Days: []Day{{File: "d.toml", Name: "busy"}, {File: "d.toml", Name: "broken"}}, Seeds: []int{1, 2},
-		Mechanisms: []string{"turn_cache"}, Repeats: 1, Jobs: 1, Progress: &progress,
+		Mechanisms: []string{"ejection"}, Repeats: 1, Jobs: 1, Progress: &progress,
 	}
 	err := experiment.Run(context.Background())
 	require.ErrorContains(t, err, "4 plays failed")
@@ -62,12 +62,12 @@
 	require.Len(t, plays, 4)
 	rows := Table(plays, "e")
 	require.Len(t, rows, 1)
-	assert.Equal(t, "turn_cache", rows[0].Without)
+	assert.Equal(t, "ejection", rows[0].Without)
 	assert.Equal(t, 2, rows[0].Plays)
 	assert.InDelta(t, -0.1, rows[0].Change, 1e-9)
 	var table strings.Builder
 	require.NoError(t, WriteTable(&table, rows))
-	assert.Contains(t, table.String(), "| turn_cache | 2     | -0.100")
+	assert.Contains(t, table.String(), "| ejection | 2     | -0.100")
 }
 
 // Plays of other days or seeds must not be compared with each other.
--- a/daemon/resident/entry.go
+++ b/daemon/resident/entry.go
@@ -39,10 +39,6 @@
 	// idleSlack is added to the configured idle timeout, so that a caller that respects
 	// the timeout never reuses a connection while it is being closed.
 	idleSlack = time.Second
-	// turnCacheBytes bounds the stored turns that are cached in memory. It has room for
-	// a few dozen new conversations per second, if each lasts about ten seconds and has
-	// about ten kilobytes.
-	turnCacheBytes = 4 << 20
 	// maxLedgerOutage is how long the ledger may be unavailable before the entry reports
 	// itself unready. A broken connection is reestablished in less time.
 	maxLedgerOutage = time.Second
@@ -112,15 +108,12 @@
 	disabled := e.settings.Experiment.Disabled()
 	o := relay.Options{
 		Dialect: platform.Dialect{}, Ledger: e.ledger, Domain: e.settings.Domain, Log: e.log,
-		Metrics: relay.NewMetrics(e.registry), CacheBytes: turnCacheBytes, Seed: xxhash.Sum64String(e.settings.VM),
+		Metrics: relay.NewMetrics(e.registry), Seed: xxhash.Sum64String(e.settings.VM),
 		Disabled: disabled,
 	}
 	if disabled.Disables(mechanism.RelayedAppends) {
 		o.Ledger = e.ledger.Client
 	}
-	if disabled.Disables(mechanism.TurnCache) {
-		o.CacheBytes = 0
-	}
 	return o
 }
 
--- a/daemon/resident/entry_test.go
+++ b/daemon/resident/entry_test.go
@@ -190,7 +190,7 @@
 		strings.Replace(good, `"10.0.0.1:1"`, `"store.example:80"`, 1): "store",
 		strings.Replace(good, "grace_s: 8", "grace_s: 0", 1):           "grace_s",
 		strings.Replace(good, `  ready: "10.0.0.2:2"`+"\n", "", 1):     "listen.ready",
-		good + "experiment:\n  disable: [turn_cache]\n":                "experiment.disable",
+		good + "experiment:\n  disable: [ejection]\n":                  "experiment.disable",
 	} {
 		assert.ErrorContains(t, write(text), want)
 	}
--- a/mechanism/mechanism.go
+++ b/mechanism/mechanism.go
@@ -50,8 +50,6 @@
 	OverloadDetection
 	// LedgerGrace lets turns wait for a ledger that has just become unavailable.
 	LedgerGrace
-	// TurnCache caches stored turns at the entry that answered them.
-	TurnCache
 	// RelayedAppends sends records to one ledger member, which relays them to the others.
 	RelayedAppends
 	// FollowMembers follows the ledger members in place of the platform's store.
@@ -78,7 +76,6 @@
 	DurationCheck:     "duration_check",
 	OverloadDetection: "overload_detection",
 	LedgerGrace:       "ledger_grace",
-	TurnCache:         "turn_cache",
 	RelayedAppends:    "relayed_appends",
 	FollowMembers:     "follow_members",
 	SegmentIndex:      "segment_index",
--- a/mechanism/mechanism_test.go
+++ b/mechanism/mechanism_test.go
@@ -17,6 +17,6 @@
 			assert.False(t, Set(0).Disables(Mechanism(j)))
 		}
 	}
-	_, err := Parse([]string{"turn_cash"})
-	assert.ErrorContains(t, err, `"turn_cash"`)
+	_, err := Parse([]string{"ejections"})
+	assert.ErrorContains(t, err, `"ejections"`)
 }
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -132,7 +132,7 @@
 	b := &testbed{t: t, ledger: m}
 	b.relay = relay.New(relay.Options{
 		Dialect: platform.Dialect{}, Ledger: b.ledger, Domain: "d", Log: &log.Logger{Level: log.PanicLevel},
-		Metrics: relay.NewMetrics(prometheus.NewRegistry()), CacheBytes: 1 << 20,
+		Metrics: relay.NewMetrics(prometheus.NewRegistry()),
 	})
 	b.server = httptest.NewServer(b.relay)
 	t.Cleanup(b.server.Close)
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -13,7 +13,6 @@
 	firstEventDelay prometheus.Histogram
 	connects        prometheus.Counter
 	staleResponses  prometheus.Counter
-	cachedChains    prometheus.Counter
 	unlogged        prometheus.Counter
 }
 
@@ -39,13 +38,10 @@
 			Name: "rhubarbsaddle_stale_answers_total", Help: "Answers of targets that belonged to earlier requests.",
 		}),
 	}
-	m.cachedChains = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "rhubarbsaddle_cached_chains_total", Help: "Chains of turns that were assembled without the ledger.",
-	})
 	m.unlogged = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "rhubarbsaddle_requests_unlogged_total", Help: "Answered requests without a log line, beyond the bound of lines a second.",
 	})
-	reg.MustRegister(m.unlogged, m.requests, m.duration, m.firstEventDelay, m.connects, m.staleResponses, m.cachedChains)
+	reg.MustRegister(m.unlogged, m.requests, m.duration, m.firstEventDelay, m.connects, m.staleResponses)
 	return m
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -115,7 +115,6 @@
 	log      *log.Logger
 	metrics  *Metrics
 	pool     *pool
-	turns    *turnCache
 	logQuota logQuota
 	disabled mechanism.Set
 	// failovers limits the plain requests that fail over to another target because of
@@ -146,8 +145,6 @@
 	Domain  string
 	Log     *log.Logger
 	Metrics *Metrics
-	// CacheBytes bounds the memory for cached turns.
-	CacheBytes int
 	// Seed determines the order among equal targets.
 	Seed uint64
 	// Disabled is empty except in experiments.
@@ -159,7 +156,7 @@
 func New(o Options) *Relay {
 	return &Relay{
 		dialect: o.Dialect, ledger: o.Ledger, domain: o.Domain, log: o.Log, metrics: o.Metrics,
-		pool: newPool(o.Metrics), turns: newTurnCache(o.CacheBytes), fleet: fleet.New(o.Seed, o.Disabled), startedAt: time.Now(),
+		pool: newPool(o.Metrics), fleet: fleet.New(o.Seed, o.Disabled), startedAt: time.Now(),
 		failovers: newFailoverLimiter(o.Disabled), disabled: o.Disabled,
 	}
 }
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -105,7 +105,7 @@
 	var chainErr error
 	var wait sync.WaitGroup
 	if t.continuesChain() {
-		wait.Go(func() { chain, chainErr = t.readChain(ctx) })
+		wait.Go(func() { chain, chainErr = t.relay.ledger.ReadChain(ctx, t.call.Previous) })
 	}
 	if t.hasBudget() {
 		t.hasReservation = true
@@ -135,15 +135,6 @@
 	return true
 }
 
-// readChain returns the text of the turns that the turn continues.
-func (t *turn) readChain(ctx context.Context) ([]byte, error) {
-	if text, ok := t.relay.turns.chain(t.call.Previous, len(t.exchange.body)); ok {
-		t.relay.metrics.cachedChains.Inc()
-		return text, nil
-	}
-	return t.relay.ledger.ReadChain(ctx, t.call.Previous)
-}
-
 // awaitLedger waits for the ledger if it became unavailable less than
 // ledgerGracePeriod ago, since connections are usually restored within milliseconds
 // and killed members restart soon. After that it returns false at once.
@@ -202,7 +193,6 @@
 		return err
 	}
 	t.hasReservation = false
-	t.relay.turns.put(&cachedTurn{id: t.call.ID, previous: t.call.Previous, input: t.exchange.body, output: t.output})
 	return nil
 }
 
