--- a/bench/ablation/run.go
+++ b/bench/ablation/run.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Error is a failed step of an experiment.
@@ -205,6 +206,9 @@
 func command(ctx context.Context, dir string, words ...string) error {
 	c := exec.CommandContext(ctx, words[0], words[1:]...)
 	c.Dir = dir
+	// The command may have processes of its own, which it ends when it is interrupted.
+	c.Cancel = func() error { return c.Process.Signal(os.Interrupt) }
+	c.WaitDelay = interruptTimeout
 	out, err := c.CombinedOutput()
 	if err != nil {
 		return fmt.Errorf("%s: %w: %s", words[0], err, out[max(0, len(out)-maxOutputBytes):])
@@ -212,5 +216,8 @@
 	return nil
 }
 
+// interruptTimeout is the time that an interrupted command has until it is killed.
+const interruptTimeout = 5 * time.Second
+
 // maxOutputBytes bounds the output of a failed command that is reported.
 const maxOutputBytes = 400
--- a/cli/bench_ablation.go
+++ b/cli/bench_ablation.go
@@ -4,8 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -72,6 +75,8 @@
 		Name: c.String("name"), Repository: root, Play: c.String("play"), Journal: c.String("journal"), Days: days, Seeds: c.IntSlice("seed"),
 		Mechanisms: c.StringSlice("mechanism"), Repeats: c.Int("repeats"), Jobs: c.Int("jobs"), Progress: c.Root().Writer,
 	}
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	return experiment.Run(ctx)
 }
 
