--- a/relay/ledgerdelay.go
+++ b/relay/ledgerdelay.go
@@ -13,7 +13,7 @@
 	// ledgerDelayTimeConstant determines how fast the average decays without turns.
 	ledgerDelayTimeConstant = time.Second
 	// minLedgerOutage is the time without a response after which the ledger is assumed to
-	// have been unavailable.
+	// have been unavailable. Entries that need the ledger less often do not fill their links.
 	minLedgerOutage = 200 * time.Millisecond
 )
 
