relay: a target that announces its shutdown in an answer gets no further calls

Cause: an engine that leaves says so in all its answers (header Server-Leaving), also where its registration still says ready, because it never reports draining, the store is down, or this VM is cut off from it. The relay knew only the registration and went on sending.

Change: the header of any response (answers, refusals, errors, streams, late responses to earlier calls) marks that incarnation as leaving. The mark outlives configurations and a registration that vanishes and returns, and ends with a new incarnation.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -125,6 +125,9 @@
 type Fleet struct {
 	targets  map[catalog.TargetKey]*target
 	services map[string]*service
+	// leaving holds the incarnations that announced their shutdown, also those that are no
+	// longer registered, whose registration may return after an outage of the store.
+	leaving map[catalog.TargetKey]bool
 	// rotation advances with each choice and breaks ties between equal targets.
 	rotation uint64
 	disabled mechanism.Set
@@ -134,7 +137,8 @@
 // is empty except in experiments.
 func New(seed uint64, disabled mechanism.Set) *Fleet {
 	return &Fleet{
-		targets: make(map[catalog.TargetKey]*target), services: make(map[string]*service), rotation: seed, disabled: disabled,
+		targets: make(map[catalog.TargetKey]*target), services: make(map[string]*service),
+		leaving: make(map[catalog.TargetKey]bool), rotation: seed, disabled: disabled,
 	}
 }
 
@@ -151,6 +155,7 @@
 			t = &target{}
 		}
 		t.Target = declared
+		t.Draining = declared.Draining || f.leaving[declared.TargetKey]
 		s := f.services[declared.Service]
 		if s == nil {
 			s = &service{durationMS: initialDurationMS, admitLimit: maxAdmitLimit, otherShare: 1, affinity: newAffinity()}
@@ -171,6 +176,34 @@
 	}
 }
 
+// maxLeaving bounds the incarnations that are remembered as leaving.
+const maxLeaving = 4096
+
+// RecordLeaving records that a target announced its shutdown in a response, and reports
+// whether this was not known before. The target gets no further calls, whatever its
+// registration says; only a new incarnation does.
+func (f *Fleet) RecordLeaving(key catalog.TargetKey) (isNew bool) {
+	if f.leaving[key] {
+		return false
+	}
+	if len(f.leaving) >= maxLeaving {
+		f.forgetUnregisteredLeaving()
+	}
+	f.leaving[key] = true
+	if t := f.targets[key]; t != nil {
+		t.Draining = true
+	}
+	return true
+}
+
+func (f *Fleet) forgetUnregisteredLeaving() {
+	for key := range f.leaving {
+		if f.targets[key] == nil {
+			delete(f.leaving, key)
+		}
+	}
+}
+
 // IsServing reports whether a target is registered and not draining.
 func (f *Fleet) IsServing(key catalog.TargetKey) bool {
 	t := f.targets[key]
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -174,6 +174,9 @@
 			return a.lostResponse(err)
 		}
 		info := a.relay.dialect.ReadResponse(response.StatusCode, response.Header)
+		if info.IsLeaving {
+			a.relay.recordLeaving(a.target)
+		}
 		if info.RequestID == id || info.NotExecuted && info.RequestID == "" {
 			a.response, a.responseInfo = response, info
 			return nil
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -72,8 +72,10 @@
 	RequestID string
 	// NotExecuted means that the target did not execute the call and never will.
 	NotExecuted bool
-	Load        Load
-	HasLoad     bool
+	// IsLeaving means that the target is shutting down and must get no further calls.
+	IsLeaving bool
+	Load      Load
+	HasLoad   bool
 	// IdleTimeout is how long the target keeps an idle connection open; zero if it is
 	// not given.
 	IdleTimeout time.Duration
@@ -255,6 +257,16 @@
 	r.fleet.RecordLoad(key, response.Load, time.Now())
 }
 
+// recordLeaving records that a target announced its shutdown in a response.
+func (r *Relay) recordLeaving(target catalog.Target) {
+	r.mu.Lock()
+	isNew := r.fleet.RecordLeaving(target.TargetKey)
+	r.mu.Unlock()
+	if isNew {
+		r.log.Info().Str("event", "target_leaving").Str("target", target.ID).Str("peer", target.Addr).Msg("the target announced its shutdown; it gets no further calls")
+	}
+}
+
 // recordEnd records how an attempt ended and how long it took.
 func (r *Relay) recordEnd(key catalog.TargetKey, outcome fleet.Outcome, duration time.Duration) {
 	r.mu.Lock()
