ledger: a bounded number of seats, spread over failure domains; other VMs stand by

Members' processor time for a program, store calls and pings between members grew with the fleet.

Change: members join up to 2f+3 seats, f being the disks that may be lost. Free seats go to failure domains with few seats first. A VM without a seat is incomplete by definition, follows the store through members with seats, and takes a seat (after copying) when one is released or its member is removed. Deployments with no more VMs than seats keep them all.

--- a/daemon/resident/ledger.go
+++ b/daemon/resident/ledger.go
@@ -6,6 +6,7 @@
 	"syscall"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/discovery"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/member"
 	"github.com/rhubarbsaddle/rhubarbsaddle/mechanism"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform"
@@ -18,7 +19,7 @@
 	defer stop()
 	var follower *discovery.Follower
 	follower = p.newFollower(func() []string { return p.ledgerAddrs(follower.Directory.Snapshot()) }, func(discovery.Snapshot) {})
-	go follower.Run(ctx)
+	go follower.RunWithRole(ctx, p.isStandby)
 	m, err := member.Open(member.Options{
 		Name: p.settings.VM, Domain: p.settings.Domain, Addr: p.settings.Listen.Ledger, Dir: p.settings.Data,
 		FirstStart: p.settings.FirstStart, DisksLost: p.settings.DisksLost,
@@ -34,3 +35,10 @@
 	m.Register(p.registry)
 	return m.Run(ctx)
 }
+
+// isStandby reports whether all seats are taken by other members. Members with a seat follow
+// the store themselves, since entries and standbys follow them.
+func (p *process) isStandby(view ledger.View) bool {
+	_, seated := view.Seat(p.settings.VM)
+	return !seated && view.IsFull(p.settings.DisksLost)
+}
--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ctxwait"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/transport"
 	"github.com/rhubarbsaddle/rhubarbsaddle/store"
@@ -62,6 +64,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	go f.expire(ctx)
 	if f.ViaMembers {
+		f.Directory.SetStoreConnected(false)
 		f.runViaMembers(ctx)
 		return
 	}
@@ -69,6 +72,37 @@
 	f.runDirectly(ctx)
 }
 
+// RunWithRole is Run for a process whose role changes: isFollower reports, for the current
+// view, whether the process follows ledger members. It is called after each change of the
+// directory.
+func (f *Follower) RunWithRole(ctx context.Context, isFollower func(ledger.View) bool) {
+	for ctx.Err() == nil {
+		f.ViaMembers = isFollower(f.Directory.View())
+		f.runWhile(ctx, func(view ledger.View) bool { return isFollower(view) == f.ViaMembers })
+	}
+}
+
+// runWhile runs until ctx ends or the condition no longer holds for the view.
+func (f *Follower) runWhile(ctx context.Context, condition func(ledger.View) bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	var watcher sync.WaitGroup
+	watcher.Go(func() {
+		defer cancel()
+		for ctx.Err() == nil {
+			changed := f.Directory.Changed()
+			if !condition(f.Directory.View()) {
+				return
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+		}
+	})
+	f.Run(ctx)
+	watcher.Wait()
+}
+
 // runDirectly reads and watches the store until ctx ends.
 func (f *Follower) runDirectly(ctx context.Context) {
 	delay := minRetryDelay
--- a/discovery/members.go
+++ b/discovery/members.go
@@ -111,6 +111,7 @@
 		case connected && isDirect:
 			stop()
 			isDirect = false
+			f.Directory.SetStoreConnected(false)
 		case !connected && !isDirect:
 			f.Directory.log.Info().Str("event", "store_read_directly").Msg("no ledger member is connected to the store; reading it directly")
 			var direct context.Context
--- a/ledger/member/cluster_test.go
+++ b/ledger/member/cluster_test.go
@@ -1,6 +1,7 @@
 package member_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -28,13 +29,15 @@
 
 // cluster is a ledger on loopback with a stand-in for the platform's store.
 type cluster struct {
-	t      *testing.T
-	store  *platformtest.Store
-	addrs  map[string]string
-	dirs   map[string]string
-	stops  map[string]func()
-	client *quorum.Client
-	views  *discovery.Directory
+	t     *testing.T
+	store *platformtest.Store
+	addrs map[string]string
+	dirs  map[string]string
+	// domains holds the failure domains of members; others have a domain of their own.
+	domains map[string]string
+	stops   map[string]func()
+	client  *quorum.Client
+	views   *discovery.Directory
 }
 
 func quiet() *log.Logger { return &log.Logger{Level: log.PanicLevel} }
@@ -43,7 +46,7 @@
 	t.Helper()
 	c := &cluster{
 		t: t, store: platformtest.NewStore(),
-		addrs: make(map[string]string), dirs: make(map[string]string), stops: make(map[string]func()),
+		addrs: make(map[string]string), dirs: make(map[string]string), domains: make(map[string]string), stops: make(map[string]func()),
 	}
 	t.Cleanup(c.store.Close)
 	c.client = quorum.NewClient("d", 1, func() []string { return nil })
@@ -106,7 +109,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := c.follow(ctx, func(discovery.Snapshot) {})
 	m, err := member.Open(member.Options{
-		Name: name, Domain: name, Addr: c.addrs[name], Dir: c.dirs[name], FirstStart: firstStart, DisksLost: 1,
+		Name: name, Domain: cmp.Or(c.domains[name], name), Addr: c.addrs[name], Dir: c.dirs[name], FirstStart: firstStart, DisksLost: 1,
 		Store: f.Store, Directory: f.Directory, RetireKey: platform.RetireKey(name),
 		RetireStatus: func(done bool) (string, []byte) { return platform.RetireStatus(name, done) },
 		Log:          quiet(),
--- a/ledger/member/member.go
+++ b/ledger/member/member.go
@@ -68,6 +68,10 @@
 	// hadSeat means that this process has had a seat. retired means that its seat was
 	// removed because operators retired the VM. Only maintainSeat uses these fields.
 	hadSeat, retired bool
+	// awaitedVersion is the view in which this member waits for a seat, since awaitedSince.
+	// Only maintainSeat uses these fields.
+	awaitedVersion uint64
+	awaitedSince   time.Time
 	replica          *ledger.Replica
 	mailbox          *mailbox.Mailbox
 	commits          chan ledger.Write
--- a/ledger/member/seat.go
+++ b/ledger/member/seat.go
@@ -28,6 +28,10 @@
 	pingsBeforeReplacement = 3
 )
 
+// seatSpreadDelay is how long a member waits for members of other failure domains to take a
+// free seat, for each seat that its own domain already has.
+const seatSpreadDelay = 500 * time.Millisecond
+
 var errViewChanged = errors.New("the view was changed concurrently")
 
 // maintainSeat keeps the member's seat in the view up to date until ctx ends.
@@ -53,6 +57,10 @@
 		return m.retire(ctx, view)
 	}
 	seat, seated := view.Seat(m.options.Name)
+	if !seated && !m.mayTakeSeat(view) {
+		// A member without a seat does not get the records written meanwhile.
+		return m.markIncomplete()
+	}
 	if !seated || seat.Addr != m.options.Addr {
 		return m.takeSeat(ctx, view)
 	}
@@ -66,6 +74,18 @@
 	return nil
 }
 
+// mayTakeSeat reports whether a member without a seat may take one now. It waits while all
+// seats are taken, and longer the more seats its failure domain has.
+func (m *Member) mayTakeSeat(view ledger.View) bool {
+	if view.Version != m.awaitedVersion {
+		m.awaitedVersion, m.awaitedSince = view.Version, time.Now()
+	}
+	if view.IsFull(m.options.DisksLost) {
+		return false
+	}
+	return time.Since(m.awaitedSince) >= time.Duration(view.SeatsIn(m.options.Domain))*seatSpreadDelay
+}
+
 func (m *Member) seat(ready bool) ledger.Seat {
 	return ledger.Seat{
 		Name: m.options.Name, Addr: m.options.Addr, Domain: m.options.Domain,
--- a/ledger/view.go
+++ b/ledger/view.go
@@ -118,6 +118,28 @@
 	return !slices.ContainsFunc(v.Seats, func(s Seat) bool { return s.Name != name && !s.Ready })
 }
 
+// spareSeats is the number of seats beyond those that the loss of disksLost disks requires.
+// Planned stops and restarts of single members then leave that tolerance intact.
+const spareSeats = 2
+
+// MaxSeats returns the number of seats up to which members join. The cost of an append
+// grows with the seats, so further VMs stand by until a seat becomes free.
+func MaxSeats(disksLost int) int { return 2*disksLost + 1 + spareSeats }
+
+// IsFull reports whether no further member may take a seat.
+func (v View) IsFull(disksLost int) bool { return len(v.Seats) >= MaxSeats(disksLost) }
+
+// SeatsIn returns the number of seats in a failure domain.
+func (v View) SeatsIn(domain string) int {
+	n := 0
+	for _, s := range v.Seats {
+		if s.Domain == domain {
+			n++
+		}
+	}
+	return n
+}
+
 // CanRemoveSeat reports whether one seat can be removed such that the remaining members
 // still tolerate the loss of disksLost disks.
 func (v View) CanRemoveSeat(disksLost int) bool { return len(v.Seats)-1 >= 2*disksLost+1 }
