fleet: know the load that other entries cause, at any size

Engines with 4, 8 and 13 turns were estimated at 1.0, 2.3 and 1.7. Up to 22 turns were at an engine of 8 slots at 2.0 of 8 on average; the busiest engine got 1.98 times the mean. 244 programs late, 22 failed of 3,018.

The estimate is as old as the exchange; the calls that others have sent since (Little's law) are assumed to have filled the least loaded targets, and one of those is drawn in proportion. Without that, 60 entries with the same numbers chose the same engines. While all shared prefixes fit into an engine's cache, warm engines are taken to have them all, instead of those that this entry has used.

--- a/catalog/target.go
+++ b/catalog/target.go
@@ -3,7 +3,10 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // TargetKey identifies one incarnation of a target. A target that restarts under its
@@ -13,6 +16,11 @@
 	Started int64
 }
 
+// Hash returns a hash of the key, the same in all processes.
+func (k TargetKey) Hash() uint64 {
+	return xxhash.Sum64String(k.ID + "\x00" + strconv.FormatInt(k.Started, 10))
+}
+
 // Target is a target as registered in the store.
 type Target struct {
 	TargetKey
--- a/cli/bench.go
+++ b/cli/bench.go
@@ -13,6 +13,7 @@
 			benchPathCommand(),
 			benchSlopesCommand(),
 			benchAblationCommand(),
+			benchPlacementCommand(),
 		},
 	}
 }
--- a/daemon/resident/entry.go
+++ b/daemon/resident/entry.go
@@ -18,6 +18,7 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/quorum"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/transport"
+	"github.com/rhubarbsaddle/rhubarbsaddle/loadboard"
 	"github.com/rhubarbsaddle/rhubarbsaddle/mechanism"
 	"github.com/rhubarbsaddle/rhubarbsaddle/netopt"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform"
@@ -91,6 +92,12 @@
 		return err
 	}
 	go e.runCleanup(ctx)
+	if !p.settings.Experiment.Disabled().Disables(mechanism.OthersLoad) {
+		load := &loadExchange{source: e.relay, log: e.log, exchange: func(ctx context.Context, own []loadboard.Calls) ([]loadboard.Calls, int, error) {
+			return e.ledger.ExchangeLoad(ctx, p.settings.VM, own)
+		}}
+		go load.run(ctx)
+	}
 	if !p.settings.Experiment.Disabled().Disables(mechanism.OverloadDetection) {
 		go e.watchOverload(ctx)
 	}
--- /dev/null
+++ b/daemon/resident/loadexchange.go
@@ -0,0 +1,84 @@
+package resident
+
+import (
+	"context"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/ctxwait"
+	"github.com/rhubarbsaddle/rhubarbsaddle/loadboard"
+)
+
+const (
+	// minExchangePeriod is the shortest time between two exchanges of load. It is a fraction
+	// of the duration of a turn.
+	minExchangePeriod = 40 * time.Millisecond
+	// exchangePeriodPerProcess bounds the exchanges per second at the member that all
+	// processes report to.
+	exchangePeriodPerProcess = time.Millisecond
+	// maxExchangePeriod is the time between two exchanges while calls are in flight and none
+	// starts or ends. It is shorter than the time for which a report counts.
+	maxExchangePeriod = 300 * time.Millisecond
+	// exchangeTimeout bounds one exchange.
+	exchangeTimeout = 200 * time.Millisecond
+)
+
+// loadSource is the part of a relay whose load is exchanged.
+type loadSource interface {
+	LoadChanged() <-chan struct{}
+	CallsInFlight() []loadboard.Calls
+	RecordOthersCalls([]loadboard.Calls)
+}
+
+// exchangeFunc reports the calls in flight and returns those of all other processes, and
+// the number of processes.
+type exchangeFunc func(ctx context.Context, own []loadboard.Calls) ([]loadboard.Calls, int, error)
+
+// loadExchange exchanges the calls in flight with the other entries, through a ledger
+// member. Between exchanges, and while no member responds, the relay relies on what
+// targets report with their answers.
+type loadExchange struct {
+	source   loadSource
+	exchange exchangeFunc
+	log      *log.Logger
+	// isLost is set after a failed exchange.
+	isLost bool
+}
+
+// run exchanges the load after each change, and while calls are in flight, until ctx ends.
+func (x *loadExchange) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		refresh := time.NewTimer(maxExchangePeriod)
+		select {
+		case <-x.source.LoadChanged():
+		case <-refresh.C:
+			if len(x.source.CallsInFlight()) == 0 {
+				continue
+			}
+		case <-ctx.Done():
+		}
+		refresh.Stop()
+		ctxwait.Sleep(ctx, x.step(ctx))
+	}
+}
+
+// step makes one exchange and returns the time until the next one.
+func (x *loadExchange) step(ctx context.Context) time.Duration {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	others, processes, err := x.exchange(ctx, x.source.CallsInFlight())
+	if err != nil {
+		if !x.isLost {
+			x.log.Info().Str("event", "load_exchange_lost").Err(err).Msg("the load of other entries is not known")
+		}
+		x.isLost = true
+		return maxExchangePeriod
+	}
+	if x.isLost {
+		x.log.Info().Str("event", "load_exchange_regained").Int("processes", processes).Msg("")
+	}
+	x.isLost = false
+	x.source.RecordOthersCalls(others)
+	return max(minExchangePeriod, time.Duration(processes)*exchangePeriodPerProcess)
+}
--- a/fleet/affinity.go
+++ b/fleet/affinity.go
@@ -21,6 +21,12 @@
 	// a prefix, since that work is lost when the engine evicts the prefix in favor of
 	// the assigned one.
 	misplacedPrefixMS = 60.0
+	// sharedCacheShare is the share of an engine's cache that shared prefixes may fill. While
+	// all of them fit, each engine keeps all of them.
+	sharedCacheShare = 0.5
+	// warmCallsPerPrefix is how many calls per shared prefix an engine must have been seen
+	// with before it is expected to have all of them cached.
+	warmCallsPerPrefix = 2
 )
 
 // affinity assigns a service's engines to the shared prefixes of prompts, in
@@ -28,7 +34,9 @@
 // compute the same assignment without communication, since it depends only on the ids
 // and on use counts that are similar at all entries.
 type affinity struct {
-	uses     map[string]float64
+	uses map[string]float64
+	// tokens is the size of each prefix in uses.
+	tokens   map[string]int
 	halvedAt time.Time
 	// assignedAt is when prefixes were last assigned to the engines; zero if the engines have
 	// changed since.
@@ -38,7 +46,9 @@
 // assignmentPeriod is the time after which the assignment is computed again.
 const assignmentPeriod = 500 * time.Millisecond
 
-func newAffinity() *affinity { return &affinity{uses: make(map[string]float64)} }
+func newAffinity() *affinity {
+	return &affinity{uses: make(map[string]float64), tokens: make(map[string]int)}
+}
 
 // recordUse counts the use of a prompt's shared prefix, if it has one.
 func (a *affinity) recordUse(prompt []Part, now time.Time) {
@@ -50,14 +60,33 @@
 		for id := range a.uses {
 			if a.uses[id] /= 2; a.uses[id] < 1 {
 				delete(a.uses, id)
+				delete(a.tokens, id)
 			}
 		}
 	}
 	if _, known := a.uses[prompt[0].ID]; known || len(a.uses) < maxSharedPrefixes {
 		a.uses[prompt[0].ID]++
+		a.tokens[prompt[0].ID] = prompt[0].Tokens
+	}
+}
+
+// isKeptEverywhere reports whether all warm engines are expected to have a prompt's shared
+// prefix cached, because all shared prefixes fit into an engine's cache. An engine reads
+// each of them once, for whichever entry sends it there first.
+func (a *affinity) isKeptEverywhere(prompt []Part, cacheTokens int) bool {
+	if len(prompt) == 0 || a.tokens[prompt[0].ID] == 0 {
+		return false
+	}
+	total := 0
+	for _, tokens := range a.tokens {
+		total += tokens
 	}
+	return float64(total) <= sharedCacheShare*float64(cacheTokens)
 }
 
+// isWarm reports whether the engine has had enough calls to have cached the shared prefixes.
+func (t *target) isWarm(prefixes int) bool { return t.callsSeen >= warmCallsPerPrefix*prefixes }
+
 // sharedPrefix returns the id of a prompt's shared prefix if prefixes are assigned to
 // engines, or an empty id. It assigns them again if that is due.
 func (a *affinity) sharedPrefix(prompt []Part, targets []*target, now time.Time) string {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
@@ -93,7 +94,10 @@
 	// target when it last reported its load, at othersAt.
 	othersInFlight float64
 	othersAt       time.Time
-	cache          *cacheModel
+	// callsSeen counts the calls of this process and the exchanges in which others had calls
+	// at the target.
+	callsSeen int
+	cache     *cacheModel
 	// assignedPrefix is the id of the shared prefix that is assigned to the engine; empty if
 	// there is none.
 	assignedPrefix string
@@ -118,19 +122,29 @@
 	// urgent.
 	otherShare float64
 	affinity   *affinity
-	targets    []*target
+	// othersInFlight is the number of calls that other processes had in flight at the last
+	// exchange.
+	othersInFlight float64
+	// cacheTokens is the size of an engine's prompt cache.
+	cacheTokens int
+	targets     []*target
 }
 
 // Fleet holds the state of all targets and services.
 type Fleet struct {
 	targets  map[catalog.TargetKey]*target
+	byHash   map[uint64]*target
 	services map[string]*service
 	// leaving holds the incarnations that announced their shutdown, also those that are no
 	// longer registered, whose registration may return after an outage of the store.
 	leaving map[catalog.TargetKey]bool
 	// rotation advances with each choice and breaks ties between equal targets.
 	rotation uint64
-	disabled mechanism.Set
+	random   *rand.Rand
+	// candidates is reused by all choices.
+	candidates []candidate
+	exchange   exchangeAge
+	disabled   mechanism.Set
 }
 
 // New returns an empty fleet. The seed determines the order among equal targets. Disabled
@@ -138,7 +152,7 @@
 func New(seed uint64, disabled mechanism.Set) *Fleet {
 	return &Fleet{
 		targets: make(map[catalog.TargetKey]*target), services: make(map[string]*service),
-		leaving: make(map[catalog.TargetKey]bool), rotation: seed, disabled: disabled,
+		leaving: make(map[catalog.TargetKey]bool), rotation: seed, random: rand.New(rand.NewPCG(seed, 0)), disabled: disabled,
 	}
 }
 
@@ -148,6 +162,7 @@
 	known := f.targets
 	old := f.services
 	f.targets = make(map[catalog.TargetKey]*target, len(targets))
+	f.byHash = make(map[uint64]*target, len(targets))
 	f.services = make(map[string]*service)
 	for _, declared := range targets {
 		t := known[declared.TargetKey]
@@ -166,12 +181,13 @@
 			f.services[declared.Service] = s
 		}
 		if engine := services[declared.Service].Engine; engine != nil {
-			s.isEngine = true
+			s.isEngine, s.cacheTokens = true, engine.CacheTokens
 			if t.cache == nil || t.cache.capacity != engine.CacheTokens {
 				t.cache = newCacheModel(engine.CacheTokens)
 			}
 		}
 		f.targets[declared.TargetKey] = t
+		f.byHash[declared.Hash()] = t
 		s.targets = append(s.targets, t)
 	}
 }
@@ -263,16 +279,17 @@
 
 func (f *Fleet) pickFrom(s *service, q Query, now time.Time) (choice Choice, ok bool) {
 	f.rotation++
-	best := -1.0
 	n := uint64(len(s.targets))
 	ignoreEjections := f.disabled.Disables(mechanism.Ejection) || s.tooManyEjected(now)
 	q = f.withoutDisabled(q)
 	promptSize := promptTokens(q.Prompt)
 	preferred := s.preferredFor(q.AffinityKey)
+	keptEverywhere := s.isEngine && s.affinity.isKeptEverywhere(q.Prompt, s.cacheTokens)
 	sharedPrefix := ""
-	if !f.disabled.Disables(mechanism.PrefixAssignment) {
+	if !keptEverywhere && !f.disabled.Disables(mechanism.PrefixAssignment) {
 		sharedPrefix = s.affinity.sharedPrefix(q.Prompt, s.targets, now)
 	}
+	f.candidates = f.candidates[:0]
 	for i := range n {
 		t := s.targets[(f.rotation+i)%n]
 		if t.Draining || excluded(q.Exclude, t.TargetKey) || !ignoreEjections && !t.health.usable(q.AtMostOnce, now) {
@@ -282,19 +299,27 @@
 		if !q.AllowFull && t.isFullAt(load) {
 			continue
 		}
-		cost, cachedTokens := f.estimateCost(s, t, &q, promptSize, load, now)
+		f.candidates = append(f.candidates, candidate{target: t, load: load})
+	}
+	level, drawn := f.fillUnseen(s, now)
+	for i, c := range f.candidates {
+		t, load := c.target, max(c.load, level)
+		cost, cachedTokens := f.estimateCost(s, t, &q, promptSize, load, keptEverywhere, now)
+		if i == drawn {
+			cost -= s.contentionMS()
+		}
 		if sharedPrefix != "" && t.assignedPrefix != sharedPrefix {
 			cost += misplacedPrefixMS
 		}
 		if preferred != nil && t != preferred {
 			cost += affinityMissShare * s.durationMS
 		}
-		if best < 0 || cost < best {
-			best = cost
-			choice = Choice{Target: t.Target, CostMS: cost, Load: load, CachedTokens: cachedTokens}
+		if !ok || cost < choice.CostMS {
+			ok = true
+			choice = Choice{Target: t.Target, CostMS: cost, Load: c.load, CachedTokens: cachedTokens}
 		}
 	}
-	return choice, best >= 0
+	return choice, ok
 }
 
 // withoutDisabled returns the query without what disabled mechanisms would use.
@@ -353,14 +378,10 @@
 // calls in the batch, the network round trip and a penalty for recent failures. The
 // target has the given load. The prompt has promptSize tokens, of which cachedTokens are
 // expected to be cached.
-func (f *Fleet) estimateCost(s *service, t *target, q *Query, promptSize int, load float64, now time.Time) (ms float64, cachedTokens int) {
+func (f *Fleet) estimateCost(s *service, t *target, q *Query, promptSize int, load float64, keptEverywhere bool, now time.Time) (ms float64, cachedTokens int) {
 	slots := float64(t.Slots)
 	running := min(load, slots)
-	contention := plainContentionMS
-	if s.isEngine {
-		contention = engineContentionMS
-	}
-	ms = running * contention
+	ms = running * s.contentionMS()
 	if load >= slots {
 		ms += (load - slots + 1) * s.durationMS / slots
 	}
@@ -368,6 +389,9 @@
 		if !f.disabled.Disables(mechanism.CacheModel) {
 			cachedTokens = t.cache.cachedTokens(q.Prompt)
 		}
+		if keptEverywhere && t.isWarm(len(s.affinity.tokens)) {
+			cachedTokens = max(cachedTokens, q.Prompt[0].Tokens)
+		}
 		if q.LastTarget == t.ID {
 			cachedTokens = promptSize
 		}
@@ -380,6 +404,14 @@
 	return ms + t.health.penaltyMS(q.AtMostOnce, now), cachedTokens
 }
 
+// contentionMS returns the cost of each call that already runs at a target.
+func (s *service) contentionMS() float64 {
+	if s.isEngine {
+		return engineContentionMS
+	}
+	return plainContentionMS
+}
+
 // RecordStart records that an attempt is sent to a target.
 func (f *Fleet) RecordStart(key catalog.TargetKey, prompt []Part, now time.Time) {
 	t := f.targets[key]
@@ -387,6 +419,7 @@
 		return
 	}
 	t.inFlight++
+	t.callsSeen++
 	t.health.recordStart()
 	if t.cache != nil {
 		t.cache.recordPrompt(prompt)
--- /dev/null
+++ b/fleet/others.go
@@ -0,0 +1,136 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/loadboard"
+	"github.com/rhubarbsaddle/rhubarbsaddle/mechanism"
+)
+
+// periodWeight is the weight of the latest exchange in the average time between two.
+const periodWeight = 0.1
+
+// maxExchangeGap is the longest time between two exchanges that counts in the average;
+// entries without calls do not exchange.
+const maxExchangeGap = 500 * time.Millisecond
+
+// exchangeAge tracks how old the exchanged load is.
+type exchangeAge struct {
+	at time.Time
+	// period is the moving average of the time between two exchanges. Other processes are
+	// assumed to exchange as often.
+	period time.Duration
+}
+
+// CallsInFlight returns the calls of this process in flight, by target.
+func (f *Fleet) CallsInFlight() []loadboard.Calls {
+	var calls []loadboard.Calls
+	for hash, t := range f.byHash {
+		if t.inFlight > 0 {
+			calls = append(calls, loadboard.Calls{Target: hash, Count: uint32(t.inFlight)})
+		}
+	}
+	return calls
+}
+
+// RecordOthersCalls records the calls that all other processes have in flight. Targets that
+// are not listed have none.
+func (f *Fleet) RecordOthersCalls(calls []loadboard.Calls, now time.Time) {
+	if f.disabled.Disables(mechanism.OthersLoad) {
+		return
+	}
+	f.exchange.record(now)
+	for _, t := range f.targets {
+		t.othersInFlight, t.othersAt = 0, now
+	}
+	for _, s := range f.services {
+		s.othersInFlight = 0
+	}
+	for _, c := range calls {
+		t := f.byHash[c.Target]
+		if t == nil {
+			continue
+		}
+		t.othersInFlight = float64(c.Count)
+		t.callsSeen++
+		if s := f.services[t.Service]; s != nil {
+			s.othersInFlight += float64(c.Count)
+		}
+	}
+}
+
+func (e *exchangeAge) record(now time.Time) {
+	if !e.at.IsZero() {
+		gap := min(now.Sub(e.at), maxExchangeGap)
+		e.period += time.Duration(periodWeight * float64(gap-e.period))
+	}
+	e.at = now
+}
+
+// staleness returns the average age of the exchanged load: the time since the exchange, and
+// half a period for the reports of the others.
+func (e *exchangeAge) staleness(now time.Time) time.Duration { return now.Sub(e.at) + e.period/2 }
+
+// candidate is a target that may be chosen, with its known load.
+type candidate struct {
+	target *target
+	load   float64
+}
+
+// unseenCalls estimates how many calls others have sent since the exchanged load was
+// reported. By Little's law they start as many calls in a call's average duration as they
+// have in flight.
+func (f *Fleet) unseenCalls(s *service, now time.Time) float64 {
+	if f.exchange.at.IsZero() {
+		return 0
+	}
+	staleness := float64(f.exchange.staleness(now)) / float64(time.Millisecond)
+	return s.othersInFlight * min(1, staleness/s.durationMS)
+}
+
+// fillUnseen estimates where the unseen calls of others went, if each of them went to the
+// least loaded target: it returns the load up to which they fill the candidates. If all
+// entries chose the least loaded target by the same old numbers, they would choose the same
+// one. So it also draws one of the candidates, with a probability proportional to the calls
+// that it receives; -1 if there are none.
+func (f *Fleet) fillUnseen(s *service, now time.Time) (level float64, drawn int) {
+	unseen := f.unseenCalls(s, now)
+	if unseen <= 0 || len(f.candidates) == 0 {
+		return 0, -1
+	}
+	level = fillLevel(f.candidates, unseen)
+	point := f.random.Float64() * unseen
+	for i, c := range f.candidates {
+		if point -= max(0, level-c.load); point < 0 {
+			return level, i
+		}
+	}
+	return level, -1
+}
+
+// fillSteps is the number of halvings of the interval that contains the level, which leaves
+// an error of a thousandth of a call.
+const fillSteps = 20
+
+// fillLevel returns the load to which the candidates below it rise when a number of calls
+// is spread over them.
+func fillLevel(candidates []candidate, calls float64) float64 {
+	low := candidates[0].load
+	for _, c := range candidates {
+		low = min(low, c.load)
+	}
+	high := low + calls
+	for range fillSteps {
+		level := (low + high) / 2
+		used := 0.0
+		for _, c := range candidates {
+			used += max(0, level-c.load)
+		}
+		if used < calls {
+			low = level
+		} else {
+			high = level
+		}
+	}
+	return high
+}
--- /dev/null
+++ b/ledger/member/load_test.go
@@ -0,0 +1,39 @@
+package member_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/quorum"
+	"github.com/rhubarbsaddle/rhubarbsaddle/loadboard"
+)
+
+// Entries with different links must exchange their load through the same member, and through
+// another one when that member has ended.
+func TestEntriesExchangeLoadThroughOneMember(t *testing.T) {
+	c := newCluster(t)
+	c.startThree()
+	one := c.client
+	two := quorum.NewClient("m2", 1, func() []string { return nil })
+	t.Cleanup(two.Close)
+	two.SetView(c.views.Snapshot().View)
+	exchanged := func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		if _, _, err := one.ExchangeLoad(ctx, "vm1", []loadboard.Calls{{Target: 7, Count: 3}}); err != nil {
+			return false
+		}
+		others, processes, err := two.ExchangeLoad(ctx, "vm2", nil)
+		return err == nil && processes == 2 && assert.ObjectsAreEqual([]loadboard.Calls{{Target: 7, Count: 3}}, others)
+	}
+	require.Eventually(t, exchanged, waitTimeout, 20*time.Millisecond)
+	for _, name := range []string{"m1", "m2", "m3"} {
+		c.stop(name)
+		require.Eventually(t, exchanged, waitTimeout, 20*time.Millisecond, "without %s", name)
+		c.start(name, false)
+	}
+}
--- a/ledger/member/member.go
+++ b/ledger/member/member.go
@@ -20,6 +20,7 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/quorum"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/segment"
+	"github.com/rhubarbsaddle/rhubarbsaddle/loadboard"
 	"github.com/rhubarbsaddle/rhubarbsaddle/mailbox"
 	"github.com/rhubarbsaddle/rhubarbsaddle/netopt"
 	"github.com/rhubarbsaddle/rhubarbsaddle/store"
@@ -72,9 +73,9 @@
 	// Only maintainSeat uses these fields.
 	awaitedVersion uint64
 	awaitedSince   time.Time
-	replica          *ledger.Replica
-	mailbox          *mailbox.Mailbox
-	commits          chan ledger.Write
+	replica        *ledger.Replica
+	mailbox        *mailbox.Mailbox
+	commits        chan ledger.Write
 	// panicked receives the error if the replica panics; the member then has to stop.
 	panicked chan error
 	// peers is the client with which this member relays records for entries. It
@@ -84,6 +85,9 @@
 	ready    atomic.Bool
 	stats    stats
 
+	loadMu sync.Mutex
+	load   *loadboard.Board
+
 	mu            sync.Mutex
 	lastRequestID uint64
 	pending       map[uint64]func(*ledgerpb.Response)
@@ -97,6 +101,7 @@
 		commits:  make(chan ledger.Write, maxCommits),
 		panicked: make(chan error, 1),
 		pending:  make(map[uint64]func(*ledgerpb.Response)),
+		load:     loadboard.New(),
 		// The list of tunnels is empty. A member needs none: if it cannot reach a
 		// quorum, the entry that called it tries another member.
 		peers: quorum.NewClient(options.Domain, options.DisksLost, func() []string { return nil }),
--- a/ledger/member/serve.go
+++ b/ledger/member/serve.go
@@ -83,6 +83,8 @@
 		go m.followState(call.FollowState, respond)
 	case *ledgerpb.Request_ListKeys:
 		m.listKeys(req, respond)
+	case *ledgerpb.Request_ExchangeLoad:
+		respond(m.exchangeLoad(call.ExchangeLoad))
 	case *ledgerpb.Request_ReadRecords:
 		m.post(ledger.RecordsRequested{RequestID: m.newRequestID(respond), Keys: call.ReadRecords.GetKeys()})
 	default:
@@ -131,6 +133,17 @@
 	respond(&ledgerpb.Response{Status: ledgerpb.Status_STATUS_OK, State: state})
 }
 
+// exchangeLoad records the calls that a process has in flight and returns those of all
+// others.
+func (m *Member) exchangeLoad(call *ledgerpb.ExchangeLoad) *ledgerpb.Response {
+	m.loadMu.Lock()
+	defer m.loadMu.Unlock()
+	others, processes := m.load.Exchange(call.GetVm(), ledger.DecodeLoad(call.GetLoad()), time.Now())
+	load := ledger.EncodeLoad(others)
+	load.Processes = uint32(processes)
+	return &ledgerpb.Response{Status: ledgerpb.Status_STATUS_OK, Load: load}
+}
+
 // listKeys responds with the keys of the stored records. The caller is a member that
 // copies or hands over records. It relies on this member to reject writers with older
 // views, so both must use the same view.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,6 +19,7 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/fleet"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
+	"github.com/rhubarbsaddle/rhubarbsaddle/loadboard"
 	"github.com/rhubarbsaddle/rhubarbsaddle/mechanism"
 )
 
@@ -135,6 +136,10 @@
 	shedding atomic.Bool
 	active   atomic.Int64
 
+	// loadChanged receives a value when the calls in flight have changed or a turn arrives
+	// that will need a target.
+	loadChanged chan struct{}
+
 	mu    sync.Mutex
 	fleet *fleet.Fleet
 }
@@ -159,7 +164,7 @@
 	return &Relay{
 		dialect: o.Dialect, ledger: o.Ledger, domain: o.Domain, log: o.Log, metrics: o.Metrics,
 		pool: newPool(o.Metrics), fleet: fleet.New(o.Seed, o.Disabled), startedAt: time.Now(),
-		failovers: newFailoverLimiter(o.Disabled), disabled: o.Disabled,
+		failovers: newFailoverLimiter(o.Disabled), disabled: o.Disabled, loadChanged: make(chan struct{}, 1),
 	}
 }
 
@@ -235,10 +240,36 @@
 	choice, ok := r.fleet.Pick(q, now)
 	if ok {
 		r.fleet.RecordStart(choice.Target.TargetKey, q.Prompt, now)
+		r.signalLoadChange()
 	}
 	return choice, ok
 }
 
+// LoadChanged returns a channel that receives a value when the calls in flight should be
+// exchanged with other processes.
+func (r *Relay) LoadChanged() <-chan struct{} { return r.loadChanged }
+
+func (r *Relay) signalLoadChange() {
+	select {
+	case r.loadChanged <- struct{}{}:
+	default:
+	}
+}
+
+// CallsInFlight returns this process's calls in flight, by target.
+func (r *Relay) CallsInFlight() []loadboard.Calls {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fleet.CallsInFlight()
+}
+
+// RecordOthersCalls records the calls that all other processes have in flight.
+func (r *Relay) RecordOthersCalls(calls []loadboard.Calls) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleet.RecordOthersCalls(calls, time.Now())
+}
+
 // hasTarget reports whether a target is available for a call.
 func (r *Relay) hasTarget(q fleet.Query) bool {
 	r.mu.Lock()
@@ -272,6 +303,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.fleet.RecordEnd(key, outcome, duration, time.Now())
+	r.signalLoadChange()
 }
 
 // admits reports whether a new program may start.
