discovery: at the first start of all VMs, entries wait for members before they read the store

Change: with first_start, an entry reads the store itself only after 3 s without a member that is connected to it (traffic begins 10 s or more after the start). Later starts read it at once, as before.

--- a/daemon/resident/entry.go
+++ b/daemon/resident/entry.go
@@ -43,6 +43,11 @@
 	// maxLedgerOutage is how long the ledger may be unavailable before the entry reports
 	// itself unready. A broken connection is reestablished in less time.
 	maxLedgerOutage = time.Second
+	// firstStartDirectDelay is how long an entry waits for the ledger's members when all
+	// processes start for the first time, instead of reading the store itself. Members take
+	// their seats and targets register in that time, and each process that watches the store
+	// costs it a call for each of these changes.
+	firstStartDirectDelay = 3 * time.Second
 	// defaultHeaderTimeout bounds the time to read a request's header. The configured
 	// limit is not known when the server starts.
 	defaultHeaderTimeout = 10 * time.Second
@@ -78,6 +83,9 @@
 		e.relay.Update(s)
 	})
 	e.follower.ViaMembers = !p.settings.Experiment.Disabled().Disables(mechanism.FollowMembers)
+	if p.settings.FirstStart {
+		e.follower.DirectDelay = firstStartDirectDelay
+	}
 	e.follower.Tunnel = &ledgerpb.Tunnel{Vm: p.settings.VM, Addr: p.settings.Listen.Tunnel}
 	go e.follower.Run(ctx)
 	ready, err := e.serveReady()
--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -49,6 +49,9 @@
 	// only while none of them is connected to the store, since the platform counts
 	// every process that watches its store.
 	ViaMembers bool
+	// DirectDelay is how long a process that starts waits for a member that is connected to
+	// the store before it reads the store itself.
+	DirectDelay time.Duration
 	// Tunnel is announced to the followed members; nil if this process tunnels no
 	// connections.
 	Tunnel *ledgerpb.Tunnel
--- a/discovery/members.go
+++ b/discovery/members.go
@@ -103,16 +103,16 @@
 	}
 	stop := func() {}
 	isDirect := false
-	// A process that has just started may not know any member yet, so it reads the
-	// store at once.
+	mayReadDirectly := time.Now().Add(f.DirectDelay)
 	for ; ctx.Err() == nil; ctxwait.Sleep(ctx, fallbackCheckPeriod) {
-		connected := f.members.anyConnected(time.Now())
+		now := time.Now()
+		connected := f.members.anyConnected(now)
 		switch {
 		case connected && isDirect:
 			stop()
 			isDirect = false
 			f.Directory.SetStoreConnected(false)
-		case !connected && !isDirect:
+		case !connected && !isDirect && now.After(mayReadDirectly):
 			f.Directory.log.Info().Str("event", "store_read_directly").Msg("no ledger member is connected to the store; reading it directly")
 			var direct context.Context
 			direct, stop = context.WithCancel(ctx)
--- a/discovery/members_test.go
+++ b/discovery/members_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/encoding/protodelim"
 
@@ -92,3 +93,36 @@
 	served.ApplyChanges([]core.StoreRecord{{Key: key, Revision: 6}}, 6, time.Now())
 	require.Eventually(t, func() bool { return targets() == 0 }, time.Second, 5*time.Millisecond)
 }
+
+// When all VMs start for the first time, members take their seats and targets register within
+// a second. Sixty entries that watched the store meanwhile made most of the day's calls to it
+// (quiet-1 of large/).
+func TestStartingProcessWaitsForMembersBeforeItReadsTheStore(t *testing.T) {
+	store := platformtest.NewStore()
+	t.Cleanup(store.Close)
+	store.Put(platform.ConfigKey, config(1))
+	newFollower := func(directDelay time.Duration, members ...string) *discovery.Follower {
+		return &discovery.Follower{
+			Directory: newDirectory(),
+			Store:     platform.NewStore(store.Addr()), ViaMembers: true, DirectDelay: directDelay,
+			Members: func() []string { return members },
+		}
+	}
+	start := func(f *discovery.Follower) {
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		go f.Run(ctx)
+	}
+	member := newDirectory()
+	member.ApplyChanges([]core.StoreRecord{record(platform.ConfigKey, 5, string(config(1)))}, 5, time.Now())
+	member.SetStoreConnected(true)
+
+	following := newFollower(time.Minute, startMember(t, member))
+	start(following)
+	require.Eventually(t, following.Directory.HasConfig, 5*time.Second, 5*time.Millisecond)
+	assert.Zero(t, store.Calls("/kv-range"))
+
+	alone := newFollower(200 * time.Millisecond)
+	start(alone)
+	require.Eventually(t, alone.Directory.HasConfig, 5*time.Second, 5*time.Millisecond, "no member responds, so it reads the store")
+}
