quorum, discovery: work for tunnels no longer grows with the square of the entries

Each response to a follower (60 entries, two members each, 2.5 a second) also listed all tunnels and encoded the view again.

Change: no tunnel for a refused connection, three random ones an attempt otherwise; four tunnels a response, which followers collect; the view is encoded once.

--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -41,6 +41,10 @@
 // was last announced. An outdated address only costs them a failed connection attempt.
 const tunnelTTL = 30 * time.Second
 
+// maxTunnelsPerState bounds the tunnels in one response to a follower. Followers ask several
+// times a second and collect what they get.
+const maxTunnelsPerState = 4
+
 // Directory is a process's copy of the store's content. Invariants: the configuration
 // and the membership view never revert to an older version, and no key reverts to an
 // older revision.
@@ -61,11 +65,13 @@
 	// storeConnected is set while this process has a connection to the store itself.
 	storeConnected bool
 	// updated is closed and replaced at each change.
-	updated  chan struct{}
-	tunnels  map[string]tunnel
-	config   *catalog.Config
-	view     ledger.View
-	registry *catalog.Registry
+	updated chan struct{}
+	tunnels map[string]tunnel
+	config  *catalog.Config
+	view    ledger.View
+	// encodedView is view in the form in which it is sent.
+	encodedView []byte
+	registry    *catalog.Registry
 }
 
 // Snapshot is the decoded content of a directory at one time.
@@ -218,7 +224,7 @@
 	if view.Version <= d.view.Version {
 		return
 	}
-	d.view = view
+	d.view, d.encodedView = view, view.Encode()
 	d.log.Info().Str("event", "view_applied").Uint64("version", view.Version).Interface("seats", view.Seats).Msg("")
 }
 
@@ -313,17 +319,20 @@
 	return addrs
 }
 
-// encodeTunnels removes expired tunnels and returns the others as protobuf messages.
+// encodeTunnels removes expired tunnels and returns up to maxTunnelsPerState of the others,
+// in the random order of a map, as protobuf messages.
 func (d *Directory) encodeTunnels(now time.Time) []*ledgerpb.Tunnel {
-	var all []*ledgerpb.Tunnel
+	var some []*ledgerpb.Tunnel
 	for vm, t := range d.tunnels {
 		if now.Sub(t.lastSeen) > tunnelTTL {
 			delete(d.tunnels, vm)
 			continue
 		}
-		all = append(all, &ledgerpb.Tunnel{Vm: vm, Addr: t.addr})
+		if len(some) < maxTunnelsPerState {
+			some = append(some, &ledgerpb.Tunnel{Vm: vm, Addr: t.addr})
+		}
 	}
-	return all
+	return some
 }
 
 // MergeView applies a membership view that another process has sent, if it is newer.
@@ -346,7 +355,7 @@
 // stateSince returns what has changed since a revision, or the complete state if the
 // buffered changes don't go back that far.
 func (d *Directory) stateSince(after int64) *ledgerpb.State {
-	state := &ledgerpb.State{View: d.view.Encode(), Revision: d.revision, Current: d.storeConnected, Tunnels: d.encodeTunnels(time.Now())}
+	state := &ledgerpb.State{View: d.encodedView, Revision: d.revision, Current: d.storeConnected, Tunnels: d.encodeTunnels(time.Now())}
 	if after >= d.revision || after > 0 && after >= d.changesFrom {
 		state.ChangesOnly = true
 		for _, e := range d.changes {
--- a/ledger/quorum/link.go
+++ b/ledger/quorum/link.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/ctxwait"
@@ -22,6 +24,10 @@
 	// directProbePeriod is the time between two attempts to reach a member directly
 	// while the link uses a tunnel.
 	directProbePeriod = 2 * time.Second
+	// maxTunnelsPerDial bounds the tunnels that are tried at once. The next attempt tries
+	// others. Every entry may look for a tunnel at the same time, so trying all tunnels
+	// would cost the square of the number of entries.
+	maxTunnelsPerDial = 3
 	// maxQueuedCalls bounds the calls of one link that wait for a connection. If there
 	// are more, the link drops the oldest call, which can then only be completed by the
 	// other members.
@@ -84,10 +90,14 @@
 // member.
 func (l *link) dial(ctx context.Context) (*transport.Conn, error) {
 	conn, err := transport.Dial(ctx, l.seat.Addr)
-	tunnels := l.tunnels()
-	if err == nil || len(tunnels) == 0 {
+	if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+		// A VM that refuses connections is reachable, and its member is down.
 		return conn, err
 	}
+	tunnels := sampleTunnels(l.tunnels())
+	if len(tunnels) == 0 {
+		return nil, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, tunnelDialTimeout)
 	defer cancel()
 	dialed := make(chan *transport.Conn, len(tunnels))
@@ -112,6 +122,12 @@
 	return nil, err
 }
 
+// sampleTunnels returns up to maxTunnelsPerDial random tunnels.
+func sampleTunnels(all []string) []string {
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(len(all), maxTunnelsPerDial)]
+}
+
 // closeLosers closes the connections that were established after the first one.
 func closeLosers(conns <-chan *transport.Conn, remaining int) {
 	for range remaining {
