fleet, relay: stalled engines are found by observed delays and shared among entries

Change: an engine counts as stalled when the first event takes longer than the average and eight mean deviations, at least 1.5 times the route's objective, at most 1.5 s. A turn that may move does so then; one that may not waits on, and the stall counts as a failure of the engine from that moment. Entries report failing targets with their load; a target that fails at two others or more costs as much as one that failed here. Single reports, and reports about more than half of a service, change nothing.

--- a/bench/placement/placement.go
+++ b/bench/placement/placement.go
@@ -252,8 +252,8 @@
 	if r.config.Knowledge == DomainBoards {
 		board = r.boards[i%domains]
 	}
-	others, _ := board.Exchange(fmt.Sprintf("entry-%d", i), f.CallsInFlight(), now)
-	r.events.add(now.Add(exchangeDelay), func(now time.Time) { f.RecordOthersCalls(others, now) })
+	others := board.Exchange(fmt.Sprintf("entry-%d", i), f.LoadReport(now), now)
+	r.events.add(now.Add(exchangeDelay), func(now time.Time) { f.RecordOthers(others, now) })
 	if now.Before(r.end) {
 		r.events.add(now.Add(exchangePeriod), func(now time.Time) { r.exchange(i, now) })
 	}
--- a/daemon/resident/entry.go
+++ b/daemon/resident/entry.go
@@ -101,7 +101,7 @@
 	}
 	go e.runCleanup(ctx)
 	if !p.settings.Experiment.Disabled().Disables(mechanism.OthersLoad) {
-		load := &loadExchange{source: e.relay, log: e.log, exchange: func(ctx context.Context, own []loadboard.Calls) ([]loadboard.Calls, int, error) {
+		load := &loadExchange{source: e.relay, log: e.log, exchange: func(ctx context.Context, own loadboard.Report) (loadboard.Summary, error) {
 			return e.ledger.ExchangeLoad(ctx, p.settings.VM, own)
 		}}
 		go load.run(ctx)
--- a/daemon/resident/loadexchange.go
+++ b/daemon/resident/loadexchange.go
@@ -27,15 +27,14 @@
 // loadSource is the part of a relay whose load is exchanged.
 type loadSource interface {
 	LoadChanged() <-chan struct{}
-	CallsInFlight() []loadboard.Calls
-	RecordOthersCalls([]loadboard.Calls)
+	LoadReport() loadboard.Report
+	RecordOthers(loadboard.Summary)
 }
 
-// exchangeFunc reports the calls in flight and returns those of all other processes, and
-// the number of processes.
-type exchangeFunc func(ctx context.Context, own []loadboard.Calls) ([]loadboard.Calls, int, error)
+// exchangeFunc reports a process's load and returns that of all others.
+type exchangeFunc func(ctx context.Context, own loadboard.Report) (loadboard.Summary, error)
 
-// loadExchange exchanges the calls in flight with the other entries, through a ledger
+// loadExchange exchanges the load with the other entries, through a ledger
 // member. Between exchanges, and while no member responds, the relay relies on what
 // targets report with their answers.
 type loadExchange struct {
@@ -53,7 +52,7 @@
 		select {
 		case <-x.source.LoadChanged():
 		case <-refresh.C:
-			if len(x.source.CallsInFlight()) == 0 {
+			if own := x.source.LoadReport(); len(own.Calls)+len(own.Failing) == 0 {
 				continue
 			}
 		case <-ctx.Done():
@@ -67,7 +66,7 @@
 func (x *loadExchange) step(ctx context.Context) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	others, processes, err := x.exchange(ctx, x.source.CallsInFlight())
+	others, err := x.exchange(ctx, x.source.LoadReport())
 	if err != nil {
 		if !x.isLost {
 			x.log.Info().Str("event", "load_exchange_lost").Err(err).Msg("the load of other entries is not known")
@@ -76,9 +75,9 @@
 		return maxExchangePeriod
 	}
 	if x.isLost {
-		x.log.Info().Str("event", "load_exchange_regained").Int("processes", processes).Msg("")
+		x.log.Info().Str("event", "load_exchange_regained").Int("processes", others.Processes).Msg("")
 	}
 	x.isLost = false
-	x.source.RecordOthersCalls(others)
-	return max(minExchangePeriod, time.Duration(processes)*exchangePeriodPerProcess)
+	x.source.RecordOthers(others)
+	return max(minExchangePeriod, time.Duration(others.Processes)*exchangePeriodPerProcess)
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -111,6 +111,8 @@
 	// call has ended, it is initialDurationMS and hasDuration is not set.
 	durationMS  float64
 	hasDuration bool
+	// firstEvent is the delay of the first event of streams.
+	firstEvent delayEstimate
 	// loadPerSlot is the moving average of the calls per slot that the targets
 	// reported. It was last updated at loadPerSlotAt.
 	loadPerSlot   float64
--- a/fleet/health.go
+++ b/fleet/health.go
@@ -27,6 +27,14 @@
 	atMostOncePenaltyTime = 4 * time.Second
 )
 
+const (
+	// minFailingReports is how many other processes must report a target as failing before it
+	// counts, so that one process with a fault of its own makes no target unpopular.
+	minFailingReports = 2
+	// othersFailingTTL is how long such reports count without new ones.
+	othersFailingTTL = time.Second
+)
+
 // health tracks the failures of calls to a target. It is a circuit breaker: a failure
 // opens it, which ejects the target for a limited time; after that it is half-open and
 // lets one call probe the target.
@@ -37,6 +45,10 @@
 	ejectedUntil time.Time
 	// isProbing is set while a call probes the target.
 	isProbing bool
+	// othersFailing is the number of other processes at which the target failed recently, as
+	// of othersFailingAt.
+	othersFailing   int
+	othersFailingAt time.Time
 }
 
 // recordStart records a call to the target, which is a probe if the target has failed.
@@ -49,12 +61,16 @@
 		h.consecutiveFailures = 0
 		h.ejectedUntil = time.Time{}
 	case Unreachable, ConnectionLost, TimedOut, ServerError:
-		h.consecutiveFailures++
-		h.lastFailure = now
-		h.ejectedUntil = now.Add(ejectionTime(h.consecutiveFailures))
+		h.recordFailure(now)
 	}
 }
 
+func (h *health) recordFailure(now time.Time) {
+	h.consecutiveFailures++
+	h.lastFailure = now
+	h.ejectedUntil = now.Add(ejectionTime(h.consecutiveFailures))
+}
+
 // ejectionTime returns how long a target is ejected after that many failures in a row.
 func ejectionTime(failures int) time.Duration {
 	d := minEjection
@@ -74,12 +90,31 @@
 	return !now.Before(h.ejectedUntil) && !h.isProbing
 }
 
+// failsAt reports whether the last call failed, and recently enough that at-most-once calls
+// avoid the target.
+func (h *health) failsAt(now time.Time) bool {
+	return h.consecutiveFailures > 0 && now.Sub(h.lastFailure) <= atMostOncePenaltyTime
+}
+
+// failsAtOthers reports whether several other processes have found the target to fail. It
+// is not ejected for that, since only calls of this process can show that it has recovered.
+func (h *health) failsAtOthers(now time.Time) bool {
+	return h.othersFailing >= minFailingReports && now.Sub(h.othersFailingAt) <= othersFailingTTL
+}
+
 // penaltyMS returns the cost added for recent failures, in milliseconds.
 func (h *health) penaltyMS(atMostOnce bool, now time.Time) float64 {
 	ms := 0.0
 	if h.consecutiveFailures > 0 && now.Sub(h.lastFailure) <= failurePenaltyTime {
 		ms = failurePenaltyMS * float64(h.consecutiveFailures)
 	}
+	failsAtOthers := h.failsAtOthers(now)
+	if failsAtOthers {
+		ms = max(ms, failurePenaltyMS*float64(h.othersFailing))
+	}
+	if atMostOnce && failsAtOthers {
+		return ms + atMostOncePenaltyMS
+	}
 	if atMostOnce && !h.lastFailure.IsZero() && now.Sub(h.lastFailure) <= atMostOncePenaltyTime {
 		ms += atMostOncePenaltyMS
 	}
--- a/fleet/others.go
+++ b/fleet/others.go
@@ -22,40 +22,60 @@
 	period time.Duration
 }
 
-// CallsInFlight returns the calls of this process in flight, by target.
-func (f *Fleet) CallsInFlight() []loadboard.Calls {
-	var calls []loadboard.Calls
+// LoadReport returns what other processes should know of this one: its calls in flight and
+// the targets that failed recently.
+func (f *Fleet) LoadReport(now time.Time) loadboard.Report {
+	var own loadboard.Report
 	for hash, t := range f.byHash {
 		if t.inFlight > 0 {
-			calls = append(calls, loadboard.Calls{Target: hash, Count: uint32(t.inFlight)})
+			own.Calls = append(own.Calls, loadboard.Count{Target: hash, Count: uint32(t.inFlight)})
+		}
+		if t.health.failsAt(now) {
+			own.Failing = append(own.Failing, hash)
 		}
 	}
-	return calls
+	return own
 }
 
-// RecordOthersCalls records the calls that all other processes have in flight. Targets that
-// are not listed have none.
-func (f *Fleet) RecordOthersCalls(calls []loadboard.Calls, now time.Time) {
+// RecordOthers records the load of all other processes. Targets that are not listed have no
+// calls and do not fail.
+func (f *Fleet) RecordOthers(others loadboard.Summary, now time.Time) {
 	if f.disabled.Disables(mechanism.OthersLoad) {
 		return
 	}
 	f.exchange.record(now)
 	for _, t := range f.targets {
 		t.othersInFlight, t.othersAt = 0, now
+		t.health.othersFailing = 0
 	}
 	for _, s := range f.services {
 		s.othersInFlight = 0
 	}
-	for _, c := range calls {
+	for _, c := range others.Calls {
+		if t := f.byHash[c.Target]; t != nil {
+			t.othersInFlight = float64(c.Count)
+			t.callsSeen++
+			f.services[t.Service].othersInFlight += float64(c.Count)
+		}
+	}
+	f.recordOthersFailing(others.Failing, now)
+}
+
+// recordOthersFailing records the targets that fail at other processes. If more than
+// maxEjectedShare of a service's targets do, the cause is probably elsewhere.
+func (f *Fleet) recordOthersFailing(failing []loadboard.Count, now time.Time) {
+	byService := make(map[string]int)
+	for _, c := range failing {
+		if t := f.byHash[c.Target]; t != nil && c.Count >= minFailingReports {
+			byService[t.Service]++
+		}
+	}
+	for _, c := range failing {
 		t := f.byHash[c.Target]
-		if t == nil {
+		if t == nil || float64(byService[t.Service]) > maxEjectedShare*float64(len(f.services[t.Service].targets)) {
 			continue
 		}
-		t.othersInFlight = float64(c.Count)
-		t.callsSeen++
-		if s := f.services[t.Service]; s != nil {
-			s.othersInFlight += float64(c.Count)
-		}
+		t.health.othersFailing, t.health.othersFailingAt = int(c.Count), now
 	}
 }
 
--- a/fleet/others_test.go
+++ b/fleet/others_test.go
@@ -11,21 +11,21 @@
 )
 
 // callsAt returns the same number of calls at each of the first n engines.
-func callsAt(n int, count uint32) []loadboard.Calls {
-	var calls []loadboard.Calls
+func callsAt(n int, count uint32) loadboard.Summary {
+	var others loadboard.Summary
 	for i := range n {
-		calls = append(calls, loadboard.Calls{Target: key(i).Hash(), Count: count})
+		others.Calls = append(others.Calls, loadboard.Count{Target: key(i).Hash(), Count: count})
 	}
-	return calls
+	return others
 }
 
 func TestCallsOfOtherEntriesCountAsLoad(t *testing.T) {
 	f := newFleet(6)
-	f.RecordOthersCalls(callsAt(5, 4), start)
+	f.RecordOthers(callsAt(5, 4), start)
 	assert.Equal(t, key(5), send(t, f, query(), start))
-	assert.Equal(t, []loadboard.Calls{{Target: key(5).Hash(), Count: 1}}, f.CallsInFlight())
+	assert.Equal(t, []loadboard.Count{{Target: key(5).Hash(), Count: 1}}, f.LoadReport(start).Calls)
 
-	f.RecordOthersCalls(nil, start.Add(time.Millisecond))
+	f.RecordOthers(loadboard.Summary{}, start.Add(time.Millisecond))
 	assert.NotEqual(t, key(5), send(t, f, query(), start.Add(time.Millisecond)), "the others' calls have ended")
 }
 
@@ -39,7 +39,7 @@
 		f := fleet.New(seed, 0)
 		f.Update(engines(engineCount), services)
 		for i := range 20 {
-			f.RecordOthersCalls(callsAt(engineCount-1, 3), start.Add(time.Duration(i)*60*time.Millisecond))
+			f.RecordOthers(callsAt(engineCount-1, 3), start.Add(time.Duration(i)*60*time.Millisecond))
 		}
 		if send(t, f, query(), start.Add(1190*time.Millisecond)) == key(engineCount-1) {
 			chosen++
@@ -53,7 +53,7 @@
 // calls like one that knows nothing.
 func TestLoadThatIsNoLongerExchangedLosesItsWeight(t *testing.T) {
 	f := newFleet(6)
-	f.RecordOthersCalls(callsAt(5, 4), start)
+	f.RecordOthers(callsAt(5, 4), start)
 	counts := map[string]int{}
 	for range 60 {
 		now := start.Add(5 * time.Second)
--- a/ledger/load.go
+++ b/ledger/load.go
@@ -5,22 +5,49 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/loadboard"
 )
 
-// EncodeLoad returns calls in flight as a protobuf message.
-func EncodeLoad(calls []loadboard.Calls) *ledgerpb.Load {
-	load := &ledgerpb.Load{Targets: make([]uint64, 0, len(calls)), Calls: make([]uint32, 0, len(calls))}
-	for _, c := range calls {
-		load.Targets = append(load.Targets, c.Target)
-		load.Calls = append(load.Calls, c.Count)
-	}
+// EncodeLoadReport returns a process's report as a protobuf message.
+func EncodeLoadReport(r loadboard.Report) *ledgerpb.Load {
+	load := &ledgerpb.Load{FailingTargets: r.Failing}
+	load.Targets, load.Calls = encodeCounts(r.Calls)
+	return load
+}
+
+// DecodeLoadReport is the inverse of EncodeLoadReport.
+func DecodeLoadReport(load *ledgerpb.Load) loadboard.Report {
+	return loadboard.Report{Calls: decodeCounts(load.GetTargets(), load.GetCalls()), Failing: load.GetFailingTargets()}
+}
+
+// EncodeLoadSummary returns the state of other processes as a protobuf message.
+func EncodeLoadSummary(s loadboard.Summary) *ledgerpb.Load {
+	load := &ledgerpb.Load{Processes: uint32(s.Processes)}
+	load.Targets, load.Calls = encodeCounts(s.Calls)
+	load.FailingTargets, load.FailingReports = encodeCounts(s.Failing)
 	return load
 }
 
-// DecodeLoad is the inverse of EncodeLoad. It ignores targets without a number of calls.
-func DecodeLoad(load *ledgerpb.Load) []loadboard.Calls {
-	n := min(len(load.GetTargets()), len(load.GetCalls()))
-	calls := make([]loadboard.Calls, 0, n)
+// DecodeLoadSummary is the inverse of EncodeLoadSummary.
+func DecodeLoadSummary(load *ledgerpb.Load) loadboard.Summary {
+	return loadboard.Summary{
+		Calls:     decodeCounts(load.GetTargets(), load.GetCalls()),
+		Failing:   decodeCounts(load.GetFailingTargets(), load.GetFailingReports()),
+		Processes: int(load.GetProcesses()),
+	}
+}
+
+func encodeCounts(list []loadboard.Count) (targets []uint64, counts []uint32) {
+	for _, c := range list {
+		targets = append(targets, c.Target)
+		counts = append(counts, c.Count)
+	}
+	return targets, counts
+}
+
+// decodeCounts joins two columns. It ignores targets without a count.
+func decodeCounts(targets []uint64, counts []uint32) []loadboard.Count {
+	n := min(len(targets), len(counts))
+	list := make([]loadboard.Count, 0, n)
 	for i := range n {
-		calls = append(calls, loadboard.Calls{Target: load.GetTargets()[i], Count: load.GetCalls()[i]})
+		list = append(list, loadboard.Count{Target: targets[i], Count: counts[i]})
 	}
-	return calls
+	return list
 }
--- a/ledger/member/load_test.go
+++ b/ledger/member/load_test.go
@@ -21,14 +21,16 @@
 	two := quorum.NewClient("m2", 1, func() []string { return nil })
 	t.Cleanup(two.Close)
 	two.SetView(c.views.Snapshot().View)
+	report := loadboard.Report{Calls: []loadboard.Count{{Target: 7, Count: 3}}, Failing: []uint64{8}}
+	want := loadboard.Summary{Calls: report.Calls, Failing: []loadboard.Count{{Target: 8, Count: 1}}, Processes: 2}
 	exchanged := func() bool {
 		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 		defer cancel()
-		if _, _, err := one.ExchangeLoad(ctx, "vm1", []loadboard.Calls{{Target: 7, Count: 3}}); err != nil {
+		if _, err := one.ExchangeLoad(ctx, "vm1", report); err != nil {
 			return false
 		}
-		others, processes, err := two.ExchangeLoad(ctx, "vm2", nil)
-		return err == nil && processes == 2 && assert.ObjectsAreEqual([]loadboard.Calls{{Target: 7, Count: 3}}, others)
+		others, err := two.ExchangeLoad(ctx, "vm2", loadboard.Report{})
+		return err == nil && assert.ObjectsAreEqual(want, others)
 	}
 	require.Eventually(t, exchanged, waitTimeout, 20*time.Millisecond)
 	for _, name := range []string{"m1", "m2", "m3"} {
--- a/ledger/member/serve.go
+++ b/ledger/member/serve.go
@@ -133,15 +133,12 @@
 	respond(&ledgerpb.Response{Status: ledgerpb.Status_STATUS_OK, State: state})
 }
 
-// exchangeLoad records the calls that a process has in flight and returns those of all
-// others.
+// exchangeLoad records the load of a process and returns that of all others.
 func (m *Member) exchangeLoad(call *ledgerpb.ExchangeLoad) *ledgerpb.Response {
 	m.loadMu.Lock()
 	defer m.loadMu.Unlock()
-	others, processes := m.load.Exchange(call.GetVm(), ledger.DecodeLoad(call.GetLoad()), time.Now())
-	load := ledger.EncodeLoad(others)
-	load.Processes = uint32(processes)
-	return &ledgerpb.Response{Status: ledgerpb.Status_STATUS_OK, Load: load}
+	others := m.load.Exchange(call.GetVm(), ledger.DecodeLoadReport(call.GetLoad()), time.Now())
+	return &ledgerpb.Response{Status: ledgerpb.Status_STATUS_OK, Load: ledger.EncodeLoadSummary(others)}
 }
 
 // listKeys responds with the keys of the stored records. The caller is a member that
--- a/ledger/quorum/load.go
+++ b/ledger/quorum/load.go
@@ -16,24 +16,23 @@
 // errNoLoad means that a member's response contains no load.
 var errNoLoad = errors.New("the member does not exchange load")
 
-// ExchangeLoad reports this process's calls in flight and returns those of all others, and
-// the number of processes that report. All clients choose the same member among those that
-// they are connected to.
-func (c *Client) ExchangeLoad(ctx context.Context, vm string, own []loadboard.Calls) (others []loadboard.Calls, processes int, err error) {
+// ExchangeLoad reports this process's load and returns that of all others. All clients
+// choose the same member among those that they are connected to.
+func (c *Client) ExchangeLoad(ctx context.Context, vm string, own loadboard.Report) (loadboard.Summary, error) {
 	l := c.loadLink()
 	if l == nil {
-		return nil, 0, &Error{Step: "load", Peer: "no member", Err: ErrNoMembership}
+		return loadboard.Summary{}, &Error{Step: "load", Peer: "no member", Err: ErrNoMembership}
 	}
-	call := &loadCall{load: ledger.EncodeLoad(own), vm: vm, response: make(chan *ledgerpb.Load, 1)}
+	call := &loadCall{load: ledger.EncodeLoadReport(own), vm: vm, response: make(chan *ledgerpb.Load, 1)}
 	l.send(call)
 	select {
 	case load := <-call.response:
 		if load == nil {
-			return nil, 0, &Error{Step: "load", Peer: l.seat.Name, Err: errNoLoad}
+			return loadboard.Summary{}, &Error{Step: "load", Peer: l.seat.Name, Err: errNoLoad}
 		}
-		return ledger.DecodeLoad(load), int(load.GetProcesses()), nil
+		return ledger.DecodeLoadSummary(load), nil
 	case <-ctx.Done():
-		return nil, 0, &Error{Step: "load", Peer: l.seat.Name, Err: ctx.Err()}
+		return loadboard.Summary{}, &Error{Step: "load", Peer: l.seat.Name, Err: ctx.Err()}
 	}
 }
 
--- a/loadboard/board.go
+++ b/loadboard/board.go
@@ -1,6 +1,7 @@
-// Package loadboard sums the calls that processes have in flight at targets. Each process
-// reports its own calls and gets those of all others, so that what it knows of a target's
-// load does not depend on how often it calls that target itself.
+// Package loadboard combines what processes know of the targets: the calls that they have in
+// flight and the targets that fail. Each process reports its own state and gets that of all
+// others, so that what it knows of a target does not depend on how often it calls that target
+// itself.
 package loadboard
 
 import (
@@ -15,64 +16,86 @@
 	reportTTL = time.Second
 	// expirePeriod is the time between two checks for expired reports.
 	expirePeriod = 100 * time.Millisecond
-	// MaxTargets bounds the targets in one response. Beyond it, the most loaded ones are
-	// listed.
+	// MaxTargets bounds the targets in each list of a summary. Beyond it, those with the
+	// greatest counts are listed.
 	MaxTargets = 512
 )
 
-// Calls is the number of calls in flight at a target. Target is its catalog.TargetKey's
-// hash.
-type Calls struct {
+// Count is a number of calls or of processes for a target. Target is the hash of the
+// target's catalog.TargetKey.
+type Count struct {
 	Target uint64
 	Count  uint32
 }
 
+// Report is the state of one process.
+type Report struct {
+	// Calls are the calls in flight by target.
+	Calls []Count
+	// Failing are the targets whose last call failed recently.
+	Failing []uint64
+}
+
+// Summary is the state of all other processes.
+type Summary struct {
+	// Calls are the sums of the calls in flight by target.
+	Calls []Count
+	// Failing are the numbers of processes at which a target fails.
+	Failing []Count
+	// Processes is the number of processes with a report, including the one that asks.
+	Processes int
+}
+
 // report is what one process has reported last.
 type report struct {
-	calls []Calls
-	at    time.Time
+	Report
+	at time.Time
 }
 
-// Board holds the latest report of each process. Invariant: totals is the sum of all
-// reports. It uses no clock and is not safe for concurrent use.
+// Board holds the latest report of each process. Invariant: calls and failing are the sums
+// over all reports. It uses no clock and is not safe for concurrent use.
 type Board struct {
-	reports    map[string]report
-	totals     map[uint64]uint32
-	nextExpiry time.Time
+	reports        map[string]report
+	calls, failing map[uint64]uint32
+	nextExpiry     time.Time
 }
 
 // New returns an empty board.
 func New() *Board {
-	return &Board{reports: make(map[string]report), totals: make(map[uint64]uint32)}
+	return &Board{reports: make(map[string]report), calls: make(map[uint64]uint32), failing: make(map[uint64]uint32)}
 }
 
-// Exchange replaces a process's report and returns the calls of all others by target, at
-// most MaxTargets, and the number of processes with a report.
-func (b *Board) Exchange(process string, calls []Calls, now time.Time) (others []Calls, processes int) {
+// Exchange replaces a process's report and returns the state of all others.
+func (b *Board) Exchange(process string, own Report, now time.Time) Summary {
 	b.expire(now)
 	b.remove(process)
-	others = make([]Calls, 0, len(b.totals))
-	for target, count := range b.totals {
-		others = append(others, Calls{Target: target, Count: count})
-	}
-	b.reports[process] = report{calls: calls, at: now}
-	for _, c := range calls {
+	others := Summary{Calls: greatest(b.calls), Failing: greatest(b.failing)}
+	b.reports[process] = report{Report: own, at: now}
+	for _, c := range own.Calls {
 		if c.Count > 0 {
-			b.totals[c.Target] += c.Count
+			b.calls[c.Target] += c.Count
 		}
 	}
-	return mostLoaded(others), len(b.reports)
+	for _, target := range own.Failing {
+		b.failing[target]++
+	}
+	others.Processes = len(b.reports)
+	return others
 }
 
-// mostLoaded returns the MaxTargets targets with the most calls.
-func mostLoaded(calls []Calls) []Calls {
-	if len(calls) <= MaxTargets {
-		return calls
+// greatest returns the MaxTargets targets with the greatest counts.
+func greatest(counts map[uint64]uint32) []Count {
+	list := make([]Count, 0, len(counts))
+	for target, count := range counts {
+		list = append(list, Count{Target: target, Count: count})
 	}
-	slices.SortFunc(calls, func(a, b Calls) int {
+	if len(list) <= MaxTargets {
+		return list
+	}
+	slices.SortFunc(list, func(a, b Count) int {
 		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Target, b.Target))
 	})
-	return calls[:MaxTargets]
+	return list[:MaxTargets]
 }
 
 func (b *Board) expire(now time.Time) {
@@ -88,12 +111,20 @@
 }
 
 func (b *Board) remove(process string) {
-	for _, c := range b.reports[process].calls {
-		if left := b.totals[c.Target] - c.Count; left > 0 {
-			b.totals[c.Target] = left
-		} else {
-			delete(b.totals, c.Target)
-		}
+	old := b.reports[process]
+	for _, c := range old.Calls {
+		subtract(b.calls, c.Target, c.Count)
+	}
+	for _, target := range old.Failing {
+		subtract(b.failing, target, 1)
 	}
 	delete(b.reports, process)
 }
+
+func subtract(counts map[uint64]uint32, target uint64, n uint32) {
+	if left := counts[target] - n; left > 0 {
+		counts[target] = left
+	} else {
+		delete(counts, target)
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -94,7 +94,7 @@
 		a.abort(ctx)
 		return nil, fail
 	}
-	stall := startStallTimer(a.conn, e.headTimeout(), e.mayFailOver())
+	stall := startStallTimer(a.conn, e.headTimeout(), e.onStall())
 	fail := a.readHead(request, e.call.ID)
 	timedOut := stall.stop()
 	if fail == nil && timedOut {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -256,18 +256,18 @@
 	}
 }
 
-// CallsInFlight returns this process's calls in flight, by target.
-func (r *Relay) CallsInFlight() []loadboard.Calls {
+// LoadReport returns what other processes should know of this one's load.
+func (r *Relay) LoadReport() loadboard.Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.fleet.CallsInFlight()
+	return r.fleet.LoadReport(time.Now())
 }
 
-// RecordOthersCalls records the calls that all other processes have in flight.
-func (r *Relay) RecordOthersCalls(calls []loadboard.Calls) {
+// RecordOthers records the load of all other processes.
+func (r *Relay) RecordOthers(others loadboard.Summary) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.fleet.RecordOthersCalls(calls, time.Now())
+	r.fleet.RecordOthers(others, time.Now())
 }
 
 // hasTarget reports whether a target is available for a call.
@@ -288,6 +288,28 @@
 	r.fleet.RecordLoad(key, response.Load, time.Now())
 }
 
+// recordFirstEvent records how long a target took to send the first event.
+func (r *Relay) recordFirstEvent(service string, delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleet.RecordFirstEvent(service, delay)
+}
+
+// recordStall records that a target has sent nothing for the stall limit.
+func (r *Relay) recordStall(key catalog.TargetKey) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleet.RecordStall(key, time.Now())
+	r.signalLoadChange()
+}
+
+// stallLimit returns the time without a first event after which a target counts as stalled.
+func (r *Relay) stallLimit(service string, objective time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fleet.StallLimit(service, objective)
+}
+
 // recordLeaving records that a target announced its shutdown in a response.
 func (r *Relay) recordLeaving(target catalog.Target) {
 	r.mu.Lock()
--- a/relay/stalltimer.go
+++ b/relay/stalltimer.go
@@ -44,15 +44,15 @@
 	fired, stopped bool
 }
 
-// startStallTimer starts a timer that interrupts the read on c after limit if
-// mayFailOver returns true. A limit of zero disables the timer.
-func startStallTimer(c *conn, limit time.Duration, mayFailOver func() bool) *stallTimer {
+// startStallTimer starts a timer that calls onStall after limit and, if that returns true,
+// interrupts the read on c. A limit of zero disables the timer.
+func startStallTimer(c *conn, limit time.Duration, onStall func() bool) *stallTimer {
 	s := &stallTimer{}
 	if limit <= 0 {
 		return s
 	}
 	s.timer = time.AfterFunc(limit, func() {
-		if mayFailOver() {
+		if onStall() {
 			s.interrupt(c)
 		}
 	})
@@ -72,9 +72,9 @@
 }
 
 // reset restarts the timer after data has arrived, unless it is stopped or has
-// expired.
+// expired. A limit of zero disables it.
 func (s *stallTimer) reset(limit time.Duration) {
-	if s.timer != nil && s.timer.Stop() {
+	if s.timer != nil && s.timer.Stop() && limit > 0 {
 		s.timer.Reset(limit)
 	}
 }
@@ -91,30 +91,41 @@
 	return s.fired
 }
 
-// headTimeout returns how long to wait for the head of the response before failing
-// over to another target. It returns zero if the request must not be sent to
-// another target, or if the time left would not suffice for one.
+// mayMove reports whether another target may execute the request if this one stalls.
+func (e *exchange) mayMove() bool {
+	return e.route.Retryable() && e.executions < e.route.MaxTargets && !e.relay.disabled.Disables(mechanism.Failover)
+}
+
+// headTimeout returns how long to wait for the head of the response before the target counts
+// as stalled. For plain requests, it returns zero if the request must not be sent to another
+// target, or if the time left would not suffice for one.
 func (e *exchange) headTimeout() time.Duration {
-	if !e.route.Retryable() || e.executions >= e.route.MaxTargets || e.relay.disabled.Disables(mechanism.Failover) {
-		return 0
-	}
 	if e.route.Kind == catalog.Streaming {
-		return firstEventTimeout
+		return e.relay.stallLimit(e.service, e.route.LatencyTarget)
 	}
 	limit := headTimeoutFactor * e.route.LatencyTarget
-	if time.Until(e.deadline) < limit+e.route.LatencyTarget {
+	if !e.mayMove() || time.Until(e.deadline) < limit+e.route.LatencyTarget {
 		return 0
 	}
 	return limit
 }
 
-// mayFailOver returns a function that reports whether the request may move from an
-// unresponsive target to another one: another target is available, and for plain
-// requests the limit of failovers allows it. Streams aren't limited: there are few of
-// them, and a caller can do nothing with a stream without events.
-func (e *exchange) mayFailOver() func() bool {
-	// The query is made here because the function runs on the timer's goroutine,
-	// where the exchange's fields may change meanwhile.
-	query, isStream := e.targetQuery(false), e.route.Kind == catalog.Streaming
-	return func() bool { return e.relay.hasTarget(query) && (isStream || e.relay.failovers.Allow()) }
+// onStall returns a function that is called when the chosen target has stalled. It reports
+// whether the request is to move to another target: it may be executed again, another target
+// is available, and for plain requests the limit of failovers allows it. Streams aren't
+// limited: there are few of them, and a caller can do nothing with a stream without events.
+// A stream that must not move waits on, but the stall counts as a failure of its target.
+func (e *exchange) onStall() func() bool {
+	// The exchange's fields are read here because the function runs on the timer's
+	// goroutine, while they may change.
+	query, isStream, mayMove, target := e.targetQuery(false), e.route.Kind == catalog.Streaming, e.mayMove(), e.choice.Target.TargetKey
+	return func() bool {
+		if mayMove && e.relay.hasTarget(query) && (isStream || e.relay.failovers.Allow()) {
+			return true
+		}
+		if isStream {
+			e.relay.recordStall(target)
+		}
+		return false
+	}
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -11,17 +11,12 @@
 	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/fleet"
-	"github.com/rhubarbsaddle/rhubarbsaddle/mechanism"
 )
 
 const (
 	// gapFactor is the time without an event after which a resumable stream continues
 	// at another target, as a multiple of the route's MaxEventGap.
 	gapFactor = 2.5
-	// firstEventTimeout is the time without a first event after which a request is
-	// sent to another target. Until the first event, the request may still wait
-	// for a slot at the target.
-	firstEventTimeout = 1500 * time.Millisecond
 	// eventBufferBytes is the size of the read buffer. Longer lines are assembled
 	// from several reads.
 	eventBufferBytes = 1 << 10
@@ -147,7 +142,8 @@
 	events := eventReader{reader: bufio.NewReaderSize(a.response.Body, eventBufferBytes)}
 	flusher := http.NewResponseController(t.w)
 	first, gap := t.eventTimeouts()
-	stall := startStallTimer(a.conn, first, t.mayFailOver())
+	stall := startStallTimer(a.conn, first, t.onStall())
+	hasEvent := false
 	defer stall.stop()
 	for {
 		ev, err := events.next()
@@ -164,6 +160,10 @@
 			return err
 		}
 		stall.reset(gap)
+		if !hasEvent {
+			hasEvent = true
+			t.relay.recordFirstEvent(t.service, time.Since(a.startedAt))
+		}
 		t.sendHead(a, p)
 		if _, err := t.w.Write(ev.raw); err != nil {
 			a.abort(ctx)
@@ -177,15 +177,14 @@
 	}
 }
 
-// eventTimeouts returns how long to wait for the first event and between events
-// before failing over to another target; zero if no other target can continue the
-// stream.
+// eventTimeouts returns the time without a first event, and between events, after which the
+// target counts as stalled. The latter is zero if no other target can continue the stream.
 func (t *turn) eventTimeouts() (first, gap time.Duration) {
-	gap = time.Duration(gapFactor * float64(t.route.MaxEventGap))
-	if !t.route.Resumable || t.executions >= t.route.MaxTargets || gap <= 0 || t.relay.disabled.Disables(mechanism.Failover) {
-		return 0, 0
+	first = t.relay.stallLimit(t.service, t.route.LatencyTarget)
+	if t.mayMove() {
+		gap = time.Duration(gapFactor * float64(t.route.MaxEventGap))
 	}
-	return firstEventTimeout, gap
+	return first, gap
 }
 
 // sendHead sends the head of the answer unless it has been sent already. The head is
