fleet: targets that have just started get calls only when the others are full

Change: the time is decoded; until it is over, a call there costs one and a half times the average call more. The start of the engine decides if the registration is old.

Tests: fleet, catalog.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -66,3 +66,15 @@
 	assert.Equal(t, map[string]int{"a": 900, "b": 100}, counts)
 	assert.Empty(t, (&catalog.Route{}).ServiceFor(0.5))
 }
+
+func TestTargetIsWarmAfterItsColdTimeAlsoIfItsRegistrationIsOld(t *testing.T) {
+	now := time.Unix(1000, 0)
+	fresh := catalog.Target{TargetKey: catalog.TargetKey{Started: now.UnixMilli()}, ColdFor: 3 * time.Second}
+	fresh.SetWarmAt(now)
+	assert.Equal(t, now.Add(3*time.Second), fresh.WarmAt)
+	fresh.SetWarmAt(now.Add(time.Minute))
+	assert.True(t, fresh.WarmAt.Before(now.Add(time.Minute)), "the start decides")
+	var warm catalog.Target
+	warm.SetWarmAt(now)
+	assert.Zero(t, warm.WarmAt)
+}
--- a/catalog/target.go
+++ b/catalog/target.go
@@ -31,6 +31,25 @@
 	Slots  int
 	// Draining targets accept no new calls.
 	Draining bool
+	// ColdFor is how long the target was to remain slow after its start when it registered.
+	// WarmAt is the end of that time; see SetWarmAt.
+	ColdFor time.Duration
+	WarmAt  time.Time
+}
+
+// maxRegisterDelay is the longest usual time from a target's start to its registration.
+const maxRegisterDelay = time.Second
+
+// SetWarmAt determines when a target whose registration was received at now stops being
+// slow. The registration may be old, in which case the target's start decides.
+func (t *Target) SetWarmAt(now time.Time) {
+	if t.ColdFor <= 0 {
+		return
+	}
+	t.WarmAt = now.Add(t.ColdFor)
+	if byStart := time.UnixMilli(t.Started).Add(maxRegisterDelay + t.ColdFor); t.Started > 0 && byStart.Before(t.WarmAt) {
+		t.WarmAt = byStart
+	}
 }
 
 // registerTimeout is how long a target may take to register again after an outage of
--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -235,6 +235,7 @@
 		d.registry.Remove(d.decoder.TargetID(e.Key), now)
 		return
 	}
+	target.SetWarmAt(now)
 	d.registry.Put(target)
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -26,6 +26,9 @@
 	// target that is not a model engine, in milliseconds. It spreads calls over
 	// idle targets.
 	plainContentionMS = 2.0
+	// coldCostFactor is the cost of a call at a target that has just started and is still
+	// slow, as a multiple of the average duration of a call.
+	coldCostFactor = 1.5
 	// crossDomainMS is the network round trip to another failure domain.
 	crossDomainMS = 2.0
 	// initialDurationMS is the expected duration of a call before any has ended.
@@ -387,6 +390,9 @@
 	if load >= slots {
 		ms += (load - slots + 1) * s.durationMS / slots
 	}
+	if now.Before(t.WarmAt) {
+		ms += coldCostFactor * s.durationMS
+	}
 	if t.cache != nil {
 		if !f.disabled.Disables(mechanism.CacheModel) {
 			cachedTokens = t.cache.cachedTokens(q.Prompt)
