--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -11,7 +11,7 @@
 // BenchmarkPick measures the choice of an engine for a turn with a shared prefix, with
 // loaded engines whose caches are known.
 func BenchmarkPick(b *testing.B) {
-	for _, n := range []int{12, 45, 1000} {
+	for _, n := range []int{12, 60, 300, 1000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			f := newFleet(n)
 			now := start
@@ -21,6 +21,7 @@
 				f.RecordStart(choice.Target.TargetKey, q.Prompt, now)
 				f.RecordLoad(choice.Target.TargetKey, fleet.Load{Running: 3, Waiting: 1, Slots: 4}, now)
 			}
+			f.RecordOthers(callsAt(n, 3), now)
 			q := query(sharedPrefix(1), sessionPart("a"))
 			b.ReportAllocs()
 			for b.Loop() {
