quorum: a budget for hedged calls

Change: a tenth of the calls (20 saved up) may be hedged after 60 ms; without budget after 450 ms, for appends and chains alike.

TestSlowMembersAreNotFloodedWithHedges fails before (144 to 171 requests for 80 calls, bound 108).

--- a/ledger/quorum/client.go
+++ b/ledger/quorum/client.go
@@ -16,11 +16,6 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 )
 
-// hedgeDelay is how long to wait for one member before the request is sent to the next
-// as well. Members are not all queried at once, because chains are long and the entries'
-// network links are slow.
-const hedgeDelay = 60 * time.Millisecond
-
 // quorumPollPeriod is the time between two checks for a connected quorum.
 const quorumPollPeriod = 10 * time.Millisecond
 
@@ -53,6 +48,7 @@
 	disksLost int
 	domain    string
 	tunnels   func() []string
+	hedges    *hedgeBudget
 
 	mu    sync.RWMutex
 	view  ledger.View
@@ -63,7 +59,7 @@
 // until SetView is called. Tunnels returns the addresses of the entries' tunnels, through
 // which the client connects to members that it cannot reach directly.
 func NewClient(domain string, disksLost int, tunnels func() []string) *Client {
-	return &Client{disksLost: disksLost, domain: domain, tunnels: tunnels, links: make(map[string]*link)}
+	return &Client{disksLost: disksLost, domain: domain, tunnels: tunnels, hedges: newHedgeBudget(), links: make(map[string]*link)}
 }
 
 // SetView adopts the view if it is newer than the current one, and reports whether it
@@ -294,17 +290,22 @@
 	}
 	r := &readCall{client: c, turn: turn, version: view.Version, lacksTurn: make(map[string]bool), done: make(chan struct{}),
 		noChain: make(chan struct{}, 1), quorum: view.Quorum(c.disksLost)}
-	hedge := time.NewTimer(hedgeDelay)
+	hedge := c.hedges.startHedgeTimer()
 	defer hedge.Stop()
 	for _, l := range links {
 		l.send(r)
-		hedge.Reset(hedgeDelay)
-		select {
-		case <-r.done:
-			return r.text, r.missing, r.err
-		case <-r.noChain:
-		case <-hedge.C:
-		case <-ctx.Done():
+		hedge.sent()
+		for isWaiting := true; isWaiting; {
+			select {
+			case <-r.done:
+				return r.text, r.missing, r.err
+			case <-r.noChain:
+				isWaiting = false
+			case <-hedge.C:
+				isWaiting = !hedge.mayHedge()
+			case <-ctx.Done():
+				isWaiting = false
+			}
 		}
 	}
 	select {
--- a/ledger/quorum/relay.go
+++ b/ledger/quorum/relay.go
@@ -12,10 +12,6 @@
 )
 
 const (
-	// relayHedgeDelay is how long to wait for one member before the records are sent
-	// to the next as well. A quorum responds in about ten milliseconds, and somewhat
-	// later with slow disks.
-	relayHedgeDelay = 60 * time.Millisecond
 	// relayRetryDelay is the delay before the next round after all members have failed.
 	relayRetryDelay = 50 * time.Millisecond
 	// unavailableAfterFailure is how long the ledger is considered unavailable after
@@ -60,8 +56,8 @@
 }
 
 // Append sends the records to one member after the other, until one has stored them at
-// a quorum or ctx ends. It tries the next member after a failure, or after
-// relayHedgeDelay without a response. It returns the spending of the programs for which
+// a quorum or ctx ends. It tries the next member after a failure, or after hedgeDelay or
+// lateHedgeDelay without a response. It returns the spending of the programs for which
 // the records reserve tokens, merged from the quorum's responses.
 func (r *RelayClient) Append(ctx context.Context, records ...*ledgerpb.Record) (*ledger.Spending, error) {
 	_, links := r.linksByPreference()
@@ -69,15 +65,17 @@
 		return nil, &Error{Step: "relay", Peer: "no member", Err: ErrNoMembership}
 	}
 	c := &relayCall{records: records, done: make(chan struct{}), failed: make(chan struct{}, len(links))}
-	hedge := time.NewTimer(relayHedgeDelay)
+	hedge := r.hedges.startHedgeTimer()
 	defer hedge.Stop()
 	sent, failures := 0, 0
+	sendNext := true
 	for {
-		if sent < len(links) {
+		if sendNext && sent < len(links) {
 			links[sent].send(c)
 			sent++
+			hedge.sent()
 		}
-		hedge.Reset(relayHedgeDelay)
+		sendNext = true
 		select {
 		case <-c.done:
 			r.recordOutcome(true)
@@ -90,6 +88,7 @@
 			sent, failures = 0, 0
 			ctxwait.Sleep(ctx, relayRetryDelay)
 		case <-hedge.C:
+			sendNext = hedge.mayHedge()
 		case <-ctx.Done():
 		}
 		if ctx.Err() != nil {
