ledger/transport: a connection is unresponsive when nothing arrives

Cause: a single call older than 600 ms closed its connection, with all calls in flight. Peers sent them again on the next connection, while the member still worked on the first copies, so no call was completed any more. Change: a connection is closed when nothing is received for 600 ms while calls are pending. A single call without a response fails after 2 s, so that its records are not held.

--- a/ledger/quorum/client_test.go
+++ b/ledger/quorum/client_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -319,6 +320,79 @@
 	assert.Error(t, callThroughTunnel(other))
 }
 
+// A slow member lost its connection as soon as one response took 600 ms, with all calls in
+// flight, which its peers sent again; no call was completed any more (storage VMs of
+// further-grown with a third of their processors). A member that responds to other calls is
+// not unresponsive.
+func TestConnectionOutlivesSlowCall(t *testing.T) {
+	release := make(chan struct{})
+	delayFirst := sync.OnceFunc(func() { <-release })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		nc, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		in, slow := bufio.NewReader(nc), &ledgerpb.Request{}
+		if protodelim.UnmarshalFrom(in, slow) != nil {
+			return
+		}
+		go func() {
+			delayFirst()
+			_, _ = protodelim.MarshalTo(nc, &ledgerpb.Response{Seq: slow.GetSeq()})
+		}()
+		for {
+			req := &ledgerpb.Request{}
+			if protodelim.UnmarshalFrom(in, req) != nil {
+				return
+			}
+			if _, err := protodelim.MarshalTo(nc, &ledgerpb.Response{Seq: req.GetSeq()}); err != nil {
+				return
+			}
+		}
+	}()
+	conn, err := transport.Dial(contextWithTimeout(t, time.Second), listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(conn.Close)
+	completed := make(chan error, 1)
+	conn.Go(&ledgerpb.Request{}, func(_ *ledgerpb.Response, err error) { completed <- err })
+	for began := time.Now(); time.Since(began) < 2*transport.ResponseTimeout; time.Sleep(20 * time.Millisecond) {
+		_, err := conn.Call(contextWithTimeout(t, time.Second), &ledgerpb.Request{})
+		require.NoError(t, err)
+	}
+	close(release)
+	assert.NoError(t, <-completed)
+}
+
+// A call that a member never completes fails by itself, so that its records are not held for
+// as long as the member responds to others.
+func TestCallWithoutResponseFails(t *testing.T) {
+	conn, err := transport.Dial(contextWithTimeout(t, time.Second), startScriptedMember(t, func(req *ledgerpb.Request) *ledgerpb.Response {
+		if req.GetRelay() != nil {
+			return nil
+		}
+		return &ledgerpb.Response{}
+	}))
+	require.NoError(t, err)
+	t.Cleanup(conn.Close)
+	completed := make(chan error, 1)
+	conn.Go(&ledgerpb.Request{Call: &ledgerpb.Request_Relay{Relay: &ledgerpb.Relay{}}}, func(_ *ledgerpb.Response, err error) { completed <- err })
+	for {
+		select {
+		case err := <-completed:
+			assert.ErrorIs(t, err, transport.ErrUnresponsive)
+			_, err = conn.Call(contextWithTimeout(t, time.Second), &ledgerpb.Request{})
+			assert.NoError(t, err)
+			return
+		case <-time.After(20 * time.Millisecond):
+			_, err := conn.Call(contextWithTimeout(t, time.Second), &ledgerpb.Request{})
+			require.NoError(t, err)
+		}
+	}
+}
+
 func TestUnresponsiveConnectionIsClosed(t *testing.T) {
 	conn, err := transport.Dial(contextWithTimeout(t, time.Second), startScriptedMember(t, unresponsive))
 	require.NoError(t, err)
--- a/ledger/transport/transport.go
+++ b/ledger/transport/transport.go
@@ -21,11 +21,15 @@
 	// dialTimeout bounds a connection attempt. VMs of a region are a few
 	// milliseconds apart, and a partitioned one does not respond at all.
 	dialTimeout = 250 * time.Millisecond
-	// ResponseTimeout is the age of a pending call at which the connection is closed as
-	// unresponsive. A disk sync takes milliseconds; a caller is better served by other
-	// members than by one whose disk hangs for longer.
+	// ResponseTimeout is the time without any response, while calls are pending, after which
+	// the connection is closed as unresponsive. A disk sync takes milliseconds; a caller is
+	// better served by other members than by one that hangs for longer.
 	ResponseTimeout = 600 * time.Millisecond
-	// stallCheckPeriod is the time between two checks of the oldest call's age.
+	// callTimeout is the age at which a single pending call fails. A slow member that responds
+	// to other calls keeps its connection: closing it would make the peer send all its calls
+	// again, and the member slower.
+	callTimeout = 2 * time.Second
+	// stallCheckPeriod is the time between two checks of the pending calls.
 	stallCheckPeriod = 100 * time.Millisecond
 	// sendQueueFrames bounds the requests that wait to be written.
 	sendQueueFrames = 4096
@@ -71,10 +75,11 @@
 	sendQueue chan *ledgerpb.Request
 	closed    chan struct{}
 
-	mu      sync.Mutex
-	seq     uint64
-	pending map[uint64]pendingCall
-	err     error
+	mu         sync.Mutex
+	seq        uint64
+	pending    map[uint64]pendingCall
+	receivedAt time.Time
+	err        error
 }
 
 // Dial connects to the member at addr.
@@ -166,12 +171,15 @@
 			c.closeWith(err)
 			return
 		}
+		c.mu.Lock()
+		c.receivedAt = time.Now()
+		c.mu.Unlock()
 		c.complete(response.GetSeq(), response, nil)
 	}
 }
 
-// closeWhenStalled closes the connection with ErrUnresponsive when a call has waited
-// longer than ResponseTimeout.
+// closeWhenStalled fails calls that have waited for callTimeout, and closes the connection
+// with ErrUnresponsive when nothing was received for ResponseTimeout while calls are pending.
 func (c *Conn) closeWhenStalled() {
 	ticker := time.NewTicker(stallCheckPeriod)
 	defer ticker.Stop()
@@ -180,22 +188,36 @@
 		case <-c.closed:
 			return
 		case now := <-ticker.C:
-			if c.oldestPendingAge(now) > ResponseTimeout {
+			stalled, expired := c.checkPending(now)
+			if stalled {
 				c.closeWith(ErrUnresponsive)
 				return
 			}
+			for _, seq := range expired {
+				c.complete(seq, nil, ErrUnresponsive)
+			}
 		}
 	}
 }
 
-func (c *Conn) oldestPendingAge(now time.Time) time.Duration {
+// checkPending reports whether the connection is unresponsive, and returns the calls that
+// have waited for callTimeout.
+func (c *Conn) checkPending(now time.Time) (stalled bool, expired []uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	age := time.Duration(0)
-	for _, p := range c.pending {
-		age = max(age, now.Sub(p.sentAt))
+	oldest := now
+	for seq, p := range c.pending {
+		if p.sentAt.Before(oldest) {
+			oldest = p.sentAt
+		}
+		if now.Sub(p.sentAt) > callTimeout {
+			expired = append(expired, seq)
+		}
+	}
+	if c.receivedAt.After(oldest) {
+		oldest = c.receivedAt
 	}
-	return age
+	return now.Sub(oldest) > ResponseTimeout, expired
 }
 
 func (c *Conn) complete(seq uint64, response *ledgerpb.Response, err error) {
