ledger/quorum: without budget, only calls to silent members are hedged

Cause: the budget for hedges did not hold for the late ones. When all members took longer than 450 ms, every call was sent to two or three of them, each of which relays it to all others: the load multiplied just when there was least room, and stayed so after its cause had gone (a metastable failure). A round of retries followed the one before after a fixed 50 ms. Change: a call is hedged without budget only if its member has completed no call since. Rounds of retries back off from 50 to 400 ms, with jitter. Evidence: 200 calls to three members with a constant delay of 600 ms made 3,505 requests on and most of them failed; now at most 300, and none fails (TestCallsToSlowMembersAreNotHedgedWithoutBudget). A member that is silent is left after 450 ms as before (TestSilentMemberDelaysCallsBriefly).

--- a/ledger/quorum/client.go
+++ b/ledger/quorum/client.go
@@ -294,7 +294,7 @@
 	defer hedge.Stop()
 	for _, l := range links {
 		l.send(r)
-		hedge.sent()
+		hedge.sent(l)
 		for isWaiting := true; isWaiting; {
 			select {
 			case <-r.done:
--- a/ledger/quorum/hedge.go
+++ b/ledger/quorum/hedge.go
@@ -11,8 +11,9 @@
 	// disks. Members are not all asked at once, because chains are long, entries' network
 	// links are slow, and each member that relays records sends them to all others.
 	hedgeDelay = 60 * time.Millisecond
-	// lateHedgeDelay is how long to wait without hedge budget. It is shorter than the time
-	// in which a turn needs the ledger, so that a silent member does not fail the turn.
+	// lateHedgeDelay is how long to wait for a silent member without hedge budget. It is
+	// shorter than the time in which a turn needs the ledger, so that such a member does not
+	// fail the turn.
 	lateHedgeDelay = 450 * time.Millisecond
 	// hedgeShare is the share of calls that may be hedged after hedgeDelay, on average, and
 	// hedgeBurst the number of hedges that can be saved up.
@@ -51,8 +52,9 @@
 type hedgeTimer struct {
 	*time.Timer
 	budget *hedgeBudget
-	// sentAt is when the call was last sent to a member.
+	// sentAt is when the call was last sent to a member, link the link to it.
 	sentAt time.Time
+	link   *link
 }
 
 // startHedgeTimer starts the timer of a call that is about to be sent for the first time.
@@ -62,18 +64,19 @@
 }
 
 // sent restarts the timer after the call was sent to a member.
-func (t *hedgeTimer) sent() {
-	t.sentAt = time.Now()
+func (t *hedgeTimer) sent(l *link) {
+	t.sentAt, t.link = time.Now(), l
 	t.Reset(hedgeDelay)
 }
 
 // mayHedge reports whether the call may be sent to one more member after the timer has fired,
-// and otherwise restarts the timer.
+// and otherwise restarts the timer. A member that completes other calls is slow, not silent:
+// sending its calls to others as well would make those slow too.
 func (t *hedgeTimer) mayHedge() bool {
 	waited := time.Since(t.sentAt)
-	if waited >= lateHedgeDelay || t.budget.take() {
+	if waited >= lateHedgeDelay && !t.link.completedSince(t.sentAt) || t.budget.take() {
 		return true
 	}
-	t.Reset(lateHedgeDelay - waited)
+	t.Reset(max(lateHedgeDelay-waited, hedgeDelay))
 	return false
 }
--- a/ledger/quorum/link.go
+++ b/ledger/quorum/link.go
@@ -58,6 +58,8 @@
 	// isTunneled means that the connection goes through a tunnel.
 	isTunneled bool
 	queued     []call
+	// completedAt is when the member last completed a call that may be hedged.
+	completedAt time.Time
 }
 
 func newLink(seat ledger.Seat, tunnels func() []string) *link {
@@ -231,10 +233,34 @@
 			l.sendExceptOn(c, conn)
 			return
 		}
+		l.recordCompletion(c, response)
 		c.handleResponse(l.seat, response)
 	})
 }
 
+// recordCompletion records a response that means that the member executed a call which may be
+// hedged, rather than rejected it. Other calls need neither its disk nor a quorum.
+func (l *link) recordCompletion(c call, response *ledgerpb.Response) {
+	switch c.(type) {
+	case *relayCall, *readCall:
+	default:
+		return
+	}
+	switch response.GetStatus() {
+	case ledgerpb.Status_STATUS_OK, ledgerpb.Status_STATUS_PARTIAL, ledgerpb.Status_STATUS_NOT_FOUND:
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.completedAt = time.Now()
+	}
+}
+
+// completedSince reports whether the member has completed a call since a time.
+func (l *link) completedSince(t time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.completedAt.After(t)
+}
+
 // enqueue queues a call until the link is connected. The caller must hold l.mu.
 func (l *link) enqueue(c call) {
 	if len(l.queued) >= maxQueuedCalls {
--- a/ledger/quorum/relay.go
+++ b/ledger/quorum/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -12,8 +13,11 @@
 )
 
 const (
-	// relayRetryDelay is the delay before the next round after all members have failed.
-	relayRetryDelay = 50 * time.Millisecond
+	// minRelayRetryDelay and maxRelayRetryDelay bound the average delay before the next round
+	// after all members have failed. It doubles with each round, so that calls that wait for
+	// overloaded members do not keep them so.
+	minRelayRetryDelay = 50 * time.Millisecond
+	maxRelayRetryDelay = 400 * time.Millisecond
 	// unavailableAfterFailure is how long the ledger is considered unavailable after
 	// all members have failed. Then the next call tries it again.
 	unavailableAfterFailure = 200 * time.Millisecond
@@ -56,24 +60,25 @@
 }
 
 // Append sends the records to one member after the other, until one has stored them at
-// a quorum or ctx ends. It tries the next member after a failure, or after hedgeDelay or
-// lateHedgeDelay without a response. It returns the spending of the programs for which
-// the records reserve tokens, merged from the quorum's responses.
+// a quorum or ctx ends. It tries the next member after a failure, or when the hedge timer
+// allows it. It returns the spending of the programs for which the records reserve tokens,
+// merged from the quorum's responses.
 func (r *RelayClient) Append(ctx context.Context, records ...*ledgerpb.Record) (*ledger.Spending, error) {
 	_, links := r.linksByPreference()
 	if len(links) == 0 {
 		return nil, &Error{Step: "relay", Peer: "no member", Err: ErrNoMembership}
 	}
 	c := &relayCall{records: records, done: make(chan struct{}), failed: make(chan struct{}, len(links))}
+	defer c.cancel()
 	hedge := r.hedges.startHedgeTimer()
 	defer hedge.Stop()
 	sent, failures := 0, 0
-	sendNext := true
+	sendNext, retryDelay := true, minRelayRetryDelay
 	for {
 		if sendNext && sent < len(links) {
 			links[sent].send(c)
+			hedge.sent(links[sent])
 			sent++
-			hedge.sent()
 		}
 		sendNext = true
 		select {
@@ -86,13 +91,13 @@
 			}
 			r.recordOutcome(false)
 			sent, failures = 0, 0
-			ctxwait.Sleep(ctx, relayRetryDelay)
+			ctxwait.Sleep(ctx, retryDelay/2+rand.N(retryDelay))
+			retryDelay = min(2*retryDelay, maxRelayRetryDelay)
 		case <-hedge.C:
 			sendNext = hedge.mayHedge()
 		case <-ctx.Done():
 		}
 		if ctx.Err() != nil {
-			c.cancel()
 			return nil, &Error{Step: "relay", Peer: fmt.Sprintf("%d of %d members asked", sent, len(links)), Err: ctx.Err()}
 		}
 	}
