ledger/member: bounded backlogs that follow what a member completes in time

Cause: a member held every append that entries asked it to relay for 1.5 s, and every append of its peers, without a bound. Slow members had more in flight than they could complete before the entries gave up, so nearly all of it was completed too late. Change: relays and appends are bounded by number and bytes. The limit of relays falls while relays take longer than 200 ms and rises again; beyond it, members reject at once (STATUS_OVERLOADED). Starts of programs are rejected first, then reservations, last what an engine has generated already; a rejected start is refused to its caller at once, with Retry-After. Appends whose peer has disconnected are dropped. Metrics and the log event backlog show all this.

--- a/ledger/member/commit.go
+++ b/ledger/member/commit.go
@@ -27,6 +27,8 @@
 	syncs, written, failedWrites atomic.Int64
 	syncNanos                    atomic.Int64
 	appends, chains, staleViews  atomic.Int64
+	// abandoned counts the appends of peers that disconnected before they were handled.
+	abandoned atomic.Int64
 }
 
 // batch is a group of writes, with their encoded records, that share one sync.
--- a/ledger/member/member.go
+++ b/ledger/member/member.go
@@ -84,6 +84,9 @@
 	listener net.Listener
 	ready    atomic.Bool
 	stats    stats
+	// relays are the appends that this member relays for entries, appends those that it
+	// stores for its peers.
+	relays, appends *backlog
 
 	loadMu sync.Mutex
 	load   *loadboard.Board
@@ -102,6 +105,8 @@
 		panicked: make(chan error, 1),
 		pending:  make(map[uint64]func(*ledgerpb.Response)),
 		load:     loadboard.New(),
+		relays:   newBacklog(maxRelays, maxRelayBytes, relayTarget),
+		appends:  newBacklog(maxAppends, maxAppendBytes, 0),
 		// The list of tunnels is empty. A member needs none: if it cannot reach a
 		// quorum, the entry that called it tries another member.
 		peers: quorum.NewClient(options.Domain, options.DisksLost, func() []string { return nil }),
@@ -181,7 +186,7 @@
 func (m *Member) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){m.commitWrites, m.tick, m.maintainSeat, m.removeUnresponsiveMembers, m.catchUp, m.persistState, m.writeIndex, m.verifyDisk} {
+	for _, loop := range []func(context.Context){m.commitWrites, m.tick, m.maintainSeat, m.removeUnresponsiveMembers, m.catchUp, m.persistState, m.writeIndex, m.verifyDisk, m.logBacklogs} {
 		loops.Go(func() { loop(ctx) })
 	}
 	var panicErr error
@@ -241,6 +246,7 @@
 	ctxwait.Every(ctx, tickPeriod, func(time.Time) { m.post(ledger.Tick{}) })
 }
 
+// post queues an event of the replica, or a peerAppend.
 func (m *Member) post(ev ledger.Event) { m.mailbox.Post(ev) }
 
 // inspect calls read in the actor, between two events.
@@ -251,6 +257,15 @@
 // handleEvent passes one event to the replica and runs its effects. It runs in the actor,
 // which owns the replica.
 func (m *Member) handleEvent(msg any) {
+	if request, ok := msg.(peerAppend); ok {
+		if request.ctx.Err() != nil {
+			// The peer has closed the connection and sends the records again.
+			m.stats.abandoned.Add(1)
+			m.reply(request.RequestID, &ledgerpb.Response{Status: ledgerpb.Status_STATUS_FAILED})
+			return
+		}
+		msg = request.AppendRequested
+	}
 	ev, ok := msg.(ledger.Event)
 	if !ok {
 		return
--- a/ledger/member/serve.go
+++ b/ledger/member/serve.go
@@ -21,9 +21,6 @@
 	// If there are more, the peer does not read, and the connection is closed.
 	maxQueuedResponses = 4096
 	bufferBytes        = 16 << 10
-	// relayTimeout bounds how long a member waits for a quorum on behalf of an
-	// entry. Entries try another member long before it expires.
-	relayTimeout = 1500 * time.Millisecond
 )
 
 // serve handles the calls of one connection until the connection ends.
@@ -53,7 +50,7 @@
 			return
 		}
 		seq := req.GetSeq()
-		m.handle(req, func(response *ledgerpb.Response) {
+		m.handle(ctx, req, func(response *ledgerpb.Response) {
 			response.Seq = seq
 			select {
 			case out <- response:
@@ -65,18 +62,17 @@
 }
 
 // handle handles one call and passes its response to respond, possibly later and from
-// another goroutine.
-func (m *Member) handle(req *ledgerpb.Request, respond func(*ledgerpb.Response)) {
+// another goroutine. Once ctx has ended, the caller can't receive a response any more.
+func (m *Member) handle(ctx context.Context, req *ledgerpb.Request, respond func(*ledgerpb.Response)) {
 	switch call := req.GetCall().(type) {
 	case *ledgerpb.Request_Append:
 		if m.isStale(req) {
 			respond(m.staleViewResponse())
 			return
 		}
-		m.stats.appends.Add(1)
-		m.post(ledger.AppendRequested{RequestID: m.newRequestID(respond), Records: call.Append.GetRecords()})
+		m.append(ctx, call.Append, respond)
 	case *ledgerpb.Request_Relay:
-		go m.relay(call.Relay.GetRecords(), respond)
+		m.relay(call.Relay, respond)
 	case *ledgerpb.Request_ReadChain:
 		m.readChain(req, call.ReadChain.GetTurn(), respond)
 	case *ledgerpb.Request_FollowState:
@@ -92,30 +88,6 @@
 	}
 }
 
-// relay stores records at a quorum for an entry.
-func (m *Member) relay(records []*ledgerpb.Record, respond func(*ledgerpb.Response)) {
-	failed := &ledgerpb.Response{Status: ledgerpb.Status_STATUS_FAILED}
-	if !m.peers.HasQuorum() {
-		respond(failed)
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
-	defer cancel()
-	spending, err := m.peers.Append(ctx, records...)
-	if err != nil {
-		m.log.Warn().Str("event", "relay_failed").Err(err).Msg("the entry tries another member")
-		respond(failed)
-		return
-	}
-	response := &ledgerpb.Response{Status: ledgerpb.Status_STATUS_OK}
-	for _, rec := range records {
-		if reservation := rec.GetReservation(); reservation != nil {
-			response.Budgets = append(response.Budgets, spending.Budget(reservation.GetProgram()))
-		}
-	}
-	respond(response)
-}
-
 // followState responds with the state of the store as soon as the store has changes
 // that the caller lacks, or when the caller's maximum wait is over.
 func (m *Member) followState(call *ledgerpb.FollowState, respond func(*ledgerpb.Response)) {
--- a/ledger/quorum/client.go
+++ b/ledger/quorum/client.go
@@ -23,6 +23,8 @@
 var (
 	// ErrNoSuchTurn means that every member of a quorum lacks the turn.
 	ErrNoSuchTurn = errors.New("no such turn")
+	// ErrOverloaded means that members have too many calls in flight to begin a program.
+	ErrOverloaded = errors.New("members are overloaded")
 	// ErrNoMembership means that the client has not received a view yet.
 	ErrNoMembership = errors.New("members are not known")
 )
--- a/ledger/quorum/relay.go
+++ b/ledger/quorum/relay.go
@@ -62,30 +62,36 @@
 // Append sends the records to one member after the other, until one has stored them at
 // a quorum or ctx ends. It tries the next member after a failure, or when the hedge timer
 // allows it. It returns the spending of the programs for which the records reserve tokens,
-// merged from the quorum's responses.
+// merged from the quorum's responses. If the first member rejects the start of a program
+// because of its load, the error is ErrOverloaded, and nothing was stored.
 func (r *RelayClient) Append(ctx context.Context, records ...*ledgerpb.Record) (*ledger.Spending, error) {
 	_, links := r.linksByPreference()
 	if len(links) == 0 {
 		return nil, &Error{Step: "relay", Peer: "no member", Err: ErrNoMembership}
 	}
-	c := &relayCall{records: records, done: make(chan struct{}), failed: make(chan struct{}, len(links))}
+	c := &relayCall{records: records, done: make(chan struct{}), failed: make(chan ledgerpb.Status, len(links))}
 	defer c.cancel()
 	hedge := r.hedges.startHedgeTimer()
 	defer hedge.Stop()
-	sent, failures := 0, 0
+	sent, failures, total := 0, 0, 0
 	sendNext, retryDelay := true, minRelayRetryDelay
 	for {
 		if sendNext && sent < len(links) {
 			links[sent].send(c)
 			hedge.sent(links[sent])
 			sent++
+			total++
 		}
 		sendNext = true
 		select {
 		case <-c.done:
 			r.recordOutcome(true)
 			return &c.spending, nil
-		case <-c.failed:
+		case status := <-c.failed:
+			if status == ledgerpb.Status_STATUS_OVERLOADED && total == 1 && startsProgram(records) {
+				// No member has stored the records.
+				return nil, &Error{Step: "relay", Peer: links[sent-1].seat.Name, Err: ErrOverloaded}
+			}
 			if failures++; failures < len(links) {
 				continue
 			}
@@ -103,13 +109,24 @@
 	}
 }
 
+// startsProgram reports whether the records only begin a program, which may be rejected
+// without the loss of work that was done for it.
+func startsProgram(records []*ledgerpb.Record) bool {
+	for _, rec := range records {
+		if !rec.GetReservation().GetStartsProgram() {
+			return false
+		}
+	}
+	return true
+}
+
 // relayCall waits for the first member that stores the records at a quorum.
 type relayCall struct {
 	records []*ledgerpb.Record
 	done    chan struct{}
-	// failed receives a value for each member that could not store the records at
-	// a quorum.
-	failed chan struct{}
+	// failed receives the status of each member that did not store the records at a
+	// quorum.
+	failed chan ledgerpb.Status
 
 	mu       sync.Mutex
 	spending ledger.Spending
@@ -133,7 +150,7 @@
 	}
 	if response.GetStatus() != ledgerpb.Status_STATUS_OK {
 		select {
-		case c.failed <- struct{}{}:
+		case c.failed <- response.GetStatus():
 		default:
 		}
 		return
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -35,6 +35,8 @@
 	// closed.
 	storeGate chan struct{}
 	appends   int
+	// overloaded makes the ledger reject the starts of programs.
+	overloaded bool
 }
 
 func newMemoryLedger() *memoryLedger {
@@ -67,6 +69,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.overloaded && records[0].GetReservation().GetStartsProgram() {
+		return nil, quorum.ErrOverloaded
+	}
 	m.appends++
 	effects := m.replica.Step(ledger.AppendRequested{RequestID: 1, Records: records}, time.Now())
 	if w, ok := effects[0].(ledger.Write); ok {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -368,3 +368,21 @@
 	}
 	assert.Equal(t, 1, used)
 }
+
+// A program that begins while the ledger is overloaded is refused with the promise that it was
+// not executed, and leaves nothing to settle; one that has begun goes on.
+func TestOverloadedLedgerRefusesStartOfProgram(t *testing.T) {
+	target := platformtest.NewTarget("i1", platformtest.StreamEvents(2, 0, 0))
+	b := newTestbed(t, target)
+	headers := []string{program, "p", budget, "1000"}
+	first := b.call(storedTurnsPath, "x", headers...)
+	require.Equal(t, http.StatusOK, first.status)
+	b.ledger.overloaded = true
+	appends := b.ledger.appends
+	refused := b.call(storedTurnsPath, "x", headers...)
+	assert.Equal(t, http.StatusServiceUnavailable, refused.status)
+	assert.NotEmpty(t, refused.header.Get("Retry-After"))
+	assert.Equal(t, appends, b.ledger.appends)
+	next := b.call(storedTurnsPath, "y", append(headers, previousTurn, first.id)...)
+	assert.Equal(t, http.StatusOK, next.status)
+}
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -82,6 +82,12 @@
 		t.respond(http.StatusNotFound, reasonUnknownTurn)
 		return false
 	}
+	if errors.Is(err, quorum.ErrOverloaded) {
+		t.hasReservation = false
+		t.lastErr = err
+		t.respondUnavailable(reasonOverload, ledgerRetryAfter)
+		return false
+	}
 	if err != nil {
 		t.lastErr = err
 		t.respondLedgerUnavailable()
@@ -110,8 +116,10 @@
 	}
 	if t.hasBudget() {
 		t.hasReservation = true
-		spending, err = t.relay.ledger.Append(ctx, ledger.NewReservation(
-			t.call.Program, t.call.ID, t.call.MaxTokens, uint64(t.route.Retention.Milliseconds())))
+		record := ledger.NewReservation(t.call.Program, t.call.ID, t.call.MaxTokens, uint64(t.route.Retention.Milliseconds()))
+		// Without stored turns, the first turn of a program looks like all others.
+		record.GetReservation().StartsProgram = t.route.StoresTurns && t.call.Previous == ""
+		spending, err = t.relay.ledger.Append(ctx, record)
 	}
 	wait.Wait()
 	if errors.Is(chainErr, quorum.ErrNoSuchTurn) {
