relay: heads and bodies of responses without end are bounded

Cause: an entry read the head of a response, a plain answer and the rest of a refusal or of another request's answer without a bound, until the request's deadline. The lines of one event were bounded only if single lines were long, and an error of a stream longer than 1 MiB was forwarded cut off, as if it were complete. Change: heads are bounded by 64 KiB, plain answers and errors by 2 MiB, what is read only to use the connection again by 64 KiB, events by 1 MiB in all cases, stored output by 8 MiB. Beyond, the connection is closed and the attempt fails like one whose answer was lost, so that requests which may be repeated go to another target.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -169,7 +169,9 @@
 // to earlier ones.
 func (a *attempt) readHead(request *http.Request, id string) *failure {
 	for range maxStaleResponses + 1 {
+		a.conn.head.begin()
 		response, err := http.ReadResponse(a.conn.reader, request)
+		a.conn.head.end()
 		if err != nil {
 			return a.lostResponse(err)
 		}
@@ -182,7 +184,7 @@
 			return nil
 		}
 		a.relay.metrics.staleResponses.Inc()
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := discardBounded(response.Body); err != nil {
 			return a.lostResponse(err)
 		}
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -164,7 +164,7 @@
 		if !ok {
 			return
 		}
-		body, err := io.ReadAll(a.response.Body)
+		body, err := readBounded(a.response.Body)
 		if err != nil {
 			a.abort(ctx)
 			fail := &failure{execution: mayHaveExecuted, target: a.target, err: err}
@@ -268,7 +268,7 @@
 // readRefusal reads the rest of a target's refusal and ends the attempt.
 func (e *exchange) readRefusal(a *attempt) *failure {
 	status := a.response.StatusCode
-	if _, err := io.Copy(io.Discard, a.response.Body); err != nil {
+	if err := discardBounded(a.response.Body); err != nil {
 		a.abort(context.Background())
 	} else {
 		a.complete()
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -39,6 +39,7 @@
 // conn is one connection to a target.
 type conn struct {
 	nc     net.Conn
+	head   *headReader
 	reader *bufio.Reader
 	reused bool
 	// usableUntil is when an idle connection expires.
@@ -74,7 +75,8 @@
 		return nil, err
 	}
 	p.metrics.connects.Inc()
-	return &conn{nc: nc, reader: bufio.NewReaderSize(nc, readBufferBytes)}, nil
+	head := &headReader{Reader: nc, left: -1}
+	return &conn{nc: nc, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}, nil
 }
 
 // refusesConnections reports whether nothing listens at a target's address any
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -114,7 +114,7 @@
 // forwardError forwards a target's error response to the caller, or returns true if
 // another target must be tried.
 func (t *turn) forwardError(ctx context.Context, a *attempt, p *progress) bool {
-	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxEventBytes))
+	body, err := readBounded(a.response.Body)
 	if err != nil {
 		a.abort(ctx)
 		t.recordFailure(ctx, &failure{execution: mayHaveExecuted, target: a.target, err: err})
@@ -159,6 +159,11 @@
 			a.abort(ctx)
 			return err
 		}
+		if t.route.StoresTurns && len(t.output)+len(ev.data) > maxStoredOutputBytes {
+			stall.stop()
+			a.abort(ctx)
+			return errOutputTooLarge
+		}
 		stall.reset(gap)
 		if !hasEvent {
 			hasEvent = true
@@ -246,15 +251,15 @@
 	for {
 		line, err := r.reader.ReadSlice('\n')
 		r.raw = append(r.raw, line...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(r.raw) <= maxEventBytes {
+		if len(r.raw) > maxEventBytes {
+			return event{}, errEventTooLong
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
 		if errors.Is(err, io.EOF) && len(r.raw) > 0 {
 			return event{}, io.ErrUnexpectedEOF
 		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			return event{}, errEventTooLong
-		}
 		if err != nil {
 			return event{}, err
 		}
