relay, loadboard: targets get no more requests than the limit that they name

Cause: the limit was not read, and no entry knows what the others send. Change: an entry that sends a request to a target with a limit first gets a permit from one ledger member, the one through which all exchange their load. The member grants permits at the limit's rate, for now or for a moment soon; what one entry doesn't use is there for the others, however many they are. A member without a quorum grants none, so that no two sides of a partition grant the whole limit. Entries tell each other the latest limits. The expected wait is part of a target's cost, so calls go elsewhere if that is sooner; calls that cannot wait are refused with Retry-After. An answer without a limit lifts it if its request was sent after the limit was named; values that cannot be read change nothing. Evidence: TestPermitsStayWithinLimitOfTarget, TestEntriesTogetherStayWithinLimitOfTarget and others; without the permit, three entries send hundreds of requests a second to a target with a limit of ten.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -85,6 +85,7 @@
 	// there is none.
 	assignedPrefix string
 	health         health
+	limit          rateLimit
 }
 
 // service is the state shared by one service's targets.
--- a/fleet/others.go
+++ b/fleet/others.go
@@ -22,8 +22,8 @@
 	period time.Duration
 }
 
-// LoadReport returns what other processes should know of this one: its calls in flight and
-// the targets that failed recently.
+// LoadReport returns what other processes should know of this one: its calls in flight, the
+// targets that failed recently, and the limits of targets.
 func (f *Fleet) LoadReport(now time.Time) loadboard.Report {
 	var own loadboard.Report
 	for hash, t := range f.byHash {
@@ -34,12 +34,14 @@
 			own.Failing = append(own.Failing, hash)
 		}
 	}
+	own.Limits = f.limitReport(now)
 	return own
 }
 
 // RecordOthers records the load of all other processes. Targets that are not listed have no
 // calls and do not fail.
 func (f *Fleet) RecordOthers(others loadboard.Summary, now time.Time) {
+	f.recordOthersLimits(others.Limits, now)
 	if f.disabled.Disables(mechanism.OthersLoad) {
 		return
 	}
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -25,6 +25,9 @@
 	Exclude []catalog.TargetKey
 	// AllowFull permits choosing a target that is full.
 	AllowFull bool
+	// MaxWait is the longest time that the call can wait for a permit of a target with a
+	// rate limit.
+	MaxWait time.Duration
 }
 
 // Choice is the target chosen for a Query.
@@ -36,6 +39,10 @@
 	// of the prompt's tokens the target is expected to have cached.
 	Load         float64
 	CachedTokens int
+	// Limit is the target's rate limit. If there is one, the call needs a permit, which is
+	// expected to be had after PermitWait.
+	Limit      Limit
+	PermitWait time.Duration
 }
 
 // Pick returns the target with the lowest expected cost, or false if none is
@@ -67,7 +74,7 @@
 		}
 		if !ok || cost < choice.CostMS {
 			ok = true
-			choice = Choice{Target: c.target.Target, CostMS: cost, Load: c.load, CachedTokens: cachedTokens}
+			choice = Choice{Target: c.target.Target, CostMS: cost, Load: c.load, CachedTokens: cachedTokens, Limit: c.target.limit.Limit, PermitWait: c.target.limit.wait(now)}
 		}
 	}
 	return choice, ok
@@ -89,6 +96,9 @@
 		if !p.query.AllowFull && t.isFullAt(load) {
 			continue
 		}
+		if t.limit.wait(p.now) > p.query.MaxWait {
+			continue
+		}
 		f.candidates = append(f.candidates, candidate{target: t, load: load})
 	}
 }
@@ -121,7 +131,7 @@
 }
 
 // cost estimates the cost of the call at a target with the given load, in milliseconds: the
-// wait for a slot, the processing of prompt tokens that are not cached, the delay by the
+// waits for a slot and for a permit, the processing of prompt tokens that are not cached, the delay by the
 // other calls in the batch, the network round trip, a penalty for recent failures, and what
 // the call costs others if the target is not the one assigned to its prefix or object.
 // cachedTokens is how many of the prompt's tokens are expected to be cached.
@@ -133,6 +143,7 @@
 	if load >= slots {
 		ms += (load - slots + 1) * s.durationMS / slots
 	}
+	ms += float64(t.limit.wait(p.now)) / float64(time.Millisecond)
 	if p.now.Before(t.WarmAt) {
 		ms += coldCostFactor * s.durationMS
 	}
--- a/ledger/load.go
+++ b/ledger/load.go
@@ -1,25 +1,27 @@
 package ledger
 
 import (
+	"time"
+
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 	"github.com/rhubarbsaddle/rhubarbsaddle/loadboard"
 )
 
 // EncodeLoadReport returns a process's report as a protobuf message.
 func EncodeLoadReport(r loadboard.Report) *ledgerpb.Load {
-	load := &ledgerpb.Load{FailingTargets: r.Failing}
+	load := &ledgerpb.Load{FailingTargets: r.Failing, Limits: encodeLimits(r.Limits)}
 	load.Targets, load.Calls = encodeCounts(r.Calls)
 	return load
 }
 
 // DecodeLoadReport is the inverse of EncodeLoadReport.
 func DecodeLoadReport(load *ledgerpb.Load) loadboard.Report {
-	return loadboard.Report{Calls: decodeCounts(load.GetTargets(), load.GetCalls()), Failing: load.GetFailingTargets()}
+	return loadboard.Report{Calls: decodeCounts(load.GetTargets(), load.GetCalls()), Failing: load.GetFailingTargets(), Limits: decodeLimits(load.GetLimits())}
 }
 
 // EncodeLoadSummary returns the state of other processes as a protobuf message.
 func EncodeLoadSummary(s loadboard.Summary) *ledgerpb.Load {
-	load := &ledgerpb.Load{Processes: uint32(s.Processes)}
+	load := &ledgerpb.Load{Processes: uint32(s.Processes), Limits: encodeLimits(s.Limits)}
 	load.Targets, load.Calls = encodeCounts(s.Calls)
 	load.FailingTargets, load.FailingReports = encodeCounts(s.Failing)
 	return load
@@ -30,10 +32,44 @@
 	return loadboard.Summary{
 		Calls:     decodeCounts(load.GetTargets(), load.GetCalls()),
 		Failing:   decodeCounts(load.GetFailingTargets(), load.GetFailingReports()),
+		Limits:    decodeLimits(load.GetLimits()),
 		Processes: int(load.GetProcesses()),
 	}
 }
 
+func encodeLimits(list []loadboard.Limit) []*ledgerpb.Limit {
+	var limits []*ledgerpb.Limit
+	for _, l := range list {
+		encoded := &ledgerpb.Limit{Target: l.Target, AgeUs: uint64(max(0, l.Age.Microseconds())), WaitUs: uint64(max(0, l.Wait.Microseconds()))}
+		if l.IsLimited {
+			encoded.PerSecond = &l.PerSecond
+		}
+		limits = append(limits, encoded)
+	}
+	return limits
+}
+
+func decodeLimits(list []*ledgerpb.Limit) []loadboard.Limit {
+	var limits []loadboard.Limit
+	for _, l := range list {
+		limits = append(limits, loadboard.Limit{
+			Target: l.GetTarget(), PerSecond: l.GetPerSecond(), IsLimited: l.PerSecond != nil,
+			Age: time.Duration(l.GetAgeUs()) * time.Microsecond, Wait: time.Duration(l.GetWaitUs()) * time.Microsecond,
+		})
+	}
+	return limits
+}
+
+// EncodePermit returns a permit as a protobuf message.
+func EncodePermit(p loadboard.Permit) *ledgerpb.Permit {
+	return &ledgerpb.Permit{Granted: p.Granted, WaitUs: uint64(max(0, p.Wait.Microseconds())), NextUs: uint64(max(0, p.Next.Microseconds()))}
+}
+
+// DecodePermit is the inverse of EncodePermit.
+func DecodePermit(p *ledgerpb.Permit) loadboard.Permit {
+	return loadboard.Permit{Granted: p.GetGranted(), Wait: time.Duration(p.GetWaitUs()) * time.Microsecond, Next: time.Duration(p.GetNextUs()) * time.Microsecond}
+}
+
 func encodeCounts(list []loadboard.Count) (targets []uint64, counts []uint32) {
 	for _, c := range list {
 		targets = append(targets, c.Target)
--- a/ledger/member/serve.go
+++ b/ledger/member/serve.go
@@ -81,6 +81,8 @@
 		m.listKeys(req, respond)
 	case *ledgerpb.Request_ExchangeLoad:
 		respond(m.exchangeLoad(call.ExchangeLoad))
+	case *ledgerpb.Request_AcquirePermit:
+		respond(m.acquirePermit(call.AcquirePermit))
 	case *ledgerpb.Request_ReadRecords:
 		m.post(ledger.RecordsRequested{RequestID: m.newRequestID(respond), Keys: call.ReadRecords.GetKeys()})
 	default:
@@ -113,6 +115,19 @@
 	return &ledgerpb.Response{Status: ledgerpb.Status_STATUS_OK, Load: ledger.EncodeLoadSummary(others)}
 }
 
+// acquirePermit grants the permit for one request to a target with a rate limit. A member that
+// has lost the others rejects all, since the processes that it has lost with them get their
+// permits from another one.
+func (m *Member) acquirePermit(call *ledgerpb.AcquirePermit) *ledgerpb.Response {
+	if !m.peers.HasQuorum() {
+		return &ledgerpb.Response{Status: ledgerpb.Status_STATUS_FAILED}
+	}
+	m.loadMu.Lock()
+	defer m.loadMu.Unlock()
+	permit := m.load.Acquire(call.GetTarget(), call.GetPerSecond(), time.Duration(call.GetMaxWaitUs())*time.Microsecond, time.Now())
+	return &ledgerpb.Response{Status: ledgerpb.Status_STATUS_OK, Permit: ledger.EncodePermit(permit)}
+}
+
 // listKeys responds with the keys of the stored records. The caller is a member that
 // copies or hands over records. It relies on this member to reject writers with older
 // views, so both must use the same view.
--- a/ledger/quorum/load.go
+++ b/ledger/quorum/load.go
@@ -4,7 +4,10 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"slices"
+	"sync/atomic"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -19,10 +22,11 @@
 // ExchangeLoad reports this process's load and returns that of all others. All clients
 // choose the same member among those that they are connected to.
 func (c *Client) ExchangeLoad(ctx context.Context, vm string, own loadboard.Report) (loadboard.Summary, error) {
-	l := c.loadLink()
-	if l == nil {
+	links := c.loadLinks()
+	if len(links) == 0 {
 		return loadboard.Summary{}, &Error{Step: "load", Peer: "no member", Err: ErrNoMembership}
 	}
+	l := links[0]
 	call := &loadCall{load: ledger.EncodeLoadReport(own), vm: vm, response: make(chan *ledgerpb.Load, 1)}
 	l.send(call)
 	select {
@@ -36,9 +40,62 @@
 	}
 }
 
-// loadLink returns the link to the first connected member in an order that all clients
-// share, or nil.
-func (c *Client) loadLink() *link {
+// permitTimeout bounds how long to wait for one member's permit before the next is asked. It
+// is several round trips; callers wait meanwhile.
+const permitTimeout = 60 * time.Millisecond
+
+// AcquirePermit asks for the permit to send one request, within maxWait, to a target with a
+// rate limit in requests per second. All clients ask the same member among those that they are
+// connected to and that have a quorum.
+func (c *Client) AcquirePermit(ctx context.Context, target uint64, perSecond float64, maxWait time.Duration) (permit loadboard.Permit, err error) {
+	ask := &ledgerpb.AcquirePermit{Target: target, PerSecond: perSecond, MaxWaitUs: uint64(max(0, maxWait.Microseconds()))}
+	err = &Error{Step: "permit", Peer: "no member", Err: ErrNoMembership}
+	for _, l := range c.loadLinks() {
+		if permit, err = askPermit(ctx, l, ask); err == nil || ctx.Err() != nil {
+			break
+		}
+	}
+	return permit, err
+}
+
+// askPermit asks one member for a permit.
+func askPermit(ctx context.Context, l *link, ask *ledgerpb.AcquirePermit) (loadboard.Permit, error) {
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	call := &permitCall{ask: ask, response: make(chan *ledgerpb.Response, 1)}
+	l.send(call)
+	select {
+	case response := <-call.response:
+		if status := response.GetStatus(); status != ledgerpb.Status_STATUS_OK {
+			return loadboard.Permit{}, &Error{Step: "permit", Peer: l.seat.Name, Err: fmt.Errorf("status %v", status)}
+		}
+		return ledger.DecodePermit(response.GetPermit()), nil
+	case <-ctx.Done():
+		return loadboard.Permit{}, &Error{Step: "permit", Peer: l.seat.Name, Err: ctx.Err()}
+	}
+}
+
+// permitCall is one request for a permit to one member. It is sent on one connection only,
+// since its sender asks the next member instead.
+type permitCall struct {
+	ask      *ledgerpb.AcquirePermit
+	response chan *ledgerpb.Response
+	isSent   atomic.Bool
+}
+
+func (c *permitCall) request() *ledgerpb.Request {
+	if c.isSent.Swap(true) {
+		return nil
+	}
+	return &ledgerpb.Request{Call: &ledgerpb.Request_AcquirePermit{AcquirePermit: c.ask}}
+}
+
+func (c *permitCall) handleResponse(_ ledger.Seat, response *ledgerpb.Response) {
+	c.response <- response
+}
+
+// loadLinks returns the links to the connected members, in an order that all clients share.
+func (c *Client) loadLinks() []*link {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	var connected []*link
@@ -47,12 +104,10 @@
 			connected = append(connected, l)
 		}
 	}
-	if len(connected) == 0 {
-		return nil
-	}
-	return slices.MinFunc(connected, func(a, b *link) int {
+	slices.SortFunc(connected, func(a, b *link) int {
 		return cmp.Compare(xxhash.Sum64String(a.seat.Name), xxhash.Sum64String(b.seat.Name))
 	})
+	return connected
 }
 
 // loadCall is one exchange of load with one member. It is sent on one connection only,
--- a/loadboard/board.go
+++ b/loadboard/board.go
@@ -34,6 +34,8 @@
 	Calls []Count
 	// Failing are the targets whose last call failed recently.
 	Failing []uint64
+	// Limits are the rate limits that targets have named or lifted.
+	Limits []Limit
 }
 
 // Summary is the state of all other processes.
@@ -42,6 +44,9 @@
 	Calls []Count
 	// Failing are the numbers of processes at which a target fails.
 	Failing []Count
+	// Limits are the latest known rate limits, including those that the asking process has
+	// reported.
+	Limits []Limit
 	// Processes is the number of processes with a report, including the one that asks.
 	Processes int
 }
@@ -52,24 +57,26 @@
 	at time.Time
 }
 
-// Board holds the latest report of each process. Invariant: calls and failing are the sums
-// over all reports. It uses no clock and is not safe for concurrent use.
+// Board holds the latest report of each process, and grants the permits for requests to
+// targets with a rate limit. Invariant: calls and failing are the sums over all reports. It uses no clock and is not safe for concurrent use.
 type Board struct {
 	reports        map[string]report
 	calls, failing map[uint64]uint32
+	limits         map[uint64]*limit
 	nextExpiry     time.Time
 }
 
 // New returns an empty board.
 func New() *Board {
-	return &Board{reports: make(map[string]report), calls: make(map[uint64]uint32), failing: make(map[uint64]uint32)}
+	return &Board{reports: make(map[string]report), calls: make(map[uint64]uint32), failing: make(map[uint64]uint32), limits: make(map[uint64]*limit)}
 }
 
 // Exchange replaces a process's report and returns the state of all others.
 func (b *Board) Exchange(process string, own Report, now time.Time) Summary {
 	b.expire(now)
 	b.remove(process)
-	others := Summary{Calls: greatest(b.calls), Failing: greatest(b.failing)}
+	b.recordLimits(own.Limits, now)
+	others := Summary{Calls: greatest(b.calls), Failing: greatest(b.failing), Limits: b.knownLimits(now)}
 	b.reports[process] = report{Report: own, at: now}
 	for _, c := range own.Calls {
 		if c.Count > 0 {
@@ -103,6 +110,7 @@
 		return
 	}
 	b.nextExpiry = now.Add(expirePeriod)
+	b.expireLimits(now)
 	for process, r := range b.reports {
 		if now.Sub(r.at) > reportTTL {
 			b.remove(process)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -110,6 +110,7 @@
 		return nil, fail
 	}
 	r.recordLoad(target.TargetKey, a.responseInfo)
+	r.recordLimit(a)
 	return a, nil
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -193,7 +193,7 @@
 func (e *exchange) targetQuery(allowFull bool) fleet.Query {
 	query := fleet.Query{
 		Service: e.service, Domain: e.relay.domain, Prompt: e.call.PromptParts, Exclude: e.tried, AllowFull: allowFull, LastTarget: e.lastTarget,
-		AtMostOnce: !e.route.Retryable(),
+		AtMostOnce: !e.route.Retryable(), MaxWait: e.maxPermitWait(),
 	}
 	if e.route.Sticky {
 		query.AffinityKey = e.call.AffinityKey
@@ -213,7 +213,7 @@
 // send chooses a target and sends the request to it once. If no target is available,
 // it returns neither an attempt nor a failure.
 func (e *exchange) send(ctx context.Context, body []byte, resumeAfter string, allowFull bool) (*attempt, *failure) {
-	choice, ok := e.relay.pickTarget(e.targetQuery(allowFull))
+	choice, ok := e.chooseTarget(ctx, allowFull)
 	if !ok {
 		return nil, nil
 	}
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -133,10 +133,16 @@
 
 // newTestbedWithLedger returns a testbed whose ledger may be shared with others.
 func newTestbedWithLedger(t testing.TB, m *memoryLedger, targets ...*platformtest.Target) *testbed {
+	t.Helper()
+	return newTestbedWithPermits(t, m, newSharedBoard(), targets...)
+}
+
+// newTestbedWithPermits returns a testbed whose ledger and permits may be shared with others.
+func newTestbedWithPermits(t testing.TB, m *memoryLedger, permits relay.Permits, targets ...*platformtest.Target) *testbed {
 	t.Helper()
 	b := &testbed{t: t, ledger: m}
 	b.relay = relay.New(relay.Options{
-		Dialect: platform.Dialect{}, Ledger: b.ledger, Domain: "d", Log: &log.Logger{Level: log.PanicLevel},
+		Dialect: platform.Dialect{}, Ledger: b.ledger, Permits: permits, Domain: "d", Log: &log.Logger{Level: log.PanicLevel},
 		Metrics: relay.NewMetrics(prometheus.NewRegistry()),
 	})
 	b.server = httptest.NewServer(b.relay)
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -14,6 +15,7 @@
 	connects        prometheus.Counter
 	staleResponses  prometheus.Counter
 	unlogged        prometheus.Counter
+	permits         *prometheus.CounterVec
 }
 
 // buckets are in seconds and range from a few milliseconds to the longest deadlines.
@@ -41,7 +43,10 @@
 	m.unlogged = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "rhubarbsaddle_requests_unlogged_total", Help: "Answered requests without a log line, beyond the bound of lines a second.",
 	})
-	reg.MustRegister(m.unlogged, m.requests, m.duration, m.firstEventDelay, m.connects, m.staleResponses)
+	m.permits = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "rhubarbsaddle_target_permits_total", Help: "Permits asked for targets with a rate limit, by whether they were granted.",
+	}, []string{"granted"})
+	reg.MustRegister(m.unlogged, m.permits, m.requests, m.duration, m.firstEventDelay, m.connects, m.staleResponses)
 	return m
 }
 
@@ -50,6 +55,10 @@
 	m.duration.WithLabelValues(kind).Observe(duration.Seconds())
 }
 
+func (m *Metrics) countPermit(granted bool) {
+	m.permits.WithLabelValues(strconv.FormatBool(granted)).Inc()
+}
+
 func (m *Metrics) observeFirstEvent(delay time.Duration) {
 	if delay > 0 {
 		m.firstEventDelay.Observe(delay.Seconds())
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -29,6 +29,9 @@
 // Load is the load that a target reports.
 type Load = fleet.Load
 
+// Limit is a target's limit of requests per second.
+type Limit = fleet.Limit
+
 // Call is a request as described by the caller's headers.
 type Call struct {
 	// ID identifies the request. A caller that retries uses a new one.
@@ -77,6 +80,10 @@
 	IsLeaving bool
 	Load      Load
 	HasLoad   bool
+	// Limit is the limit that the target names. BadLimit means that it names one that
+	// cannot be read.
+	Limit    Limit
+	BadLimit bool
 	// IdleTimeout is how long the target keeps an idle connection open; zero if it is
 	// not given.
 	IdleTimeout time.Duration
@@ -110,10 +117,19 @@
 	AwaitQuorum(ctx context.Context) bool
 }
 
+// Permits grants the permits for requests to targets with a rate limit, which count the
+// requests of all processes.
+type Permits interface {
+	// AcquirePermit asks for the permit to send one request within maxWait. The target is
+	// given by the hash of its key.
+	AcquirePermit(ctx context.Context, target uint64, perSecond float64, maxWait time.Duration) (loadboard.Permit, error)
+}
+
 // Relay is the HTTP handler of callers' requests.
 type Relay struct {
 	dialect  Dialect
 	ledger   Ledger
+	permits  Permits
 	domain   string
 	log      *log.Logger
 	metrics  *Metrics
@@ -148,6 +164,7 @@
 type Options struct {
 	Dialect Dialect
 	Ledger  Ledger
+	Permits Permits
 	// Domain is the failure domain of this process.
 	Domain  string
 	Log     *log.Logger
@@ -162,7 +179,7 @@
 // configuration.
 func New(o Options) *Relay {
 	return &Relay{
-		dialect: o.Dialect, ledger: o.Ledger, domain: o.Domain, log: o.Log, metrics: o.Metrics,
+		dialect: o.Dialect, ledger: o.Ledger, permits: o.Permits, domain: o.Domain, log: o.Log, metrics: o.Metrics,
 		pool: newPool(o.Metrics), fleet: fleet.New(o.Seed, o.Disabled), startedAt: time.Now(),
 		failovers: newFailoverLimiter(o.Disabled), disabled: o.Disabled, loadChanged: make(chan struct{}, 1),
 	}
@@ -232,13 +249,14 @@
 	e.serve()
 }
 
-// pickTarget chooses a target and records the start of an attempt at it.
+// pickTarget chooses a target and records the start of an attempt at it, unless the attempt
+// needs a permit first.
 func (r *Relay) pickTarget(q fleet.Query) (fleet.Choice, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
 	choice, ok := r.fleet.Pick(q, now)
-	if ok {
+	if ok && !choice.Limit.IsLimited {
 		r.fleet.RecordStart(choice.Target.TargetKey, q.Prompt, now)
 		r.signalLoadChange()
 	}
