loadboard: permits are granted at most 400 ms ahead

Cause, found on reading the change again: a member that takes over the permits knows nothing of those that the one before granted for later. Change: permits are for use within 400 ms. Calls that can wait longer ask again. Evidence: by calculation; with a burst of 250 ms, two changes add 1.3 s of the limit and 3 requests to the 4 s, 1.5 times the limit and 5 are allowed. TestPermitsAreGrantedForLater checks the bound.

--- a/loadboard/limits.go
+++ b/loadboard/limits.go
@@ -8,6 +8,9 @@
 	// permitBurst is how far ahead of a target's limit permits may be granted. It is short,
 	// since another board that takes over knows nothing of what this one granted.
 	permitBurst = 250 * time.Millisecond
+	// MaxPermitWait is how far in the future the use of a permit may be. Like permitBurst, it
+	// bounds what two boards in succession grant for the same time.
+	MaxPermitWait = 400 * time.Millisecond
 	// limitTTL is how long an observed limit is remembered without a new observation.
 	limitTTL = time.Minute
 	// minPermitRate is the rate of permits for targets with a lower limit, in permits per
@@ -82,7 +85,7 @@
 }
 
 // Acquire grants one process the permit for one request to a target with a rate limit, if it
-// may be used within maxWait. All permits of a target are granted by one board, so what one
+// may be used within maxWait and MaxPermitWait. All permits of a target are granted by one board, so what one
 // process does not use is there for the others.
 //
 // Invariant: for any span of time, a board grants at most as many permits for use in it as the
@@ -93,7 +96,7 @@
 		l.perSecond, l.isLimited, l.observedAt = perSecond, true, now
 	}
 	wait := l.wait(now)
-	if wait > maxWait {
+	if wait > min(maxWait, MaxPermitWait) {
 		return Permit{Wait: wait, Next: wait}
 	}
 	if l.usedUntil.Before(now) {
--- a/loadboard/limits_test.go
+++ b/loadboard/limits_test.go
@@ -48,7 +48,7 @@
 		assert.Equal(t, last.Next, permit.Wait)
 		last = permit
 	}
-	assert.InDelta(t, time.Second, last.Wait, float64(200*time.Millisecond), "as many as may be used within the wait")
+	assert.InDelta(t, loadboard.MaxPermitWait, last.Wait, float64(200*time.Millisecond), "as many as may be used soon")
 	denied := b.Acquire(1, 5, time.Second, start)
 	assert.Equal(t, loadboard.Permit{Wait: last.Next, Next: last.Next}, denied)
 	assert.False(t, b.Acquire(1, 5, 0, start.Add(denied.Wait-time.Millisecond)).Granted)
--- a/relay/permit.go
+++ b/relay/permit.go
@@ -38,6 +38,11 @@
 		if !ok || !choice.Limit.IsLimited {
 			return choice, ok
 		}
+		if choice.PermitWait > loadboard.MaxPermitWait {
+			ctxwait.Sleep(ctx, loadboard.MaxPermitWait)
+			query.MaxWait -= loadboard.MaxPermitWait
+			continue
+		}
 		permit := e.relay.acquirePermit(ctx, choice, min(choice.PermitWait+permitSlack, query.MaxWait))
 		if !permit.Granted {
 			continue
