ledger/member: chains that a peer does not read are bounded

Change: at most 256 chains are read at once, and requests for chains are rejected while more than 1 MiB waits to be written to their connection. Readers ask another member. Evidence: TestMemberRejectsChainsThatReaderDoesNotRead, which fails without the bound: 400 chains of 100 KB were held for a reader that does not read.

--- a/ledger/member/backlog.go
+++ b/ledger/member/backlog.go
@@ -26,6 +26,8 @@
 	// They admit what all other members of a group relay at once.
 	maxAppends     = 4096
 	maxAppendBytes = 32 << 20
+	// maxReads bounds the chains that are read from the disk at once.
+	maxReads = 256
 	// backlogLogPeriod is the shortest time between two log lines about rejected requests.
 	backlogLogPeriod = time.Second
 )
@@ -97,6 +99,13 @@
 	return true
 }
 
+// reject counts a request that is rejected for another reason than the backlog.
+func (b *backlog) reject() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.rejected++
+}
+
 // release ends a request that acquire admitted, after it took a time, and adapts the limit.
 func (b *backlog) release(size int, took time.Duration, now time.Time) {
 	b.mu.Lock()
@@ -130,14 +139,14 @@
 func (m *Member) logBacklogs(ctx context.Context) {
 	var known int64
 	ctxwait.Every(ctx, backlogLogPeriod, func(time.Time) {
-		relays, appends, abandoned := m.relays.state(), m.appends.state(), m.stats.abandoned.Load()
-		total := relays.rejected + appends.rejected + abandoned
+		relays, appends, reads, abandoned := m.relays.state(), m.appends.state(), m.reads.state(), m.stats.abandoned.Load()
+		total := relays.rejected + appends.rejected + reads.rejected + abandoned
 		if total == known {
 			return
 		}
 		known = total
 		m.log.Warn().Str("event", "backlog").Int("relays", relays.requests).Int("relay_limit", relays.limit).Int("relay_bytes", relays.bytes).Int64("relays_rejected", relays.rejected).
 			Int("appends", appends.requests).Int("append_bytes", appends.bytes).Int64("appends_rejected", appends.rejected).
-			Int64("abandoned", abandoned).Msg("requests were rejected or abandoned")
+			Int("reads", reads.requests).Int64("reads_rejected", reads.rejected).Int64("abandoned", abandoned).Msg("requests were rejected or abandoned")
 	})
 }
--- a/ledger/member/backlog_test.go
+++ b/ledger/member/backlog_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -10,6 +11,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/encoding/protodelim"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
@@ -119,6 +121,34 @@
 	assert.Greater(t, b.state().limit, 90, "the limit rises again")
 }
 
+// A member held the chains that an entry with a saturated link had asked for in its memory,
+// without a bound.
+func TestMemberRejectsChainsThatReaderDoesNotRead(t *testing.T) {
+	m, conn := startServing(t, 0)
+	turn := ledger.NewTurn(&ledgerpb.Turn{Program: "p", Id: "t", Input: make([]byte, 100<<10), RetentionMs: 60_000})
+	_, err := conn.Call(t.Context(), &ledgerpb.Request{Call: &ledgerpb.Request_Append{Append: &ledgerpb.Append{Records: []*ledgerpb.Record{turn}}}})
+	require.NoError(t, err)
+	slow, err := net.Dial("tcp", m.listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = slow.Close() })
+	const reads = 400
+	for i := range reads {
+		_, err := protodelim.MarshalTo(slow, &ledgerpb.Request{Seq: uint64(i), Call: &ledgerpb.Request_ReadChain{ReadChain: &ledgerpb.ReadChain{Turn: "t"}}})
+		require.NoError(t, err)
+		time.Sleep(100 * time.Microsecond)
+	}
+	require.Eventually(t, func() bool { return m.reads.state().requests == 0 && m.reads.state().rejected > reads/2 }, 5*time.Second, time.Millisecond)
+	in, rejected := bufio.NewReader(slow), 0
+	for range reads {
+		response := &ledgerpb.Response{}
+		require.NoError(t, protodelim.UnmarshalOptions{MaxSize: transport.MaxFrameBytes}.UnmarshalFrom(in, response))
+		if response.GetStatus() == ledgerpb.Status_STATUS_OVERLOADED {
+			rejected++
+		}
+	}
+	assert.Greater(t, rejected, reads/2, "the reader learns that it has to ask another member")
+}
+
 // A peer closes a connection without a response for 600 ms and sends the appends again on the
 // next one, so a slow member stored each of them several times over and became slower
 // (fresh-8f6c of further-grown).
--- a/ledger/member/member.go
+++ b/ledger/member/member.go
@@ -85,8 +85,8 @@
 	ready    atomic.Bool
 	stats    stats
 	// relays are the appends that this member relays for entries, appends those that it
-	// stores for its peers.
-	relays, appends *backlog
+	// stores for its peers, reads the chains that it reads.
+	relays, appends, reads *backlog
 
 	loadMu sync.Mutex
 	load   *loadboard.Board
@@ -107,6 +107,7 @@
 		load:     loadboard.New(),
 		relays:   newBacklog(maxRelays, maxRelayBytes, relayTarget),
 		appends:  newBacklog(maxAppends, maxAppendBytes, 0),
+		reads:    newBacklog(maxReads, 0, 0),
 		// The list of tunnels is empty. A member needs none: if it cannot reach a
 		// quorum, the entry that called it tries another member.
 		peers: quorum.NewClient(options.Domain, options.DisksLost, func() []string { return nil }),
--- a/ledger/member/serve.go
+++ b/ledger/member/serve.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
@@ -20,7 +23,10 @@
 	// maxQueuedResponses bounds the responses of one connection that wait to be written.
 	// If there are more, the peer does not read, and the connection is closed.
 	maxQueuedResponses = 4096
-	bufferBytes        = 16 << 10
+	// maxQueuedChainBytes is the size of the queued responses of one connection above which
+	// requests for chains are rejected. Readers of slow links do not wait for more.
+	maxQueuedChainBytes = 1 << 20
+	bufferBytes         = 16 << 10
 )
 
 // serve handles the calls of one connection until the connection ends.
@@ -32,9 +38,10 @@
 	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
 	defer stop()
 	out := make(chan *ledgerpb.Response, maxQueuedResponses)
+	queued := &queuedBytes{out: nc}
 	go func() {
 		defer cancel()
-		err := transport.WriteFrames(nc, out, ctx.Done(), func(_ *ledgerpb.Response, err error) {
+		err := transport.WriteFrames(queued, out, ctx.Done(), func(_ *ledgerpb.Response, err error) {
 			// The caller gets no response and tries another member.
 			m.log.Error().Str("event", "answer_not_encoded").Err(err).Msg("")
 		})
@@ -51,7 +58,12 @@
 		}
 		seq := req.GetSeq()
 		m.handle(ctx, req, func(response *ledgerpb.Response) {
+			if response.GetChain() != nil && !queued.hasSpace() {
+				m.reads.reject()
+				response = &ledgerpb.Response{Status: ledgerpb.Status_STATUS_OVERLOADED}
+			}
 			response.Seq = seq
+			queued.add(proto.Size(response))
 			select {
 			case out <- response:
 			default:
@@ -61,6 +73,25 @@
 	}
 }
 
+// queuedBytes counts the bytes of responses that wait to be written to a connection.
+type queuedBytes struct {
+	out   io.Writer
+	bytes atomic.Int64
+}
+
+func (q *queuedBytes) add(n int) { q.bytes.Add(int64(n)) }
+
+// hasSpace reports whether a chain of turns may be added. Chains are by far the largest
+// responses, and the links of entries are slow.
+func (q *queuedBytes) hasSpace() bool { return q.bytes.Load() < maxQueuedChainBytes }
+
+// Write writes queued responses to the connection.
+func (q *queuedBytes) Write(p []byte) (int, error) {
+	n, err := q.out.Write(p)
+	q.bytes.Add(-int64(n))
+	return n, err
+}
+
 // handle handles one call and passes its response to respond, possibly later and from
 // another goroutine. Once ctx has ended, the caller can't receive a response any more.
 func (m *Member) handle(ctx context.Context, req *ledgerpb.Request, respond func(*ledgerpb.Response)) {
@@ -146,8 +177,13 @@
 // readChain responds with a chain of turns. NOT_FOUND is only meaningful to callers that
 // use the current view; others get STALE_VIEW instead.
 func (m *Member) readChain(req *ledgerpb.Request, turn string, respond func(*ledgerpb.Response)) {
+	if !m.reads.acquire(0, continuing) {
+		respond(&ledgerpb.Response{Status: ledgerpb.Status_STATUS_OVERLOADED})
+		return
+	}
 	stale := m.isStale(req)
 	requestID := m.newRequestID(func(response *ledgerpb.Response) {
+		m.reads.release(0, 0, time.Time{})
 		if stale && response.GetStatus() == ledgerpb.Status_STATUS_NOT_FOUND {
 			response = m.staleViewResponse()
 		}
