ledger/quorum: members that complete no calls are asked last

Cause, found on reading the change again: since a connection with some responses stays open, a member that answers only calls without its disk or a quorum stayed the first choice of its entries, and each call waited for it 60 to 450 ms before it was hedged. Change: a member that has completed none of its calls for 450 ms is asked after the others, until it completes or fails those that it has.

--- a/ledger/quorum/client.go
+++ b/ledger/quorum/client.go
@@ -4,6 +4,7 @@
 package quorum
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -141,8 +142,8 @@
 }
 
 // linksByPreference returns the view and the links to all members. Connected members
-// come first, then the unconnected ones; within each group, members in the client's
-// failure domain come first.
+// come first, then the stalled and the unconnected ones; within each group, members in the
+// client's failure domain come first.
 func (c *Client) linksByPreference() (ledger.View, []*link) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
@@ -155,16 +156,7 @@
 		}
 	}
 	links := append(sameDomain, otherDomains...)
-	slices.SortStableFunc(links, func(a, b *link) int {
-		switch aConnected, bConnected := a.isConnected(), b.isConnected(); {
-		case aConnected == bConnected:
-			return 0
-		case aConnected:
-			return -1
-		default:
-			return 1
-		}
-	})
+	slices.SortStableFunc(links, func(a, b *link) int { return cmp.Compare(a.rank(), b.rank()) })
 	return c.view, links
 }
 
--- a/ledger/quorum/hedge_test.go
+++ b/ledger/quorum/hedge_test.go
@@ -16,6 +16,7 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/quorum"
+	"github.com/rhubarbsaddle/rhubarbsaddle/loadboard"
 )
 
 // newRelayClient returns a relaying client that is connected to one member for each script.
@@ -88,6 +89,32 @@
 	assert.LessOrEqual(t, requests.Load(), int64(calls+calls/10+burst+beforeFirstResponse))
 }
 
+// A member whose disk hangs still answers some calls, so its connection stays. Calls that need
+// the disk go to other members until it completes one.
+func TestStalledMemberIsAskedLast(t *testing.T) {
+	stalled := func(req *ledgerpb.Request) *ledgerpb.Response {
+		if req.GetExchangeLoad() == nil {
+			return nil
+		}
+		return &ledgerpb.Response{Status: ledgerpb.Status_STATUS_OK, Load: &ledgerpb.Load{}}
+	}
+	client := newRelayClient(t, stalled, stalled, stalled, accepts)
+	ctx := contextWithTimeout(t, 10*time.Second)
+	exchange := func() {
+		for ctx.Err() == nil {
+			_, _ = client.ExchangeLoad(ctx, "vm", loadboard.Report{})
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	go exchange()
+	began := time.Now()
+	for range 100 {
+		_, err := client.Append(ctx, record)
+		require.NoError(t, err)
+	}
+	assert.Less(t, time.Since(began), 5*time.Second)
+}
+
 // startConcurrentMember starts a member that responds to each request after a delay, and
 // returns its address.
 func startConcurrentMember(t *testing.T, delay time.Duration, onRequest func()) string {
--- a/ledger/quorum/link.go
+++ b/ledger/quorum/link.go
@@ -58,8 +58,10 @@
 	// isTunneled means that the connection goes through a tunnel.
 	isTunneled bool
 	queued     []call
-	// completedAt is when the member last completed a call that may be hedged.
-	completedAt time.Time
+	// completedAt is when the member last completed a call that may be hedged, and waiting the
+	// number of such calls without a response, which it has had since waitingSince.
+	completedAt, waitingSince time.Time
+	waiting                   int
 }
 
 func newLink(seat ledger.Seat, tunnels func() []string) *link {
@@ -206,6 +208,17 @@
 	return l.conn != nil
 }
 
+// rank orders links by preference, the best ones first.
+func (l *link) rank() int {
+	switch {
+	case !l.isConnected():
+		return 2
+	case l.isStalled():
+		return 1
+	}
+	return 0
+}
+
 // send sends the call to the member, at once or as soon as the link is connected.
 func (l *link) send(c call) { l.sendExceptOn(c, nil) }
 
@@ -228,32 +241,63 @@
 	if req == nil {
 		return
 	}
+	l.recordSent(c)
 	conn.Go(req, func(response *ledgerpb.Response, err error) {
+		l.recordEnd(c, response)
 		if err != nil {
 			l.sendExceptOn(c, conn)
 			return
 		}
-		l.recordCompletion(c, response)
 		c.handleResponse(l.seat, response)
 	})
 }
 
-// recordCompletion records a response that means that the member executed a call which may be
-// hedged, rather than rejected it. Other calls need neither its disk nor a quorum.
-func (l *link) recordCompletion(c call, response *ledgerpb.Response) {
+// mayBeHedged reports whether a call may be sent to another member instead. Other calls need
+// neither the member's disk nor a quorum, so they do not show whether it is stalled.
+func mayBeHedged(c call) bool {
 	switch c.(type) {
 	case *relayCall, *readCall:
-	default:
+		return true
+	}
+	return false
+}
+
+func (l *link) recordSent(c call) {
+	if !mayBeHedged(c) {
 		return
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.waiting++; l.waiting == 1 {
+		l.waitingSince = time.Now()
+	}
+}
+
+// recordEnd records the response to a call; nil if there is none.
+func (l *link) recordEnd(c call, response *ledgerpb.Response) {
+	if !mayBeHedged(c) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting--
 	switch response.GetStatus() {
 	case ledgerpb.Status_STATUS_OK, ledgerpb.Status_STATUS_PARTIAL, ledgerpb.Status_STATUS_NOT_FOUND:
-		l.mu.Lock()
-		defer l.mu.Unlock()
 		l.completedAt = time.Now()
 	}
 }
 
+// isStalled reports whether the member has completed none of its calls for lateHedgeDelay.
+func (l *link) isStalled() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	since := l.waitingSince
+	if l.completedAt.After(since) {
+		since = l.completedAt
+	}
+	return l.waiting > 0 && time.Since(since) > lateHedgeDelay
+}
+
 // completedSince reports whether the member has completed a call since a time.
 func (l *link) completedSince(t time.Time) bool {
 	l.mu.Lock()
