relay: while no permits are to be had, only targets without a limit are chosen

A stalled stream could be given up for a target that then had no permit. Change: after one failed question, which takes 150 ms at most, only targets without a limit are chosen, and a stalled stream moves only to such a target. Evidence: TestLimitedTargetGetsNoCallsWithoutPermits, extended by a target without a limit.

--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -28,6 +28,8 @@
 	// MaxWait is the longest time that the call can wait for a permit of a target with a
 	// rate limit.
 	MaxWait time.Duration
+	// Unlimited excludes targets with a rate limit.
+	Unlimited bool
 }
 
 // Choice is the target chosen for a Query.
@@ -96,7 +98,7 @@
 		if !p.query.AllowFull && t.isFullAt(load) {
 			continue
 		}
-		if t.limit.wait(p.now) > p.query.MaxWait {
+		if t.limit.IsLimited && p.query.Unlimited || t.limit.wait(p.now) > p.query.MaxWait {
 			continue
 		}
 		f.candidates = append(f.candidates, candidate{target: t, load: load})
--- a/relay/permit.go
+++ b/relay/permit.go
@@ -10,6 +10,8 @@
 )
 
 const (
+	// permitTimeout bounds how long an attempt asks for one permit.
+	permitTimeout = 150 * time.Millisecond
 	// permitRetryDelay is how long a target with a rate limit is avoided after no permit
 	// could be asked for.
 	permitRetryDelay = 100 * time.Millisecond
@@ -43,7 +45,11 @@
 			query.MaxWait -= loadboard.MaxPermitWait
 			continue
 		}
-		permit := e.relay.acquirePermit(ctx, choice, min(choice.PermitWait+permitSlack, query.MaxWait))
+		permit, err := e.relay.acquirePermit(ctx, choice, min(choice.PermitWait+permitSlack, query.MaxWait))
+		if err != nil {
+			// The same member grants the permits for all targets.
+			query.Unlimited = true
+		}
 		if !permit.Granted {
 			continue
 		}
@@ -56,7 +62,9 @@
 
 // acquirePermit asks for a permit for one request to the chosen target. Without an answer
 // there is none: other processes may be using the whole limit.
-func (r *Relay) acquirePermit(ctx context.Context, choice fleet.Choice, maxWait time.Duration) loadboard.Permit {
+func (r *Relay) acquirePermit(ctx context.Context, choice fleet.Choice, maxWait time.Duration) (loadboard.Permit, error) {
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
 	permit, err := r.permits.AcquirePermit(ctx, choice.Target.Hash(), choice.Limit.PerSecond, maxWait)
 	if err != nil {
 		r.log.Debug().Str("event", "permit_failed").Str("target", choice.Target.ID).Err(err).Msg("")
@@ -66,7 +74,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.fleet.RecordPermitWait(choice.Target.TargetKey, permit.Next, time.Now())
-	return permit
+	return permit, err
 }
 
 func (r *Relay) recordStart(choice fleet.Choice, q fleet.Query) {
--- a/relay/permit_test.go
+++ b/relay/permit_test.go
@@ -120,6 +120,13 @@
 	board.err = errors.New("no member")
 	assert.Equal(t, http.StatusServiceUnavailable, b.call(idempotentPath, "x").status)
 	assert.Len(t, limited.Requests(), 1)
+
+	other := platformtest.NewTarget("i2", platformtest.Respond(http.StatusOK, "yes"))
+	b.update(limited, other)
+	for range 5 {
+		assert.Equal(t, http.StatusOK, b.call(idempotentPath, "x").status)
+	}
+	assert.Len(t, limited.Requests(), 1)
 }
 
 func TestLiftedAndUnreadableLimits(t *testing.T) {
--- a/relay/stalltimer.go
+++ b/relay/stalltimer.go
@@ -118,7 +118,10 @@
 func (e *exchange) onStall() func() bool {
 	// The exchange's fields are read here because the function runs on the timer's
 	// goroutine, while they may change.
-	query, isStream, mayMove, target := e.targetQuery(false), e.route.Kind == catalog.Streaming, e.mayMove(), e.choice.Target.TargetKey
+	query := e.targetQuery(false)
+	// A target that may have no permit is no reason to give this one up.
+	query.Unlimited = true
+	isStream, mayMove, target := e.route.Kind == catalog.Streaming, e.mayMove(), e.choice.Target.TargetKey
 	return func() bool {
 		if mayMove && e.relay.hasTarget(query) && (isStream || e.relay.failovers.Allow()) {
 			return true
