--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -133,9 +133,10 @@
 }
 
 // cost estimates the cost of the call at a target with the given load, in milliseconds: the
-// waits for a slot and for a permit, the processing of prompt tokens that are not cached, the delay by the
-// other calls in the batch, the network round trip, a penalty for recent failures, and what
-// the call costs others if the target is not the one assigned to its prefix or object.
+// waits for a slot and for a permit, the processing of prompt tokens that are not cached, the
+// delay by the other calls in the batch, the network round trip, a penalty for recent
+// failures, and what the call costs others if the target is not the one assigned to its prefix
+// or object.
 // cachedTokens is how many of the prompt's tokens are expected to be cached.
 func (p *placement) cost(t *target, load float64) (ms float64, cachedTokens int) {
 	s := p.service
--- a/loadboard/board.go
+++ b/loadboard/board.go
@@ -58,7 +58,8 @@
 }
 
 // Board holds the latest report of each process, and grants the permits for requests to
-// targets with a rate limit. Invariant: calls and failing are the sums over all reports. It uses no clock and is not safe for concurrent use.
+// targets with a rate limit. Invariant: calls and failing are the sums over all reports. It
+// uses no clock and is not safe for concurrent use.
 type Board struct {
 	reports        map[string]report
 	calls, failing map[uint64]uint32
--- a/loadboard/limits.go
+++ b/loadboard/limits.go
@@ -1,8 +1,6 @@
 package loadboard
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// permitBurst is how far ahead of a target's limit permits may be granted. It is short,
@@ -85,8 +83,8 @@
 }
 
 // Acquire grants one process the permit for one request to a target with a rate limit, if it
-// may be used within maxWait and MaxPermitWait. All permits of a target are granted by one board, so what one
-// process does not use is there for the others.
+// may be used within maxWait and MaxPermitWait. All permits of a target are granted by one
+// board, so what one process does not use is there for the others.
 //
 // Invariant: for any span of time, a board grants at most as many permits for use in it as the
 // target's limit and permitBurst allow.
--- a/relay/permit.go
+++ b/relay/permit.go
@@ -53,9 +53,13 @@
 		if !permit.Granted {
 			continue
 		}
-		e.relay.recordStart(choice, query)
 		ctxwait.Sleep(ctx, permit.Wait)
-		return choice, true
+		if ctx.Err() != nil {
+			return fleet.Choice{}, false
+		}
+		if e.relay.recordStart(choice, query) {
+			return choice, true
+		}
 	}
 	return fleet.Choice{}, false
 }
@@ -77,11 +81,17 @@
 	return permit, err
 }
 
-func (r *Relay) recordStart(choice fleet.Choice, q fleet.Query) {
+// recordStart records the start of an attempt at a target that was chosen before a wait. It
+// returns false if the target has begun to leave since.
+func (r *Relay) recordStart(choice fleet.Choice, q fleet.Query) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.fleet.IsServing(choice.Target.TargetKey) {
+		return false
+	}
 	r.fleet.RecordStart(choice.Target.TargetKey, q.Prompt, time.Now())
 	r.signalLoadChange()
+	return true
 }
 
 // recordLimit records what a target's response says about its rate limit. A refusal without a
--- a/relay/permit_test.go
+++ b/relay/permit_test.go
@@ -129,6 +129,29 @@
 	assert.Len(t, limited.Requests(), 1)
 }
 
+// A caller that disconnects, or a target that announces its shutdown, while a call waits for
+// its permit: the call does not reach the target any more.
+func TestCallIsNotSentAfterWaitForPermit(t *testing.T) {
+	for name, event := range map[string]func(b *testbed, cancel func()){
+		"caller disconnects": func(_ *testbed, cancel func()) { cancel() },
+		"target is gone":     func(b *testbed, _ func()) { b.update() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			limited := platformtest.NewTarget("i1", nameLimit("2", platformtest.Respond(http.StatusOK, "yes")))
+			b := newTestbedWithPermits(t, newMemoryLedger(), newSharedBoard(), limited)
+			for range 2 {
+				require.Equal(t, http.StatusOK, b.call(idempotentPath, "x").status)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			time.AfterFunc(100*time.Millisecond, func() { event(b, cancel) })
+			assert.NotEqual(t, http.StatusOK, b.callWithContext(ctx, idempotentPath, "x").status)
+			time.Sleep(500 * time.Millisecond)
+			assert.Len(t, limited.Requests(), 2)
+		})
+	}
+}
+
 func TestLiftedAndUnreadableLimits(t *testing.T) {
 	answer := platformtest.Respond(http.StatusOK, "yes")
 	target := platformtest.NewTarget("i1", nameLimit("1", answer))
