--- a/ledger/quorum/client_test.go
+++ b/ledger/quorum/client_test.go
@@ -43,22 +43,26 @@
 	return listener.Addr().String()
 }
 
+// serve responds to each request as soon as its script returns, in any order.
 func serve(nc net.Conn, respond script) {
 	defer nc.Close()
-	in := bufio.NewReader(nc)
-	for {
+	var writing sync.Mutex
+	for in := bufio.NewReader(nc); ; {
 		req := &ledgerpb.Request{}
 		if err := protodelim.UnmarshalFrom(in, req); err != nil {
 			return
 		}
-		response := respond(req)
-		if response == nil {
-			continue
-		}
-		response.Seq = req.GetSeq()
-		if _, err := protodelim.MarshalTo(nc, response); err != nil {
-			return
-		}
+		go func() {
+			response := respond(req)
+			if response == nil {
+				return
+			}
+			response.Seq = req.GetSeq()
+			writing.Lock()
+			defer writing.Unlock()
+			// If the write fails, the read ends the connection.
+			_, _ = protodelim.MarshalTo(nc, response)
+		}()
 	}
 }
 
@@ -326,38 +330,16 @@
 // not unresponsive.
 func TestConnectionOutlivesSlowCall(t *testing.T) {
 	release := make(chan struct{})
-	delayFirst := sync.OnceFunc(func() { <-release })
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		nc, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		in, slow := bufio.NewReader(nc), &ledgerpb.Request{}
-		if protodelim.UnmarshalFrom(in, slow) != nil {
-			return
-		}
-		go func() {
-			delayFirst()
-			_, _ = protodelim.MarshalTo(nc, &ledgerpb.Response{Seq: slow.GetSeq()})
-		}()
-		for {
-			req := &ledgerpb.Request{}
-			if protodelim.UnmarshalFrom(in, req) != nil {
-				return
-			}
-			if _, err := protodelim.MarshalTo(nc, &ledgerpb.Response{Seq: req.GetSeq()}); err != nil {
-				return
-			}
+	conn, err := transport.Dial(contextWithTimeout(t, time.Second), startScriptedMember(t, func(req *ledgerpb.Request) *ledgerpb.Response {
+		if req.GetRelay() != nil {
+			<-release
 		}
-	}()
-	conn, err := transport.Dial(contextWithTimeout(t, time.Second), listener.Addr().String())
+		return &ledgerpb.Response{}
+	}))
 	require.NoError(t, err)
 	t.Cleanup(conn.Close)
 	completed := make(chan error, 1)
-	conn.Go(&ledgerpb.Request{}, func(_ *ledgerpb.Response, err error) { completed <- err })
+	conn.Go(relayRequest(), func(_ *ledgerpb.Response, err error) { completed <- err })
 	for began := time.Now(); time.Since(began) < 2*transport.ResponseTimeout; time.Sleep(20 * time.Millisecond) {
 		_, err := conn.Call(contextWithTimeout(t, time.Second), &ledgerpb.Request{})
 		require.NoError(t, err)
@@ -366,6 +348,10 @@
 	assert.NoError(t, <-completed)
 }
 
+func relayRequest() *ledgerpb.Request {
+	return &ledgerpb.Request{Call: &ledgerpb.Request_Relay{Relay: &ledgerpb.Relay{}}}
+}
+
 // A call that a member never completes fails by itself, so that its records are not held for
 // as long as the member responds to others.
 func TestCallWithoutResponseFails(t *testing.T) {
@@ -378,7 +364,7 @@
 	require.NoError(t, err)
 	t.Cleanup(conn.Close)
 	completed := make(chan error, 1)
-	conn.Go(&ledgerpb.Request{Call: &ledgerpb.Request_Relay{Relay: &ledgerpb.Relay{}}}, func(_ *ledgerpb.Response, err error) { completed <- err })
+	conn.Go(relayRequest(), func(_ *ledgerpb.Response, err error) { completed <- err })
 	for {
 		select {
 		case err := <-completed:
--- a/ledger/quorum/hedge_test.go
+++ b/ledger/quorum/hedge_test.go
@@ -1,9 +1,7 @@
 package quorum_test
 
 import (
-	"bufio"
 	"fmt"
-	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -11,7 +9,6 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-	"google.golang.org/protobuf/encoding/protodelim"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
@@ -65,15 +62,12 @@
 // of their processors). Without budget, only calls to members that complete none are hedged.
 func TestCallsToSlowMembersAreNotHedgedWithoutBudget(t *testing.T) {
 	var requests atomic.Int64
-	slow := startConcurrentMember(t, 600*time.Millisecond, func() { requests.Add(1) })
-	view := ledger.View{}
-	for i := range 3 {
-		view = view.With(ledger.Seat{Name: fmt.Sprintf("m%d", i), Addr: slow, Domain: "d0", Ready: true})
+	slow := func(*ledgerpb.Request) *ledgerpb.Response {
+		requests.Add(1)
+		time.Sleep(600 * time.Millisecond)
+		return &ledgerpb.Response{Status: ledgerpb.Status_STATUS_OK}
 	}
-	client := quorum.NewRelayClient("d0", 1, func() []string { return nil })
-	t.Cleanup(client.Close)
-	client.SetView(view)
-	require.Eventually(t, client.Client.HasQuorum, 5*time.Second, 5*time.Millisecond)
+	client := newRelayClient(t, slow, slow, slow)
 	const calls, burst = 200, 20
 	var wait sync.WaitGroup
 	for range calls {
@@ -115,43 +109,6 @@
 	assert.Less(t, time.Since(began), 5*time.Second)
 }
 
-// startConcurrentMember starts a member that responds to each request after a delay, and
-// returns its address.
-func startConcurrentMember(t *testing.T, delay time.Duration, onRequest func()) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			nc, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serveConcurrently(nc, delay, onRequest)
-		}
-	}()
-	return listener.Addr().String()
-}
-
-func serveConcurrently(nc net.Conn, delay time.Duration, onRequest func()) {
-	defer nc.Close()
-	var writing sync.Mutex
-	for in := bufio.NewReader(nc); ; {
-		req := &ledgerpb.Request{}
-		if protodelim.UnmarshalFrom(in, req) != nil {
-			return
-		}
-		onRequest()
-		time.AfterFunc(delay, func() {
-			writing.Lock()
-			defer writing.Unlock()
-			// If the write fails, the reader ends the connection.
-			_, _ = protodelim.MarshalTo(nc, &ledgerpb.Response{Seq: req.GetSeq(), Status: ledgerpb.Status_STATUS_OK})
-		})
-	}
-}
-
 func TestSilentMemberDelaysCallsBriefly(t *testing.T) {
 	client := newRelayClient(t, unresponsive, accepts, accepts)
 	for range 5 {
