ledger/member: no seat is added while another member recovers

Cause: a member with an empty disk still had a ready seat in the view when a new member added its own. Each of the two then needed three sources to copy from and had two, and no quorum of four came together. Change: before it adds its seat, a member asks all others whether they are ready. Evidence: TestNoSeatIsAddedWhileAnotherMemberRecovers, which fails before.

--- a/ledger/member/seat.go
+++ b/ledger/member/seat.go
@@ -9,6 +9,7 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/ctxwait"
 	"github.com/rhubarbsaddle/rhubarbsaddle/discovery"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/transport"
 	"github.com/rhubarbsaddle/rhubarbsaddle/store"
 )
@@ -94,7 +95,10 @@
 }
 
 // takeSeat changes the view so that this member has a seat: it replaces an unresponsive
-// member, or else adds a seat. A seat is only added while all other members are ready.
+// member, or else adds a seat.
+//
+// Invariant: a seat is only added while all other members are ready. A member without a ready
+// replica, and one that has lost its disk, would each lack the other to copy from.
 func (m *Member) takeSeat(ctx context.Context, view ledger.View) error {
 	if view.Version == 0 && !m.options.FirstStart {
 		// The store has a view, but this member has not read it yet.
@@ -109,12 +113,37 @@
 			return m.compareAndSwapView(ctx, view, view.Replacing(unresponsive, m.seat(false)))
 		}
 	}
-	if !view.AllReadyExcept(m.options.Name) {
+	if !view.AllReadyExcept(m.options.Name) || !m.options.FirstStart && !m.othersAreReady(ctx, view) {
 		return nil
 	}
 	return m.compareAndSwapView(ctx, view, view.With(m.seat(m.ready.Load())))
 }
 
+// othersAreReady asks the other members whether they are ready. The view may say that they are
+// although they have lost their disks since.
+func (m *Member) othersAreReady(ctx context.Context, view ledger.View) bool {
+	for _, seat := range view.Seats {
+		if seat.Name != m.options.Name && !m.isReady(ctx, seat, view.Version) {
+			return false
+		}
+	}
+	return true
+}
+
+// isReady reports whether a member is ready. Only such a member knows that no turn has the
+// empty id.
+func (m *Member) isReady(ctx context.Context, seat ledger.Seat, version uint64) bool {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	conn, err := transport.Dial(ctx, seat.Addr)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	response, err := conn.Call(ctx, &ledgerpb.Request{ViewVersion: version, Call: &ledgerpb.Request_ReadChain{ReadChain: &ledgerpb.ReadChain{}}})
+	return err == nil && response.GetStatus() == ledgerpb.Status_STATUS_NOT_FOUND
+}
+
 // markIncomplete marks the member's disk as lacking records: those that were written while
 // it had no seat, or those that are damaged.
 func (m *Member) markIncomplete() error {
