--- a/ledger/member/cluster_test.go
+++ b/ledger/member/cluster_test.go
@@ -345,3 +345,20 @@
 	const removalTimeout = 2 * time.Second
 	require.Eventually(t, func() bool { return version() == 2 }, removalTimeout, 5*time.Millisecond)
 }
+
+// A new member has a seat, and counts in the size of a quorum, before it has copied the
+// records. If another member loses its disk in that time, each of the two lacks the other as a
+// source to copy from, and no quorum comes together any more (membership-under-wipes --vary
+// --seed 16161870366 on slibplan-be, one play in five: RECOVER, LOST).
+func TestDiskLossWhileSeatIsAdded(t *testing.T) {
+	c := newCluster(t)
+	c.startThree()
+	c.write(1, 3)
+	added := c.views.Snapshot().View.With(ledger.Seat{Name: "m4", Addr: freeAddress(t), Domain: "m4", Incarnation: 4})
+	c.store.Put(discovery.ViewKey, added.Encode())
+	require.Eventually(t, func() bool { return c.views.Snapshot().View.Version == added.Version }, waitTimeout, 20*time.Millisecond)
+	c.stop("m3")
+	c.wipe("m3")
+	c.start("m3", false)
+	c.checkChain(3)
+}
