catalog, platform, relay: client accounts and their keys are decoded and checked

Callers: on deployments with accounts every request ran, whatever key it had, and the key reached the targets. Cause: the adapter decoded no accounts. Change: accounts, keys and public routes are part of the configuration; a request without a known key is answered 401, its target gets the account's name in place of the key.

--- a/catalog/config.go
+++ b/catalog/config.go
@@ -59,6 +59,8 @@
 	StoresTurns bool
 	// Retention is how long after its end a turn can be continued.
 	Retention time.Duration
+	// IsPublic is set if requests need no account.
+	IsPublic bool
 }
 
 // Retryable reports whether a request of the route may be executed more than once.
@@ -118,8 +120,12 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Accounts are the client accounts.
+	Accounts []*Account
 
 	byHost map[string][]*Route
+	// accountByKey is nil if requests need no key.
+	accountByKey map[keyDigest]*Account
 }
 
 // Index builds the index that Match uses. It must be called once, before the
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -12,6 +12,7 @@
 const (
 	reasonNoConfig           = "no_configuration"
 	reasonNoRoute            = "no_route"
+	reasonUnknownKey         = "unknown_key"
 	reasonTooLarge           = "body_too_large"
 	reasonBadBody            = "body_unreadable"
 	reasonBadID              = "bad_id"
@@ -86,7 +87,7 @@
 		version = e.config.Version
 	}
 	e.relay.log.Info().Str("event", "request_end").Str("request", e.call.ID).Str("program", e.call.Program).
-		Str("previous", e.call.Previous).Str("route", name).Int64("config", version).Int("status", status).
+		Str("previous", e.call.Previous).Str("route", name).Str("account", e.accountName()).Int64("config", version).Int("status", status).
 		Str("reason", reason).Int("sends", e.attempts).Int("runs", e.executions).Str("target", e.choice.Target.ID).
 		Str("version", e.choice.Target.Version).Str("resumes", e.call.Resumes).Float64("load", e.choice.Load).Float64("cost_ms", e.choice.CostMS).Int("kept", e.choice.CachedTokens).Str("last_target", e.lastTarget).
 		Dur("ledger", e.ledgerWait).Dur("first", e.firstEventAfter).Int("tokens", e.deliveredTokens).
@@ -97,10 +98,11 @@
 	if e.route == nil {
 		return "none"
 	}
-	if e.route.Priority > maxPriorityLabel {
+	priority := e.priority()
+	if priority < 0 || priority > maxPriorityLabel {
 		return "other"
 	}
-	return "priority_" + strconv.Itoa(e.route.Priority)
+	return "priority_" + strconv.Itoa(priority)
 }
 
 // maxPriorityLabel is the highest priority that has its own value of the metric
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -51,6 +51,9 @@
 	route   *catalog.Route
 	config  *catalog.Config
 	service string
+	// account is the caller's client account; nil if the route or the configuration needs
+	// none.
+	account *catalog.Account
 	body    []byte
 	// fingerprints are valid once the body has been read.
 	fingerprints fingerprints
@@ -101,6 +104,9 @@
 		e.respond(http.StatusNotFound, reasonNoRoute)
 		return
 	}
+	if !e.authenticate() {
+		return
+	}
 	e.service = e.route.ServiceFor(e.splitPoint())
 	wait := e.call.TimeLeft
 	if wait <= 0 {
--- a/relay/fingerprint.go
+++ b/relay/fingerprint.go
@@ -26,7 +26,7 @@
 func (e *exchange) computeFingerprints() fingerprints {
 	var d xxhash.Digest
 	d.Reset()
-	for _, text := range []string{e.call.Account, e.req.Method, e.req.Host, e.req.RequestURI} {
+	for _, text := range []string{e.callerIdentity(), e.req.Method, e.req.Host, e.req.RequestURI} {
 		// Writes to a hash digest never fail.
 		_, _ = d.WriteString(text)
 		_, _ = d.WriteString("\x00")
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -39,8 +39,10 @@
 	// TimeLeft is how long the caller will wait for the answer; zero if it is not
 	// given.
 	TimeLeft time.Duration
-	// Account identifies the caller's client account; empty if callers have none.
-	Account string
+	// Credentials are those that the caller sent, and Key the key of a client account among
+	// them; empty if there is none.
+	Credentials string
+	Key         string
 	// Program and Session identify the program and the session that the call is part
 	// of.
 	Program string
@@ -99,6 +101,9 @@
 	ReadCall(http.Header) Call
 	// ForwardHeader returns the caller's headers that are forwarded to the target.
 	ForwardHeader(http.Header) http.Header
+	// SetAccount replaces the credentials in the headers of a request by the name of the
+	// caller's client account, or by nothing if the name is empty.
+	SetAccount(h http.Header, name string)
 	// SetAttempt sets the headers of one attempt at a target.
 	SetAttempt(h http.Header, target string, timeLeft time.Duration, resumeAfter string)
 	// ReadResponse reads the headers of a target's response.
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -150,7 +150,7 @@
 		return false
 	}
 	startsProgram := committed == 0 && t.call.Previous == ""
-	if startsProgram && !t.relay.admits(t.service, t.route.Priority) {
+	if startsProgram && !t.relay.admits(t.service, t.priority()) {
 		t.respondUnavailable(reasonOverload, t.relay.retryAfter(t.service))
 		return false
 	}
