catalog/lint, cli: config check finds mistakes in a configuration before it is sent

Operators: a mistake in a configuration of the platform was seen only once callers were refused. Cause: only sets of the product's own format could be checked. Conclusion: stays out of the daemons; the store remains the judge of what is valid.

--- a/cli/root.go
+++ b/cli/root.go
@@ -34,6 +34,7 @@
 func commands() []*cli.Command {
 	return []*cli.Command{
 		checkCommand(),
+		configCommand(),
 		reportCommand(),
 		explainCommand(),
 		statusCommand(),
--- a/docs/commands_test.go
+++ b/docs/commands_test.go
@@ -104,13 +104,13 @@
 }
 
 // subcommandWords returns the words that name the subcommand: two for the groups
-// bench and report, three for the group bench ablation, else one.
+// bench, report and config, three for the group bench ablation, else one.
 func subcommandWords(words []string) []string {
 	n := 1
 	switch {
 	case len(words) > 1 && words[0] == "bench" && words[1] == "ablation":
 		n = 3
-	case words[0] == "bench" || words[0] == "report":
+	case words[0] == "bench" || words[0] == "report" || words[0] == "config":
 		n = 2
 	}
 	return words[:min(n, len(words))]
