relay: keys are checked again before each attempt

Callers: a request whose key had been revoked after its arrival was still sent, and sent again, to targets; a request from before a version that introduced accounts passed its key on. Cause: the key was checked once, against the configuration at the request's arrival. Change: isAuthorized checks the key against the configuration in force before a target is chosen and right before the request is written. Nothing can have run: 401 key_revoked, or 503 account_changed if the key has become another account's; else 502 or a broken stream. An answer that is under way goes to its end. Missing and unknown keys have reasons of their own in logs and rhubarbsaddle_requests_total; failed attempts are logged with their account. Tests: targets, retries and resumed streams get the name and never the key; revocation before the first attempt, between attempts and in a stream; versions in quick succession, out of order, invalid (keys are in no log line), and through members while the store turns a process away.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -12,7 +12,10 @@
 const (
 	reasonNoConfig           = "no_configuration"
 	reasonNoRoute            = "no_route"
+	reasonNoKey              = "no_key"
 	reasonUnknownKey         = "unknown_key"
+	reasonKeyRevoked         = "key_revoked"
+	reasonAccountChanged     = "account_changed"
 	reasonTooLarge           = "body_too_large"
 	reasonBadBody            = "body_unreadable"
 	reasonBadID              = "bad_id"
@@ -112,7 +115,7 @@
 // logFailedAttempt logs a failed attempt. Crashed means that the target's process has ended.
 func (e *exchange) logFailedAttempt(fail *failure, crashed bool) {
 	choice := e.choice
-	e.relay.log.Info().Str("event", "attempt_failed").Str("request", e.call.ID).Str("target", choice.Target.ID).
+	e.relay.log.Info().Str("event", "attempt_failed").Str("request", e.call.ID).Str("account", e.accountName()).Str("target", choice.Target.ID).
 		Str("version", choice.Target.Version).Str("peer", choice.Target.Addr).Int("send", e.attempts).Uint8("fate", uint8(fail.execution)).Int("status", fail.status).
 		Bool("crashed", crashed).Stringer("fingerprint", e.fingerprints.request).Int("tokens", e.deliveredTokens).
 		Float64("load", choice.Load).Float64("cost_ms", choice.CostMS).AnErr("cause", fail.err).Msg("")
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -132,7 +132,7 @@
 // newRequest returns the request to send to a target.
 func (e *exchange) newRequest(target catalog.Target, body []byte, resumeAfter string) *http.Request {
 	header := e.relay.dialect.ForwardHeader(e.req.Header)
-	if e.config.HasAccounts() {
+	if e.hidesCredentials() {
 		e.relay.dialect.SetAccount(header, e.accountName())
 	}
 	e.relay.dialect.SetAttempt(header, target.ID, time.Until(e.deadline)-deadlineMargin, resumeAfter)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -54,7 +54,11 @@
 	// account is the caller's client account; nil if the route or the configuration needs
 	// none.
 	account *catalog.Account
-	body    []byte
+	// keyConfig is the configuration that the caller's key was last checked against, and
+	// accountErr why the request must not be sent any more.
+	keyConfig  *catalog.Config
+	accountErr *accountError
+	body       []byte
 	// fingerprints are valid once the body has been read.
 	fingerprints fingerprints
 	deadline     time.Time
@@ -212,7 +216,7 @@
 // canExecuteAgain reports whether a request that may have been executed may be sent
 // to one more target.
 func (e *exchange) canExecuteAgain(ctx context.Context) bool {
-	return e.route.Retryable() && ctx.Err() == nil && e.executions < e.route.MaxTargets && e.attempts < maxAttempts && !e.isCondemned()
+	return e.route.Retryable() && ctx.Err() == nil && e.executions < e.route.MaxTargets && e.attempts < maxAttempts && !e.isCondemned() && e.isAuthorized()
 }
 
 // targetQuery returns the query for a target that has not been tried yet.
@@ -242,9 +246,10 @@
 }
 
 // send chooses a target and sends the request to it once. If no target is available, or the
-// request must reach none, it returns neither an attempt nor a failure.
+// request must reach none, it returns neither an attempt nor a failure. The key is checked
+// again after all that may take long, since it may have been revoked meanwhile.
 func (e *exchange) send(ctx context.Context, body []byte, resumeAfter string, allowFull bool) (*attempt, *failure) {
-	if e.isCondemned() {
+	if e.isCondemned() || !e.isAuthorized() {
 		return nil, nil
 	}
 	choice, ok := e.chooseTarget(ctx, allowFull)
@@ -255,7 +260,11 @@
 	e.executions++
 	e.choice = choice
 	e.tried = append(e.tried, choice.Target.TargetKey)
-	if err := e.beforeSend(ctx, choice); err != nil {
+	err := e.beforeSend(ctx, choice)
+	if err == nil && !e.isAuthorized() {
+		err = e.accountErr
+	}
+	if err != nil {
 		e.relay.recordEnd(choice.Target.TargetKey, fleet.Canceled, 0)
 		fail := &failure{execution: notSent, target: choice.Target, err: err}
 		e.recordFailure(ctx, fail)
@@ -355,6 +364,10 @@
 		e.respond(http.StatusBadGateway, reasonAnswerLost)
 		return
 	}
+	if e.accountErr != nil {
+		e.respondNotAuthorized()
+		return
+	}
 	e.respondUnavailable(reasonTargetsFull, e.relay.retryAfter(e.service))
 }
 
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -39,6 +39,8 @@
 	lostOrigins int
 	// overloaded makes the ledger reject the starts of programs.
 	overloaded bool
+	// unreadable is a turn that no quorum can be asked for.
+	unreadable string
 }
 
 func newMemoryLedger() *memoryLedger {
@@ -106,6 +108,9 @@
 func (m *memoryLedger) ReadChain(_ context.Context, turn string) ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if turn == m.unreadable && turn != "" {
+		return nil, context.DeadlineExceeded
+	}
 	text, ok := m.texts[turn]
 	if !ok {
 		return nil, quorum.ErrNoSuchTurn
@@ -127,6 +132,8 @@
 	ledger *memoryLedger
 	server *httptest.Server
 	next   int
+	// edit changes the configuration that update applies, unless it is nil.
+	edit func(*catalog.Config)
 }
 
 // The paths belong to routes that allow two targets for each request.
@@ -160,7 +167,10 @@
 func newTestbedWithOptions(t testing.TB, o relay.Options, m *memoryLedger, targets ...*platformtest.Target) *testbed {
 	t.Helper()
 	b := &testbed{t: t, ledger: m}
-	o.Dialect, o.Ledger, o.Domain, o.Log = platform.Dialect{}, b.ledger, "d", &log.Logger{Level: log.PanicLevel}
+	o.Dialect, o.Ledger, o.Domain = platform.Dialect{}, b.ledger, "d"
+	if o.Log == nil {
+		o.Log = &log.Logger{Level: log.PanicLevel}
+	}
 	o.Metrics = relay.NewMetrics(prometheus.NewRegistry())
 	b.relay = relay.New(o)
 	b.server = httptest.NewServer(b.relay)
@@ -186,6 +196,9 @@
 	}
 	config.Routes[2].Resumable = true
 	config.Routes[3].StoresTurns = true
+	if b.edit != nil {
+		b.edit(config)
+	}
 	config.Index()
 	var declared []catalog.Target
 	for _, target := range targets {
--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -164,7 +164,7 @@
 // logCondemned logs that requests will be refused from now on. The caller holds r.mu.
 func (e *exchange) logCondemned(s quarantine.Subject) {
 	e.relay.metrics.condemned.Inc()
-	e.relay.log.Warn().Str("event", "request_condemned").Str("request", e.call.ID).Str("program", e.call.Program).Str("route", e.route.Name).
+	e.relay.log.Warn().Str("event", "request_condemned").Str("request", e.call.ID).Str("account", e.accountName()).Str("program", e.call.Program).Str("route", e.route.Name).
 		Stringer("fingerprint", fingerprint(s.ID)).Bool("resource", s.IsResource).Strs("targets", e.relay.suspects.tracker.Targets(s.ID)).
 		Msg("the request crashes targets; it and its repeats are refused")
 }
