relay: turns and programs in the ledger belong to a client account

Callers: whoever knew the id of a turn could continue it and read its text in the answer; two accounts with a program of the same name shared its budget. Cause: the ledger's ids were those of the callers. Change: ledgerScope qualifies the ids of programs, turns and stream origins by the account, in every call to the ledger. Another account's turn does not exist for the ledger, so the quorum's "no such turn" stays exact: 404. Public routes have a scope of their own. A turn from before the configuration had accounts is nobody's: 503 turn_of_unknown_account, also if that cannot be determined. Without accounts the ids are what they were. Tests: another account's, a public, an older and an unreadable turn, through an entry that has restarted; budgets of two accounts; ids of different scopes differ.

--- a/relay/account.go
+++ b/relay/account.go
@@ -45,7 +45,7 @@
 		e.respondNotAuthorized()
 		return false
 	}
-	e.account = account
+	e.account, e.scope = account, newLedgerScope(e.config, account)
 	return true
 }
 
--- a/relay/account_test.go
+++ b/relay/account_test.go
@@ -199,3 +199,40 @@
 		}
 	}
 }
+
+// Any caller who knew a turn's id could continue it and read its text in the answer.
+func TestTurnsAndBudgetsBelongToAccounts(t *testing.T) {
+	targets := []*platformtest.Target{platformtest.NewTarget("i1", platformtest.StreamEvents(2, 0, 0))}
+	shared := newMemoryLedger()
+	old := newTestbedWithLedger(t, shared, targets...)
+	budgeted := []string{program, "p", budget, "60", usage, "5,50"}
+	require.NoError(t, old.callWithID("old", storedTurnsPath, "old", budgeted...).err)
+	one := newTestbedWithLedger(t, shared, targets...)
+	one.setAccounts(targets, "a", "b")
+	require.NoError(t, one.callWithID("a1", storedTurnsPath, "secret,", asAccount("a", budgeted...)...).err)
+	require.NoError(t, one.callWithID("public1", publicPath, "x").err)
+
+	restarted := newTestbedWithLedger(t, shared, targets...)
+	restarted.setAccounts(targets, "a", "b", "c")
+	for name, c := range map[string]struct {
+		path, account, previous string
+		status                  int
+	}{
+		"own":                  {storedTurnsPath, "a", "a1", http.StatusOK},
+		"of another account":   {storedTurnsPath, "b", "a1", http.StatusNotFound},
+		"public":               {publicPath, "a", "public1", http.StatusOK},
+		"of an account":        {publicPath, "a", "a1", http.StatusNotFound},
+		"of a public route":    {storedTurnsPath, "a", "public1", http.StatusNotFound},
+		"before accounts":      {storedTurnsPath, "a", "old", http.StatusServiceUnavailable},
+		"public, before them":  {publicPath, "a", "old", http.StatusServiceUnavailable},
+		"cannot be determined": {storedTurnsPath, "a", "unreadable", http.StatusServiceUnavailable},
+	} {
+		shared.unreadable = "unreadable"
+		sent := len(targets[0].Requests())
+		assert.Equal(t, c.status, restarted.call(c.path, "x", asAccount(c.account, previousTurn, c.previous)...).status, name)
+		requests := targets[0].Requests()
+		assert.Equal(t, c.status == http.StatusOK, len(requests) > sent, name)
+	}
+	assert.Equal(t, http.StatusPaymentRequired, restarted.call(storedTurnsPath, "x", asAccount("a", budgeted...)...).status)
+	assert.Equal(t, http.StatusOK, restarted.call(storedTurnsPath, "x", asAccount("b", budgeted...)...).status, "another account's program of that name")
+}
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -25,6 +25,7 @@
 	reasonAnswerLost         = "answer_lost"
 	reasonBudgetSpent        = "budget_spent"
 	reasonUnknownTurn        = "no_such_turn"
+	reasonTurnOwnerUnknown   = "turn_of_unknown_account"
 	reasonLedgerUnavailable  = "ledger_unavailable"
 	reasonTurnNotStored      = "turn_not_kept"
 	reasonStreamBroken       = "stream_broken"
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -58,6 +58,7 @@
 	// accountErr why the request must not be sent any more.
 	keyConfig  *catalog.Config
 	accountErr *accountError
+	scope      ledgerScope
 	body       []byte
 	// fingerprints are valid once the body has been read.
 	fingerprints fingerprints
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -71,9 +71,15 @@
 	Resumes string
 }
 
-// storable reports whether the call's ids are valid UTF-8, which the ledger requires.
+// storable reports whether the call's ids are valid UTF-8, which the ledger requires, and can
+// be qualified by an account.
 func (c *Call) storable() bool {
-	return utf8.ValidString(c.ID) && utf8.ValidString(c.Program) && utf8.ValidString(c.Previous)
+	for _, id := range []string{c.ID, c.Program, c.Previous} {
+		if !utf8.ValidString(id) || !isScopable(id) {
+			return false
+		}
+	}
+	return true
 }
 
 // TargetResponse is a target's response as described by its headers.
--- /dev/null
+++ b/relay/scope_test.go
@@ -0,0 +1,33 @@
+package relay
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
+)
+
+func TestQualifiedIDsAreDistinct(t *testing.T) {
+	config := &catalog.Config{}
+	plain := newLedgerScope(config, nil)
+	config.RequireAccounts()
+	seen := make(map[string]bool)
+	for _, scope := range []ledgerScope{plain, newLedgerScope(config, nil), newLedgerScope(config, &catalog.Account{Name: "a"}), newLedgerScope(config, &catalog.Account{Name: "a\x1fb"})} {
+		assert.Empty(t, scope.qualify(""))
+		for _, id := range []string{"b", "a", "ab"} {
+			assert.False(t, seen[scope.qualify(id)], id)
+			seen[scope.qualify(id)] = true
+		}
+	}
+	assert.False(t, (&Call{ID: "a\x1fb"}).storable())
+}
+
+func TestAccountPriorityPrecedesThatOfRoute(t *testing.T) {
+	e := &exchange{route: &catalog.Route{Priority: 2}}
+	assert.Equal(t, 2, e.priority())
+	e.account = &catalog.Account{Name: "a", Priority: 1}
+	assert.Equal(t, 2, e.priority())
+	e.account.HasPriority = true
+	assert.Equal(t, 1, e.priority())
+}
--- a/relay/software.go
+++ b/relay/software.go
@@ -55,9 +55,9 @@
 // that the given request began. A stream without a budget has one of its own.
 func (t *turn) originProgram(request string) string {
 	if t.hasBudget() {
-		return t.call.Program
+		return t.scope.qualify(t.call.Program)
 	}
-	return "stream/" + request
+	return t.scope.qualify("stream/" + request)
 }
 
 func (t *turn) originRetentionMS() uint64 {
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -85,7 +85,7 @@
 	spending, chain, err := t.reserveAndReadChain(ctx)
 	t.relay.ledgerDelay.observe(asked, time.Now())
 	if errors.Is(err, quorum.ErrNoSuchTurn) {
-		t.respond(http.StatusNotFound, reasonUnknownTurn)
+		t.respondUnknownTurn(ctx)
 		return false
 	}
 	if errors.Is(err, quorum.ErrOverloaded) {
@@ -114,6 +114,25 @@
 	return true
 }
 
+// respondUnknownTurn answers a turn whose account has no turn with the id of the previous one.
+// A turn with that id that belongs to no account was stored before the configuration had
+// accounts, so nothing shows whose it is.
+func (t *turn) respondUnknownTurn(ctx context.Context) {
+	if t.scope.isQualified() {
+		_, err := t.relay.ledger.ReadChain(ctx, t.call.Previous)
+		if err == nil {
+			t.respondUnavailable(reasonTurnOwnerUnknown, ledgerRetryAfter)
+			return
+		}
+		if !errors.Is(err, quorum.ErrNoSuchTurn) {
+			t.lastErr = err
+			t.respondLedgerUnavailable()
+			return
+		}
+	}
+	t.respond(http.StatusNotFound, reasonUnknownTurn)
+}
+
 // reserveAndReadChain reserves the turn's tokens and concurrently reads the chain
 // that it continues. ErrNoSuchTurn takes precedence over other errors, since it is
 // definite.
@@ -121,11 +140,11 @@
 	var chainErr error
 	var wait sync.WaitGroup
 	if t.continuesChain() {
-		wait.Go(func() { chain, chainErr = t.relay.ledger.ReadChain(ctx, t.call.Previous) })
+		wait.Go(func() { chain, chainErr = t.relay.ledger.ReadChain(ctx, t.scope.qualify(t.call.Previous)) })
 	}
 	if t.hasBudget() {
 		t.hasReservation = true
-		record := ledger.NewReservation(t.call.Program, t.call.ID, t.call.MaxTokens, uint64(t.route.Retention.Milliseconds()))
+		record := ledger.NewReservation(t.programID(), t.call.ID, t.call.MaxTokens, uint64(t.route.Retention.Milliseconds()))
 		if !t.isResume() {
 			t.software = t.likelySoftware()
 			record.GetReservation().Software = t.software
@@ -188,7 +207,7 @@
 		return
 	}
 	t.hasReservation = false
-	record := ledger.NewSettlement(t.call.Program, t.call.ID, t.deliveredTokens, t.choice.Target.ID)
+	record := ledger.NewSettlement(t.programID(), t.call.ID, t.deliveredTokens, t.choice.Target.ID)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
@@ -205,11 +224,11 @@
 // settlement.
 func (t *turn) store(ctx context.Context) error {
 	records := []*ledgerpb.Record{ledger.NewTurn(&ledgerpb.Turn{
-		Program: t.programID(), Id: t.call.ID, Previous: t.call.Previous,
+		Program: t.programID(), Id: t.scope.qualify(t.call.ID), Previous: t.scope.qualify(t.call.Previous),
 		Input: t.exchange.body, Output: t.output, RetentionMs: uint64(t.route.Retention.Milliseconds()),
 	})}
 	if t.hasReservation {
-		records = append(records, ledger.NewSettlement(t.call.Program, t.call.ID, t.deliveredTokens, t.choice.Target.ID))
+		records = append(records, ledger.NewSettlement(t.programID(), t.call.ID, t.deliveredTokens, t.choice.Target.ID))
 	}
 	if _, err := t.relay.ledger.Append(ctx, records...); err != nil {
 		return err
@@ -218,13 +237,13 @@
 	return nil
 }
 
-// programID returns the id of the program that a stored turn belongs to. A turn without
-// a program gets its own id.
+// programID returns the id in the ledger of the turn's program. A turn without a program
+// gets one of its own.
 func (t *turn) programID() string {
 	if t.call.Program != "" {
-		return t.call.Program
+		return t.scope.qualify(t.call.Program)
 	}
-	return "turn/" + t.call.ID
+	return t.scope.qualify("turn/" + t.call.ID)
 }
 
 // tokensPerEvent returns how many tokens one event of the service counts for.
