relay: requests are counted by client account

Operators could not tell whose requests an entry serves. Change: rhubarbsaddle_account_requests_total counts the requests with the key of an account, at most 256 accounts by name, the others together.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -80,6 +80,9 @@
 func (e *exchange) logRequestEnd(status int, reason string) {
 	duration := time.Since(e.arrived)
 	e.relay.metrics.observeRequest(e.priorityLabel(), reason, duration)
+	if e.account != nil {
+		e.relay.metrics.countAccount(e.account.Name)
+	}
 	if reason == reasonAnswered && !e.relay.logQuota.allow(time.Now()) {
 		e.relay.metrics.unlogged.Inc()
 		return
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -18,6 +19,8 @@
 	permits         *prometheus.CounterVec
 	lostByCrash     prometheus.Counter
 	condemned       prometheus.Counter
+	accounts        *prometheus.CounterVec
+	accountLabels   accountLabels
 }
 
 // buckets are in seconds and range from a few milliseconds to the longest deadlines.
@@ -54,7 +57,10 @@
 	m.condemned = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "rhubarbsaddle_requests_condemned_total", Help: "Requests found to crash targets, which are refused from then on; each is counted once.",
 	})
-	reg.MustRegister(m.lostByCrash, m.condemned, m.unlogged, m.permits, m.requests, m.duration, m.firstEventDelay, m.connects, m.staleResponses)
+	m.accounts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "rhubarbsaddle_account_requests_total", Help: "Requests with the key of a client account; the accounts beyond the first 256 count as other.",
+	}, []string{"account"})
+	reg.MustRegister(m.accounts, m.lostByCrash, m.condemned, m.unlogged, m.permits, m.requests, m.duration, m.firstEventDelay, m.connects, m.staleResponses)
 	return m
 }
 
@@ -72,3 +78,36 @@
 		m.firstEventDelay.Observe(delay.Seconds())
 	}
 }
+
+func (m *Metrics) countAccount(name string) {
+	m.accounts.WithLabelValues(m.accountLabels.labelOf(name)).Inc()
+}
+
+const (
+	// maxAccountLabels bounds the accounts that have their own value of the metric label.
+	maxAccountLabels = 256
+	// otherAccounts is the label of all further ones.
+	otherAccounts = "other"
+)
+
+// accountLabels are the accounts that have their own label. It is safe for concurrent use.
+type accountLabels struct {
+	mu    sync.Mutex
+	names map[string]struct{}
+}
+
+func (l *accountLabels) labelOf(name string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.names[name]; ok {
+		return name
+	}
+	if len(l.names) >= maxAccountLabels {
+		return otherAccounts
+	}
+	if l.names == nil {
+		l.names = make(map[string]struct{})
+	}
+	l.names[name] = struct{}{}
+	return name
+}
--- a/relay/scope_test.go
+++ b/relay/scope_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -31,3 +32,16 @@
 	e.account.HasPriority = true
 	assert.Equal(t, 1, e.priority())
 }
+
+// A configuration could bring any number of accounts.
+func TestAccountLabelsAreBounded(t *testing.T) {
+	var labels accountLabels
+	for i := range 2 * maxAccountLabels {
+		want := strconv.Itoa(i)
+		if i >= maxAccountLabels {
+			want = otherAccounts
+		}
+		assert.Equal(t, want, labels.labelOf(strconv.Itoa(i)))
+	}
+	assert.Equal(t, "3", labels.labelOf("3"))
+}
