--- a/relay/account_test.go
+++ b/relay/account_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
+	"github.com/rhubarbsaddle/rhubarbsaddle/loadboard"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform/platformtest"
 	"github.com/rhubarbsaddle/rhubarbsaddle/relay"
@@ -236,3 +238,27 @@
 	assert.Equal(t, http.StatusPaymentRequired, restarted.call(storedTurnsPath, "x", asAccount("a", budgeted...)...).status)
 	assert.Equal(t, http.StatusOK, restarted.call(storedTurnsPath, "x", asAccount("b", budgeted...)...).status, "another account's program of that name")
 }
+
+// askedPermits calls asked before it grants a permit.
+type askedPermits struct{ asked func() }
+
+func (p *askedPermits) AcquirePermit(context.Context, uint64, float64, time.Duration) (loadboard.Permit, error) {
+	p.asked()
+	return loadboard.Permit{Granted: true}, nil
+}
+
+// A key is revoked after a target has been chosen, while the request waits for its permit.
+func TestKeyRevokedDuringWaitForPermit(t *testing.T) {
+	target := platformtest.NewTarget("i1", nameLimit("1000", platformtest.StreamEvents(2, 0, 0)))
+	permits := &askedPermits{}
+	b := newTestbedWithPermits(t, newMemoryLedger(), permits, target)
+	for _, path := range []string{idempotentPath, nonIdempotentPath, resumablePath, storedTurnsPath} {
+		b.setAccounts([]*platformtest.Target{target}, "a")
+		permits.asked = func() {}
+		require.Equal(t, http.StatusOK, b.call(path, "x", asAccount("a")...).status)
+		sent := len(target.Requests())
+		permits.asked = func() { b.setAccounts([]*platformtest.Target{target}, "b") }
+		assert.Equal(t, http.StatusUnauthorized, b.call(path, "x", asAccount("a")...).status, path)
+		assert.Len(t, target.Requests(), sent)
+	}
+}
