--- a/relay/answer.go
+++ b/relay/answer.go
@@ -12,7 +12,10 @@
 const (
 	reasonNoConfig           = "no_configuration"
 	reasonNoRoute            = "no_route"
+	reasonNoKey              = "no_key"
 	reasonUnknownKey         = "unknown_key"
+	reasonKeyRevoked         = "key_revoked"
+	reasonAccountChanged     = "account_changed"
 	reasonTooLarge           = "body_too_large"
 	reasonBadBody            = "body_unreadable"
 	reasonBadID              = "bad_id"
@@ -22,6 +25,7 @@
 	reasonAnswerLost         = "answer_lost"
 	reasonBudgetSpent        = "budget_spent"
 	reasonUnknownTurn        = "no_such_turn"
+	reasonTurnOwnerUnknown   = "turn_of_unknown_account"
 	reasonLedgerUnavailable  = "ledger_unavailable"
 	reasonTurnNotStored      = "turn_not_kept"
 	reasonStreamBroken       = "stream_broken"
@@ -76,6 +80,9 @@
 func (e *exchange) logRequestEnd(status int, reason string) {
 	duration := time.Since(e.arrived)
 	e.relay.metrics.observeRequest(e.priorityLabel(), reason, duration)
+	if e.account != nil {
+		e.relay.metrics.countAccount(e.account.Name)
+	}
 	if reason == reasonAnswered && !e.relay.logQuota.allow(time.Now()) {
 		e.relay.metrics.unlogged.Inc()
 		return
@@ -112,7 +119,7 @@
 // logFailedAttempt logs a failed attempt. Crashed means that the target's process has ended.
 func (e *exchange) logFailedAttempt(fail *failure, crashed bool) {
 	choice := e.choice
-	e.relay.log.Info().Str("event", "attempt_failed").Str("request", e.call.ID).Str("target", choice.Target.ID).
+	e.relay.log.Info().Str("event", "attempt_failed").Str("request", e.call.ID).Str("account", e.accountName()).Str("target", choice.Target.ID).
 		Str("version", choice.Target.Version).Str("peer", choice.Target.Addr).Int("send", e.attempts).Uint8("fate", uint8(fail.execution)).Int("status", fail.status).
 		Bool("crashed", crashed).Stringer("fingerprint", e.fingerprints.request).Int("tokens", e.deliveredTokens).
 		Float64("load", choice.Load).Float64("cost_ms", choice.CostMS).AnErr("cause", fail.err).Msg("")
--- a/relay/permit_test.go
+++ b/relay/permit_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
 	"github.com/rhubarbsaddle/rhubarbsaddle/loadboard"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform/platformtest"
 )
@@ -58,7 +59,11 @@
 			for range 3 {
 				b := newTestbedWithPermits(t, newMemoryLedger(), board, limited, other)
 				// Entries avoid a target that misses the objective, here if the test's machine is slow.
-				b.latencyTarget = time.Minute
+				b.edit = func(c *catalog.Config) {
+					for i := range c.Routes {
+						c.Routes[i].LatencyTarget = time.Minute
+					}
+				}
 				b.update(limited, other)
 				for before := len(limited.Requests()); len(limited.Requests()) == before; {
 					b.call(path, "x")
