tokenbucket, loadboard: permits use a bucket that quotas can share

Callers: nothing changes. Cause: the permits of a target's limit kept their own virtual scheduling; quotas of accounts need the same. Change: the form is a type of its own, without a clock, with the rate and the capacity as the caller's; permits use it. Checked: the tests of loadboard pass unchanged.

--- a/loadboard/limits.go
+++ b/loadboard/limits.go
@@ -1,6 +1,10 @@
 package loadboard
 
-import "time"
+import (
+	"time"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/tokenbucket"
+)
 
 const (
 	// permitBurst is how far ahead of a target's limit permits may be granted. It is short,
@@ -31,12 +35,12 @@
 }
 
 // limit is the state of one target's rate limit: the latest observation of any process, and
-// the time at which all granted permits are used up if they are used at the rate of the limit.
+// the permits that have been granted.
 type limit struct {
 	perSecond  float64
 	isLimited  bool
 	observedAt time.Time
-	usedUntil  time.Time
+	permits    tokenbucket.Bucket
 }
 
 // recordLimits adopts those observations of a process that are the latest.
@@ -97,20 +101,17 @@
 	if wait > min(maxWait, MaxPermitWait) {
 		return Permit{Wait: wait, Next: wait}
 	}
-	if l.usedUntil.Before(now) {
-		l.usedUntil = now
-	}
 	// The caller's limit may be older or newer than the board's; the lower one is safe.
 	if l.isLimited {
 		perSecond = min(perSecond, l.perSecond)
 	}
-	l.usedUntil = l.usedUntil.Add(time.Duration(float64(time.Second) / max(perSecond, minPermitRate)))
+	l.permits.Take(tokenbucket.Period(1, max(perSecond, minPermitRate)), now)
 	return Permit{Granted: true, Wait: wait, Next: l.wait(now)}
 }
 
 // wait returns the time until the next permit.
 func (l *limit) wait(now time.Time) time.Duration {
-	return max(0, l.usedUntil.Sub(now.Add(permitBurst)))
+	return l.permits.Wait(permitBurst, now)
 }
 
 // expireLimits removes the limits that no process has observed for long.
