loadboard, ledger: the board grants requests out of the quotas of accounts

Callers: an account could send any number of requests, since no entry knew what others had let through. Cause: nobody kept the sum. Change: the member that holds the load board keeps a bucket an account and grants requests in batches (AcquireQuota). The ask for a permit and the one for a quota share one path in the client.

--- a/ledger/member/serve.go
+++ b/ledger/member/serve.go
@@ -114,6 +114,8 @@
 		respond(m.exchangeLoad(call.ExchangeLoad))
 	case *ledgerpb.Request_AcquirePermit:
 		respond(m.acquirePermit(call.AcquirePermit))
+	case *ledgerpb.Request_AcquireQuota:
+		respond(m.acquireQuota(call.AcquireQuota))
 	case *ledgerpb.Request_ReadRecords:
 		m.post(ledger.RecordsRequested{RequestID: m.newRequestID(respond), Keys: call.ReadRecords.GetKeys()})
 	default:
@@ -159,6 +161,18 @@
 	return &ledgerpb.Response{Status: ledgerpb.Status_STATUS_OK, Permit: ledger.EncodePermit(permit)}
 }
 
+// acquireQuota grants requests out of an account's quota. A member that has lost the others
+// rejects all, like acquirePermit.
+func (m *Member) acquireQuota(call *ledgerpb.AcquireQuota) *ledgerpb.Response {
+	if !m.peers.HasQuorum() {
+		return &ledgerpb.Response{Status: ledgerpb.Status_STATUS_FAILED}
+	}
+	m.loadMu.Lock()
+	defer m.loadMu.Unlock()
+	grant := m.load.AcquireQuota(ledger.DecodeQuotaAsk(call), time.Now())
+	return &ledgerpb.Response{Status: ledgerpb.Status_STATUS_OK, Quota: ledger.EncodeQuotaGrant(grant)}
+}
+
 // listKeys responds with the keys of the stored records. The caller is a member that
 // copies or hands over records. It relies on this member to reject writers with older
 // views, so both must use the same view.
--- a/ledger/quorum/load.go
+++ b/ledger/quorum/load.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
@@ -40,57 +41,76 @@
 	}
 }
 
-// permitTimeout bounds how long to wait for one member's permit before the next is asked. It
-// is several round trips; callers wait meanwhile.
-const permitTimeout = 60 * time.Millisecond
+// boardTimeout bounds how long to wait for one member's permit or grant before the next is
+// asked. It is several round trips; callers wait meanwhile.
+const boardTimeout = 60 * time.Millisecond
 
 // AcquirePermit asks for the permit to send one request, within maxWait, to a target with a
 // rate limit in requests per second. All clients ask the same member among those that they are
 // connected to and that have a quorum.
-func (c *Client) AcquirePermit(ctx context.Context, target uint64, perSecond float64, maxWait time.Duration) (permit loadboard.Permit, err error) {
+func (c *Client) AcquirePermit(ctx context.Context, target uint64, perSecond float64, maxWait time.Duration) (loadboard.Permit, error) {
 	ask := &ledgerpb.AcquirePermit{Target: target, PerSecond: perSecond, MaxWaitUs: uint64(max(0, maxWait.Microseconds()))}
-	err = &Error{Step: "permit", Peer: "no member", Err: ErrNoMembership}
+	response, err := c.askBoard(ctx, "permit", &ledgerpb.Request{Call: &ledgerpb.Request_AcquirePermit{AcquirePermit: ask}})
+	if err != nil {
+		return loadboard.Permit{}, err
+	}
+	return ledger.DecodePermit(response.GetPermit()), nil
+}
+
+// AcquireQuota asks for requests out of an account's quota, of the same member as
+// AcquirePermit.
+func (c *Client) AcquireQuota(ctx context.Context, ask loadboard.QuotaAsk) (loadboard.QuotaGrant, error) {
+	response, err := c.askBoard(ctx, "quota", &ledgerpb.Request{Call: &ledgerpb.Request_AcquireQuota{AcquireQuota: ledger.EncodeQuotaAsk(ask)}})
+	if err != nil {
+		return loadboard.QuotaGrant{}, err
+	}
+	return ledger.DecodeQuotaGrant(response.GetQuota()), nil
+}
+
+// askBoard sends a request to the member that holds the load board, or to the next one if that
+// does not answer.
+func (c *Client) askBoard(ctx context.Context, step string, request *ledgerpb.Request) (response *ledgerpb.Response, err error) {
+	err = &Error{Step: step, Peer: "no member", Err: ErrNoMembership}
 	for _, l := range c.loadLinks() {
-		if permit, err = askPermit(ctx, l, ask); err == nil || ctx.Err() != nil {
+		if response, err = askMember(ctx, l, step, request); err == nil || ctx.Err() != nil {
 			break
 		}
 	}
-	return permit, err
+	return response, err
 }
 
-// askPermit asks one member for a permit.
-func askPermit(ctx context.Context, l *link, ask *ledgerpb.AcquirePermit) (loadboard.Permit, error) {
-	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+func askMember(ctx context.Context, l *link, step string, request *ledgerpb.Request) (*ledgerpb.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, boardTimeout)
 	defer cancel()
-	call := &permitCall{ask: ask, response: make(chan *ledgerpb.Response, 1)}
+	call := &boardCall{ask: proto.CloneOf(request), response: make(chan *ledgerpb.Response, 1)}
 	l.send(call)
 	select {
 	case response := <-call.response:
 		if status := response.GetStatus(); status != ledgerpb.Status_STATUS_OK {
-			return loadboard.Permit{}, &Error{Step: "permit", Peer: l.seat.Name, Err: fmt.Errorf("status %v", status)}
+			return nil, &Error{Step: step, Peer: l.seat.Name, Err: fmt.Errorf("status %v", status)}
 		}
-		return ledger.DecodePermit(response.GetPermit()), nil
+		return response, nil
 	case <-ctx.Done():
-		return loadboard.Permit{}, &Error{Step: "permit", Peer: l.seat.Name, Err: ctx.Err()}
+		return nil, &Error{Step: step, Peer: l.seat.Name, Err: ctx.Err()}
 	}
 }
 
-// permitCall is one request for a permit to one member. It is sent on one connection only,
+// boardCall is one request to the load board of one member. It is sent on one connection only,
 // since its sender asks the next member instead.
-type permitCall struct {
-	ask      *ledgerpb.AcquirePermit
+type boardCall struct {
+	ask      *ledgerpb.Request
 	response chan *ledgerpb.Response
 	isSent   atomic.Bool
 }
 
-func (c *permitCall) request() *ledgerpb.Request {
+func (c *boardCall) request() *ledgerpb.Request {
 	if c.isSent.Swap(true) {
 		return nil
 	}
-	return &ledgerpb.Request{Call: &ledgerpb.Request_AcquirePermit{AcquirePermit: c.ask}}
+	return c.ask
 }
 
-func (c *permitCall) handleResponse(_ ledger.Seat, response *ledgerpb.Response) {
+func (c *boardCall) handleResponse(_ ledger.Seat, response *ledgerpb.Response) {
 	c.response <- response
 }
 
--- a/loadboard/board.go
+++ b/loadboard/board.go
@@ -71,8 +71,8 @@
 	at time.Time
 }
 
-// Board holds the latest report of each process, and grants the permits for requests to
-// targets with a rate limit. Invariant: calls, failing and suspects are the sums over all
+// Board holds the latest report of each process, grants the permits for requests to targets
+// with a rate limit, and grants processes their requests out of the quotas of accounts. Invariant: calls, failing and suspects are the sums over all
 // reports. It uses no clock and is not safe for concurrent use.
 type Board struct {
 	// id distinguishes the board from those of other members and of earlier processes.
@@ -81,6 +81,8 @@
 	calls, failing, suspects map[uint64]uint32
 	limits                   map[uint64]*limit
 	facts                    factLog
+	quotas                   map[uint64]*quotaState
+	coverage                 coverage
 	nextExpiry               time.Time
 }
 
@@ -89,6 +91,7 @@
 	return &Board{
 		id: rand.Uint64(), reports: make(map[string]report), calls: make(map[uint64]uint32), failing: make(map[uint64]uint32),
 		suspects: make(map[uint64]uint32), limits: make(map[uint64]*limit), facts: factLog{byKey: make(map[factKey]uint64)},
+		quotas: make(map[uint64]*quotaState), coverage: coverage{reportedAt: make(map[string]time.Time)},
 	}
 }
 
@@ -96,6 +99,7 @@
 func (b *Board) Exchange(process string, own Report, now time.Time) Summary {
 	b.expire(now)
 	b.remove(process)
+	b.coverage.report(process, now)
 	b.recordLimits(own.Limits, now)
 	others := Summary{Calls: greatest(b.calls), Failing: greatest(b.failing), Suspects: greatest(b.suspects), Limits: b.knownLimits(now)}
 	others.Facts, others.Position = b.exchangeFacts(own, now)
@@ -152,6 +156,8 @@
 	}
 	b.nextExpiry = now.Add(expirePeriod)
 	b.expireLimits(now)
+	b.coverage.update(now)
+	b.expireQuotas(now)
 	b.facts.expire(now)
 	for process, r := range b.reports {
 		if now.Sub(r.at) > reportTTL {
