relay: requests over the quota of their account are answered 429

Callers: on deployments with quotas every request ran. Cause: the quota was decoded and not kept. Change: a request is charged once it is read and before the ledger is asked, refunded if no target can have run it, charged again for each further execution. Over the quota: 429 at once with a Retry-After at which there is room, one after the other. While no board answers and the entry's own share is used: 503, since it is not known whether the account is over it.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -13,6 +13,8 @@
 	reasonNoConfig           = "no_configuration"
 	reasonNoRoute            = "no_route"
 	reasonUnknownKey         = "unknown_key"
+	reasonOverQuota          = "over_quota"
+	reasonQuotaUnknown       = "quota_unknown"
 	reasonTooLarge           = "body_too_large"
 	reasonBadBody            = "body_unreadable"
 	reasonBadID              = "bad_id"
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -66,6 +66,9 @@
 	// process, and the execution with it, has ended.
 	mayHaveRun bool
 	tried      []catalog.TargetKey
+	// charged is how many executions were charged to the account's quota, and runs how many
+	// targets may have run the request.
+	charged, runs int
 	// lastErr is why the last attempt failed.
 	lastErr error
 	// lastTarget is the id of the target that executed the program's previous turn,
@@ -125,6 +128,10 @@
 		e.respondCondemned()
 		return
 	}
+	if !e.admitByQuota() {
+		return
+	}
+	defer e.refundQuota()
 	ctx, cancel := context.WithDeadline(e.req.Context(), e.deadline)
 	defer cancel()
 	if e.route.Kind == catalog.Streaming {
@@ -261,10 +268,14 @@
 		e.recordFailure(ctx, fail)
 		return nil, fail
 	}
+	e.chargeExecution()
 	a, fail := e.relay.startAttempt(ctx, e, choice.Target, body, resumeAfter)
 	if fail == nil && a.responseInfo.NotExecuted {
 		fail = e.readRefusal(a)
 	}
+	if fail == nil || fail.execution == mayHaveExecuted {
+		e.runs++
+	}
 	if fail == nil {
 		return a, nil
 	}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/quota"
 )
 
 // Metrics are the Prometheus metrics of a relay.
@@ -18,6 +20,7 @@
 	permits         *prometheus.CounterVec
 	lostByCrash     prometheus.Counter
 	condemned       prometheus.Counter
+	quotas          *prometheus.CounterVec
 }
 
 // buckets are in seconds and range from a few milliseconds to the longest deadlines.
@@ -54,7 +57,10 @@
 	m.condemned = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "rhubarbsaddle_requests_condemned_total", Help: "Requests found to crash targets, which are refused from then on; each is counted once.",
 	})
-	reg.MustRegister(m.lostByCrash, m.condemned, m.unlogged, m.permits, m.requests, m.duration, m.firstEventDelay, m.connects, m.staleResponses)
+	m.quotas = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "rhubarbsaddle_quota_decisions_total", Help: "Requests of accounts with a quota, by how it was decided whether they are within it.",
+	}, []string{"outcome"})
+	reg.MustRegister(m.quotas, m.lostByCrash, m.condemned, m.unlogged, m.permits, m.requests, m.duration, m.firstEventDelay, m.connects, m.staleResponses)
 	return m
 }
 
@@ -67,6 +73,10 @@
 	m.permits.WithLabelValues(strconv.FormatBool(granted)).Inc()
 }
 
+func (m *Metrics) countQuota(outcome quota.Outcome) {
+	m.quotas.WithLabelValues(outcome.String()).Inc()
+}
+
 func (m *Metrics) observeFirstEvent(delay time.Duration) {
 	if delay > 0 {
 		m.firstEventDelay.Observe(delay.Seconds())
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -21,6 +21,7 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 	"github.com/rhubarbsaddle/rhubarbsaddle/loadboard"
 	"github.com/rhubarbsaddle/rhubarbsaddle/mechanism"
+	"github.com/rhubarbsaddle/rhubarbsaddle/quota"
 )
 
 // Part is one part of a prompt.
@@ -170,6 +171,8 @@
 	// that will need a target.
 	loadChanged chan struct{}
 
+	quotas accountQuotas
+
 	mu       sync.Mutex
 	fleet    *fleet.Fleet
 	suspects suspects
@@ -180,6 +183,7 @@
 	Dialect Dialect
 	Ledger  Ledger
 	Permits Permits
+	Quotas  Quotas
 	// Domain is the failure domain of this process.
 	Domain  string
 	Log     *log.Logger
@@ -201,6 +205,7 @@
 		pool: newPool(o.Metrics), fleet: fleet.New(o.Seed, o.Disabled), startedAt: time.Now(),
 		failovers: newFailoverLimiter(o.Disabled), disabled: o.Disabled, loadChanged: make(chan struct{}, 1), suspects: newSuspects(),
 		informed: make(chan struct{}), awaitFacts: o.AwaitFacts,
+		quotas: accountQuotas{board: o.Quotas, holder: quota.New(o.Seed)},
 	}
 }
 
@@ -254,10 +259,11 @@
 	return catalog.Limits{}
 }
 
-// Sweep closes pooled connections that have been idle for too long and forgets requests that
-// have crashed no target for long.
+// Sweep closes pooled connections that have been idle for too long, returns unused grants of
+// quotas and forgets requests that have crashed no target for long.
 func (r *Relay) Sweep(now time.Time) {
 	r.pool.sweep(now)
+	r.sweepQuotas(now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.suspects.tracker.Expire(now)
@@ -311,9 +317,10 @@
 
 // RecordOthers records the load of all other processes.
 func (r *Relay) RecordOthers(others loadboard.Summary) {
+	now := time.Now()
+	r.recordProcesses(others.Processes, now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
 	r.fleet.RecordOthers(others, now)
 	r.recordFacts(others, now)
 	r.inform.Do(func() { close(r.informed) })
