--- /dev/null
+++ b/loadboard/quotas_test.go
@@ -0,0 +1,108 @@
+package loadboard_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/loadboard"
+)
+
+// boardInUse returns a board that has been used for a minute.
+func boardInUse() (*loadboard.Board, time.Time) {
+	b := loadboard.New()
+	b.Exchange("a", loadboard.Report{}, start)
+	now := start
+	for range 60 {
+		now = now.Add(time.Second)
+		b.Exchange("a", loadboard.Report{}, now)
+	}
+	return b, now
+}
+
+func ask(want, need int) loadboard.QuotaAsk {
+	return loadboard.QuotaAsk{Account: 1, PerSecond: 10, Burst: 32, Version: 1, Want: want, Need: need}
+}
+
+// A grant that lay unused at one entry while another had to refuse cost accounts below their
+// limit requests.
+func TestScarceQuotaIsNotGrantedInAdvance(t *testing.T) {
+	b, now := boardInUse()
+	assert.Equal(t, 10, b.AcquireQuota(ask(100, 1), now).Granted, "a quarter of what is left")
+	assert.Equal(t, 20, b.AcquireQuota(ask(100, 20), now).Granted, "requests that have arrived")
+	got := b.AcquireQuota(ask(100, 20), now)
+	assert.Equal(t, 10, got.Granted, "no more than there are")
+	assert.Equal(t, loadboard.QuotaGrant{Wait: 100 * time.Millisecond}, b.AcquireQuota(ask(1, 1), now))
+	returned := ask(1, 1)
+	returned.Unused = 5
+	assert.Equal(t, 1, b.AcquireQuota(returned, now).Granted, "what is returned is there for others")
+	assert.Equal(t, 4, b.AcquireQuota(ask(9, 9), now).Granted)
+}
+
+func TestRefusedRequestsReturnOneAfterTheOther(t *testing.T) {
+	b, now := boardInUse()
+	b.AcquireQuota(ask(100, 100), now)
+	refused := ask(1, 1)
+	refused.Refused = 20
+	assert.Equal(t, 2*time.Second, b.AcquireQuota(refused, now).Wait)
+	assert.Equal(t, 4*time.Second, b.AcquireQuota(refused, now).Wait)
+	assert.Equal(t, 5*time.Second, b.AcquireQuota(refused, now).Wait)
+}
+
+// An entry with an older configuration must not raise a quota again that was lowered.
+func TestNewestQuotaCounts(t *testing.T) {
+	b, now := boardInUse()
+	lowered := ask(100, 100)
+	lowered.PerSecond, lowered.Burst, lowered.Version = 1, 2, 2
+	assert.Equal(t, 7, b.AcquireQuota(lowered, now).Granted)
+	assert.Zero(t, b.AcquireQuota(ask(100, 100), now).Granted)
+	assert.Equal(t, 1, b.AcquireQuota(ask(100, 100), now.Add(time.Second)).Granted)
+}
+
+func TestFurtherExecutionsAreCharged(t *testing.T) {
+	b, now := boardInUse()
+	spent := ask(0, 0)
+	spent.Spent = 50
+	b.AcquireQuota(spent, now)
+	assert.Zero(t, b.AcquireQuota(ask(1, 1), now.Add(time.Second-time.Millisecond)).Granted)
+	assert.Equal(t, 1, b.AcquireQuota(ask(1, 1), now.Add(1100*time.Millisecond)).Granted)
+}
+
+// Another board may have granted the whole quota a moment ago.
+func TestBoardThatTakesOverBeginsWithLittle(t *testing.T) {
+	b := loadboard.New()
+	b.Exchange("a", loadboard.Report{}, start)
+	assert.InDelta(t, 6, b.AcquireQuota(ask(100, 100), start).Granted, 1)
+
+	used, now := boardInUse()
+	now = now.Add(10 * time.Second)
+	used.Exchange("a", loadboard.Report{}, now)
+	assert.InDelta(t, 6, used.AcquireQuota(ask(100, 100), now).Granted, 1, "after a time at another board")
+
+	partial, now := boardInUse()
+	few := ask(100, 100)
+	few.Processes = 10
+	got := partial.AcquireQuota(few, now)
+	assert.Equal(t, 4, got.Granted, "its share of the processes")
+	assert.True(t, got.IsPartial)
+}
+
+// An account that is forgotten too early gets its burst twice.
+func TestAccountsAreForgottenWhenTheirBucketsAreFull(t *testing.T) {
+	b, now := boardInUse()
+	pause := func(seconds int) {
+		for range seconds {
+			now = now.Add(time.Second)
+			b.Exchange("a", loadboard.Report{}, now)
+		}
+	}
+	slow := ask(200, 200)
+	slow.PerSecond, slow.Burst = 0.5, 100
+	pause(200)
+	assert.Equal(t, 102, b.AcquireQuota(slow, now).Granted)
+	pause(100)
+	assert.Equal(t, 50, b.AcquireQuota(slow, now).Granted)
+	pause(300)
+	assert.Equal(t, 102, b.AcquireQuota(slow, now).Granted)
+}
