--- a/quota/quota.go
+++ b/quota/quota.go
@@ -280,6 +280,8 @@
 		return
 	}
 	a.spent += ask.Spent
+	// Returned later, these would add to what is used in that time.
+	a.unused = 0
 	a.probeAt = now.Add(probeDelay)
 	a.endAsk()
 }
