--- a/relay/answer.go
+++ b/relay/answer.go
@@ -16,6 +16,8 @@
 	reasonUnknownKey         = "unknown_key"
 	reasonKeyRevoked         = "key_revoked"
 	reasonAccountChanged     = "account_changed"
+	reasonOverQuota          = "over_quota"
+	reasonQuotaUnknown       = "quota_unknown"
 	reasonTooLarge           = "body_too_large"
 	reasonBadBody            = "body_unreadable"
 	reasonBadID              = "bad_id"
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/quota"
 )
 
 // Metrics are the Prometheus metrics of a relay.
@@ -21,6 +23,7 @@
 	condemned       prometheus.Counter
 	accounts        *prometheus.CounterVec
 	accountLabels   accountLabels
+	quotas          *prometheus.CounterVec
 }
 
 // buckets are in seconds and range from a few milliseconds to the longest deadlines.
@@ -60,7 +63,10 @@
 	m.accounts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "rhubarbsaddle_account_requests_total", Help: "Requests with the key of a client account; the accounts beyond the first 256 count as other.",
 	}, []string{"account"})
-	reg.MustRegister(m.accounts, m.lostByCrash, m.condemned, m.unlogged, m.permits, m.requests, m.duration, m.firstEventDelay, m.connects, m.staleResponses)
+	m.quotas = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "rhubarbsaddle_quota_decisions_total", Help: "Requests of accounts with a quota, by how it was decided whether they are within it.",
+	}, []string{"outcome"})
+	reg.MustRegister(m.accounts, m.quotas, m.lostByCrash, m.condemned, m.unlogged, m.permits, m.requests, m.duration, m.firstEventDelay, m.connects, m.staleResponses)
 	return m
 }
 
@@ -73,6 +79,10 @@
 	m.permits.WithLabelValues(strconv.FormatBool(granted)).Inc()
 }
 
+func (m *Metrics) countQuota(outcome quota.Outcome) {
+	m.quotas.WithLabelValues(outcome.String()).Inc()
+}
+
 func (m *Metrics) observeFirstEvent(delay time.Duration) {
 	if delay > 0 {
 		m.firstEventDelay.Observe(delay.Seconds())
