loadboard: a board leaves silent processes half of their part of a quota

Callers: an account over its limit could run more than the rule allows while entries are split between two boards. Cause: the board that was there first went on with the whole quota, the other one added the share of its processes. Change: a board with the majority of the known processes leaves the silent ones half of their part after 2 s, any other grants that half. The expectation of the test of a partial board is its new share; the test of the hot account is stricter than before.

--- a/loadboard/quotas.go
+++ b/loadboard/quotas.go
@@ -56,8 +56,8 @@
 	// Wait is the time until there is room for the next request, after those that were refused
 	// before; only if nothing was granted.
 	Wait time.Duration
-	// IsPartial means that the board does not know all processes and grants only a share of
-	// the quota. A refusal does not mean that the account is over its quota.
+	// IsPartial means that the board does not know most processes and grants only a share of the
+	// quota. A refusal does not mean that the account is over its quota.
 	IsPartial bool
 }
 
@@ -77,39 +77,49 @@
 // other boards may have granted the same quotas.
 type coverage struct {
 	reportedAt map[string]time.Time
-	isCovered  bool
-	since      time.Time
+	// active is the number of processes that have reported within coverageSilence.
+	active    int
+	isCovered bool
+	since     time.Time
 }
 
 func (c *coverage) report(process string, now time.Time) {
 	if len(c.reportedAt) == 0 {
 		c.isCovered, c.since = false, now
 	}
+	if now.Sub(c.reportedAt[process]) > coverageSilence {
+		c.active++
+	}
 	c.reportedAt[process] = now
 }
 
 func (c *coverage) update(now time.Time) {
-	active := 0
+	c.active = 0
 	for process, at := range c.reportedAt {
 		switch silence := now.Sub(at); {
 		case silence > coverageTTL:
 			delete(c.reportedAt, process)
 		case silence <= coverageSilence:
-			active++
+			c.active++
 		}
 	}
-	isCovered := 2*active >= len(c.reportedAt)
+	isCovered := 2*c.active >= len(c.reportedAt)
 	if !isCovered || !c.isCovered {
 		c.since = now
 	}
 	c.isCovered = isCovered
 }
 
-// share returns the share of the quotas that the board may grant: that of the processes which
-// report to it among those that its callers know.
-func (c *coverage) share(known int) float64 {
-	reported := max(1, len(c.reportedAt))
-	return min(1, float64(reported)/float64(max(1, known)))
+// share returns the share of the quotas that the board may grant, and whether it has the
+// majority of the known processes. Those that are silent may have ended, decide alone or use
+// another board. The board with the majority leaves them half of their part, which is what
+// another board grants them.
+func (c *coverage) share(known int) (share float64, isMajority bool) {
+	present := float64(max(1, c.active)) / float64(max(1, known, len(c.reportedAt)))
+	if present > 0.5 {
+		return (1 + min(1, present)) / 2, true
+	}
+	return present / 2, false
 }
 
 // AcquireQuota grants one process requests out of an account's quota. All grants of an account
@@ -123,11 +133,11 @@
 		return QuotaGrant{Wait: maxReturnWait}
 	}
 	q := b.quotaOf(ask, now)
-	share := b.coverage.share(ask.Processes)
+	share, isMajority := b.coverage.share(ask.Processes)
 	q.bucket.Return(tokenbucket.Period(float64(ask.Unused), q.perSecond))
 	q.bucket.Take(tokenbucket.Period(float64(ask.Spent), q.perSecond), now)
 	q.recordRefused(ask.Refused, now)
-	grant := QuotaGrant{Granted: q.available(ask, share, now), IsPartial: share < 1}
+	grant := QuotaGrant{Granted: q.available(ask, share, now), IsPartial: !isMajority}
 	if grant.Granted > 0 {
 		q.bucket.Take(tokenbucket.Period(float64(grant.Granted), q.perSecond*share), now)
 	} else if ask.Want > 0 {
--- a/loadboard/quotas_test.go
+++ b/loadboard/quotas_test.go
@@ -84,10 +84,28 @@
 	few := ask(100, 100)
 	few.Processes = 10
 	got := partial.AcquireQuota(few, now)
-	assert.Equal(t, 4, got.Granted, "its share of the processes")
+	assert.Equal(t, 2, got.Granted, "half of its share of the processes")
 	assert.True(t, got.IsPartial)
 }
 
+// Half of the entries had another board for three seconds, and both boards granted more than
+// the rest of the quota.
+func TestBoardLeavesSilentProcessesAPart(t *testing.T) {
+	b, now := boardInUse()
+	b.Exchange("b", loadboard.Report{}, now)
+	b.Exchange("c", loadboard.Report{}, now)
+	b.Exchange("d", loadboard.Report{}, now)
+	for range 3 {
+		now = now.Add(time.Second)
+		for _, process := range []string{"a", "b", "c"} {
+			b.Exchange(process, loadboard.Report{}, now)
+		}
+	}
+	got := b.AcquireQuota(ask(100, 100), now)
+	assert.Equal(t, 35, got.Granted, "seven eighths of 40")
+	assert.False(t, got.IsPartial)
+}
+
 // An account that is forgotten too early gets its burst twice.
 func TestAccountsAreForgottenWhenTheirBucketsAreFull(t *testing.T) {
 	b, now := boardInUse()
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -178,7 +178,8 @@
 // An account that sends eight times its rate ran as often as it liked, since no entry knew what
 // the others had let through (trouble-1 of catalogo-vivo-grown).
 func TestHotAccountStaysWithinQuota(t *testing.T) {
-	const end = 22 * time.Second
+	// The account begins with a full bucket shortly before something fails.
+	const begin, end = 6 * time.Second, 22 * time.Second
 	for name, events := range map[string]map[time.Duration]func(s *simulation){
 		"nothing fails": {},
 		"board moves, and back": {
@@ -196,6 +197,7 @@
 			10 * time.Second: func(s *simulation) { s.restartShare(0.5) },
 		},
 		"entry is cut off":    {8 * time.Second: func(s *simulation) { s.entries[0].board = -1 }},
+		"a third is cut off":  {8 * time.Second: func(s *simulation) { s.useBoard(-1, 1.0/3) }},
 		"no board":            {8 * time.Second: func(s *simulation) { s.useBoard(-1, 1) }, 16 * time.Second: func(s *simulation) { s.useBoard(1, 1) }},
 		"all processes start": {8 * time.Second: func(s *simulation) { s.boards[0] = loadboard.New(); s.restartShare(1) }},
 	} {
@@ -203,11 +205,16 @@
 			for _, entries := range []int{6, 60} {
 				t.Run(fmt.Sprintf("%s, %v a second, %d entries", name, q.PerSecond, entries), func(t *testing.T) {
 					s := newSimulation(entries, q)
-					load := func(int, time.Duration) float64 { return 8 * q.PerSecond / float64(entries) }
+					load := func(_ int, at time.Duration) float64 {
+						if at < begin {
+							return 0
+						}
+						return 8 * q.PerSecond / float64(entries)
+					}
 					s.play(end, events, load)
 					assert.LessOrEqual(t, s.most(0, end), bound(q))
 					if name == "nothing fails" {
-						assert.GreaterOrEqual(t, float64(len(s.admitted)), 0.9*q.PerSecond*end.Seconds())
+						assert.GreaterOrEqual(t, float64(len(s.admitted)), 0.9*q.PerSecond*(end-begin).Seconds())
 						assert.Zero(t, s.unknown)
 					}
 				})
