loadboard: a board that takes over serves before the entries have reported to it

Callers: on quotas-under-kills 14 requests got 503 within 0.1 s after the member with the board was killed. Cause: the next member had asks before reports, and granted the share of nobody. Change: for 0.2 s from its first use a board grants what it begins with, whoever has reported.

--- a/loadboard/quotas.go
+++ b/loadboard/quotas.go
@@ -29,6 +29,9 @@
 	// coverageSilence how long it may be silent. Idle processes report once a second.
 	coverageTTL     = time.Minute
 	coverageSilence = 2 * time.Second
+	// coverageDelay is the time in which a board that takes over has asks of processes that
+	// have not reported yet. What it grants in it is bounded by what it begins with.
+	coverageDelay = 200 * time.Millisecond
 )
 
 // QuotaAsk asks for requests out of an account's quota.
@@ -81,11 +84,13 @@
 	active    int
 	isCovered bool
 	since     time.Time
+	// usedSince is the time of the first ask, or of the first report after a time without any.
+	usedSince time.Time
 }
 
 func (c *coverage) report(process string, now time.Time) {
 	if len(c.reportedAt) == 0 {
-		c.isCovered, c.since = false, now
+		c.isCovered, c.since, c.usedSince = false, now, now
 	}
 	if now.Sub(c.reportedAt[process]) > coverageSilence {
 		c.active++
@@ -94,6 +99,9 @@
 }
 
 func (c *coverage) update(now time.Time) {
+	if c.usedSince.IsZero() {
+		c.usedSince = now
+	}
 	c.active = 0
 	for process, at := range c.reportedAt {
 		switch silence := now.Sub(at); {
@@ -114,7 +122,10 @@
 // majority of the known processes. Those that are silent may have ended, decide alone or use
 // another board. The board with the majority leaves them half of their part, which is what
 // another board grants them.
-func (c *coverage) share(known int) (share float64, isMajority bool) {
+func (c *coverage) share(known int, now time.Time) (share float64, isMajority bool) {
+	if now.Sub(c.usedSince) < coverageDelay {
+		return 1, true
+	}
 	present := float64(max(1, c.active)) / float64(max(1, known, len(c.reportedAt)))
 	if present > 0.5 {
 		return (1 + min(1, present)) / 2, true
@@ -133,7 +144,7 @@
 		return QuotaGrant{Wait: maxReturnWait}
 	}
 	q := b.quotaOf(ask, now)
-	share, isMajority := b.coverage.share(ask.Processes)
+	share, isMajority := b.coverage.share(ask.Processes, now)
 	q.bucket.Return(tokenbucket.Period(float64(ask.Unused), q.perSecond))
 	q.bucket.Take(tokenbucket.Period(float64(ask.Spent), q.perSecond), now)
 	q.recordRefused(ask.Refused, now)
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -282,3 +282,17 @@
 		}
 	}
 }
+
+// When the member with the board was killed, entries asked the next one before their first
+// reports had reached it, and refused accounts below their limit (quotas-under-kills).
+func TestBoardThatTakesOverServesAccountsBelowLimit(t *testing.T) {
+	for _, entries := range []int{20, 60} {
+		s := newSimulation(entries, catalog.Quota{PerSecond: 30, Burst: 20})
+		load := func(int, time.Duration) float64 { return 0.4 * 30 / float64(entries) }
+		s.run(10*time.Second, load)
+		s.useBoard(1, 1)
+		s.run(20*time.Second, load)
+		assert.Zero(t, s.refused)
+		assert.Zero(t, s.unknown)
+	}
+}
