fairshare, fleet, loadboard: client accounts share engines under pressure

Callers: while one account wanted eight times its usual, a fifth of the programs of the other accounts were refused, as many as of the one that caused it. Cause: admission compared the load with a limit and looked at priority only. Change: from the admission limit on, a program is admitted if its account is within its share: weighted max-min over the calls in flight at all entries, weights by the usual calls. While accounts far above normal are to blame for the load, only these are refused. Entries exchange the calls and refusals by account through the load board; without it, they decide by their own. Admits becomes Admit, which also returns why. Mechanism fair_share; without accounts and below the limit nothing changes. Tests: the calls of Admits in existing tests are written as calls of Admit, with the same expectations (true is Admitted, false is Overloaded); the overload simulation counts programs by account and may have several entries.

--- /dev/null
+++ b/fleet/accounts.go
@@ -0,0 +1,143 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/loadboard"
+)
+
+const (
+	// withinShareFactor is the limit of accounts within their share as a multiple of that of
+	// other accounts.
+	withinShareFactor = 1.2
+	// maxShareLimit is the limit, in calls per slot, of accounts within their share while
+	// others are to blame for the load. Engines queue a call for every second slot then; they
+	// refuse calls at several times as many.
+	maxShareLimit = 1.5
+	// urgentBeyondShareFactor is the limit of urgent programs of accounts beyond their share
+	// as a multiple of the limit of other programs.
+	urgentBeyondShareFactor = 1.05
+	// steadyLimitPerSecond is how fast the limit rises again for accounts that use far more
+	// than normal, in calls per slot and second.
+	steadyLimitPerSecond = 0.02
+)
+
+// decideByShare decides on a program of a client account. From the admission limit on, only
+// accounts within their share of the room may start programs, up to a limit that keeps the
+// engines from queueing calls. The limits are in the order of what they admit: urgent programs
+// of accounts within their share, other programs of those, urgent programs of accounts beyond
+// it, and all others. For accounts that use far more than normal, the admission limit rises
+// slowly after pressure.
+func (s *service) decideByShare(p Program, limit float64, now time.Time) Decision {
+	load, steady, isPressed := s.observePressure(now)
+	if !isPressed {
+		return Decision{}
+	}
+	lower, upper := s.admitLimit, limit/s.admitLimit*maxShareLimit
+	if load >= upper {
+		return Decision{Admission: Overloaded}
+	}
+	usage := s.accounts.Usage(p.Account, now)
+	if usage.IsUnusual() {
+		lower = steady
+	}
+	if p.Priority == 0 {
+		lower *= urgentBeyondShareFactor
+	}
+	if load < lower {
+		return Decision{Usage: usage}
+	}
+	relative := limit * withinShareFactor
+	left := min(1, max(0, (relative-load)/(relative-s.admitLimit)))
+	if usage.IsWithin(left) {
+		return Decision{Usage: usage}
+	}
+	return Decision{Admission: OverShare, Usage: usage}
+}
+
+// observePressure returns the load and the steady limit, in calls per slot, and updates the
+// shares of accounts if the load is at the limit.
+func (s *service) observePressure(now time.Time) (load, limit float64, isPressed bool) {
+	load, limit = max(s.currentLoadPerSlot(now), s.knownLoadPerSlot(now)), s.updateSteadyLimit(now)
+	if load < limit {
+		return load, limit, false
+	}
+	s.accounts.Observe(limit/load, now)
+	return load, limit, true
+}
+
+// knownLoadPerSlot returns the calls per slot that this process knows of. Unlike the average of
+// what targets reported, it does not depend on how often this process calls them.
+func (s *service) knownLoadPerSlot(now time.Time) float64 {
+	calls, slots := 0.0, 0.0
+	for _, t := range s.targets {
+		if !t.Draining && !t.health.hasEnded(now) {
+			calls += t.load(now)
+			slots += float64(t.Slots)
+		}
+	}
+	if slots == 0 {
+		return 0
+	}
+	return calls / slots
+}
+
+// updateSteadyLimit returns the admission limit without its fast increases. An account with a
+// large demand would fill the room of each of them at once, and the limit would swing.
+func (s *service) updateSteadyLimit(now time.Time) float64 {
+	if s.steadyLimitAt.IsZero() {
+		s.steadyLimit = s.admitLimit
+	}
+	rise := max(0, now.Sub(s.steadyLimitAt).Seconds()) * steadyLimitPerSecond
+	s.steadyLimit, s.steadyLimitAt = min(s.admitLimit, s.steadyLimit+rise), now
+	return s.steadyLimit
+}
+
+// recordRefused records that a program was refused.
+func (s *service) recordRefused(account uint64, now time.Time) {
+	if account != 0 {
+		s.accounts.Refuse(account, now)
+	}
+}
+
+// RecordAccountStart and RecordAccountEnd record that a call of an account to a service begins
+// and ends. The call counts also while it waits for a target.
+func (f *Fleet) RecordAccountStart(service string, account uint64, now time.Time) {
+	if s := f.services[service]; s != nil && s.isEngine && account != 0 {
+		s.accounts.Begin(account, now)
+	}
+}
+
+// RecordAccountEnd is the end of what RecordAccountStart begins.
+func (f *Fleet) RecordAccountEnd(service string, account uint64, now time.Time) {
+	if s := f.services[service]; s != nil && account != 0 {
+		s.accounts.End(account, now)
+	}
+}
+
+// accountReport returns the work of accounts at engines.
+func (f *Fleet) accountReport(now time.Time) []loadboard.AccountLoad {
+	var list []loadboard.AccountLoad
+	for name, s := range f.services {
+		service := xxhash.Sum64String(name)
+		for _, l := range s.accounts.Report(now) {
+			l.Service = service
+			list = append(list, l)
+		}
+	}
+	return loadboard.BusiestAccounts(list)
+}
+
+// recordOthersAccounts records the work of accounts at other processes.
+func (f *Fleet) recordOthersAccounts(accounts []loadboard.AccountLoad, now time.Time) {
+	byService := make(map[uint64][]loadboard.AccountLoad)
+	for _, l := range accounts {
+		byService[l.Service] = append(byService[l.Service], l)
+	}
+	for name, s := range f.services {
+		s.accounts.RecordOthers(byService[xxhash.Sum64String(name)], now)
+		s.observePressure(now)
+	}
+}
--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/fairshare"
 	"github.com/rhubarbsaddle/rhubarbsaddle/mechanism"
 )
 
@@ -71,6 +72,7 @@
 		decrease = programDecrease
 	}
 	s.admitLimit = max(minAdmitLimit, s.admitLimit-decrease)
+	s.updateSteadyLimit(now)
 }
 
 // recordLoad adds the calls per slot that one target reported to the average.
@@ -91,24 +93,74 @@
 	return s.loadPerSlot * math.Exp(-float64(age)/float64(4*loadAveragingTime))
 }
 
-// Admits reports whether a new program with a priority may start at a service now, and
-// counts it if so. Running programs are never refused, since that would waste the work
-// done for them.
-func (f *Fleet) Admits(name string, priority int, now time.Time) bool {
-	s := f.services[name]
+// Program describes a program that asks to start.
+type Program struct {
+	Service string
+	// Account is the hash of the client account's name; 0 if there is none.
+	Account uint64
+	// Priority is 0 for the most urgent programs.
+	Priority int
+}
+
+// Admission is whether a program may start.
+type Admission uint8
+
+// Admissions of programs.
+const (
+	Admitted Admission = iota
+	// Overloaded means that there is no room.
+	Overloaded
+	// OverShare means that the room that is left is kept for accounts within their shares.
+	OverShare
+)
+
+// String returns the name of the decision in logs and metrics.
+func (a Admission) String() string {
+	switch a {
+	case Overloaded:
+		return "overloaded"
+	case OverShare:
+		return "over_share"
+	}
+	return "admitted"
+}
+
+// Decision is the decision on a program.
+type Decision struct {
+	Admission
+	// Usage is that of the program's account if the decision depends on it.
+	Usage fairshare.Usage
+}
+
+// Admit decides whether a new program may start now, and counts it if so. Running programs are
+// never refused, since that would waste the work done for them.
+func (f *Fleet) Admit(p Program, now time.Time) Decision {
+	s := f.services[p.Service]
 	if s == nil || !s.isEngine || f.disabled.Disables(mechanism.Admission) {
-		return true
+		return Decision{}
 	}
-	isUrgent := priority == 0
-	if s.currentLoadPerSlot(now) >= f.admitLimit(s, isUrgent) {
-		return false
+	decision := f.decide(s, p, now)
+	if decision.Admission != Admitted {
+		s.recordRefused(p.Account, now)
+		return decision
 	}
 	share := 0.0
-	if !isUrgent {
+	if p.Priority > 0 {
 		share = 1
 	}
 	s.otherShare += admissionWeight * (share - s.otherShare)
-	return true
+	return decision
+}
+
+func (f *Fleet) decide(s *service, p Program, now time.Time) Decision {
+	limit := f.admitLimit(s, p.Priority == 0)
+	if p.Account != 0 && !f.disabled.Disables(mechanism.FairShare) {
+		return s.decideByShare(p, limit, now)
+	}
+	if s.currentLoadPerSlot(now) >= limit {
+		return Decision{Admission: Overloaded}
+	}
+	return Decision{}
 }
 
 // admitLimit returns the limit of urgent programs or of all others. Others get the
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
+	"github.com/rhubarbsaddle/rhubarbsaddle/fairshare"
 	"github.com/rhubarbsaddle/rhubarbsaddle/mechanism"
 )
 
@@ -109,10 +110,15 @@
 	// admitLimit is the average number of calls per slot below which new programs may
 	// start.
 	admitLimit float64
+	// steadyLimit is the admission limit, of steadyLimitAt, without its fast increases.
+	steadyLimit   float64
+	steadyLimitAt time.Time
 	// otherShare is the moving average of the share of admitted programs that are not
 	// urgent.
 	otherShare float64
-	affinity   *affinity
+	// accounts tracks the calls of client accounts.
+	accounts *fairshare.Tracker
+	affinity *affinity
 	// othersInFlight is the number of calls that other processes had in flight at the last
 	// exchange.
 	othersInFlight float64
@@ -164,7 +170,7 @@
 		t.Draining = declared.Draining || f.leaving[declared.TargetKey]
 		s := f.services[declared.Service]
 		if s == nil {
-			s = &service{durationMS: initialDurationMS, admitLimit: maxAdmitLimit, otherShare: 1, affinity: newAffinity()}
+			s = &service{durationMS: initialDurationMS, admitLimit: maxAdmitLimit, otherShare: 1, accounts: fairshare.NewTracker(), affinity: newAffinity()}
 			if before := old[declared.Service]; before != nil {
 				*s = *before
 				s.isEngine, s.targets, s.affinity.assignedAt = false, nil, time.Time{}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -233,16 +233,16 @@
 			}
 		}
 	}
-	assert.True(t, f.Admits("llm", 1, start))
+	assert.Equal(t, fleet.Admitted, f.Admit(fleet.Program{Service: "llm", Priority: 1}, start).Admission)
 	report(2, start)
-	assert.True(t, f.Admits("llm", 1, start))
+	assert.Equal(t, fleet.Admitted, f.Admit(fleet.Program{Service: "llm", Priority: 1}, start).Admission)
 	report(4, start)
-	assert.False(t, f.Admits("llm", 1, start))
-	assert.True(t, f.Admits("llm", 0, start))
+	assert.Equal(t, fleet.Overloaded, f.Admit(fleet.Program{Service: "llm", Priority: 1}, start).Admission)
+	assert.Equal(t, fleet.Admitted, f.Admit(fleet.Program{Service: "llm", Priority: 0}, start).Admission)
 	report(6, start)
-	assert.False(t, f.Admits("llm", 0, start))
-	assert.True(t, f.Admits("llm", 1, start.Add(3*time.Second)))
-	assert.True(t, f.Admits("tools", 1, start), "programs of services without engines are always admitted")
+	assert.Equal(t, fleet.Overloaded, f.Admit(fleet.Program{Service: "llm", Priority: 0}, start).Admission)
+	assert.Equal(t, fleet.Admitted, f.Admit(fleet.Program{Service: "llm", Priority: 1}, start.Add(3*time.Second)).Admission)
+	assert.Equal(t, fleet.Admitted, f.Admit(fleet.Program{Service: "tools", Priority: 1}, start).Admission, "programs of services without engines are always admitted")
 }
 
 // Several entries place programs of several kinds, each with a shared prefix of its
--- a/fleet/others.go
+++ b/fleet/others.go
@@ -23,7 +23,7 @@
 }
 
 // LoadReport returns what other processes should know of this one: its calls in flight, the
-// targets that failed recently, and the limits of targets.
+// targets that failed recently, the limits of targets, and the work of client accounts.
 func (f *Fleet) LoadReport(now time.Time) loadboard.Report {
 	var own loadboard.Report
 	for hash, t := range f.byHash {
@@ -38,6 +38,7 @@
 		}
 	}
 	own.Limits = f.limitReport(now)
+	own.Accounts = f.accountReport(now)
 	return own
 }
 
@@ -64,6 +65,7 @@
 			f.services[t.Service].othersInFlight += float64(c.Count)
 		}
 	}
+	f.recordOthersAccounts(others.Accounts, now)
 	f.recordOthersFailing(others.Failing, now)
 	for _, c := range others.Suspects {
 		if t := f.byHash[c.Target]; t != nil {
--- a/fleet/overload_test.go
+++ b/fleet/overload_test.go
@@ -35,6 +35,8 @@
 // overloadProgram is a program under way.
 type overloadProgram struct {
 	urgent         bool
+	account        uint64
+	entry          *fleet.Fleet
 	begun          time.Time
 	turn, attempts int
 	// late is set once the objective has passed.
@@ -59,9 +61,10 @@
 	return last
 }
 
-// overloadSim runs the programs on a fleet and engines that serve in order of arrival.
+// overloadSim runs the programs on engines that serve in order of arrival. Each program is
+// served by one entry.
 type overloadSim struct {
-	fleet   *fleet.Fleet
+	entries []*fleet.Fleet
 	events  overloadQueue
 	random  *rand.Rand
 	running map[catalog.TargetKey]int
@@ -70,27 +73,53 @@
 	admitted, inTime, cutTurns int
 	urgentAsked, urgentInTime  int
 	otherAsked, otherInTime    int
+	byAccount                  map[uint64]*accountOutcome
 }
 
-func runOverload(seed uint64, disabled ...string) *overloadSim {
+// accountOutcome counts the programs of an account. Those that ended did so within twice their
+// objective.
+type accountOutcome struct{ asked, admitted, inTime, ended int }
+
+func newOverloadSim(seed uint64, entryCount, engineCount int, disabled ...string) *overloadSim {
 	set, err := mechanism.Parse(disabled)
 	if err != nil {
 		panic(err)
 	}
 	s := &overloadSim{
-		fleet: fleet.New(seed, set), random: rand.New(rand.NewPCG(seed, 1)),
+		random: rand.New(rand.NewPCG(seed, 1)), byAccount: map[uint64]*accountOutcome{},
 		running: map[catalog.TargetKey]int{}, waiting: map[catalog.TargetKey][]func(time.Time){},
 	}
-	s.fleet.Update(engines(overloadEngines), services)
-	capacity := float64(overloadEngines*overloadSlots) / (turnTime.Seconds() * turnsPerProgram)
-	for at := start; at.Before(start.Add(overloadDuration)); {
-		at = at.Add(time.Duration(s.random.ExpFloat64() / (capacity * overloadFactor) * float64(time.Second)))
-		s.at(at, func(now time.Time) { s.begin(&overloadProgram{urgent: s.random.IntN(3) == 0, begun: now}, now) })
+	for i := range entryCount {
+		f := fleet.New(seed+uint64(i), set)
+		f.Update(engines(engineCount), services)
+		s.entries = append(s.entries, f)
 	}
+	return s
+}
+
+// run runs all events.
+func (s *overloadSim) run() {
 	for len(s.events) > 0 {
 		next := heap.Pop(&s.events).(overloadEvent)
 		next.step(next.at)
 	}
+}
+
+func (s *overloadSim) outcome(account uint64) *accountOutcome {
+	if s.byAccount[account] == nil {
+		s.byAccount[account] = &accountOutcome{}
+	}
+	return s.byAccount[account]
+}
+
+func runOverload(seed uint64, disabled ...string) *overloadSim {
+	s := newOverloadSim(seed, 1, overloadEngines, disabled...)
+	capacity := float64(overloadEngines*overloadSlots) / (turnTime.Seconds() * turnsPerProgram)
+	for at := start; at.Before(start.Add(overloadDuration)); {
+		at = at.Add(time.Duration(s.random.ExpFloat64() / (capacity * overloadFactor) * float64(time.Second)))
+		s.at(at, func(now time.Time) { s.begin(&overloadProgram{urgent: s.random.IntN(3) == 0, begun: now}, now) })
+	}
+	s.run()
 	return s
 }
 
@@ -106,27 +135,33 @@
 	} else {
 		s.otherAsked++
 	}
-	if s.fleet.Admits("llm", priority, now) {
+	if p.entry == nil {
+		p.entry = s.entries[0]
+	}
+	s.outcome(p.account).asked++
+	if p.entry.Admit(fleet.Program{Service: "llm", Account: p.account, Priority: priority}, now).Admission == fleet.Admitted {
 		s.admitted++
+		s.outcome(p.account).admitted++
 		s.sendTurn(p, now)
 	}
 }
 
 // sendTurn places a turn at an engine, where it waits for a slot.
 func (s *overloadSim) sendTurn(p *overloadProgram, now time.Time) {
-	choice, ok := s.fleet.Pick(fleet.Query{Service: "llm", Domain: "d0", AllowFull: true}, now)
+	choice, ok := p.entry.Pick(fleet.Query{Service: "llm", Domain: "d0", AllowFull: true}, now)
 	if !ok {
 		return
 	}
 	target := choice.Target.TargetKey
-	s.fleet.RecordStart(target, nil, now)
+	p.entry.RecordStart(target, nil, now)
+	p.entry.RecordAccountStart("llm", p.account, now)
 	sent, deadline := now, now.Add(turnTimeout)
 	run := func(now time.Time) {
 		s.running[target]++
 		if now.Sub(sent) <= latencyTarget {
-			s.fleet.RecordObjective("llm", fleet.FirstEventMet, now)
+			p.entry.RecordObjective("llm", fleet.FirstEventMet, now)
 		} else {
-			s.fleet.RecordObjective("llm", fleet.FirstEventMissed, now)
+			p.entry.RecordObjective("llm", fleet.FirstEventMissed, now)
 		}
 		slowdown := 1 + fullSlowdown*float64(s.running[target])/overloadSlots
 		end := now.Add(time.Duration((0.5 + s.random.Float64()) * slowdown * float64(turnTime)))
@@ -140,29 +175,32 @@
 			run(now)
 			return
 		}
-		s.fleet.RecordEnd(target, fleet.Refused, turnTimeout, now)
+		p.entry.RecordEnd(target, fleet.Refused, turnTimeout, now)
+		p.entry.RecordAccountEnd("llm", p.account, now)
 		s.turnFailed(p, now)
 	})
-	s.startWaiting(target, now)
+	s.startWaiting(p.entry, target, now)
 }
 
-func (s *overloadSim) startWaiting(target catalog.TargetKey, now time.Time) {
+// startWaiting fills the slots of an engine, which reports its load to an entry.
+func (s *overloadSim) startWaiting(entry *fleet.Fleet, target catalog.TargetKey, now time.Time) {
 	for s.running[target] < overloadSlots && len(s.waiting[target]) > 0 {
 		next := s.waiting[target][0]
 		s.waiting[target] = s.waiting[target][1:]
 		next(now)
 	}
-	s.fleet.RecordLoad(target, fleet.Load{Running: s.running[target], Waiting: len(s.waiting[target]), Slots: overloadSlots}, now)
+	entry.RecordLoad(target, fleet.Load{Running: s.running[target], Waiting: len(s.waiting[target]), Slots: overloadSlots}, now)
 }
 
 func (s *overloadSim) endTurn(p *overloadProgram, target catalog.TargetKey, complete bool, now time.Time) {
 	s.running[target]--
-	s.fleet.RecordEnd(target, fleet.Answered, turnTime, now)
-	s.startWaiting(target, now)
+	p.entry.RecordEnd(target, fleet.Answered, turnTime, now)
+	p.entry.RecordAccountEnd("llm", p.account, now)
+	s.startWaiting(p.entry, target, now)
 	objective := p.begun.Add(time.Duration(objectiveFactor * turnsPerProgram * float64(turnTime+programPause)))
 	if !complete || now.After(objective) && !p.late {
 		p.late = now.After(objective)
-		s.fleet.RecordObjective("llm", fleet.ProgramMissed, now)
+		p.entry.RecordObjective("llm", fleet.ProgramMissed, now)
 	}
 	if !complete {
 		s.turnFailed(p, now)
@@ -173,10 +211,14 @@
 		s.at(now.Add(programPause), func(now time.Time) { s.sendTurn(p, now) })
 		return
 	}
+	if now.Before(objective.Add(objective.Sub(p.begun))) {
+		s.outcome(p.account).ended++
+	}
 	if now.After(objective) {
 		return
 	}
 	s.inTime++
+	s.outcome(p.account).inTime++
 	if p.urgent {
 		s.urgentInTime++
 	} else {
@@ -219,5 +261,5 @@
 	for range 50 {
 		f.RecordLoad(key(0), fleet.Load{Running: 3, Slots: 4}, start)
 	}
-	assert.True(t, f.Admits("llm", 1, start))
+	assert.Equal(t, fleet.Admitted, f.Admit(fleet.Program{Service: "llm", Priority: 1}, start).Admission)
 }
--- a/ledger/load.go
+++ b/ledger/load.go
@@ -11,7 +11,7 @@
 func EncodeLoadReport(r loadboard.Report) *ledgerpb.Load {
 	load := &ledgerpb.Load{
 		FailingTargets: r.Failing, SuspectTargets: r.Suspects, Limits: encodeLimits(r.Limits),
-		Facts: encodeFacts(r.Facts), Board: r.Position.Board, NextFact: r.Position.Next,
+		Facts: encodeFacts(r.Facts), Accounts: encodeAccounts(r.Accounts), Board: r.Position.Board, NextFact: r.Position.Next,
 	}
 	load.Targets, load.Calls = encodeCounts(r.Calls)
 	return load
@@ -22,6 +22,7 @@
 	return loadboard.Report{
 		Calls: decodeCounts(load.GetTargets(), load.GetCalls()), Failing: load.GetFailingTargets(), Suspects: load.GetSuspectTargets(),
 		Limits: decodeLimits(load.GetLimits()), Facts: decodeFacts(load.GetFacts()), Position: decodePosition(load),
+		Accounts: decodeAccounts(load.GetAccounts()),
 	}
 }
 
@@ -29,7 +30,7 @@
 func EncodeLoadSummary(s loadboard.Summary) *ledgerpb.Load {
 	load := &ledgerpb.Load{
 		Processes: uint32(s.Processes), Limits: encodeLimits(s.Limits),
-		Facts: encodeFacts(s.Facts), Board: s.Position.Board, NextFact: s.Position.Next,
+		Facts: encodeFacts(s.Facts), Accounts: encodeAccounts(s.Accounts), Board: s.Position.Board, NextFact: s.Position.Next,
 	}
 	load.Targets, load.Calls = encodeCounts(s.Calls)
 	load.FailingTargets, load.FailingReports = encodeCounts(s.Failing)
@@ -45,6 +46,7 @@
 		Suspects:  decodeCounts(load.GetSuspectTargets(), load.GetSuspectReports()),
 		Limits:    decodeLimits(load.GetLimits()),
 		Facts:     decodeFacts(load.GetFacts()),
+		Accounts:  decodeAccounts(load.GetAccounts()),
 		Position:  decodePosition(load),
 		Processes: int(load.GetProcesses()),
 	}
@@ -73,6 +75,25 @@
 	return limits
 }
 
+func encodeAccounts(list []loadboard.AccountLoad) []*ledgerpb.AccountLoad {
+	var accounts []*ledgerpb.AccountLoad
+	for _, a := range list {
+		accounts = append(accounts, &ledgerpb.AccountLoad{Service: a.Service, Account: a.Account, Calls: a.Calls, Refused: a.Refused})
+	}
+	return accounts
+}
+
+func decodeAccounts(list []*ledgerpb.AccountLoad) []loadboard.AccountLoad {
+	var accounts []loadboard.AccountLoad
+	for _, a := range list {
+		accounts = append(accounts, loadboard.AccountLoad{
+			AccountKey: loadboard.AccountKey{Service: a.GetService(), Account: a.GetAccount()},
+			Calls:      a.GetCalls(), Refused: a.GetRefused(),
+		})
+	}
+	return accounts
+}
+
 func encodeFacts(list []loadboard.Fact) []*ledgerpb.Fact {
 	var facts []*ledgerpb.Fact
 	for _, f := range list {
--- a/loadboard/board.go
+++ b/loadboard/board.go
@@ -40,6 +40,8 @@
 	Suspects []uint64
 	// Limits are the rate limits that targets have named or lifted.
 	Limits []Limit
+	// Accounts is the work of client accounts, at most MaxAccounts.
+	Accounts []AccountLoad
 	// Facts are those that the board has not received from this process, and Position is how
 	// far the process has read those of the board.
 	Facts    []Fact
@@ -58,6 +60,8 @@
 	// Suspects are the numbers of processes that have a request in flight at a target that
 	// may crash it.
 	Suspects []Count
+	// Accounts are the sums of the work by client account.
+	Accounts []AccountLoad
 	// Facts are those from the process's position on, and Position is the one after them.
 	Facts    []Fact
 	Position FactPosition
@@ -72,13 +76,14 @@
 }
 
 // Board holds the latest report of each process, and grants the permits for requests to
-// targets with a rate limit. Invariant: calls, failing and suspects are the sums over all
-// reports. It uses no clock and is not safe for concurrent use.
+// targets with a rate limit. Invariant: calls, failing, suspects and accounts are the sums over
+// all reports. It uses no clock and is not safe for concurrent use.
 type Board struct {
 	// id distinguishes the board from those of other members and of earlier processes.
 	id                       uint64
 	reports                  map[string]report
 	calls, failing, suspects map[uint64]uint32
+	accounts                 accountSums
 	limits                   map[uint64]*limit
 	facts                    factLog
 	nextExpiry               time.Time
@@ -88,7 +93,7 @@
 func New() *Board {
 	return &Board{
 		id: rand.Uint64(), reports: make(map[string]report), calls: make(map[uint64]uint32), failing: make(map[uint64]uint32),
-		suspects: make(map[uint64]uint32), limits: make(map[uint64]*limit), facts: factLog{byKey: make(map[factKey]uint64)},
+		suspects: make(map[uint64]uint32), accounts: make(accountSums), limits: make(map[uint64]*limit), facts: factLog{byKey: make(map[factKey]uint64)},
 	}
 }
 
@@ -97,10 +102,11 @@
 	b.expire(now)
 	b.remove(process)
 	b.recordLimits(own.Limits, now)
-	others := Summary{Calls: greatest(b.calls), Failing: greatest(b.failing), Suspects: greatest(b.suspects), Limits: b.knownLimits(now)}
+	others := Summary{Calls: greatest(b.calls), Failing: greatest(b.failing), Suspects: greatest(b.suspects), Accounts: b.accounts.list(), Limits: b.knownLimits(now)}
 	others.Facts, others.Position = b.exchangeFacts(own, now)
 	// Facts are kept in the log only.
 	own.Facts = nil
+	own.Accounts = own.Accounts[:min(len(own.Accounts), MaxAccounts)]
 	b.reports[process] = report{Report: own, at: now}
 	for _, c := range own.Calls {
 		if c.Count > 0 {
@@ -113,6 +119,7 @@
 	for _, target := range own.Suspects {
 		b.suspects[target]++
 	}
+	b.accounts.add(own.Accounts)
 	others.Processes = len(b.reports)
 	return others
 }
@@ -171,6 +178,7 @@
 	for _, target := range old.Suspects {
 		subtract(b.suspects, target, 1)
 	}
+	b.accounts.subtract(old.Accounts)
 	delete(b.reports, process)
 }
 
--- a/mechanism/mechanism.go
+++ b/mechanism/mechanism.go
@@ -44,6 +44,8 @@
 	AdaptiveAdmission
 	// MinimumShare admits some programs that are not urgent at any load.
 	MinimumShare
+	// FairShare divides the room of engines among client accounts while it is scarce.
+	FairShare
 	// DurationCheck refuses calls that cannot end before their deadline.
 	DurationCheck
 	// OverloadDetection makes overloaded entries leave the balancer.
@@ -73,6 +75,7 @@
 	Admission:         "admission",
 	AdaptiveAdmission: "adaptive_admission",
 	MinimumShare:      "minimum_share",
+	FairShare:         "fair_share",
 	DurationCheck:     "duration_check",
 	OverloadDetection: "overload_detection",
 	LedgerGrace:       "ledger_grace",
--- a/relay/account.go
+++ b/relay/account.go
@@ -1,6 +1,11 @@
 package relay
 
-import "net/http"
+import (
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // authenticate determines the caller's client account, if the configuration has accounts. If
 // it returns false, it has answered the caller.
@@ -41,3 +46,29 @@
 	}
 	return e.route.Priority
 }
+
+// accountHash identifies the caller's client account to other entries; 0 if there is none.
+func (e *exchange) accountHash() uint64 {
+	if e.account == nil {
+		return 0
+	}
+	return max(1, xxhash.Sum64String(e.account.Name))
+}
+
+// beginAccountCall counts the call as work of its account until the returned function is
+// called.
+func (e *exchange) beginAccountCall() (end func()) {
+	account, service := e.accountHash(), e.service
+	if account == 0 {
+		return func() {}
+	}
+	r := e.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleet.RecordAccountStart(service, account, time.Now())
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.fleet.RecordAccountEnd(service, account, time.Now())
+	}
+}
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -18,6 +18,7 @@
 	reasonBadID              = "bad_id"
 	reasonTargetsFull        = "targets_full"
 	reasonOverload           = "overloaded"
+	reasonOverShare          = "account_over_share"
 	reasonTimeout            = "out_of_time"
 	reasonAnswerLost         = "answer_lost"
 	reasonBudgetSpent        = "budget_spent"
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/fleet"
 )
 
 // Metrics are the Prometheus metrics of a relay.
@@ -18,6 +20,7 @@
 	permits         *prometheus.CounterVec
 	lostByCrash     prometheus.Counter
 	condemned       prometheus.Counter
+	programs        *prometheus.CounterVec
 }
 
 // buckets are in seconds and range from a few milliseconds to the longest deadlines.
@@ -54,7 +57,10 @@
 	m.condemned = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "rhubarbsaddle_requests_condemned_total", Help: "Requests found to crash targets, which are refused from then on; each is counted once.",
 	})
-	reg.MustRegister(m.lostByCrash, m.condemned, m.unlogged, m.permits, m.requests, m.duration, m.firstEventDelay, m.connects, m.staleResponses)
+	m.programs = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "rhubarbsaddle_programs_total", Help: "Programs that asked to start, by decision.",
+	}, []string{"decision"})
+	reg.MustRegister(m.programs, m.lostByCrash, m.condemned, m.unlogged, m.permits, m.requests, m.duration, m.firstEventDelay, m.connects, m.staleResponses)
 	return m
 }
 
@@ -63,6 +69,8 @@
 	m.duration.WithLabelValues(kind).Observe(duration.Seconds())
 }
 
+func (m *Metrics) countProgram(a fleet.Admission) { m.programs.WithLabelValues(a.String()).Inc() }
+
 func (m *Metrics) countPermit(granted bool) {
 	m.permits.WithLabelValues(strconv.FormatBool(granted)).Inc()
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -170,6 +170,8 @@
 	// that will need a target.
 	loadChanged chan struct{}
 
+	refusalLog refusalLog
+
 	mu       sync.Mutex
 	fleet    *fleet.Fleet
 	suspects suspects
@@ -377,11 +379,11 @@
 	r.signalLoadChange()
 }
 
-// admits reports whether a new program may start.
-func (r *Relay) admits(service string, priority int) bool {
+// admit decides whether a new program may start.
+func (r *Relay) admit(p fleet.Program) fleet.Decision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.fleet.Admits(service, priority, time.Now())
+	return r.fleet.Admit(p, time.Now())
 }
 
 // recordObjective records the outcome of an objective.
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/fleet"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/quorum"
@@ -53,6 +54,7 @@
 		return
 	}
 	t.ledgerWait = time.Since(t.arrived)
+	defer t.beginAccountCall()()
 	t.stream(ctx)
 }
 
@@ -150,11 +152,24 @@
 		return false
 	}
 	startsProgram := committed == 0 && t.call.Previous == ""
-	if startsProgram && !t.relay.admits(t.service, t.priority()) {
-		t.respondUnavailable(reasonOverload, t.relay.retryAfter(t.service))
-		return false
+	return !startsProgram || t.admitProgram()
+}
+
+// admitProgram decides whether a new program may start. If it returns false, it has answered
+// the caller.
+func (t *turn) admitProgram() bool {
+	decision := t.relay.admit(fleet.Program{Service: t.service, Account: t.accountHash(), Priority: t.priority()})
+	t.relay.metrics.countProgram(decision.Admission)
+	if decision.Admission == fleet.Admitted {
+		return true
 	}
-	return true
+	t.relay.logRefusedProgram(t.exchange, decision, time.Now())
+	reason := reasonOverload
+	if decision.Admission == fleet.OverShare {
+		reason = reasonOverShare
+	}
+	t.respondUnavailable(reason, t.relay.retryAfter(t.service))
+	return false
 }
 
 // awaitLedger waits for the ledger if it became unavailable less than
