fairshare, relay: refused callers return in order; turns that cannot end are refused

Callers: all programs that were refused in a burst got the same Retry-After and returned as a second wave; a turn with 0.24 s left was sent to an engine, which worked for nobody. Cause: Retry-After was an estimate of the next free slot; the check of the time left compared it with a quarter of the average duration, which no turn takes. Change: refused programs of client accounts get places at the rate at which their account's programs may start, after its calls have fallen to its share, within a third of the time that the caller has left. The time left of a turn is compared with the duration that all but one in twenty turns exceed, before its tokens are reserved. Without accounts Retry-After stays.

--- a/fairshare/tracker.go
+++ b/fairshare/tracker.go
@@ -58,6 +58,8 @@
 	// updatedAt is when the averages were last updated.
 	updatedAt time.Time
 	usedAt    time.Time
+	// nextReturn is when the next caller that is refused should return.
+	nextReturn time.Time
 }
 
 // Tracker keeps the calls in flight of the accounts of one service. Accounts are known by
--- a/fleet/accounts.go
+++ b/fleet/accounts.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -117,6 +118,33 @@
 	}
 }
 
+// AccountRetryAfter returns the time after which a refused program of an account should be tried
+// again. Usable is the longest time that its caller can use.
+func (f *Fleet) AccountRetryAfter(service string, account uint64, usable time.Duration, now time.Time) time.Duration {
+	s := f.services[service]
+	if s == nil {
+		return min(noTargetRetryAfter, usable)
+	}
+	return s.accounts.ReturnAfter(account, s.starts.perSecond(now), usable, now)
+}
+
+// startRate is a moving average of the programs that start per second.
+type startRate struct {
+	count float64
+	at    time.Time
+}
+
+// startRateTime is the time constant of the average.
+const startRateTime = 2 * time.Second
+
+func (r *startRate) add(now time.Time) { r.count, r.at = r.decayed(now)+1, now }
+
+func (r *startRate) decayed(now time.Time) float64 {
+	return r.count * math.Exp(-now.Sub(r.at).Seconds()/startRateTime.Seconds())
+}
+
+func (r *startRate) perSecond(now time.Time) float64 { return r.decayed(now) / startRateTime.Seconds() }
+
 // accountReport returns the work of accounts at engines.
 func (f *Fleet) accountReport(now time.Time) []loadboard.AccountLoad {
 	var list []loadboard.AccountLoad
--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -144,6 +144,7 @@
 		s.recordRefused(p.Account, now)
 		return decision
 	}
+	s.starts.add(now)
 	share := 0.0
 	if p.Priority > 0 {
 		share = 1
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -101,6 +101,8 @@
 	// call has ended, it is initialDurationMS and hasDuration is not set.
 	durationMS  float64
 	hasDuration bool
+	// shortest is the duration that few calls stay below.
+	shortest lowQuantile
 	// firstEvent is the delay of the first event of streams.
 	firstEvent delayEstimate
 	// loadPerSlot is the moving average of the calls per slot that the targets
@@ -118,6 +120,8 @@
 	otherShare float64
 	// accounts tracks the calls of client accounts.
 	accounts *fairshare.Tracker
+	// starts is the rate of admitted programs.
+	starts   startRate
 	affinity *affinity
 	// othersInFlight is the number of calls that other processes had in flight at the last
 	// exchange.
@@ -304,6 +308,7 @@
 }
 
 func (s *service) recordDuration(ms float64) {
+	s.shortest.add(ms)
 	if !s.hasDuration {
 		s.durationMS, s.hasDuration = ms, true
 		return
@@ -321,6 +326,16 @@
 	return time.Duration(s.durationMS * float64(time.Millisecond))
 }
 
+// ShortestDuration returns the duration that few of a service's calls stay below; zero if not
+// enough have ended yet.
+func (f *Fleet) ShortestDuration(name string) time.Duration {
+	s := f.services[name]
+	if s == nil {
+		return 0
+	}
+	return time.Duration(s.shortest.value() * float64(time.Millisecond))
+}
+
 // RecordEnded records that a target's process has ended. Its registration may remain for
 // several heartbeats.
 func (f *Fleet) RecordEnded(key catalog.TargetKey, now time.Time) {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -238,7 +238,12 @@
 	if e.relay.disabled.Disables(mechanism.DurationCheck) {
 		return true
 	}
-	return time.Until(e.deadline) >= e.relay.expectedDuration(e.service)/minDurationDivisor
+	needed := e.relay.expectedDuration(e.service) / minDurationDivisor
+	if e.route.Kind == catalog.Streaming && e.call.ResumeAfter == "" {
+		// Most of a turn's duration is the generation, which no engine does much faster.
+		needed = max(needed, e.relay.shortestDuration(e.service))
+	}
+	return time.Until(e.deadline) >= needed
 }
 
 // send chooses a target and sends the request to it once. If no target is available, or the
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -401,6 +401,22 @@
 	return r.fleet.ExpectedDuration(service)
 }
 
+// shortestDuration returns the duration that few calls of a service stay below; zero if that is
+// not known.
+func (r *Relay) shortestDuration(service string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fleet.ShortestDuration(service)
+}
+
+// accountRetryAfter returns the time after which a refused program of an account should be
+// tried again.
+func (r *Relay) accountRetryAfter(service string, account uint64, usable time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fleet.AccountRetryAfter(service, account, usable, time.Now())
+}
+
 func (r *Relay) retryAfter(service string) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -386,3 +387,26 @@
 	next := b.call(storedTurnsPath, "y", append(headers, previousTurn, first.id)...)
 	assert.Equal(t, http.StatusOK, next.status)
 }
+
+// A turn with less time left than turns take kept an engine busy for a caller that had given up
+// (tkg-plans-grown trouble-2, 0.24 s left). It is refused at once, and has not been executed.
+func TestTurnThatCannotEndIsRefused(t *testing.T) {
+	target := platformtest.NewTarget("i1", platformtest.StreamEvents(4, 0, 40*time.Millisecond))
+	b := newTestbed(t, target)
+	var wait sync.WaitGroup
+	for i := range 120 {
+		wait.Go(func() { b.callWithID(fmt.Sprintf("c%d", i), resumablePath, "x") })
+		if i%4 == 3 {
+			wait.Wait()
+		}
+	}
+	wait.Wait()
+	before, began := len(target.Requests()), time.Now()
+	got := b.call(resumablePath, "x", platformtest.Deadline, "110")
+	assert.Equal(t, http.StatusServiceUnavailable, got.status)
+	assert.Equal(t, "out_of_time\n", got.body)
+	assert.Less(t, time.Since(began), 50*time.Millisecond)
+	assert.Len(t, target.Requests(), before)
+	got = b.call(resumablePath, "x", platformtest.Deadline, "110", platformtest.LastEventID, "3")
+	assert.Equal(t, http.StatusOK, got.status, "the rest of a stream takes less time")
+}
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -29,6 +29,9 @@
 	// ledgerRetryAfter is the Retry-After while the ledger has no quorum. A member that
 	// was killed restarts within seconds.
 	ledgerRetryAfter = 400 * time.Millisecond
+	// retryTimeDivisor is the divisor of the time left that gives the longest Retry-After that
+	// callers wait for.
+	retryTimeDivisor = 3
 )
 
 // turn is a streaming request together with its state in the ledger.
@@ -71,6 +74,10 @@
 		t.respond(http.StatusBadRequest, reasonBadID)
 		return false
 	}
+	if !t.canFinish() {
+		t.respondTimeout()
+		return false
+	}
 	if !t.hasBudget() && t.isResume() && t.hasVersions() {
 		return t.readOrigin(ctx)
 	}
@@ -168,10 +175,19 @@
 	if decision.Admission == fleet.OverShare {
 		reason = reasonOverShare
 	}
-	t.respondUnavailable(reason, t.relay.retryAfter(t.service))
+	t.respondUnavailable(reason, t.programRetryAfter())
 	return false
 }
 
+// programRetryAfter returns the Retry-After of a refused program.
+func (t *turn) programRetryAfter() time.Duration {
+	account := t.accountHash()
+	if account == 0 || t.relay.disabled.Disables(mechanism.FairShare) {
+		return t.relay.retryAfter(t.service)
+	}
+	return t.relay.accountRetryAfter(t.service, account, time.Until(t.deadline)/retryTimeDivisor)
+}
+
 // awaitLedger waits for the ledger if it became unavailable less than
 // ledgerGracePeriod ago, since connections are usually restored within milliseconds
 // and killed members restart soon. After that it returns false at once.
