fleet: permits of targets with a rate limit count as room for programs

Cause: admission looked at the calls that targets report, which are few at a target with a limit, and the limit did not adapt either, since the reported load was low. Change: while a service has targets with a rate limit, admission, the adaptation of its limit and Retry-After count the calls that the limits permit as slots and the permits granted ahead as calls. Mechanism permit_room; without limited targets nothing changes. Tests: the overload simulation asks for permits.

--- a/fleet/accounts.go
+++ b/fleet/accounts.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/loadboard"
+	"github.com/rhubarbsaddle/rhubarbsaddle/mechanism"
 )
 
 const (
@@ -31,8 +32,8 @@
 // of accounts within their share, other programs of those, urgent programs of accounts beyond
 // it, and all others. For accounts that use far more than normal, the admission limit rises
 // slowly after pressure.
-func (s *service) decideByShare(p Program, limit float64, now time.Time) Decision {
-	load, steady, isPressed := s.observePressure(now)
+func (f *Fleet) decideByShare(s *service, p Program, limit float64, now time.Time) Decision {
+	load, steady, isPressed := f.observePressure(s, now)
 	if !isPressed {
 		return Decision{}
 	}
@@ -59,9 +60,11 @@
 }
 
 // observePressure returns the load and the steady limit, in calls per slot, and updates the
-// shares of accounts if the load is at the limit.
-func (s *service) observePressure(now time.Time) (load, limit float64, isPressed bool) {
-	load, limit = max(s.currentLoadPerSlot(now), s.knownLoadPerSlot(now)), s.updateSteadyLimit(now)
+// shares of accounts if the load is at the limit. The load includes what this process knows of,
+// which does not depend on how often it calls the targets.
+func (f *Fleet) observePressure(s *service, now time.Time) (load, limit float64, isPressed bool) {
+	known := s.room(now, !f.disabled.Disables(mechanism.PermitRoom))
+	load, limit = max(s.currentLoadPerSlot(now), known.perSlot()), s.updateSteadyLimit(now)
 	if load < limit {
 		return load, limit, false
 	}
@@ -69,22 +72,6 @@
 	return load, limit, true
 }
 
-// knownLoadPerSlot returns the calls per slot that this process knows of. Unlike the average of
-// what targets reported, it does not depend on how often this process calls them.
-func (s *service) knownLoadPerSlot(now time.Time) float64 {
-	calls, slots := 0.0, 0.0
-	for _, t := range s.targets {
-		if !t.Draining && !t.health.hasEnded(now) {
-			calls += t.load(now)
-			slots += float64(t.Slots)
-		}
-	}
-	if slots == 0 {
-		return 0
-	}
-	return calls / slots
-}
-
 // updateSteadyLimit returns the admission limit without its fast increases. An account with a
 // large demand would fill the room of each of them at once, and the limit would swing.
 func (s *service) updateSteadyLimit(now time.Time) float64 {
@@ -165,7 +152,10 @@
 		byService[l.Service] = append(byService[l.Service], l)
 	}
 	for name, s := range f.services {
+		if !s.isEngine {
+			continue
+		}
 		s.accounts.RecordOthers(byService[xxhash.Sum64String(name)], now)
-		s.observePressure(now)
+		f.observePressure(s, now)
 	}
 }
--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -64,7 +64,7 @@
 		s.admitLimit = min(maxAdmitLimit, s.admitLimit+limitIncrease)
 		return
 	}
-	if s.currentLoadPerSlot(now) <= minAdmitLimit {
+	if f.admissionLoad(s, now) <= minAdmitLimit {
 		return
 	}
 	decrease := limitDecrease
@@ -156,9 +156,9 @@
 func (f *Fleet) decide(s *service, p Program, now time.Time) Decision {
 	limit := f.admitLimit(s, p.Priority == 0)
 	if p.Account != 0 && !f.disabled.Disables(mechanism.FairShare) {
-		return s.decideByShare(p, limit, now)
+		return f.decideByShare(s, p, limit, now)
 	}
-	if s.currentLoadPerSlot(now) >= limit {
+	if f.admissionLoad(s, now) >= limit {
 		return Decision{Admission: Overloaded}
 	}
 	return Decision{}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -350,18 +350,11 @@
 	if s == nil {
 		return noTargetRetryAfter
 	}
-	slots, excess := 0.0, 0.0
-	for _, t := range s.targets {
-		if t.Draining || t.health.hasEnded(now) {
-			continue
-		}
-		slots += float64(t.Slots)
-		excess += max(0, t.load(now)-float64(t.Slots))
-	}
-	if slots == 0 {
+	r := s.room(now, !f.disabled.Disables(mechanism.PermitRoom))
+	if r.slots == 0 {
 		return noTargetRetryAfter
 	}
-	wait := time.Duration((excess + 1) / slots * s.durationMS * float64(time.Millisecond))
+	wait := time.Duration((r.excess + 1) / r.slots * s.durationMS * float64(time.Millisecond))
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
--- a/fleet/overload_test.go
+++ b/fleet/overload_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
 	"github.com/rhubarbsaddle/rhubarbsaddle/fleet"
+	"github.com/rhubarbsaddle/rhubarbsaddle/loadboard"
 	"github.com/rhubarbsaddle/rhubarbsaddle/mechanism"
 )
 
@@ -74,6 +75,8 @@
 	urgentAsked, urgentInTime  int
 	otherAsked, otherInTime    int
 	byAccount                  map[uint64]*accountOutcome
+	// permits grants the permits for engines with a rate limit.
+	permits *loadboard.Board
 }
 
 // accountOutcome counts the programs of an account. Those that ended did so within twice their
@@ -86,7 +89,7 @@
 		panic(err)
 	}
 	s := &overloadSim{
-		random: rand.New(rand.NewPCG(seed, 1)), byAccount: map[uint64]*accountOutcome{},
+		random: rand.New(rand.NewPCG(seed, 1)), byAccount: map[uint64]*accountOutcome{}, permits: loadboard.New(),
 		running: map[catalog.TargetKey]int{}, waiting: map[catalog.TargetKey][]func(time.Time){},
 	}
 	for i := range entryCount {
@@ -146,16 +149,42 @@
 	}
 }
 
-// sendTurn places a turn at an engine, where it waits for a slot.
+// sendTurn places a turn at an engine, where it waits for a slot. Before that, it waits for a
+// permit if the engine has a rate limit.
 func (s *overloadSim) sendTurn(p *overloadProgram, now time.Time) {
-	choice, ok := p.entry.Pick(fleet.Query{Service: "llm", Domain: "d0", AllowFull: true}, now)
-	if !ok {
+	s.place(p, now, now.Add(turnTimeout), now)
+}
+
+func (s *overloadSim) place(p *overloadProgram, sent, deadline, now time.Time) {
+	choice, ok := p.entry.Pick(fleet.Query{Service: "llm", Domain: "d0", AllowFull: true, MaxWait: loadboard.MaxPermitWait}, now)
+	again := now.Add(loadboard.MaxPermitWait)
+	if ok {
+		wait, granted := s.permit(p, choice, now)
+		if granted {
+			s.at(now.Add(wait), func(now time.Time) { s.startTurn(p, choice.Target.TargetKey, sent, deadline, now) })
+			return
+		}
+		again = now.Add(time.Millisecond)
+	}
+	if again.After(deadline) {
+		s.cutTurns++
 		return
 	}
-	target := choice.Target.TargetKey
+	s.at(again, func(now time.Time) { s.place(p, sent, deadline, now) })
+}
+
+func (s *overloadSim) permit(p *overloadProgram, choice fleet.Choice, now time.Time) (time.Duration, bool) {
+	if !choice.Limit.IsLimited {
+		return 0, true
+	}
+	permit := s.permits.Acquire(choice.Target.Hash(), choice.Limit.PerSecond, choice.PermitWait+30*time.Millisecond, now)
+	p.entry.RecordPermitWait(choice.Target.TargetKey, permit.Next, now)
+	return permit.Wait, permit.Granted
+}
+
+func (s *overloadSim) startTurn(p *overloadProgram, target catalog.TargetKey, sent, deadline, now time.Time) {
 	p.entry.RecordStart(target, nil, now)
 	p.entry.RecordAccountStart("llm", p.account, now)
-	sent, deadline := now, now.Add(turnTimeout)
 	run := func(now time.Time) {
 		s.running[target]++
 		if now.Sub(sent) <= latencyTarget {
--- a/mechanism/mechanism.go
+++ b/mechanism/mechanism.go
@@ -46,6 +46,9 @@
 	MinimumShare
 	// FairShare divides the room of engines among client accounts while it is scarce.
 	FairShare
+	// PermitRoom counts the permits of targets with a rate limit, in place of their slots, as
+	// room for new programs.
+	PermitRoom
 	// DurationCheck refuses calls that cannot end before their deadline.
 	DurationCheck
 	// OverloadDetection makes overloaded entries leave the balancer.
@@ -76,6 +79,7 @@
 	AdaptiveAdmission: "adaptive_admission",
 	MinimumShare:      "minimum_share",
 	FairShare:         "fair_share",
+	PermitRoom:        "permit_room",
 	DurationCheck:     "duration_check",
 	OverloadDetection: "overload_detection",
 	LedgerGrace:       "ledger_grace",
