fleet, loadboard: the work of accounts is exchanged less often, and decisions on nothing refuse nobody

An entry that knew of no calls of accounts refused programs: an infinite share times no blame is no number. An infinite share admits. A burst counts as at most 1.25 times the usual, so that it does not become usual in half a minute.

--- a/fairshare/fairshare_test.go
+++ b/fairshare/fairshare_test.go
@@ -72,3 +72,11 @@
 	assert.Equal(t, loadboard.AccountLoad{AccountKey: loadboard.AccountKey{Account: 7}, Calls: 2, Refused: 1}, report[0])
 	assert.Empty(t, fairshare.NewTracker().Report(start))
 }
+
+// An entry that knows of no calls of accounts, such as one that has just started beside loaded
+// engines, refuses nobody.
+func TestNothingKnownRefusesNobody(t *testing.T) {
+	tracker := fairshare.NewTracker()
+	tracker.Observe(0.9, start)
+	assert.True(t, tracker.Usage(1, start).IsWithin(0.5))
+}
--- a/fairshare/tracker.go
+++ b/fairshare/tracker.go
@@ -14,8 +14,9 @@
 	// usualTime is the time constant of an account's usual number of calls in flight.
 	usualTime = time.Minute
 	// maxUsualFactor bounds the calls that count in the usual number once an account has been
-	// seen for minSeen, as a multiple of it, so that a burst does not become usual at once.
-	maxUsualFactor = 2.0
+	// seen for minSeen, as a multiple of it, so that a burst does not become usual. It still
+	// becomes ten times as much in ten minutes.
+	maxUsualFactor = 1.25
 	minSeen        = 5 * time.Second
 	// refusedTime is the time constant with which refused programs are forgotten.
 	refusedTime = time.Second
@@ -156,6 +157,9 @@
 // shares. While others are to blame for the load, the account may instead use what is normal
 // for it, and exceed that for a moment, as random arrivals do.
 func (u Usage) IsWithin(left float64) bool {
+	if math.IsInf(u.Share, 1) {
+		return true
+	}
 	if u.IsUnusual() {
 		return u.InUse+1 <= u.Share*left
 	}
@@ -185,6 +189,12 @@
 	}
 }
 
+// HasAccounts reports whether any account has had calls.
+func (t *Tracker) HasAccounts() bool { return len(t.accounts) > 0 }
+
+// IsPressed reports whether there is, or was shortly before, no room.
+func (t *Tracker) IsPressed(now time.Time) bool { return now.Sub(t.pressedAt) < pressureTime }
+
 // Usage returns an account's use of the room after Observe.
 func (t *Tracker) Usage(id uint64, now time.Time) Usage {
 	a := t.get(id, now)
--- a/fleet/accounts.go
+++ b/fleet/accounts.go
@@ -132,9 +132,26 @@
 
 func (r *startRate) perSecond(now time.Time) float64 { return r.decayed(now) / startRateTime.Seconds() }
 
-// accountReport returns the work of accounts at engines.
-func (f *Fleet) accountReport(now time.Time) []loadboard.AccountLoad {
-	var list []loadboard.AccountLoad
+const (
+	// accountPeriod is the time between two exchanges of the work of accounts, and
+	// pressedAccountPeriod the time while there is too little room. Both are shorter than the
+	// time for which a report counts.
+	accountPeriod        = 400 * time.Millisecond
+	pressedAccountPeriod = 100 * time.Millisecond
+)
+
+// accountReport returns the work of accounts at engines if it is due, also if there is none.
+func (f *Fleet) accountReport(now time.Time) (list []loadboard.AccountLoad, isDue bool) {
+	period, hasAccounts := accountPeriod, false
+	for _, s := range f.services {
+		hasAccounts = hasAccounts || s.accounts.HasAccounts()
+		if s.accounts.IsPressed(now) {
+			period = pressedAccountPeriod
+		}
+	}
+	if !hasAccounts || now.Sub(f.accountsAt) < period {
+		return nil, false
+	}
 	for name, s := range f.services {
 		service := xxhash.Sum64String(name)
 		for _, l := range s.accounts.Report(now) {
@@ -142,20 +159,25 @@
 			list = append(list, l)
 		}
 	}
-	return loadboard.BusiestAccounts(list)
+	return loadboard.BusiestAccounts(list), true
 }
 
-// recordOthersAccounts records the work of accounts at other processes.
-func (f *Fleet) recordOthersAccounts(accounts []loadboard.AccountLoad, now time.Time) {
+// recordOthersAccounts records the work of accounts at other processes, if they told it, and
+// updates the shares with the load of other processes.
+func (f *Fleet) recordOthersAccounts(others loadboard.Summary, now time.Time) {
+	if others.HasAccounts {
+		f.accountsAt = now
+	}
 	byService := make(map[uint64][]loadboard.AccountLoad)
-	for _, l := range accounts {
+	for _, l := range others.Accounts {
 		byService[l.Service] = append(byService[l.Service], l)
 	}
 	for name, s := range f.services {
-		if !s.isEngine {
-			continue
+		if others.HasAccounts {
+			s.accounts.RecordOthers(byService[xxhash.Sum64String(name)], now)
+		}
+		if s.accounts.HasAccounts() {
+			f.observePressure(s, now)
 		}
-		s.accounts.RecordOthers(byService[xxhash.Sum64String(name)], now)
-		f.observePressure(s, now)
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -145,6 +145,8 @@
 	// candidates is reused by all choices.
 	candidates []candidate
 	exchange   exchangeAge
+	// accountsAt is when the work of accounts was last exchanged.
+	accountsAt time.Time
 	disabled   mechanism.Set
 }
 
--- a/fleet/others.go
+++ b/fleet/others.go
@@ -38,7 +38,7 @@
 		}
 	}
 	own.Limits = f.limitReport(now)
-	own.Accounts = f.accountReport(now)
+	own.Accounts, own.HasAccounts = f.accountReport(now)
 	return own
 }
 
@@ -65,7 +65,7 @@
 			f.services[t.Service].othersInFlight += float64(c.Count)
 		}
 	}
-	f.recordOthersAccounts(others.Accounts, now)
+	f.recordOthersAccounts(others, now)
 	f.recordOthersFailing(others.Failing, now)
 	for _, c := range others.Suspects {
 		if t := f.byHash[c.Target]; t != nil {
--- a/ledger/load.go
+++ b/ledger/load.go
@@ -11,7 +11,7 @@
 func EncodeLoadReport(r loadboard.Report) *ledgerpb.Load {
 	load := &ledgerpb.Load{
 		FailingTargets: r.Failing, SuspectTargets: r.Suspects, Limits: encodeLimits(r.Limits),
-		Facts: encodeFacts(r.Facts), Accounts: encodeAccounts(r.Accounts), Board: r.Position.Board, NextFact: r.Position.Next,
+		Facts: encodeFacts(r.Facts), Accounts: encodeAccounts(r.Accounts), HasAccounts: r.HasAccounts, Board: r.Position.Board, NextFact: r.Position.Next,
 	}
 	load.Targets, load.Calls = encodeCounts(r.Calls)
 	return load
@@ -22,7 +22,7 @@
 	return loadboard.Report{
 		Calls: decodeCounts(load.GetTargets(), load.GetCalls()), Failing: load.GetFailingTargets(), Suspects: load.GetSuspectTargets(),
 		Limits: decodeLimits(load.GetLimits()), Facts: decodeFacts(load.GetFacts()), Position: decodePosition(load),
-		Accounts: decodeAccounts(load.GetAccounts()),
+		Accounts: decodeAccounts(load.GetAccounts()), HasAccounts: load.GetHasAccounts(),
 	}
 }
 
@@ -30,7 +30,7 @@
 func EncodeLoadSummary(s loadboard.Summary) *ledgerpb.Load {
 	load := &ledgerpb.Load{
 		Processes: uint32(s.Processes), Limits: encodeLimits(s.Limits),
-		Facts: encodeFacts(s.Facts), Accounts: encodeAccounts(s.Accounts), Board: s.Position.Board, NextFact: s.Position.Next,
+		Facts: encodeFacts(s.Facts), Accounts: encodeAccounts(s.Accounts), HasAccounts: s.HasAccounts, Board: s.Position.Board, NextFact: s.Position.Next,
 	}
 	load.Targets, load.Calls = encodeCounts(s.Calls)
 	load.FailingTargets, load.FailingReports = encodeCounts(s.Failing)
@@ -41,12 +41,12 @@
 // DecodeLoadSummary is the inverse of EncodeLoadSummary.
 func DecodeLoadSummary(load *ledgerpb.Load) loadboard.Summary {
 	return loadboard.Summary{
-		Calls:     decodeCounts(load.GetTargets(), load.GetCalls()),
-		Failing:   decodeCounts(load.GetFailingTargets(), load.GetFailingReports()),
-		Suspects:  decodeCounts(load.GetSuspectTargets(), load.GetSuspectReports()),
-		Limits:    decodeLimits(load.GetLimits()),
-		Facts:     decodeFacts(load.GetFacts()),
-		Accounts:  decodeAccounts(load.GetAccounts()),
+		Calls:    decodeCounts(load.GetTargets(), load.GetCalls()),
+		Failing:  decodeCounts(load.GetFailingTargets(), load.GetFailingReports()),
+		Suspects: decodeCounts(load.GetSuspectTargets(), load.GetSuspectReports()),
+		Limits:   decodeLimits(load.GetLimits()),
+		Facts:    decodeFacts(load.GetFacts()),
+		Accounts: decodeAccounts(load.GetAccounts()), HasAccounts: load.GetHasAccounts(),
 		Position:  decodePosition(load),
 		Processes: int(load.GetProcesses()),
 	}
--- a/loadboard/board.go
+++ b/loadboard/board.go
@@ -40,8 +40,11 @@
 	Suspects []uint64
 	// Limits are the rate limits that targets have named or lifted.
 	Limits []Limit
-	// Accounts is the work of client accounts, at most MaxAccounts.
-	Accounts []AccountLoad
+	// Accounts is the work of client accounts, at most MaxAccounts. A report without
+	// HasAccounts leaves those of the process's last one in force for as long as a report
+	// counts.
+	Accounts    []AccountLoad
+	HasAccounts bool
 	// Facts are those that the board has not received from this process, and Position is how
 	// far the process has read those of the board.
 	Facts    []Fact
@@ -60,8 +63,9 @@
 	// Suspects are the numbers of processes that have a request in flight at a target that
 	// may crash it.
 	Suspects []Count
-	// Accounts are the sums of the work by client account.
-	Accounts []AccountLoad
+	// Accounts are the sums of the work by client account; only if the report had HasAccounts.
+	Accounts    []AccountLoad
+	HasAccounts bool
 	// Facts are those from the process's position on, and Position is the one after them.
 	Facts    []Fact
 	Position FactPosition
@@ -73,6 +77,8 @@
 type report struct {
 	Report
 	at time.Time
+	// accountsAt is when the process last reported accounts.
+	accountsAt time.Time
 }
 
 // Board holds the latest report of each process, and grants the permits for requests to
@@ -100,14 +106,21 @@
 // Exchange replaces a process's report and returns the state of all others.
 func (b *Board) Exchange(process string, own Report, now time.Time) Summary {
 	b.expire(now)
+	before := b.reports[process]
 	b.remove(process)
 	b.recordLimits(own.Limits, now)
-	others := Summary{Calls: greatest(b.calls), Failing: greatest(b.failing), Suspects: greatest(b.suspects), Accounts: b.accounts.list(), Limits: b.knownLimits(now)}
+	others := Summary{Calls: greatest(b.calls), Failing: greatest(b.failing), Suspects: greatest(b.suspects), Limits: b.knownLimits(now)}
 	others.Facts, others.Position = b.exchangeFacts(own, now)
 	// Facts are kept in the log only.
 	own.Facts = nil
-	own.Accounts = own.Accounts[:min(len(own.Accounts), MaxAccounts)]
-	b.reports[process] = report{Report: own, at: now}
+	accountsAt := now
+	if own.HasAccounts {
+		others.Accounts, others.HasAccounts = b.accounts.list(), true
+		own.Accounts = own.Accounts[:min(len(own.Accounts), MaxAccounts)]
+	} else if accountsAt = before.accountsAt; now.Sub(accountsAt) <= reportTTL {
+		own.Accounts = before.Accounts
+	}
+	b.reports[process] = report{Report: own, at: now, accountsAt: accountsAt}
 	for _, c := range own.Calls {
 		if c.Count > 0 {
 			b.calls[c.Target] += c.Count
