--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
+	"github.com/rhubarbsaddle/rhubarbsaddle/fairshare"
 	"github.com/rhubarbsaddle/rhubarbsaddle/mechanism"
 )
 
@@ -100,6 +101,8 @@
 	// call has ended, it is initialDurationMS and hasDuration is not set.
 	durationMS  float64
 	hasDuration bool
+	// shortest is the duration that few calls stay below.
+	shortest lowQuantile
 	// firstEvent is the delay of the first event of streams.
 	firstEvent delayEstimate
 	// loadPerSlot is the moving average of the calls per slot that the targets
@@ -109,10 +112,17 @@
 	// admitLimit is the average number of calls per slot below which new programs may
 	// start.
 	admitLimit float64
+	// steadyLimit is the admission limit, of steadyLimitAt, without its fast increases.
+	steadyLimit   float64
+	steadyLimitAt time.Time
 	// otherShare is the moving average of the share of admitted programs that are not
 	// urgent.
 	otherShare float64
-	affinity   *affinity
+	// accounts tracks the calls of client accounts.
+	accounts *fairshare.Tracker
+	// starts is the rate of admitted programs.
+	starts   startRate
+	affinity *affinity
 	// othersInFlight is the number of calls that other processes had in flight at the last
 	// exchange.
 	othersInFlight float64
@@ -135,6 +145,8 @@
 	// candidates is reused by all choices.
 	candidates []candidate
 	exchange   exchangeAge
+	// accountsAt is when the work of accounts was last exchanged.
+	accountsAt time.Time
 	disabled   mechanism.Set
 }
 
@@ -164,7 +176,7 @@
 		t.Draining = declared.Draining || f.leaving[declared.TargetKey]
 		s := f.services[declared.Service]
 		if s == nil {
-			s = &service{durationMS: initialDurationMS, admitLimit: maxAdmitLimit, otherShare: 1, affinity: newAffinity()}
+			s = &service{durationMS: initialDurationMS, admitLimit: maxAdmitLimit, otherShare: 1, accounts: fairshare.NewTracker(), affinity: newAffinity()}
 			if before := old[declared.Service]; before != nil {
 				*s = *before
 				s.isEngine, s.targets, s.affinity.assignedAt = false, nil, time.Time{}
@@ -298,6 +310,7 @@
 }
 
 func (s *service) recordDuration(ms float64) {
+	s.shortest.add(ms)
 	if !s.hasDuration {
 		s.durationMS, s.hasDuration = ms, true
 		return
@@ -315,6 +328,16 @@
 	return time.Duration(s.durationMS * float64(time.Millisecond))
 }
 
+// ShortestDuration returns the duration that few of a service's calls stay below; zero if not
+// enough have ended yet.
+func (f *Fleet) ShortestDuration(name string) time.Duration {
+	s := f.services[name]
+	if s == nil {
+		return 0
+	}
+	return time.Duration(s.shortest.value() * float64(time.Millisecond))
+}
+
 // RecordEnded records that a target's process has ended. Its registration may remain for
 // several heartbeats.
 func (f *Fleet) RecordEnded(key catalog.TargetKey, now time.Time) {
@@ -329,18 +352,11 @@
 	if s == nil {
 		return noTargetRetryAfter
 	}
-	slots, excess := 0.0, 0.0
-	for _, t := range s.targets {
-		if t.Draining || t.health.hasEnded(now) {
-			continue
-		}
-		slots += float64(t.Slots)
-		excess += max(0, t.load(now)-float64(t.Slots))
-	}
-	if slots == 0 {
+	r := s.room(now, !f.disabled.Disables(mechanism.PermitRoom))
+	if r.slots == 0 {
 		return noTargetRetryAfter
 	}
-	wait := time.Duration((excess + 1) / slots * s.durationMS * float64(time.Millisecond))
+	wait := time.Duration((r.excess + 1) / r.slots * s.durationMS * float64(time.Millisecond))
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
--- a/loadboard/board.go
+++ b/loadboard/board.go
@@ -40,6 +40,11 @@
 	Suspects []uint64
 	// Limits are the rate limits that targets have named or lifted.
 	Limits []Limit
+	// Accounts is the work of client accounts, at most MaxAccounts. A report without
+	// HasAccounts leaves those of the process's last one in force for as long as a report
+	// counts.
+	Accounts    []AccountLoad
+	HasAccounts bool
 	// Facts are those that the board has not received from this process, and Position is how
 	// far the process has read those of the board.
 	Facts    []Fact
@@ -58,6 +63,9 @@
 	// Suspects are the numbers of processes that have a request in flight at a target that
 	// may crash it.
 	Suspects []Count
+	// Accounts are the sums of the work by client account; only if the report had HasAccounts.
+	Accounts    []AccountLoad
+	HasAccounts bool
 	// Facts are those from the process's position on, and Position is the one after them.
 	Facts    []Fact
 	Position FactPosition
@@ -69,16 +77,20 @@
 type report struct {
 	Report
 	at time.Time
+	// accountsAt is when the process last reported accounts.
+	accountsAt time.Time
 }
 
 // Board holds the latest report of each process, grants the permits for requests to targets
-// with a rate limit, and grants processes their requests out of the quotas of accounts. Invariant: calls, failing and suspects are the sums over all
-// reports. It uses no clock and is not safe for concurrent use.
+// with a rate limit, and grants processes their requests out of the quotas of accounts.
+// Invariant: calls, failing, suspects and accounts are the sums over all reports. It uses no
+// clock and is not safe for concurrent use.
 type Board struct {
 	// id distinguishes the board from those of other members and of earlier processes.
 	id                       uint64
 	reports                  map[string]report
 	calls, failing, suspects map[uint64]uint32
+	accounts                 accountSums
 	limits                   map[uint64]*limit
 	facts                    factLog
 	quotas                   map[uint64]*quotaState
@@ -90,14 +102,15 @@
 func New() *Board {
 	return &Board{
 		id: rand.Uint64(), reports: make(map[string]report), calls: make(map[uint64]uint32), failing: make(map[uint64]uint32),
-		suspects: make(map[uint64]uint32), limits: make(map[uint64]*limit), facts: factLog{byKey: make(map[factKey]uint64)},
 		quotas: make(map[uint64]*quotaState), coverage: coverage{reportedAt: make(map[string]time.Time)},
+		suspects: make(map[uint64]uint32), accounts: make(accountSums), limits: make(map[uint64]*limit), facts: factLog{byKey: make(map[factKey]uint64)},
 	}
 }
 
 // Exchange replaces a process's report and returns the state of all others.
 func (b *Board) Exchange(process string, own Report, now time.Time) Summary {
 	b.expire(now)
+	before := b.reports[process]
 	b.remove(process)
 	b.coverage.report(process, now)
 	b.recordLimits(own.Limits, now)
@@ -105,7 +118,14 @@
 	others.Facts, others.Position = b.exchangeFacts(own, now)
 	// Facts are kept in the log only.
 	own.Facts = nil
-	b.reports[process] = report{Report: own, at: now}
+	accountsAt := now
+	if own.HasAccounts {
+		others.Accounts, others.HasAccounts = b.accounts.list(), true
+		own.Accounts = own.Accounts[:min(len(own.Accounts), MaxAccounts)]
+	} else if accountsAt = before.accountsAt; now.Sub(accountsAt) <= reportTTL {
+		own.Accounts = before.Accounts
+	}
+	b.reports[process] = report{Report: own, at: now, accountsAt: accountsAt}
 	for _, c := range own.Calls {
 		if c.Count > 0 {
 			b.calls[c.Target] += c.Count
@@ -117,6 +137,7 @@
 	for _, target := range own.Suspects {
 		b.suspects[target]++
 	}
+	b.accounts.add(own.Accounts)
 	others.Processes = len(b.reports)
 	return others
 }
@@ -177,6 +198,7 @@
 	for _, target := range old.Suspects {
 		subtract(b.suspects, target, 1)
 	}
+	b.accounts.subtract(old.Accounts)
 	delete(b.reports, process)
 }
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -244,7 +244,7 @@
 	perSecond := min(a.demand(now), a.quota.PerSecond)
 	a.batch = max(1, a.need, int(perSecond*batchTime.Seconds()))
 	ask := &Ask{Name: a.name, QuotaAsk: loadboard.QuotaAsk{
-		Account: xxhash.Sum64String(a.name), PerSecond: a.quota.PerSecond, Burst: a.quota.Burst, Version: a.version,
+		Account: catalog.HashAccount(a.name), PerSecond: a.quota.PerSecond, Burst: a.quota.Burst, Version: a.version,
 		Want: a.batch, Need: a.need, Unused: a.unused, Spent: a.spent, Refused: a.unreported, Processes: h.knownProcesses(),
 	}}
 	a.need, a.unused, a.spent, a.unreported = 0, 0, 0, 0
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/fleet"
 	"github.com/rhubarbsaddle/rhubarbsaddle/quota"
 )
 
@@ -24,6 +25,7 @@
 	accounts        *prometheus.CounterVec
 	accountLabels   accountLabels
 	quotas          *prometheus.CounterVec
+	programs        *prometheus.CounterVec
 }
 
 // buckets are in seconds and range from a few milliseconds to the longest deadlines.
@@ -66,7 +68,10 @@
 	m.quotas = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "rhubarbsaddle_quota_decisions_total", Help: "Requests of accounts with a quota, by how it was decided whether they are within it.",
 	}, []string{"outcome"})
-	reg.MustRegister(m.accounts, m.quotas, m.lostByCrash, m.condemned, m.unlogged, m.permits, m.requests, m.duration, m.firstEventDelay, m.connects, m.staleResponses)
+	m.programs = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "rhubarbsaddle_programs_total", Help: "Programs that asked to start, by decision.",
+	}, []string{"decision"})
+	reg.MustRegister(m.accounts, m.quotas, m.programs, m.lostByCrash, m.condemned, m.unlogged, m.permits, m.requests, m.duration, m.firstEventDelay, m.connects, m.staleResponses)
 	return m
 }
 
@@ -75,6 +80,8 @@
 	m.duration.WithLabelValues(kind).Observe(duration.Seconds())
 }
 
+func (m *Metrics) countProgram(a fleet.Admission) { m.programs.WithLabelValues(a.String()).Inc() }
+
 func (m *Metrics) countPermit(granted bool) {
 	m.permits.WithLabelValues(strconv.FormatBool(granted)).Inc()
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -177,7 +177,8 @@
 	// that will need a target.
 	loadChanged chan struct{}
 
-	quotas accountQuotas
+	quotas     accountQuotas
+	refusalLog refusalLog
 
 	mu       sync.Mutex
 	fleet    *fleet.Fleet
@@ -390,11 +391,11 @@
 	r.signalLoadChange()
 }
 
-// admits reports whether a new program may start.
-func (r *Relay) admits(service string, priority int) bool {
+// admit decides whether a new program may start.
+func (r *Relay) admit(p fleet.Program) fleet.Decision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.fleet.Admits(service, priority, time.Now())
+	return r.fleet.Admit(p, time.Now())
 }
 
 // recordObjective records the outcome of an objective.
@@ -412,6 +413,22 @@
 	return r.fleet.ExpectedDuration(service)
 }
 
+// shortestDuration returns the duration that few calls of a service stay below; zero if that is
+// not known.
+func (r *Relay) shortestDuration(service string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fleet.ShortestDuration(service)
+}
+
+// accountRetryAfter returns the time after which a refused program of an account should be
+// tried again.
+func (r *Relay) accountRetryAfter(service string, account uint64, usable time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fleet.AccountRetryAfter(service, account, usable, time.Now())
+}
+
 func (r *Relay) retryAfter(service string) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
