--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -43,7 +43,12 @@
 
 // Load is the load that a target reports with a response. Slots is how many
 // calls the target can execute at once.
-type Load struct{ Running, Waiting, Slots int }
+type Load struct {
+	Running, Waiting, Slots int
+	// Slowdown is how long work takes on the target's machine at this moment, as a multiple of
+	// the usual time; 0 if the target does not tell.
+	Slowdown float64
+}
 
 // Outcome is how an attempt at a target ended.
 type Outcome uint8
