loadboard, ledger: the work left of calls is exchanged beside their number

Callers: nothing yet. Change: Load.work is a column parallel to targets. The board adds it up and assumes that calls of processes which report none have as much left as the others at their target; a process that reads no column falls back on the number of calls.

--- a/ledger/load.go
+++ b/ledger/load.go
@@ -14,13 +14,14 @@
 		Facts: encodeFacts(r.Facts), Board: r.Position.Board, NextFact: r.Position.Next,
 	}
 	load.Targets, load.Calls = encodeCounts(r.Calls)
+	load.Work = encodeWork(r.Calls)
 	return load
 }
 
 // DecodeLoadReport is the inverse of EncodeLoadReport.
 func DecodeLoadReport(load *ledgerpb.Load) loadboard.Report {
 	return loadboard.Report{
-		Calls: decodeCounts(load.GetTargets(), load.GetCalls()), Failing: load.GetFailingTargets(), Suspects: load.GetSuspectTargets(),
+		Calls: decodeCalls(load), Failing: load.GetFailingTargets(), Suspects: load.GetSuspectTargets(),
 		Limits: decodeLimits(load.GetLimits()), Facts: decodeFacts(load.GetFacts()), Position: decodePosition(load),
 	}
 }
@@ -32,6 +33,7 @@
 		Facts: encodeFacts(s.Facts), Board: s.Position.Board, NextFact: s.Position.Next,
 	}
 	load.Targets, load.Calls = encodeCounts(s.Calls)
+	load.Work = encodeWork(s.Calls)
 	load.FailingTargets, load.FailingReports = encodeCounts(s.Failing)
 	load.SuspectTargets, load.SuspectReports = encodeCounts(s.Suspects)
 	return load
@@ -40,7 +42,7 @@
 // DecodeLoadSummary is the inverse of EncodeLoadSummary.
 func DecodeLoadSummary(load *ledgerpb.Load) loadboard.Summary {
 	return loadboard.Summary{
-		Calls:     decodeCounts(load.GetTargets(), load.GetCalls()),
+		Calls:     decodeCalls(load),
 		Failing:   decodeCounts(load.GetFailingTargets(), load.GetFailingReports()),
 		Suspects:  decodeCounts(load.GetSuspectTargets(), load.GetSuspectReports()),
 		Limits:    decodeLimits(load.GetLimits()),
@@ -131,3 +133,22 @@
 	}
 	return list
 }
+
+func encodeWork(list []loadboard.Count) []uint32 {
+	work := make([]uint32, 0, len(list))
+	for _, c := range list {
+		work = append(work, c.WorkMS)
+	}
+	return work
+}
+
+// decodeCalls joins the columns of the calls. Earlier versions send none for the work.
+func decodeCalls(load *ledgerpb.Load) []loadboard.Count {
+	calls := decodeCounts(load.GetTargets(), load.GetCalls())
+	if work := load.GetWork(); len(work) == len(calls) {
+		for i := range calls {
+			calls[i].WorkMS = work[i]
+		}
+	}
+	return calls
+}
--- a/loadboard/board.go
+++ b/loadboard/board.go
@@ -27,6 +27,9 @@
 type Count struct {
 	Target uint64
 	Count  uint32
+	// WorkMS is the work that is expected to be left of calls, in milliseconds; 0 if it is not
+	// known.
+	WorkMS uint32
 }
 
 // Report is the state of one process.
@@ -72,22 +75,24 @@
 }
 
 // Board holds the latest report of each process, and grants the permits for requests to
-// targets with a rate limit. Invariant: calls, failing and suspects are the sums over all
+// targets with a rate limit. Invariant: calls, failing, suspects and work are the sums over all
 // reports. It uses no clock and is not safe for concurrent use.
 type Board struct {
 	// id distinguishes the board from those of other members and of earlier processes.
 	id                       uint64
 	reports                  map[string]report
 	calls, failing, suspects map[uint64]uint32
-	limits                   map[uint64]*limit
-	facts                    factLog
-	nextExpiry               time.Time
+	// work is the work left of the calls by target.
+	work       map[uint64]workSum
+	limits     map[uint64]*limit
+	facts      factLog
+	nextExpiry time.Time
 }
 
 // New returns an empty board.
 func New() *Board {
 	return &Board{
-		id: rand.Uint64(), reports: make(map[string]report), calls: make(map[uint64]uint32), failing: make(map[uint64]uint32),
+		id: rand.Uint64(), reports: make(map[string]report), calls: make(map[uint64]uint32), work: make(map[uint64]workSum), failing: make(map[uint64]uint32),
 		suspects: make(map[uint64]uint32), limits: make(map[uint64]*limit), facts: factLog{byKey: make(map[factKey]uint64)},
 	}
 }
@@ -97,7 +102,7 @@
 	b.expire(now)
 	b.remove(process)
 	b.recordLimits(own.Limits, now)
-	others := Summary{Calls: greatest(b.calls), Failing: greatest(b.failing), Suspects: greatest(b.suspects), Limits: b.knownLimits(now)}
+	others := Summary{Calls: b.withWork(greatest(b.calls)), Failing: greatest(b.failing), Suspects: greatest(b.suspects), Limits: b.knownLimits(now)}
 	others.Facts, others.Position = b.exchangeFacts(own, now)
 	// Facts are kept in the log only.
 	own.Facts = nil
@@ -105,6 +110,7 @@
 	for _, c := range own.Calls {
 		if c.Count > 0 {
 			b.calls[c.Target] += c.Count
+			b.work[c.Target] = b.work[c.Target].plus(c, 1)
 		}
 	}
 	for _, target := range own.Failing {
@@ -164,6 +170,11 @@
 	old := b.reports[process]
 	for _, c := range old.Calls {
 		subtract(b.calls, c.Target, c.Count)
+		if b.calls[c.Target] == 0 {
+			delete(b.work, c.Target)
+			continue
+		}
+		b.work[c.Target] = b.work[c.Target].plus(c, -1)
 	}
 	for _, target := range old.Failing {
 		subtract(b.failing, target, 1)
