fleet, relay: targets are chosen by the predicted work of calls and by their pace

Callers: short calls waited behind long ones, and slow engines got as many turns as others. Cause: a target's cost counted calls, all of one mean duration and at targets of one speed. Change: the cost is the time until the call would end at the target, from the work left of the calls there, its own predicted work and the target's pace, and the time by which it delays the calls that run there. Pace has two time constants: calls that have ended, and the slowdown that the target reports for its machine. Of more than 96 targets, 96 are compared. fillLevel no longer halves an interval; its first exact form did not end when rounding brought a candidate back. The mechanism work_prediction can be disabled, which gives the former choice.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -86,6 +86,12 @@
 	// target when it last reported its load, at othersAt.
 	othersInFlight float64
 	othersAt       time.Time
+	// othersWorkMS is the work that is left of one of those calls on average, in milliseconds;
+	// 0 if it is not known.
+	othersWorkMS float64
+	// calls are the calls of this process in flight whose work was predicted.
+	calls []*Call
+	pace  pace
 	// callsSeen counts the calls of this process and the exchanges in which others had calls
 	// at the target.
 	callsSeen int
@@ -123,7 +129,13 @@
 	othersInFlight float64
 	// cacheTokens is the size of an engine's prompt cache.
 	cacheTokens int
+	work        *workModel
 	targets     []*target
+	// byID holds the latest incarnation of each target.
+	byID map[string]*target
+	// hasTooManyEjected is the result of the count of ejected targets at ejectionsCountedAt.
+	hasTooManyEjected  bool
+	ejectionsCountedAt time.Time
 }
 
 // Fleet holds the state of all targets and services.
@@ -169,11 +181,12 @@
 		t.Draining = declared.Draining || f.leaving[declared.TargetKey]
 		s := f.services[declared.Service]
 		if s == nil {
-			s = &service{durationMS: initialDurationMS, admitLimit: maxAdmitLimit, otherShare: 1, affinity: newAffinity()}
+			s = &service{durationMS: initialDurationMS, admitLimit: maxAdmitLimit, otherShare: 1, affinity: newAffinity(), work: newWorkModel()}
 			if before := old[declared.Service]; before != nil {
 				*s = *before
 				s.isEngine, s.targets, s.affinity.assignedAt = false, nil, time.Time{}
 			}
+			s.byID = make(map[string]*target)
 			f.services[declared.Service] = s
 		}
 		if engine := services[declared.Service].Engine; engine != nil {
@@ -185,6 +198,9 @@
 		f.targets[declared.TargetKey] = t
 		f.byHash[declared.Hash()] = t
 		s.targets = append(s.targets, t)
+		if other := s.byID[t.ID]; other == nil || other.Started < t.Started {
+			s.byID[t.ID] = t
+		}
 	}
 }
 
@@ -274,6 +290,7 @@
 		t.othersInFlight = max(0, float64(load.Running+load.Waiting-t.inFlight))
 		t.othersAt = now
 	}
+	t.pace.recordSlowdown(load.Slowdown, now)
 	if load.Slots <= 0 {
 		return
 	}
--- a/fleet/others.go
+++ b/fleet/others.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/loadboard"
@@ -14,6 +15,9 @@
 // entries without calls do not exchange.
 const maxExchangeGap = 500 * time.Millisecond
 
+// maxReportedWorkMS bounds the work that is reported for one target.
+const maxReportedWorkMS = 1e8
+
 // exchangeAge tracks how old the exchanged load is.
 type exchangeAge struct {
 	at time.Time
@@ -28,7 +32,7 @@
 	var own loadboard.Report
 	for hash, t := range f.byHash {
 		if t.inFlight > 0 {
-			own.Calls = append(own.Calls, loadboard.Count{Target: hash, Count: uint32(t.inFlight)})
+			own.Calls = append(own.Calls, loadboard.Count{Target: hash, Count: uint32(t.inFlight), WorkMS: t.ownWorkMS(now)})
 		}
 		if t.health.failsAt(now) {
 			own.Failing = append(own.Failing, hash)
@@ -41,6 +45,15 @@
 	return own
 }
 
+// ownWorkMS returns the work that is left of this process's calls at the target, in
+// milliseconds; 0 if it was not predicted.
+func (t *target) ownWorkMS(now time.Time) uint32 {
+	if len(t.calls) == 0 {
+		return 0
+	}
+	return uint32(min(max(1, t.workLeftMS(float64(len(t.calls)), 0, now)), maxReportedWorkMS))
+}
+
 // RecordOthers records the load of all other processes. Targets that are not listed have no
 // calls and do not fail.
 func (f *Fleet) RecordOthers(others loadboard.Summary, now time.Time) {
@@ -50,7 +63,7 @@
 	}
 	f.exchange.record(now)
 	for _, t := range f.targets {
-		t.othersInFlight, t.othersAt = 0, now
+		t.othersInFlight, t.othersWorkMS, t.othersAt = 0, 0, now
 		t.health.othersFailing = 0
 		t.suspects.others = 0
 	}
@@ -60,6 +73,7 @@
 	for _, c := range others.Calls {
 		if t := f.byHash[c.Target]; t != nil {
 			t.othersInFlight = float64(c.Count)
+			t.othersWorkMS = float64(c.WorkMS) / float64(max(1, c.Count))
 			t.callsSeen++
 			f.services[t.Service].othersInFlight += float64(c.Count)
 		}
@@ -106,6 +120,32 @@
 type candidate struct {
 	target *target
 	load   float64
+	// workMS is the work left of the calls there, in milliseconds.
+	workMS float64
+	// fill is the load or, for plain targets if choices follow the predicted work, the number
+	// of average calls with as much work. Engines share their time among all calls.
+	fill float64
+}
+
+func (p *placement) newCandidate(t *target, load float64) candidate {
+	if !p.usesWork {
+		return candidate{target: t, load: load, fill: load}
+	}
+	c := candidate{target: t, load: load, workMS: t.workLeftMS(load, p.meanWorkMS, p.now), fill: load}
+	if !p.service.isEngine {
+		c.fill = c.workMS / max(p.meanWorkMS, minPlainMS)
+	}
+	return c
+}
+
+// filled returns the candidate with the unseen calls that fill it up to a level.
+func (p *placement) filled(c candidate, level float64) candidate {
+	if unseen := level - c.fill; unseen > 0 {
+		c.load += unseen
+		c.workMS += unseen * p.meanWorkMS
+		c.fill = level
+	}
+	return c
 }
 
 // unseenCalls estimates how many calls others have sent since the exchanged load was
@@ -120,48 +160,46 @@
 }
 
 // fillUnseen estimates where the unseen calls of others went, if each of them went to the
-// least loaded target: it returns the load up to which they fill the candidates. If all
-// entries chose the least loaded target by the same old numbers, they would choose the same
-// one. So it also draws one of the candidates, with a probability proportional to the calls
-// that it receives; -1 if there are none.
+// candidate that is filled least: it returns the level up to which they fill the candidates. If
+// all entries chose that candidate by the same old numbers, they would choose the same one. So
+// it also draws one of the candidates, with a probability proportional to the calls that it
+// receives; -1 if there are none.
 func (f *Fleet) fillUnseen(s *service, now time.Time) (level float64, drawn int) {
 	unseen := f.unseenCalls(s, now)
+	if f.usesWork() && len(s.targets) > maxCandidates {
+		// Not all targets are compared; the others get their share of those calls.
+		unseen *= min(1, float64(len(f.candidates))/float64(len(s.targets)))
+	}
 	if unseen <= 0 || len(f.candidates) == 0 {
 		return 0, -1
 	}
 	level = fillLevel(f.candidates, unseen)
 	point := f.random.Float64() * unseen
 	for i, c := range f.candidates {
-		if point -= max(0, level-c.load); point < 0 {
+		if point -= max(0, level-c.fill); point < 0 {
 			return level, i
 		}
 	}
 	return level, -1
 }
 
-// fillSteps is the number of halvings of the interval that contains the level, which leaves
-// an error of a thousandth of a call.
-const fillSteps = 20
-
-// fillLevel returns the load to which the candidates below it rise when a number of calls
-// is spread over them.
+// fillLevel returns the level to which the candidates below it rise when a number of calls is
+// spread over them. It begins with the level of all candidates and leaves out those above it,
+// which lowers the level, until there are none.
 func fillLevel(candidates []candidate, calls float64) float64 {
-	low := candidates[0].load
-	for _, c := range candidates {
-		low = min(low, c.load)
-	}
-	high := low + calls
-	for range fillSteps {
-		level := (low + high) / 2
-		used := 0.0
+	level := math.Inf(1)
+	for below := len(candidates) + 1; ; {
+		sum, n := calls, 0
 		for _, c := range candidates {
-			used += max(0, level-c.load)
+			if c.fill < level {
+				sum += c.fill
+				n++
+			}
 		}
-		if used < calls {
-			low = level
-		} else {
-			high = level
+		// Rounding may bring a candidate back.
+		if n >= below || n == 0 {
+			return level
 		}
+		level, below = sum/float64(n), n
 	}
-	return high
 }
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
+	"github.com/rhubarbsaddle/rhubarbsaddle/forecast"
 	"github.com/rhubarbsaddle/rhubarbsaddle/mechanism"
 )
 
@@ -13,6 +14,10 @@
 	// Domain is the failure domain of the entry that serves the caller.
 	Domain string
 	Prompt []Part
+	// Class is the class of calls by which the work of this one is predicted. MaxEvents bounds
+	// the events of a stream; 0 if there is no bound.
+	Class     forecast.Class
+	MaxEvents int
 	// LastTarget is the id of the target that executed the program's previous turn, if
 	// known. That target has the conversation so far cached.
 	LastTarget string
@@ -49,6 +54,9 @@
 	// expected to be had after PermitWait.
 	Limit      Limit
 	PermitWait time.Duration
+	// Call is the attempt at the target once it has been started with StartCall.
+	Call *Call
+	work predictedWork
 }
 
 // Pick returns the target with the lowest expected cost, or false if none is
@@ -73,43 +81,90 @@
 	p := f.newPlacement(s, f.withoutDisabled(q), now)
 	f.collectCandidates(&p)
 	level, drawn := f.fillUnseen(s, now)
+	tie := 0.0
+	if p.usesWork {
+		tie = tieMS
+	}
+	var best candidate
 	for i, c := range f.candidates {
-		cost, cachedTokens := p.cost(c.target, max(c.load, level))
+		c = p.filled(c, level)
+		cost := p.cost(c)
 		if i == drawn {
-			cost -= s.contentionMS()
+			cost -= p.drawnMS(c)
 		}
-		if !ok || cost < choice.CostMS {
+		if !ok || cost < choice.CostMS-tie {
 			ok = true
-			choice = Choice{Target: c.target.Target, CostMS: cost, Load: c.load, CachedTokens: cachedTokens, Limit: c.target.limit.Limit, PermitWait: c.target.limit.wait(now)}
+			best, choice.CostMS = c, cost
 		}
 	}
+	if ok {
+		p.describe(&choice, best)
+	}
 	return choice, ok
 }
 
+// drawnMS returns what one call more costs the next one at a candidate. The drawn one is
+// preferred by as much.
+func (p *placement) drawnMS(c candidate) float64 {
+	ms := p.service.contentionMS()
+	if p.usesWork && c.load > float64(c.target.Slots)-1 {
+		ms += p.meanWorkMS / float64(max(1, c.target.Slots))
+	}
+	return ms
+}
+
+// describe completes a choice with the estimates that it was based on.
+func (p *placement) describe(choice *Choice, c candidate) {
+	t := c.target
+	choice.Target, choice.Load, choice.Limit, choice.PermitWait = t.Target, t.load(p.now), t.limit.Limit, t.limit.wait(p.now)
+	if t.cache != nil {
+		choice.CachedTokens = p.cachedTokens(t)
+	}
+	choice.work = p.predictWork(c, choice.CachedTokens)
+}
+
+// maxCandidates bounds the targets that are compared for one call, so that the time of a choice
+// does not grow with the service.
+const maxCandidates = 96
+
 // collectCandidates sets f.candidates to the targets that may get the call, starting with a
-// different one each time.
+// different one each time. Of many targets, it stops after maxCandidates, and adds the one that
+// executed the previous turn and the one preferred for the object.
 func (f *Fleet) collectCandidates(p *placement) {
 	f.candidates = f.candidates[:0]
 	targets := p.service.targets
 	ignoreEjections := f.disabled.Disables(mechanism.Ejection) || p.service.tooManyEjected(p.now)
 	n := uint64(len(targets))
-	for i := range n {
-		t := targets[(f.rotation+i)%n]
-		if t.Draining || t.health.hasEnded(p.now) || excluded(p.query.Exclude, t.TargetKey) || !ignoreEjections && !t.health.usable(p.query.AtMostOnce, p.now) {
-			continue
-		}
-		if p.query.Software != 0 && t.software != p.query.Software {
-			continue
-		}
-		load := t.load(p.now)
-		if !p.query.AllowFull && t.isFullAt(load) {
-			continue
+	first, limit := f.rotation, len(targets)
+	if p.usesWork && limit > maxCandidates {
+		first, limit = f.rotation*maxCandidates, maxCandidates
+		for _, t := range []*target{p.service.byID[p.query.LastTarget], p.preferred} {
+			if t != nil {
+				f.addCandidate(p, t, ignoreEjections)
+			}
 		}
-		if t.limit.IsLimited && p.query.Unlimited || t.limit.wait(p.now) > p.query.MaxWait {
-			continue
-		}
-		f.candidates = append(f.candidates, candidate{target: t, load: load})
 	}
+	for i := uint64(0); i < n && len(f.candidates) < limit; i++ {
+		f.addCandidate(p, targets[(first+i)%n], ignoreEjections)
+	}
+}
+
+// addCandidate adds a target to f.candidates if it may get the call.
+func (f *Fleet) addCandidate(p *placement, t *target, ignoreEjections bool) {
+	if t.Draining || t.health.hasEnded(p.now) || excluded(p.query.Exclude, t.TargetKey) || !ignoreEjections && !t.health.usable(p.query.AtMostOnce, p.now) {
+		return
+	}
+	if p.query.Software != 0 && t.software != p.query.Software {
+		return
+	}
+	load := t.load(p.now)
+	if !p.query.AllowFull && t.isFullAt(load) {
+		return
+	}
+	if t.limit.IsLimited && p.query.Unlimited || t.limit.wait(p.now) > p.query.MaxWait {
+		return
+	}
+	f.candidates = append(f.candidates, p.newCandidate(t, load))
 }
 
 // placement is what all targets' costs for one call depend on.
@@ -124,7 +179,12 @@
 	sharedPrefix   string
 	// preferred is the target preferred for the call's object, or nil.
 	preferred *target
-	disabled  mechanism.Set
+	// output and meanWorkMS are the predicted output of the call, and the work that is left of
+	// a call of which nothing is known.
+	output     forecast.Estimate
+	meanWorkMS float64
+	usesWork   bool
+	disabled   mechanism.Set
 }
 
 func (f *Fleet) newPlacement(s *service, q Query, now time.Time) placement {
@@ -132,6 +192,7 @@
 		service: s, query: q, now: now, promptSize: promptTokens(q.Prompt), disabled: f.disabled,
 		keptEverywhere: s.isEngine && s.affinity.isKeptEverywhere(q.Prompt, s.cacheTokens),
 		preferred:      s.preferredFor(q.AffinityKey),
+		output:         s.expectedOutput(&q), meanWorkMS: s.meanWorkMS(), usesWork: f.usesWork(),
 	}
 	if !p.keptEverywhere && !f.disabled.Disables(mechanism.PrefixAssignment) {
 		p.sharedPrefix = s.affinity.sharedPrefix(q.Prompt, s.targets, now)
@@ -139,29 +200,22 @@
 	return p
 }
 
-// cost estimates the cost of the call at a target with the given load, in milliseconds: the
-// waits for a slot and for a permit, the processing of prompt tokens that are not cached, the
-// delay by the other calls in the batch, the network round trip, a penalty for recent
-// failures, and what the call costs others if the target is not the one assigned to its prefix
-// or object.
-// cachedTokens is how many of the prompt's tokens are expected to be cached.
-func (p *placement) cost(t *target, load float64) (ms float64, cachedTokens int) {
-	s := p.service
-	slots := float64(t.Slots)
-	running := min(load, slots)
-	ms = running * s.contentionMS()
-	if load >= slots {
-		ms += (load - slots + 1) * s.durationMS / slots
+// cost estimates the cost of the call at a candidate, in milliseconds: the
+// time that it takes there and by which it delays others, the wait for a permit, the network
+// round trip, a penalty for recent failures, and what the call costs others if the target is
+// not the one assigned to its prefix or object.
+func (p *placement) cost(c candidate) float64 {
+	s, t, load := p.service, c.target, c.load
+	ms := 0.0
+	if p.usesWork {
+		ms = p.workCostMS(c)
+	} else {
+		ms = p.countCostMS(t, load)
 	}
-	ms += float64(t.limit.wait(p.now)) / float64(time.Millisecond)
+	ms += milliseconds(t.limit.wait(p.now))
 	if p.now.Before(t.WarmAt) {
 		ms += coldCostFactor * s.durationMS
 	}
-	if t.cache != nil {
-		cachedTokens = p.cachedTokens(t)
-		// The processing of a prompt also delays the calls that run at the engine.
-		ms += float64(p.promptSize-cachedTokens) / prefillTokensPerMS * (1 + running)
-	}
 	if t.Domain != p.query.Domain && !p.disabled.Disables(mechanism.DomainPreference) {
 		ms += crossDomainMS
 	}
@@ -172,7 +226,36 @@
 		ms += affinityMissShare * s.durationMS
 	}
 	ms += t.health.penaltyMS(p.query.AtMostOnce, p.now)
-	return p.withCrashRisk(t, load, ms), cachedTokens
+	return p.withCrashRisk(t, load, ms)
+}
+
+// workCostMS estimates the time of the call at a candidate from the predicted work of all calls
+// there and from the target's pace.
+func (p *placement) workCostMS(c candidate) float64 {
+	cachedTokens := 0
+	if c.target.cache != nil {
+		cachedTokens = p.cachedTokens(c.target)
+	}
+	work := p.predictWork(c, cachedTokens)
+	return work.costMS(p.service, min(c.load, float64(c.target.Slots)))
+}
+
+// countCostMS estimates the time of the call at a target from the number of calls there: the
+// wait for a slot, the processing of prompt tokens that are not cached, and the delay by the
+// other calls in the batch.
+func (p *placement) countCostMS(t *target, load float64) float64 {
+	s := p.service
+	slots := float64(t.Slots)
+	running := min(load, slots)
+	ms := running * s.contentionMS()
+	if load >= slots {
+		ms += (load - slots + 1) * s.durationMS / slots
+	}
+	if t.cache != nil {
+		// The processing of a prompt also delays the calls that run at the engine.
+		ms += float64(p.promptSize-p.cachedTokens(t)) / prefillTokensPerMS * (1 + running)
+	}
+	return ms
 }
 
 // cachedTokens returns how many of the prompt's tokens an engine is expected to have cached.
@@ -206,10 +289,17 @@
 	return q
 }
 
+// ejectionCheckPeriod is the time after which the ejected targets are counted again.
+const ejectionCheckPeriod = 5 * time.Millisecond
+
 // tooManyEjected reports whether more than maxEjectedShare of the targets are ejected
 // because of failures. Ejections are then ignored, and failures only add to a target's
 // cost.
 func (s *service) tooManyEjected(now time.Time) bool {
+	if len(s.targets) > maxCandidates && now.Sub(s.ejectionsCountedAt) < ejectionCheckPeriod {
+		return s.hasTooManyEjected
+	}
+	s.ejectionsCountedAt = now
 	serving, ejected := 0, 0
 	for _, t := range s.targets {
 		if t.Draining || t.health.hasEnded(now) {
@@ -220,7 +310,8 @@
 			ejected++
 		}
 	}
-	return float64(ejected) > maxEjectedShare*float64(serving)
+	s.hasTooManyEjected = float64(ejected) > maxEjectedShare*float64(serving)
+	return s.hasTooManyEjected
 }
 
 func excluded(exclude []catalog.TargetKey, key catalog.TargetKey) bool {
--- a/mechanism/mechanism.go
+++ b/mechanism/mechanism.go
@@ -56,6 +56,8 @@
 	FollowMembers
 	// SegmentIndex reads an index of the ledger's disk at the start.
 	SegmentIndex
+	// WorkPrediction chooses targets by the predicted work of calls and by the pace of targets.
+	WorkPrediction
 )
 
 var names = [...]string{
@@ -79,6 +81,7 @@
 	RelayedAppends:    "relayed_appends",
 	FollowMembers:     "follow_members",
 	SegmentIndex:      "segment_index",
+	WorkPrediction:    "work_prediction",
 }
 
 // Names returns the names of all mechanisms, as they appear in settings.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -51,6 +51,7 @@
 // attempt is one transmission of a request to a target.
 type attempt struct {
 	relay     *Relay
+	choice    fleet.Choice
 	target    catalog.Target
 	conn      *conn
 	startedAt time.Time
@@ -86,8 +87,9 @@
 }
 
 // startAttempt sends the request to a target and reads the head of the response.
-func (r *Relay) startAttempt(ctx context.Context, e *exchange, target catalog.Target, body []byte, resumeAfter string) (*attempt, *failure) {
-	a := &attempt{relay: r, target: target, startedAt: time.Now(), outcome: fleet.ConnectionLost, fingerprints: e.fingerprints}
+func (r *Relay) startAttempt(ctx context.Context, e *exchange, choice fleet.Choice, body []byte, resumeAfter string) (*attempt, *failure) {
+	target := choice.Target
+	a := &attempt{relay: r, choice: choice, target: target, startedAt: time.Now(), outcome: fleet.ConnectionLost, fingerprints: e.fingerprints}
 	a.suspicion = r.startSuspicion(target.TargetKey, e.fingerprints)
 	c, err := r.pool.get(ctx, poolKey{target.TargetKey, target.Addr})
 	if err != nil {
@@ -284,5 +286,5 @@
 
 func (a *attempt) end() {
 	a.endSuspicion()
-	a.relay.recordEnd(a.target.TargetKey, a.outcome, time.Since(a.startedAt))
+	a.relay.recordEnd(a.choice, a.outcome, time.Since(a.startedAt))
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
 	"github.com/rhubarbsaddle/rhubarbsaddle/fleet"
+	"github.com/rhubarbsaddle/rhubarbsaddle/forecast"
 	"github.com/rhubarbsaddle/rhubarbsaddle/mechanism"
 )
 
@@ -220,6 +221,7 @@
 	query := fleet.Query{
 		Service: e.service, Domain: e.relay.domain, Prompt: e.call.PromptParts, Exclude: e.tried, AllowFull: allowFull, LastTarget: e.lastTarget,
 		AtMostOnce: !e.route.Retryable(), MaxWait: e.maxPermitWait(),
+		Class: forecast.Class{Route: e.route.Name, IsLater: e.lastTarget != "" || e.call.Previous != ""}, MaxEvents: e.maxEvents(),
 	}
 	if e.route.Sticky {
 		query.AffinityKey = e.call.AffinityKey
@@ -232,6 +234,23 @@
 	return query
 }
 
+// maxEvents returns the most events that a stream may have, or 0 if there is no bound.
+func (e *exchange) maxEvents() int {
+	if e.call.MaxTokens <= 0 {
+		return 0
+	}
+	perEvent := max(1, e.tokensPerEvent())
+	return (e.call.MaxTokens + perEvent - 1) / perEvent
+}
+
+// tokensPerEvent returns how many tokens one event of the service counts for.
+func (e *exchange) tokensPerEvent() int {
+	if engine := e.config.Services[e.service].Engine; engine != nil {
+		return engine.TokensPerEvent
+	}
+	return 1
+}
+
 // canFinish reports whether a call that is sent now may end before the deadline. The
 // fastest calls take a fraction of the average duration.
 func (e *exchange) canFinish() bool {
@@ -256,12 +275,12 @@
 	e.choice = choice
 	e.tried = append(e.tried, choice.Target.TargetKey)
 	if err := e.beforeSend(ctx, choice); err != nil {
-		e.relay.recordEnd(choice.Target.TargetKey, fleet.Canceled, 0)
+		e.relay.recordEnd(choice, fleet.Canceled, 0)
 		fail := &failure{execution: notSent, target: choice.Target, err: err}
 		e.recordFailure(ctx, fail)
 		return nil, fail
 	}
-	a, fail := e.relay.startAttempt(ctx, e, choice.Target, body, resumeAfter)
+	a, fail := e.relay.startAttempt(ctx, e, choice, body, resumeAfter)
 	if fail == nil && a.responseInfo.NotExecuted {
 		fail = e.readRefusal(a)
 	}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -18,11 +18,15 @@
 	permits         *prometheus.CounterVec
 	lostByCrash     prometheus.Counter
 	condemned       prometheus.Counter
+	predictionError prometheus.Histogram
 }
 
 // buckets are in seconds and range from a few milliseconds to the longest deadlines.
 var buckets = []float64{.005, .01, .025, .05, .1, .2, .4, .8, 1.6, 3.2, 6.4}
 
+// errorBuckets are shares of the predicted time.
+var errorBuckets = []float64{.05, .1, .2, .4, .8, 1.6, 3.2}
+
 // NewMetrics creates the metrics and registers them with reg.
 func NewMetrics(reg prometheus.Registerer) *Metrics {
 	m := &Metrics{
@@ -54,7 +58,11 @@
 	m.condemned = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "rhubarbsaddle_requests_condemned_total", Help: "Requests found to crash targets, which are refused from then on; each is counted once.",
 	})
-	reg.MustRegister(m.lostByCrash, m.condemned, m.unlogged, m.permits, m.requests, m.duration, m.firstEventDelay, m.connects, m.staleResponses)
+	m.predictionError = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "rhubarbsaddle_prediction_error", Help: "Difference between the time that an attempt took and the predicted time, relative to the latter.",
+		Buckets: errorBuckets,
+	})
+	reg.MustRegister(m.predictionError, m.lostByCrash, m.condemned, m.unlogged, m.permits, m.requests, m.duration, m.firstEventDelay, m.connects, m.staleResponses)
 	return m
 }
 
--- a/relay/permit.go
+++ b/relay/permit.go
@@ -60,7 +60,7 @@
 		if ctx.Err() != nil {
 			return fleet.Choice{}, false
 		}
-		if e.relay.recordStart(choice, query) {
+		if e.relay.recordStart(&choice, query) {
 			return choice, true
 		}
 	}
@@ -93,14 +93,13 @@
 
 // recordStart records the start of an attempt at a target that was chosen before a wait. It
 // returns false if the target has begun to leave since.
-func (r *Relay) recordStart(choice fleet.Choice, q fleet.Query) bool {
+func (r *Relay) recordStart(choice *fleet.Choice, q fleet.Query) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.fleet.IsServing(choice.Target.TargetKey) {
 		return false
 	}
-	r.fleet.RecordStart(choice.Target.TargetKey, q.Prompt, time.Now())
-	r.signalLoadChange()
+	r.start(choice, q, time.Now())
 	return true
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -282,12 +282,18 @@
 	now := time.Now()
 	choice, ok := r.fleet.Pick(q, now)
 	if ok && !choice.Limit.IsLimited {
-		r.fleet.RecordStart(choice.Target.TargetKey, q.Prompt, now)
-		r.signalLoadChange()
+		r.start(&choice, q, now)
 	}
 	return choice, ok
 }
 
+// start records the start of an attempt at the chosen target. Mu must be held.
+func (r *Relay) start(choice *fleet.Choice, q fleet.Query, now time.Time) {
+	r.fleet.RecordStart(choice.Target.TargetKey, q.Prompt, now)
+	choice.Call = r.fleet.StartCall(*choice, q, now)
+	r.signalLoadChange()
+}
+
 // LoadChanged returns a channel that receives a value when the calls in flight should be
 // exchanged with other processes.
 func (r *Relay) LoadChanged() <-chan struct{} { return r.loadChanged }
@@ -337,6 +343,13 @@
 	r.fleet.RecordLoad(key, response.Load, time.Now())
 }
 
+// recordEvent records that an event of a stream has arrived.
+func (r *Relay) recordEvent(call *fleet.Call) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleet.RecordEvent(call, time.Now())
+}
+
 // recordFirstEvent records how long a target took to send the first event.
 func (r *Relay) recordFirstEvent(service string, delay time.Duration) {
 	r.mu.Lock()
@@ -369,11 +382,16 @@
 	}
 }
 
-// recordEnd records how an attempt ended and how long it took.
-func (r *Relay) recordEnd(key catalog.TargetKey, outcome fleet.Outcome, duration time.Duration) {
+// recordEnd records how an attempt at the chosen target ended and how long it took.
+func (r *Relay) recordEnd(choice fleet.Choice, outcome fleet.Outcome, duration time.Duration) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.fleet.RecordEnd(key, outcome, duration, time.Now())
+	now := time.Now()
+	relativeError, ok := r.fleet.EndCall(choice.Call, outcome, now)
+	r.fleet.RecordEnd(choice.Target.TargetKey, outcome, duration, now)
+	r.mu.Unlock()
+	if ok {
+		r.metrics.predictionError.Observe(relativeError)
+	}
 	r.signalLoadChange()
 }
 
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -226,11 +226,3 @@
 	}
 	return "turn/" + t.call.ID
 }
-
-// tokensPerEvent returns how many tokens one event of the service counts for.
-func (t *turn) tokensPerEvent() int {
-	if engine := t.config.Services[t.service].Engine; engine != nil {
-		return engine.TokensPerEvent
-	}
-	return 1
-}
