relay: bytes exchanged with targets are counted, by direction and failure domain

Callers: nothing. Cause: a metric was missing that shows which part of the bytes between domains goes to targets.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -105,6 +105,7 @@
 		return nil, &failure{execution: notSent, target: target, refused: refused, err: err}
 	}
 	a.conn = c
+	a.countBytes(sent, len(body))
 	a.stop = context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(time.Unix(1, 0)) })
 	request := e.newRequest(target, body, resumeAfter)
 	if fail := a.writeRequest(request, len(body)); fail != nil {
@@ -284,6 +285,11 @@
 	a.end()
 }
 
+// countBytes counts the bytes of a body that was exchanged with the target.
+func (a *attempt) countBytes(direction string, n int) {
+	a.relay.metrics.countTargetBytes(direction, a.target.Domain != a.relay.domain, n)
+}
+
 func (a *attempt) end() {
 	a.endSuspicion()
 	a.relay.recordEnd(a.choice, a.outcome, time.Since(a.startedAt))
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -201,6 +201,7 @@
 			}
 			continue
 		}
+		a.countBytes(received, len(body))
 		a.complete()
 		if a.response.StatusCode >= http.StatusInternalServerError && e.canExecuteAgain(ctx) && time.Until(e.deadline) > e.route.LatencyTarget {
 			continue
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -19,6 +19,7 @@
 	lostByCrash     prometheus.Counter
 	condemned       prometheus.Counter
 	predictionError prometheus.Histogram
+	targetBytes     *prometheus.CounterVec
 }
 
 // buckets are in seconds and range from a few milliseconds to the longest deadlines.
@@ -62,7 +63,10 @@
 		Name: "rhubarbsaddle_prediction_error", Help: "Difference between the time that an attempt took and the predicted time, relative to the latter.",
 		Buckets: errorBuckets,
 	})
-	reg.MustRegister(m.predictionError, m.lostByCrash, m.condemned, m.unlogged, m.permits, m.requests, m.duration, m.firstEventDelay, m.connects, m.staleResponses)
+	m.targetBytes = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "rhubarbsaddle_target_bytes_total", Help: "Bytes of bodies exchanged with targets, by direction and by whether the target is in another failure domain.",
+	}, []string{"direction", "crosses_domain"})
+	reg.MustRegister(m.targetBytes, m.predictionError, m.lostByCrash, m.condemned, m.unlogged, m.permits, m.requests, m.duration, m.firstEventDelay, m.connects, m.staleResponses)
 	return m
 }
 
@@ -75,6 +79,16 @@
 	m.permits.WithLabelValues(strconv.FormatBool(granted)).Inc()
 }
 
+// Directions of bytes.
+const (
+	sent     = "sent"
+	received = "received"
+)
+
+func (m *Metrics) countTargetBytes(direction string, crossesDomain bool, n int) {
+	m.targetBytes.WithLabelValues(direction, strconv.FormatBool(crossesDomain)).Add(float64(n))
+}
+
 func (m *Metrics) observeFirstEvent(delay time.Duration) {
 	if delay > 0 {
 		m.firstEventDelay.Observe(delay.Seconds())
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -164,6 +164,7 @@
 			return errOutputTooLarge
 		}
 		stall.reset(gap)
+		a.countBytes(received, len(ev.raw))
 		t.relay.recordEvent(a.choice.Call)
 		if !a.hasEvent {
 			a.hasEvent = true
