fleet: a target in another failure domain costs by the size of the prompt

Callers: nothing they feel; bytes between failure domains are dear on some deployments. Cause: another domain cost 2 ms whatever the size of the prompt, less than one call more at an engine, so first turns went to any domain, and the later turns of a conversation follow them. Change: the cost of crossing grows by 0.25 ms a kilobyte, the time on a link of 32 Mbit/s, for a first turn times the turns expected of a conversation. Wait, contention and cached tokens are weighed against it in the same sum.

--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -18,6 +18,8 @@
 	// the events of a stream; 0 if there is no bound.
 	Class     forecast.Class
 	MaxEvents int
+	// BodyBytes is the size of the body that is sent to the target.
+	BodyBytes int
 	// LastTarget is the id of the target that executed the program's previous turn, if
 	// known. That target has the conversation so far cached.
 	LastTarget string
@@ -183,6 +185,8 @@
 	// a call of which nothing is known.
 	output     forecast.Estimate
 	meanWorkMS float64
+	// crossingMS is the cost of a target in another failure domain.
+	crossingMS float64
 	usesWork   bool
 	disabled   mechanism.Set
 }
@@ -192,7 +196,10 @@
 		service: s, query: q, now: now, promptSize: promptTokens(q.Prompt), disabled: f.disabled,
 		keptEverywhere: s.isEngine && s.affinity.isKeptEverywhere(q.Prompt, s.cacheTokens),
 		preferred:      s.preferredFor(q.AffinityKey),
-		output:         s.expectedOutput(&q), meanWorkMS: s.meanWorkMS(), usesWork: f.usesWork(),
+		output:         s.expectedOutput(&q), meanWorkMS: s.meanWorkMS(), usesWork: f.usesWork(), crossingMS: crossDomainMS,
+	}
+	if p.usesWork {
+		p.crossingMS += s.work.crossingMS(&q)
 	}
 	if !p.keptEverywhere && !f.disabled.Disables(mechanism.PrefixAssignment) {
 		p.sharedPrefix = s.affinity.sharedPrefix(q.Prompt, s.targets, now)
@@ -217,7 +224,7 @@
 		ms += coldCostFactor * s.durationMS
 	}
 	if t.Domain != p.query.Domain && !p.disabled.Disables(mechanism.DomainPreference) {
-		ms += crossDomainMS
+		ms += p.crossingMS
 	}
 	if p.sharedPrefix != "" && t.assignedPrefix != p.sharedPrefix {
 		ms += misplacedPrefixMS
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -23,6 +23,13 @@
 	// maxPrefillFactor bounds by how much that differs from the initial one.
 	prefillWeight    = 0.05
 	maxPrefillFactor = 4.0
+	// crossingMSPerKB is the cost of a kilobyte sent to another failure domain, in milliseconds:
+	// its time on a link of 32 Mbit/s.
+	crossingMSPerKB = 0.25
+	// laterWeight is the weight of one call in the share of calls that continue a conversation,
+	// and maxTurns bounds the expected turns of a conversation.
+	laterWeight = 0.02
+	maxTurns    = 8.0
 	// maxPlainFactor bounds the time of a plain call that counts as work, as a multiple of the
 	// median of its class.
 	maxPlainFactor = 4.0
@@ -42,6 +49,8 @@
 	eventMS *forecast.Curve
 	// tokenMS is the processing time of an uncached prompt token.
 	tokenMS float64
+	// laterShare is the share of calls that continue a conversation.
+	laterShare float64
 }
 
 func newWorkModel() *workModel {
@@ -60,6 +69,25 @@
 	return e
 }
 
+// crossingMS returns the cost of sending the body of a call to another failure domain. The turns
+// that follow the first one of a conversation go to the same target.
+func (m *workModel) crossingMS(q *Query) float64 {
+	ms := crossingMSPerKB * float64(q.BodyBytes) / 1000
+	if q.Class.IsLater {
+		return ms
+	}
+	return ms / max(1-m.laterShare, 1/maxTurns)
+}
+
+// recordClass counts a call in the share of those that continue a conversation.
+func (m *workModel) recordClass(c forecast.Class) {
+	share := 0.0
+	if c.IsLater {
+		share = 1
+	}
+	m.laterShare += laterWeight * (share - m.laterShare)
+}
+
 // expectedOutput returns the expected events of a stream, or the work of a plain call.
 func (s *service) expectedOutput(q *Query) forecast.Estimate {
 	if s.isEngine {
@@ -135,6 +163,9 @@
 		uncached: choice.work.uncached, promptMS: choice.work.promptMS, output: choice.work.output, eventMS: choice.work.eventMS,
 	}
 	t.calls = append(t.calls, c)
+	if s := f.services[t.Service]; s != nil {
+		s.work.recordClass(q.Class)
+	}
 	return c
 }
 
--- a/fleet/work_test.go
+++ b/fleet/work_test.go
@@ -186,6 +186,30 @@
 	return s, crossed
 }
 
+// Bytes between failure domains: the first turn of a conversation, whose later turns follow it,
+// stays in the entry's domain while the targets there are hardly more loaded, and crosses when
+// they have a queue. A later turn goes where its prompt is cached.
+func TestLargePromptsStayInDomainUnlessCallersWait(t *testing.T) {
+	f := newFleet(6)
+	now := start
+	first := fleet.Query{Service: "llm", Domain: "d0", BodyBytes: 16_000, Prompt: []fleet.Part{sessionPart("a")}}
+	var domains []string
+	for range 6 {
+		choice, ok := f.Pick(first, now)
+		require.True(t, ok)
+		f.StartCall(choice, first, now)
+		f.RecordStart(choice.Target.TargetKey, nil, now)
+		domains = append(domains, choice.Target.Domain)
+	}
+	assert.Equal(t, []string{"d0", "d0"}, domains[:2])
+	assert.NotEqual(t, []string{"d0", "d0", "d0", "d0"}, domains[2:], "not when its engines run more calls than all others")
+
+	later := first
+	later.Class.IsLater, later.LastTarget, later.Prompt = true, "i1", []fleet.Part{sharedPrefix(1), sessionPart("a")}
+	choice, _ := f.Pick(later, now)
+	assert.Equal(t, key(1), choice.Target.TargetKey)
+}
+
 // A new start of a target is a new target, of whose pace nothing is known.
 func TestNewIncarnationHasNoPace(t *testing.T) {
 	f := fleet.New(0, 0)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -78,6 +78,8 @@
 	isPinned bool
 	// beforeSend is called before the request is sent to a chosen target.
 	beforeSend func(context.Context, fleet.Choice) error
+	// sentBytes is the size of the body that targets get, which includes previous turns.
+	sentBytes int
 	// choice is the last target that was chosen, with the estimates that the choice was
 	// based on.
 	choice fleet.Choice
@@ -222,7 +224,7 @@
 	query := fleet.Query{
 		Service: e.service, Domain: e.relay.domain, Prompt: e.call.PromptParts, Exclude: e.tried, AllowFull: allowFull, LastTarget: e.lastTarget,
 		AtMostOnce: !e.route.Retryable(), MaxWait: e.maxPermitWait(),
-		Class: forecast.Class{Route: e.route.Name, IsLater: e.lastTarget != "" || e.call.Previous != ""}, MaxEvents: e.maxEvents(),
+		Class: forecast.Class{Route: e.route.Name, IsLater: e.lastTarget != "" || e.call.Previous != ""}, MaxEvents: e.maxEvents(), BodyBytes: e.sentBytes,
 	}
 	if e.route.Sticky {
 		query.AffinityKey = e.call.AffinityKey
@@ -267,6 +269,7 @@
 	if e.isCondemned() {
 		return nil, nil
 	}
+	e.sentBytes = len(body)
 	choice, ok := e.chooseTarget(ctx, allowFull)
 	if !ok {
 		return nil, nil
