--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -122,11 +122,12 @@
 
 // testbed is a relay between a caller and targets.
 type testbed struct {
-	t      testing.TB
-	relay  *relay.Relay
-	ledger *memoryLedger
-	server *httptest.Server
-	next   int
+	registry *prometheus.Registry
+	t        testing.TB
+	relay    *relay.Relay
+	ledger   *memoryLedger
+	server   *httptest.Server
+	next     int
 }
 
 // The paths belong to routes that allow two targets for each request.
@@ -161,7 +162,8 @@
 	t.Helper()
 	b := &testbed{t: t, ledger: m}
 	o.Dialect, o.Ledger, o.Domain, o.Log = platform.Dialect{}, b.ledger, "d", &log.Logger{Level: log.PanicLevel}
-	o.Metrics = relay.NewMetrics(prometheus.NewRegistry())
+	b.registry = prometheus.NewRegistry()
+	o.Metrics = relay.NewMetrics(b.registry)
 	b.relay = relay.New(o)
 	b.server = httptest.NewServer(b.relay)
 	t.Cleanup(b.server.Close)
