fleet: the pace of engines counts by the free slots, others' work by its age

Callers would have seen: queues at fast engines while slow ones had free slots, near the capacity. Cause: the choice by work took a fast engine whatever that left for others, and entries with old figures all believed the work that had been reported 300 ms before. Change: the pace's part in the cost is multiplied by the share of free slots; reported work of engines counts less the more of it must be done by now. Conclusion: kept; TestUnevenEnginesNearCapacity asks for no worse than by count.

--- a/fleet/others.go
+++ b/fleet/others.go
@@ -51,7 +51,7 @@
 	if len(t.calls) == 0 {
 		return 0
 	}
-	return uint32(min(max(1, t.workLeftMS(float64(len(t.calls)), 0, now)), maxReportedWorkMS))
+	return uint32(min(max(1, t.ownWorkLeftMS(now)), maxReportedWorkMS))
 }
 
 // RecordOthers records the load of all other processes. Targets that are not listed have no
@@ -131,7 +131,7 @@
 	if !p.usesWork {
 		return candidate{target: t, load: load, fill: load}
 	}
-	c := candidate{target: t, load: load, workMS: t.workLeftMS(load, p.meanWorkMS, p.now), fill: load}
+	c := candidate{target: t, load: load, workMS: p.workLeftMS(t, load), fill: load}
 	if !p.service.isEngine {
 		c.fill = c.workMS / max(p.meanWorkMS, minPlainMS)
 	}
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -185,10 +185,14 @@
 	// a call of which nothing is known.
 	output     forecast.Estimate
 	meanWorkMS float64
+	// stalenessMS is the average age of what is known of others' work.
+	stalenessMS float64
 	// longShare is the share of the targets that long calls prefer, and isLong is set if this
 	// call is one.
 	longShare float64
 	isLong    bool
+	// freeShare is the share of the service's slots that are free on average.
+	freeShare float64
 	// crossingMS is the cost of a target in another failure domain.
 	crossingMS float64
 	usesWork   bool
@@ -205,6 +209,8 @@
 	if p.usesWork {
 		p.crossingMS += s.work.crossingMS(&q)
 		p.longShare = s.long.share()
+		p.stalenessMS = milliseconds(f.exchange.staleness(now))
+		p.freeShare = max(0, 1-s.currentLoadPerSlot(now))
 		p.isLong = !s.isEngine && p.output.Mean >= longFactor*p.meanWorkMS
 	}
 	if !p.keptEverywhere && !f.disabled.Disables(mechanism.PrefixAssignment) {
@@ -250,7 +256,7 @@
 		cachedTokens = p.cachedTokens(c.target)
 	}
 	work := p.predictWork(c, cachedTokens)
-	return work.costMS(p.service, min(c.load, float64(c.target.Slots)))
+	return work.costMS(p.service, min(c.load, float64(c.target.Slots)), p.freeShare)
 }
 
 // countCostMS estimates the time of the call at a target from the number of calls there: the
--- a/fleet/work.go
+++ b/fleet/work.go
@@ -18,20 +18,37 @@
 	output                          forecast.Estimate
 }
 
-// workLeftMS estimates the work that is left of the calls at the target if there are load of
-// them. Calls of which nothing is known have meanMS left.
-func (t *target) workLeftMS(load, meanMS float64, now time.Time) float64 {
+// ownWorkLeftMS returns the work that is left of this process's calls at the target.
+func (t *target) ownWorkLeftMS(now time.Time) float64 {
 	ms := 0.0
 	for _, c := range t.calls {
 		ms += c.remainingMS(now)
 	}
-	unknown := load - float64(len(t.calls))
-	if t.othersWorkMS > 0 {
-		reported := min(max(0, unknown), t.load(now)-float64(t.inFlight))
-		ms += reported * t.othersWorkMS
-		unknown -= reported
+	return ms
+}
+
+// workLeftMS estimates the work that is left of the calls at a target if there are load of
+// them. Calls of which nothing is known have the mean work left.
+func (p *placement) workLeftMS(t *target, load float64) float64 {
+	others := load - float64(len(t.calls))
+	if others <= 0 {
+		return t.ownWorkLeftMS(p.now)
+	}
+	return t.ownWorkLeftMS(p.now) + others*p.othersWorkMS(t)
+}
+
+// othersWorkMS estimates the work that is left of a call of others at a target. What was
+// reported of an engine is worth the less the more of it must be done by now. At plain targets
+// the unseen calls are added to it as work.
+func (p *placement) othersWorkMS(t *target) float64 {
+	if t.othersWorkMS == 0 {
+		return p.meanWorkMS
+	}
+	if !p.service.isEngine {
+		return t.othersWorkMS
 	}
-	return ms + max(0, unknown)*meanMS
+	known := max(0, 1-p.stalenessMS/t.othersWorkMS)
+	return p.meanWorkMS + known*(t.othersWorkMS-p.meanWorkMS)
 }
 
 // waitMS estimates the wait for a slot at a target with a load: calls end at a rate of load
@@ -63,9 +80,11 @@
 }
 
 // costMS returns the time until the call would end, and the time by which it would delay the
-// calls that run at the target.
-func (w *predictedWork) costMS(s *service, running float64) float64 {
-	ms := (w.waitMS + w.promptMS + w.output.Mean*w.eventMS) * w.pace
+// calls that run at the target. The pace counts by the share of free slots: where there are
+// hardly any, a slot at a fast target is one that another call does not get.
+func (w *predictedWork) costMS(s *service, running, freeShare float64) float64 {
+	own := w.promptMS + w.output.Mean*w.eventMS
+	ms := w.waitMS*w.pace + own*(1+(w.pace-1)*freeShare)
 	if !s.isEngine {
 		return ms + running*plainContentionMS
 	}
--- a/fleet/work_test.go
+++ b/fleet/work_test.go
@@ -87,6 +87,34 @@
 	assert.Greater(t, byWork.targets[0].started, 20, "slow engines are used")
 }
 
+// Two speeds near the capacity: fast engines must not get queues while slow ones have free slots,
+// neither with fresh figures nor when 60 entries have old ones. Preferring the pace of an engine
+// whatever the load did that.
+func TestUnevenEnginesNearCapacity(t *testing.T) {
+	for _, c := range []struct {
+		entries   int
+		period    time.Duration
+		perSecond float64
+	}{
+		{12, exchangePeriod, 1200}, {12, exchangePeriod, 1500}, {60, 300 * time.Millisecond, 1200}, {60, 300 * time.Millisecond, 1500},
+	} {
+		play := func(disabled mechanism.Set) *simulation {
+			s := newSimulation(c.entries, 60, 12, true, c.period, disabled)
+			for i := range 20 {
+				s.targets[i].pace = func(time.Duration) float64 { return 1.8 }
+			}
+			s.arrivals(0, 20*time.Second, c.perSecond, chatTurn)
+			s.run(20 * time.Second)
+			return s
+		}
+		byCount, byWork := play(withoutPrediction(t)), play(0)
+		t.Logf("%d entries, %v, %.0f a second: mean duration %.0f ms by count, %.0f ms by work; 99th percentile %.0f, %.0f", c.entries, c.period, c.perSecond,
+			mean(byCount.took["chat"]), mean(byWork.took["chat"]), quantile(byCount.took["chat"], 0.99), quantile(byWork.took["chat"], 0.99))
+		assert.LessOrEqual(t, mean(byWork.took["chat"]), mean(byCount.took["chat"]))
+		assert.LessOrEqual(t, quantile(byWork.took["chat"], 0.99), quantile(byCount.took["chat"], 0.99))
+	}
+}
+
 // A neighbor that comes and goes: an engine takes 2.5 times as long for 5 s. It gets fewer calls
 // meanwhile, and its share again within 10 s.
 func TestEngineWithNeighborRecovers(t *testing.T) {
