--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -44,7 +44,12 @@
 
 // Load is the load that a target reports with a response. Slots is how many
 // calls the target can execute at once.
-type Load struct{ Running, Waiting, Slots int }
+type Load struct {
+	Running, Waiting, Slots int
+	// Slowdown is how long work takes on the target's machine at this moment, as a multiple of
+	// the usual time; 0 if the target does not tell.
+	Slowdown float64
+}
 
 // Outcome is how an attempt at a target ended.
 type Outcome uint8
@@ -82,6 +87,14 @@
 	// target when it last reported its load, at othersAt.
 	othersInFlight float64
 	othersAt       time.Time
+	// othersWorkMS is the work that is left of one of those calls on average, in milliseconds;
+	// 0 if it is not known.
+	othersWorkMS float64
+	// calls are the calls of this process in flight whose work was predicted.
+	calls []*Call
+	pace  pace
+	// rank is the target's place, from 0 to 1, in an order on which all processes agree.
+	rank float64
 	// callsSeen counts the calls of this process and the exchanges in which others had calls
 	// at the target.
 	callsSeen int
@@ -128,7 +141,14 @@
 	othersInFlight float64
 	// cacheTokens is the size of an engine's prompt cache.
 	cacheTokens int
+	work        *workModel
+	long        *longCalls
 	targets     []*target
+	// byID holds the latest incarnation of each target.
+	byID map[string]*target
+	// hasTooManyEjected is the result of the count of ejected targets at ejectionsCountedAt.
+	hasTooManyEjected  bool
+	ejectionsCountedAt time.Time
 }
 
 // Fleet holds the state of all targets and services.
@@ -176,11 +196,12 @@
 		t.Draining = declared.Draining || f.leaving[declared.TargetKey]
 		s := f.services[declared.Service]
 		if s == nil {
-			s = &service{durationMS: initialDurationMS, admitLimit: maxAdmitLimit, otherShare: 1, accounts: fairshare.NewTracker(), affinity: newAffinity()}
+			s = &service{durationMS: initialDurationMS, admitLimit: maxAdmitLimit, otherShare: 1, accounts: fairshare.NewTracker(), affinity: newAffinity(), work: newWorkModel(), long: &longCalls{}}
 			if before := old[declared.Service]; before != nil {
 				*s = *before
 				s.isEngine, s.targets, s.affinity.assignedAt = false, nil, time.Time{}
 			}
+			s.byID = make(map[string]*target)
 			f.services[declared.Service] = s
 		}
 		if engine := services[declared.Service].Engine; engine != nil {
@@ -192,6 +213,14 @@
 		f.targets[declared.TargetKey] = t
 		f.byHash[declared.Hash()] = t
 		s.targets = append(s.targets, t)
+		if other := s.byID[t.ID]; other == nil || other.Started < t.Started {
+			s.byID[t.ID] = t
+		}
+	}
+	for _, s := range f.services {
+		if !s.isEngine {
+			s.rankTargets()
+		}
 	}
 }
 
@@ -281,6 +310,7 @@
 		t.othersInFlight = max(0, float64(load.Running+load.Waiting-t.inFlight))
 		t.othersAt = now
 	}
+	t.pace.recordSlowdown(load.Slowdown, now)
 	if load.Slots <= 0 {
 		return
 	}
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -127,11 +127,12 @@
 
 // testbed is a relay between a caller and targets.
 type testbed struct {
-	t      testing.TB
-	relay  *relay.Relay
-	ledger *memoryLedger
-	server *httptest.Server
-	next   int
+	registry *prometheus.Registry
+	t        testing.TB
+	relay    *relay.Relay
+	ledger   *memoryLedger
+	server   *httptest.Server
+	next     int
 	// edit changes the configuration that update applies, unless it is nil.
 	edit func(*catalog.Config)
 	// quotas are the quotas of accounts; the key of an account is its name. Without any, there
@@ -175,7 +176,8 @@
 	if o.Log == nil {
 		o.Log = &log.Logger{Level: log.PanicLevel}
 	}
-	o.Metrics = relay.NewMetrics(prometheus.NewRegistry())
+	b.registry = prometheus.NewRegistry()
+	o.Metrics = relay.NewMetrics(b.registry)
 	b.relay = relay.New(o)
 	b.server = httptest.NewServer(b.relay)
 	t.Cleanup(b.server.Close)
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -26,11 +26,16 @@
 	accountLabels   accountLabels
 	quotas          *prometheus.CounterVec
 	programs        *prometheus.CounterVec
+	predictionError prometheus.Histogram
+	targetBytes     *prometheus.CounterVec
 }
 
 // buckets are in seconds and range from a few milliseconds to the longest deadlines.
 var buckets = []float64{.005, .01, .025, .05, .1, .2, .4, .8, 1.6, 3.2, 6.4}
 
+// errorBuckets are shares of the predicted time.
+var errorBuckets = []float64{.05, .1, .2, .4, .8, 1.6, 3.2}
+
 // NewMetrics creates the metrics and registers them with reg.
 func NewMetrics(reg prometheus.Registerer) *Metrics {
 	m := &Metrics{
@@ -71,7 +76,14 @@
 	m.programs = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "rhubarbsaddle_programs_total", Help: "Programs that asked to start, by decision.",
 	}, []string{"decision"})
-	reg.MustRegister(m.accounts, m.quotas, m.programs, m.lostByCrash, m.condemned, m.unlogged, m.permits, m.requests, m.duration, m.firstEventDelay, m.connects, m.staleResponses)
+	m.predictionError = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "rhubarbsaddle_prediction_error", Help: "Difference between the time that an attempt took and the predicted time, relative to the latter.",
+		Buckets: errorBuckets,
+	})
+	m.targetBytes = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "rhubarbsaddle_target_bytes_total", Help: "Bytes of bodies exchanged with targets, by direction and by whether the target is in another failure domain.",
+	}, []string{"direction", "crosses_domain"})
+	reg.MustRegister(m.accounts, m.quotas, m.programs, m.targetBytes, m.predictionError, m.lostByCrash, m.condemned, m.unlogged, m.permits, m.requests, m.duration, m.firstEventDelay, m.connects, m.staleResponses)
 	return m
 }
 
@@ -90,6 +102,16 @@
 	m.quotas.WithLabelValues(outcome.String()).Inc()
 }
 
+// Directions of bytes.
+const (
+	sent     = "sent"
+	received = "received"
+)
+
+func (m *Metrics) countTargetBytes(direction string, crossesDomain bool, n int) {
+	m.targetBytes.WithLabelValues(direction, strconv.FormatBool(crossesDomain)).Add(float64(n))
+}
+
 func (m *Metrics) observeFirstEvent(delay time.Duration) {
 	if delay > 0 {
 		m.firstEventDelay.Observe(delay.Seconds())
