loadboard, quota, relay: programs start only if the quota has room for all of them

Callers: an account at its quota had single requests refused, and most of its programs lost one of theirs and with it all others. Cause: the quota was decided for each request by itself. Change: the board estimates the size of programs and what those under way still need, and each grant tells when the next one may start. Entries refuse first turns until then, with 429, and report the programs that they start. Below the quota nothing changes.

fleet: beyond the admission limit, only the load that others are to blame for lets accounts within their share in.

--- a/fleet/accounts.go
+++ b/fleet/accounts.go
@@ -37,11 +37,13 @@
 	if !isPressed {
 		return Decision{}
 	}
+	usage := s.accounts.Usage(p.Account, now)
 	lower, upper := s.admitLimit, limit/s.admitLimit*maxShareLimit
-	if load >= upper {
+	// Refusing those to blame brings the load back; a shortage that is everybody's does not end
+	// while more is admitted.
+	if load >= limit+usage.Blame*(upper-limit) {
 		return Decision{Admission: Overloaded}
 	}
-	usage := s.accounts.Usage(p.Account, now)
 	if usage.IsUnusual() {
 		lower = steady
 	}
--- a/ledger/load.go
+++ b/ledger/load.go
@@ -141,7 +141,7 @@
 func EncodeQuotaAsk(a loadboard.QuotaAsk) *ledgerpb.AcquireQuota {
 	return &ledgerpb.AcquireQuota{
 		Account: a.Account, PerSecond: a.PerSecond, Burst: a.Burst, Version: a.Version, Want: uint32(a.Want), Need: uint32(a.Need),
-		Unused: uint32(a.Unused), Spent: uint32(a.Spent), Refused: uint32(a.Refused), Processes: uint32(a.Processes),
+		Unused: uint32(a.Unused), Spent: uint32(a.Spent), Refused: uint32(a.Refused), Started: uint32(a.Started), Processes: uint32(a.Processes),
 	}
 }
 
@@ -149,18 +149,24 @@
 func DecodeQuotaAsk(a *ledgerpb.AcquireQuota) loadboard.QuotaAsk {
 	return loadboard.QuotaAsk{
 		Account: a.GetAccount(), PerSecond: a.GetPerSecond(), Burst: a.GetBurst(), Version: a.GetVersion(), Want: int(a.GetWant()), Need: int(a.GetNeed()),
-		Unused: int(a.GetUnused()), Spent: int(a.GetSpent()), Refused: int(a.GetRefused()), Processes: int(a.GetProcesses()),
+		Unused: int(a.GetUnused()), Spent: int(a.GetSpent()), Refused: int(a.GetRefused()), Started: int(a.GetStarted()), Processes: int(a.GetProcesses()),
 	}
 }
 
 // EncodeQuotaGrant returns a grant as a protobuf message.
 func EncodeQuotaGrant(g loadboard.QuotaGrant) *ledgerpb.QuotaGrant {
-	return &ledgerpb.QuotaGrant{Granted: uint32(g.Granted), WaitUs: uint64(max(0, g.Wait.Microseconds())), Partial: g.IsPartial}
+	return &ledgerpb.QuotaGrant{
+		Granted: uint32(g.Granted), WaitUs: uint64(max(0, g.Wait.Microseconds())), Partial: g.IsPartial,
+		StartWaitUs: uint64(max(0, g.StartWait.Microseconds())),
+	}
 }
 
 // DecodeQuotaGrant is the inverse of EncodeQuotaGrant.
 func DecodeQuotaGrant(g *ledgerpb.QuotaGrant) loadboard.QuotaGrant {
-	return loadboard.QuotaGrant{Granted: int(g.GetGranted()), Wait: time.Duration(g.GetWaitUs()) * time.Microsecond, IsPartial: g.GetPartial()}
+	return loadboard.QuotaGrant{
+		Granted: int(g.GetGranted()), Wait: time.Duration(g.GetWaitUs()) * time.Microsecond, IsPartial: g.GetPartial(),
+		StartWait: time.Duration(g.GetStartWaitUs()) * time.Microsecond,
+	}
 }
 
 func encodeCounts(list []loadboard.Count) (targets []uint64, counts []uint32) {
--- a/loadboard/board.go
+++ b/loadboard/board.go
@@ -95,12 +95,14 @@
 	calls, failing, suspects map[uint64]uint32
 	accounts                 accountSums
 	// work is the work left of the calls by target.
-	work       map[uint64]workSum
-	limits     map[uint64]*limit
-	facts      factLog
-	quotas     map[uint64]*quotaState
-	coverage   coverage
-	nextExpiry time.Time
+	work     map[uint64]workSum
+	limits   map[uint64]*limit
+	facts    factLog
+	quotas   map[uint64]*quotaState
+	coverage coverage
+	// programSize is that of the programs of accounts with a quota.
+	programSize programSize
+	nextExpiry  time.Time
 }
 
 // New returns an empty board.
--- a/loadboard/quotas.go
+++ b/loadboard/quotas.go
@@ -47,8 +47,9 @@
 	Unused int
 	// Spent is the number of further executions, which need no grant.
 	Spent int
-	// Refused is the number of requests that the process has refused since its last ask.
-	Refused int
+	// Refused is the number of requests that the process has refused since its last ask, and
+	// Started that of the programs that it has started.
+	Refused, Started int
 	// Processes is the number of processes that the asking one knows, or 0.
 	Processes int
 }
@@ -62,6 +63,8 @@
 	// IsPartial means that the board does not know most processes and grants only a share of the
 	// quota. A refusal does not mean that the account is over its quota.
 	IsPartial bool
+	// StartWait is the time until there is room for a whole program; 0 if there is now.
+	StartWait time.Duration
 }
 
 // quotaState is what a board has granted of one account's quota.
@@ -70,8 +73,9 @@
 	version          int64
 	bucket           tokenbucket.Bucket
 	// returns are the refused requests that have been told when to return.
-	returns tokenbucket.Bucket
-	askedAt time.Time
+	returns   tokenbucket.Bucket
+	committed committed
+	askedAt   time.Time
 	// coveredSince is that of the board when the level was last checked against it.
 	coveredSince time.Time
 }
@@ -149,11 +153,16 @@
 	q.bucket.Take(tokenbucket.Period(float64(ask.Spent), q.perSecond), now)
 	q.recordRefused(ask.Refused, now)
 	grant := QuotaGrant{Granted: q.available(ask, share, now), IsPartial: !isMajority}
+	b.recordPrograms(q, grant.Granted+ask.Spent-ask.Unused, ask.Started, now)
 	if grant.Granted > 0 {
 		q.bucket.Take(tokenbucket.Period(float64(grant.Granted), q.perSecond*share), now)
 	} else if ask.Want > 0 {
 		grant.Wait = min(maxReturnWait, max(q.waitForOne(now), q.returns.Used(now)))
 	}
+	// A board that has just taken over knows neither the level nor the programs under way.
+	if now.Sub(b.coverage.since) >= programTime {
+		grant.StartWait = b.startWait(q, now)
+	}
 	return grant
 }
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -125,7 +125,11 @@
 	answered      chan struct{}
 	waiting, need int
 	spent         int
-	probeAt       time.Time
+	// started is the number of programs started since the last ask, and startsAt when the next
+	// one may start.
+	started  int
+	startsAt time.Time
+	probeAt  time.Time
 
 	// refusedUntil is when the board is asked again, roomAt when there is room for the next
 	// request.
@@ -245,9 +249,9 @@
 	a.batch = max(1, a.need, int(perSecond*batchTime.Seconds()))
 	ask := &Ask{Name: a.name, QuotaAsk: loadboard.QuotaAsk{
 		Account: catalog.HashAccount(a.name), PerSecond: a.quota.PerSecond, Burst: a.quota.Burst, Version: a.version,
-		Want: a.batch, Need: a.need, Unused: a.unused, Spent: a.spent, Refused: a.unreported, Processes: h.knownProcesses(),
+		Want: a.batch, Need: a.need, Unused: a.unused, Spent: a.spent, Refused: a.unreported, Started: a.started, Processes: h.knownProcesses(),
 	}}
-	a.need, a.unused, a.spent, a.unreported = 0, 0, 0, 0
+	a.need, a.unused, a.spent, a.unreported, a.started = 0, 0, 0, 0, 0
 	a.answered = make(chan struct{})
 	return ask
 }
@@ -260,6 +264,7 @@
 		return
 	}
 	a.expire(now)
+	a.startsAt = now.Add(grant.StartWait)
 	if grant.Granted > 0 {
 		a.inHand += grant.Granted
 		a.expiry = now.Add(grantTTL)
@@ -280,12 +285,28 @@
 		return
 	}
 	a.spent += ask.Spent
+	a.started += ask.Started
+	a.startsAt = time.Time{}
 	// Returned later, these would add to what is used in that time.
 	a.unused = 0
 	a.probeAt = now.Add(probeDelay)
 	a.endAsk()
 }
 
+// Start decides on a program whose first request has been admitted. Programs under way go before
+// new ones, since a program that is refused one of its requests has wasted the others.
+func (h *Holder) Start(name string, now time.Time) Decision {
+	a := h.accounts[name]
+	if a == nil || h.isAlone || !now.Before(a.startsAt) {
+		if a != nil {
+			a.started++
+		}
+		return Decision{Outcome: InHand}
+	}
+	a.roomAt = a.startsAt
+	return a.refuse(now)
+}
+
 // Refund takes back the charge for a request that no target can have run. If the account has
 // no steady demand here, it returns an ask that gives the charge to other processes at once.
 func (h *Holder) Refund(name string, now time.Time) *Ask {
--- a/relay/accountquota.go
+++ b/relay/accountquota.go
@@ -38,25 +38,50 @@
 	defer cancel()
 	d := e.relay.decideQuota(ctx, e)
 	e.relay.metrics.countQuota(d.Outcome)
-	if d.Begins {
-		e.relay.log.Info().Str("event", "quota_exceeded").Str("account", e.account.Name).Float64("per_second", e.account.Quota.PerSecond).
-			Float64("burst", e.account.Quota.Burst).Msg("requests of the account are refused")
-	}
 	switch {
 	case d.Outcome.IsAdmitted():
 		e.charged = 1
 		return true
-	case d.Outcome == quota.Refused:
-		e.w.Header().Set("Retry-After", strconv.FormatFloat(d.RetryAfter.Seconds(), 'f', 3, 64))
-		e.respond(http.StatusTooManyRequests, reasonOverQuota)
-	case ctx.Err() != nil:
+	case d.Outcome != quota.Refused && ctx.Err() != nil:
 		e.respondTimeout()
 	default:
-		e.respondUnavailable(reasonQuotaUnknown, d.RetryAfter)
+		e.respondOverQuota(d)
 	}
 	return false
 }
 
+// startByQuota decides whether the account's quota has room for a whole program. If it returns
+// false, it has answered the caller.
+func (e *exchange) startByQuota() bool {
+	if e.charged == 0 {
+		return true
+	}
+	q := &e.relay.quotas
+	q.mu.Lock()
+	d := q.holder.Start(e.account.Name, time.Now())
+	q.mu.Unlock()
+	if d.Outcome.IsAdmitted() {
+		return true
+	}
+	e.relay.metrics.countQuota(d.Outcome)
+	e.respondOverQuota(d)
+	return false
+}
+
+// respondOverQuota answers a request that is refused because of the account's quota.
+func (e *exchange) respondOverQuota(d quota.Decision) {
+	if d.Begins {
+		e.relay.log.Info().Str("event", "quota_exceeded").Str("account", e.account.Name).Float64("per_second", e.account.Quota.PerSecond).
+			Float64("burst", e.account.Quota.Burst).Msg("requests of the account are refused")
+	}
+	if d.Outcome != quota.Refused {
+		e.respondUnavailable(reasonQuotaUnknown, d.RetryAfter)
+		return
+	}
+	e.w.Header().Set("Retry-After", strconv.FormatFloat(d.RetryAfter.Seconds(), 'f', 3, 64))
+	e.respond(http.StatusTooManyRequests, reasonOverQuota)
+}
+
 // decideQuota decides on a request and waits for the board if necessary.
 func (r *Relay) decideQuota(ctx context.Context, e *exchange) quota.Decision {
 	q := &r.quotas
--- a/relay/permit_test.go
+++ b/relay/permit_test.go
@@ -22,6 +22,8 @@
 	mu    sync.Mutex
 	board *loadboard.Board
 	err   error
+	// startWait is a lower bound of the wait for room for a whole program.
+	startWait time.Duration
 }
 
 func newSharedBoard() *sharedBoard { return &sharedBoard{board: loadboard.New()} }
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -178,7 +178,7 @@
 		return false
 	}
 	startsProgram := committed == 0 && t.call.Previous == ""
-	return !startsProgram || t.admitProgram()
+	return !startsProgram || t.startByQuota() && t.admitProgram()
 }
 
 // admitProgram decides whether a new program may start. If it returns false, it has answered
