--- a/catalog/account.go
+++ b/catalog/account.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"fmt"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Account is a client account: the party that a request is made for.
@@ -16,6 +18,9 @@
 	Quota       Quota
 }
 
+// HashAccount returns a hash of an account's name, the same in all processes. It is never 0.
+func HashAccount(name string) uint64 { return max(1, xxhash.Sum64String(name)) }
+
 // Quota bounds the requests of an account at all entries together.
 type Quota struct {
 	// PerSecond is the number of requests per second; 0 means no limit. Burst is how many
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
+	"github.com/rhubarbsaddle/rhubarbsaddle/fairshare"
 	"github.com/rhubarbsaddle/rhubarbsaddle/mechanism"
 )
 
@@ -43,7 +44,12 @@
 
 // Load is the load that a target reports with a response. Slots is how many
 // calls the target can execute at once.
-type Load struct{ Running, Waiting, Slots int }
+type Load struct {
+	Running, Waiting, Slots int
+	// Slowdown is how long work takes on the target's machine at this moment, as a multiple of
+	// the usual time; 0 if the target does not tell.
+	Slowdown float64
+}
 
 // Outcome is how an attempt at a target ended.
 type Outcome uint8
@@ -81,6 +87,14 @@
 	// target when it last reported its load, at othersAt.
 	othersInFlight float64
 	othersAt       time.Time
+	// othersWorkMS is the work that is left of one of those calls on average, in milliseconds;
+	// 0 if it is not known.
+	othersWorkMS float64
+	// calls are the calls of this process in flight whose work was predicted.
+	calls []*Call
+	pace  pace
+	// rank is the target's place, from 0 to 1, in an order on which all processes agree.
+	rank float64
 	// callsSeen counts the calls of this process and the exchanges in which others had calls
 	// at the target.
 	callsSeen int
@@ -100,6 +114,8 @@
 	// call has ended, it is initialDurationMS and hasDuration is not set.
 	durationMS  float64
 	hasDuration bool
+	// shortest is the duration that few calls stay below.
+	shortest lowQuantile
 	// firstEvent is the delay of the first event of streams.
 	firstEvent delayEstimate
 	// loadPerSlot is the moving average of the calls per slot that the targets
@@ -109,16 +125,30 @@
 	// admitLimit is the average number of calls per slot below which new programs may
 	// start.
 	admitLimit float64
+	// steadyLimit is the admission limit, of steadyLimitAt, without its fast increases.
+	steadyLimit   float64
+	steadyLimitAt time.Time
 	// otherShare is the moving average of the share of admitted programs that are not
 	// urgent.
 	otherShare float64
-	affinity   *affinity
+	// accounts tracks the calls of client accounts.
+	accounts *fairshare.Tracker
+	// starts is the rate of admitted programs.
+	starts   startRate
+	affinity *affinity
 	// othersInFlight is the number of calls that other processes had in flight at the last
 	// exchange.
 	othersInFlight float64
 	// cacheTokens is the size of an engine's prompt cache.
 	cacheTokens int
+	work        *workModel
+	long        *longCalls
 	targets     []*target
+	// byID holds the latest incarnation of each target.
+	byID map[string]*target
+	// hasTooManyEjected is the result of the count of ejected targets at ejectionsCountedAt.
+	hasTooManyEjected  bool
+	ejectionsCountedAt time.Time
 }
 
 // Fleet holds the state of all targets and services.
@@ -135,6 +165,8 @@
 	// candidates is reused by all choices.
 	candidates []candidate
 	exchange   exchangeAge
+	// accountsAt is when the work of accounts was last exchanged.
+	accountsAt time.Time
 	disabled   mechanism.Set
 }
 
@@ -164,11 +196,12 @@
 		t.Draining = declared.Draining || f.leaving[declared.TargetKey]
 		s := f.services[declared.Service]
 		if s == nil {
-			s = &service{durationMS: initialDurationMS, admitLimit: maxAdmitLimit, otherShare: 1, affinity: newAffinity()}
+			s = &service{durationMS: initialDurationMS, admitLimit: maxAdmitLimit, otherShare: 1, accounts: fairshare.NewTracker(), affinity: newAffinity(), work: newWorkModel(), long: &longCalls{}}
 			if before := old[declared.Service]; before != nil {
 				*s = *before
 				s.isEngine, s.targets, s.affinity.assignedAt = false, nil, time.Time{}
 			}
+			s.byID = make(map[string]*target)
 			f.services[declared.Service] = s
 		}
 		if engine := services[declared.Service].Engine; engine != nil {
@@ -180,6 +213,14 @@
 		f.targets[declared.TargetKey] = t
 		f.byHash[declared.Hash()] = t
 		s.targets = append(s.targets, t)
+		if other := s.byID[t.ID]; other == nil || other.Started < t.Started {
+			s.byID[t.ID] = t
+		}
+	}
+	for _, s := range f.services {
+		if !s.isEngine {
+			s.rankTargets()
+		}
 	}
 }
 
@@ -269,6 +310,7 @@
 		t.othersInFlight = max(0, float64(load.Running+load.Waiting-t.inFlight))
 		t.othersAt = now
 	}
+	t.pace.recordSlowdown(load.Slowdown, now)
 	if load.Slots <= 0 {
 		return
 	}
@@ -298,6 +340,7 @@
 }
 
 func (s *service) recordDuration(ms float64) {
+	s.shortest.add(ms)
 	if !s.hasDuration {
 		s.durationMS, s.hasDuration = ms, true
 		return
@@ -315,6 +358,16 @@
 	return time.Duration(s.durationMS * float64(time.Millisecond))
 }
 
+// ShortestDuration returns the duration that few of a service's calls stay below; zero if not
+// enough have ended yet.
+func (f *Fleet) ShortestDuration(name string) time.Duration {
+	s := f.services[name]
+	if s == nil {
+		return 0
+	}
+	return time.Duration(s.shortest.value() * float64(time.Millisecond))
+}
+
 // RecordEnded records that a target's process has ended. Its registration may remain for
 // several heartbeats.
 func (f *Fleet) RecordEnded(key catalog.TargetKey, now time.Time) {
@@ -329,18 +382,11 @@
 	if s == nil {
 		return noTargetRetryAfter
 	}
-	slots, excess := 0.0, 0.0
-	for _, t := range s.targets {
-		if t.Draining || t.health.hasEnded(now) {
-			continue
-		}
-		slots += float64(t.Slots)
-		excess += max(0, t.load(now)-float64(t.Slots))
-	}
-	if slots == 0 {
+	r := s.room(now, !f.disabled.Disables(mechanism.PermitRoom))
+	if r.slots == 0 {
 		return noTargetRetryAfter
 	}
-	wait := time.Duration((excess + 1) / slots * s.durationMS * float64(time.Millisecond))
+	wait := time.Duration((r.excess + 1) / r.slots * s.durationMS * float64(time.Millisecond))
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
--- a/ledger/load.go
+++ b/ledger/load.go
@@ -11,17 +11,19 @@
 func EncodeLoadReport(r loadboard.Report) *ledgerpb.Load {
 	load := &ledgerpb.Load{
 		FailingTargets: r.Failing, SuspectTargets: r.Suspects, Limits: encodeLimits(r.Limits),
-		Facts: encodeFacts(r.Facts), Board: r.Position.Board, NextFact: r.Position.Next,
+		Facts: encodeFacts(r.Facts), Accounts: encodeAccounts(r.Accounts), HasAccounts: r.HasAccounts, Board: r.Position.Board, NextFact: r.Position.Next,
 	}
 	load.Targets, load.Calls = encodeCounts(r.Calls)
+	load.Work = encodeWork(r.Calls)
 	return load
 }
 
 // DecodeLoadReport is the inverse of EncodeLoadReport.
 func DecodeLoadReport(load *ledgerpb.Load) loadboard.Report {
 	return loadboard.Report{
-		Calls: decodeCounts(load.GetTargets(), load.GetCalls()), Failing: load.GetFailingTargets(), Suspects: load.GetSuspectTargets(),
+		Calls: decodeCalls(load), Failing: load.GetFailingTargets(), Suspects: load.GetSuspectTargets(),
 		Limits: decodeLimits(load.GetLimits()), Facts: decodeFacts(load.GetFacts()), Position: decodePosition(load),
+		Accounts: decodeAccounts(load.GetAccounts()), HasAccounts: load.GetHasAccounts(),
 	}
 }
 
@@ -29,9 +31,10 @@
 func EncodeLoadSummary(s loadboard.Summary) *ledgerpb.Load {
 	load := &ledgerpb.Load{
 		Processes: uint32(s.Processes), Limits: encodeLimits(s.Limits),
-		Facts: encodeFacts(s.Facts), Board: s.Position.Board, NextFact: s.Position.Next,
+		Facts: encodeFacts(s.Facts), Accounts: encodeAccounts(s.Accounts), HasAccounts: s.HasAccounts, Board: s.Position.Board, NextFact: s.Position.Next,
 	}
 	load.Targets, load.Calls = encodeCounts(s.Calls)
+	load.Work = encodeWork(s.Calls)
 	load.FailingTargets, load.FailingReports = encodeCounts(s.Failing)
 	load.SuspectTargets, load.SuspectReports = encodeCounts(s.Suspects)
 	return load
@@ -40,11 +43,12 @@
 // DecodeLoadSummary is the inverse of EncodeLoadSummary.
 func DecodeLoadSummary(load *ledgerpb.Load) loadboard.Summary {
 	return loadboard.Summary{
-		Calls:     decodeCounts(load.GetTargets(), load.GetCalls()),
-		Failing:   decodeCounts(load.GetFailingTargets(), load.GetFailingReports()),
-		Suspects:  decodeCounts(load.GetSuspectTargets(), load.GetSuspectReports()),
-		Limits:    decodeLimits(load.GetLimits()),
-		Facts:     decodeFacts(load.GetFacts()),
+		Calls:    decodeCalls(load),
+		Failing:  decodeCounts(load.GetFailingTargets(), load.GetFailingReports()),
+		Suspects: decodeCounts(load.GetSuspectTargets(), load.GetSuspectReports()),
+		Limits:   decodeLimits(load.GetLimits()),
+		Facts:    decodeFacts(load.GetFacts()),
+		Accounts: decodeAccounts(load.GetAccounts()), HasAccounts: load.GetHasAccounts(),
 		Position:  decodePosition(load),
 		Processes: int(load.GetProcesses()),
 	}
@@ -73,6 +77,25 @@
 	return limits
 }
 
+func encodeAccounts(list []loadboard.AccountLoad) []*ledgerpb.AccountLoad {
+	var accounts []*ledgerpb.AccountLoad
+	for _, a := range list {
+		accounts = append(accounts, &ledgerpb.AccountLoad{Service: a.Service, Account: a.Account, Calls: a.Calls, Refused: a.Refused})
+	}
+	return accounts
+}
+
+func decodeAccounts(list []*ledgerpb.AccountLoad) []loadboard.AccountLoad {
+	var accounts []loadboard.AccountLoad
+	for _, a := range list {
+		accounts = append(accounts, loadboard.AccountLoad{
+			AccountKey: loadboard.AccountKey{Service: a.GetService(), Account: a.GetAccount()},
+			Calls:      a.GetCalls(), Refused: a.GetRefused(),
+		})
+	}
+	return accounts
+}
+
 func encodeFacts(list []loadboard.Fact) []*ledgerpb.Fact {
 	var facts []*ledgerpb.Fact
 	for _, f := range list {
@@ -118,7 +141,7 @@
 func EncodeQuotaAsk(a loadboard.QuotaAsk) *ledgerpb.AcquireQuota {
 	return &ledgerpb.AcquireQuota{
 		Account: a.Account, PerSecond: a.PerSecond, Burst: a.Burst, Version: a.Version, Want: uint32(a.Want), Need: uint32(a.Need),
-		Unused: uint32(a.Unused), Spent: uint32(a.Spent), Refused: uint32(a.Refused), Processes: uint32(a.Processes),
+		Unused: uint32(a.Unused), Spent: uint32(a.Spent), Refused: uint32(a.Refused), Started: uint32(a.Started), Processes: uint32(a.Processes),
 	}
 }
 
@@ -126,18 +149,24 @@
 func DecodeQuotaAsk(a *ledgerpb.AcquireQuota) loadboard.QuotaAsk {
 	return loadboard.QuotaAsk{
 		Account: a.GetAccount(), PerSecond: a.GetPerSecond(), Burst: a.GetBurst(), Version: a.GetVersion(), Want: int(a.GetWant()), Need: int(a.GetNeed()),
-		Unused: int(a.GetUnused()), Spent: int(a.GetSpent()), Refused: int(a.GetRefused()), Processes: int(a.GetProcesses()),
+		Unused: int(a.GetUnused()), Spent: int(a.GetSpent()), Refused: int(a.GetRefused()), Started: int(a.GetStarted()), Processes: int(a.GetProcesses()),
 	}
 }
 
 // EncodeQuotaGrant returns a grant as a protobuf message.
 func EncodeQuotaGrant(g loadboard.QuotaGrant) *ledgerpb.QuotaGrant {
-	return &ledgerpb.QuotaGrant{Granted: uint32(g.Granted), WaitUs: uint64(max(0, g.Wait.Microseconds())), Partial: g.IsPartial}
+	return &ledgerpb.QuotaGrant{
+		Granted: uint32(g.Granted), WaitUs: uint64(max(0, g.Wait.Microseconds())), Partial: g.IsPartial,
+		StartWaitUs: uint64(max(0, g.StartWait.Microseconds())),
+	}
 }
 
 // DecodeQuotaGrant is the inverse of EncodeQuotaGrant.
 func DecodeQuotaGrant(g *ledgerpb.QuotaGrant) loadboard.QuotaGrant {
-	return loadboard.QuotaGrant{Granted: int(g.GetGranted()), Wait: time.Duration(g.GetWaitUs()) * time.Microsecond, IsPartial: g.GetPartial()}
+	return loadboard.QuotaGrant{
+		Granted: int(g.GetGranted()), Wait: time.Duration(g.GetWaitUs()) * time.Microsecond, IsPartial: g.GetPartial(),
+		StartWait: time.Duration(g.GetStartWaitUs()) * time.Microsecond,
+	}
 }
 
 func encodeCounts(list []loadboard.Count) (targets []uint64, counts []uint32) {
@@ -157,3 +186,22 @@
 	}
 	return list
 }
+
+func encodeWork(list []loadboard.Count) []uint32 {
+	work := make([]uint32, 0, len(list))
+	for _, c := range list {
+		work = append(work, c.WorkMS)
+	}
+	return work
+}
+
+// decodeCalls joins the columns of the calls. Earlier versions send none for the work.
+func decodeCalls(load *ledgerpb.Load) []loadboard.Count {
+	calls := decodeCounts(load.GetTargets(), load.GetCalls())
+	if work := load.GetWork(); len(work) == len(calls) {
+		for i := range calls {
+			calls[i].WorkMS = work[i]
+		}
+	}
+	return calls
+}
--- a/loadboard/quotas.go
+++ b/loadboard/quotas.go
@@ -29,6 +29,9 @@
 	// coverageSilence how long it may be silent. Idle processes report once a second.
 	coverageTTL     = time.Minute
 	coverageSilence = 2 * time.Second
+	// coverageDelay is the time in which a board that takes over has asks of processes that
+	// have not reported yet. What it grants in it is bounded by what it begins with.
+	coverageDelay = 200 * time.Millisecond
 )
 
 // QuotaAsk asks for requests out of an account's quota.
@@ -44,8 +47,9 @@
 	Unused int
 	// Spent is the number of further executions, which need no grant.
 	Spent int
-	// Refused is the number of requests that the process has refused since its last ask.
-	Refused int
+	// Refused is the number of requests that the process has refused since its last ask, and
+	// Started that of the programs that it has started.
+	Refused, Started int
 	// Processes is the number of processes that the asking one knows, or 0.
 	Processes int
 }
@@ -56,9 +60,11 @@
 	// Wait is the time until there is room for the next request, after those that were refused
 	// before; only if nothing was granted.
 	Wait time.Duration
-	// IsPartial means that the board does not know all processes and grants only a share of
-	// the quota. A refusal does not mean that the account is over its quota.
+	// IsPartial means that the board does not know most processes and grants only a share of the
+	// quota. A refusal does not mean that the account is over its quota.
 	IsPartial bool
+	// StartWait is the time until there is room for a whole program; 0 if there is now.
+	StartWait time.Duration
 }
 
 // quotaState is what a board has granted of one account's quota.
@@ -67,8 +73,9 @@
 	version          int64
 	bucket           tokenbucket.Bucket
 	// returns are the refused requests that have been told when to return.
-	returns tokenbucket.Bucket
-	askedAt time.Time
+	returns   tokenbucket.Bucket
+	committed committed
+	askedAt   time.Time
 	// coveredSince is that of the board when the level was last checked against it.
 	coveredSince time.Time
 }
@@ -77,39 +84,57 @@
 // other boards may have granted the same quotas.
 type coverage struct {
 	reportedAt map[string]time.Time
-	isCovered  bool
-	since      time.Time
+	// active is the number of processes that have reported within coverageSilence.
+	active    int
+	isCovered bool
+	since     time.Time
+	// usedSince is the time of the first ask, or of the first report after a time without any.
+	usedSince time.Time
 }
 
 func (c *coverage) report(process string, now time.Time) {
 	if len(c.reportedAt) == 0 {
-		c.isCovered, c.since = false, now
+		c.isCovered, c.since, c.usedSince = false, now, now
+	}
+	if now.Sub(c.reportedAt[process]) > coverageSilence {
+		c.active++
 	}
 	c.reportedAt[process] = now
 }
 
 func (c *coverage) update(now time.Time) {
-	active := 0
+	if c.usedSince.IsZero() {
+		c.usedSince = now
+	}
+	c.active = 0
 	for process, at := range c.reportedAt {
 		switch silence := now.Sub(at); {
 		case silence > coverageTTL:
 			delete(c.reportedAt, process)
 		case silence <= coverageSilence:
-			active++
+			c.active++
 		}
 	}
-	isCovered := 2*active >= len(c.reportedAt)
+	isCovered := 2*c.active >= len(c.reportedAt)
 	if !isCovered || !c.isCovered {
 		c.since = now
 	}
 	c.isCovered = isCovered
 }
 
-// share returns the share of the quotas that the board may grant: that of the processes which
-// report to it among those that its callers know.
-func (c *coverage) share(known int) float64 {
-	reported := max(1, len(c.reportedAt))
-	return min(1, float64(reported)/float64(max(1, known)))
+// share returns the share of the quotas that the board may grant, and whether it has the
+// majority of the known processes. Those that are silent may have ended, decide alone or use
+// another board. The board with the majority leaves them half of their part, which is what
+// another board grants them.
+func (c *coverage) share(known int, now time.Time) (share float64, isMajority bool) {
+	if now.Sub(c.usedSince) < coverageDelay {
+		return 1, true
+	}
+	present := float64(max(1, c.active)) / float64(max(1, known, len(c.reportedAt)))
+	if present > 0.5 {
+		return (1 + min(1, present)) / 2, true
+	}
+	return present / 2, false
 }
 
 // AcquireQuota grants one process requests out of an account's quota. All grants of an account
@@ -123,16 +148,21 @@
 		return QuotaGrant{Wait: maxReturnWait}
 	}
 	q := b.quotaOf(ask, now)
-	share := b.coverage.share(ask.Processes)
+	share, isMajority := b.coverage.share(ask.Processes, now)
 	q.bucket.Return(tokenbucket.Period(float64(ask.Unused), q.perSecond))
 	q.bucket.Take(tokenbucket.Period(float64(ask.Spent), q.perSecond), now)
 	q.recordRefused(ask.Refused, now)
-	grant := QuotaGrant{Granted: q.available(ask, share, now), IsPartial: share < 1}
+	grant := QuotaGrant{Granted: q.available(ask, share, now), IsPartial: !isMajority}
+	b.recordPrograms(q, grant.Granted+ask.Spent-ask.Unused, ask.Started, now)
 	if grant.Granted > 0 {
 		q.bucket.Take(tokenbucket.Period(float64(grant.Granted), q.perSecond*share), now)
 	} else if ask.Want > 0 {
 		grant.Wait = min(maxReturnWait, max(q.waitForOne(now), q.returns.Used(now)))
 	}
+	// A board that has just taken over knows neither the level nor the programs under way.
+	if now.Sub(b.coverage.since) >= programTime {
+		grant.StartWait = b.startWait(q, now)
+	}
 	return grant
 }
 
--- a/mechanism/mechanism.go
+++ b/mechanism/mechanism.go
@@ -44,6 +44,11 @@
 	AdaptiveAdmission
 	// MinimumShare admits some programs that are not urgent at any load.
 	MinimumShare
+	// FairShare divides the room of engines among client accounts while it is scarce.
+	FairShare
+	// PermitRoom counts the permits of targets with a rate limit, in place of their slots, as
+	// room for new programs.
+	PermitRoom
 	// DurationCheck refuses calls that cannot end before their deadline.
 	DurationCheck
 	// OverloadDetection makes overloaded entries leave the balancer.
@@ -56,6 +61,8 @@
 	FollowMembers
 	// SegmentIndex reads an index of the ledger's disk at the start.
 	SegmentIndex
+	// WorkPrediction chooses targets by the predicted work of calls and by the pace of targets.
+	WorkPrediction
 )
 
 var names = [...]string{
@@ -73,12 +80,15 @@
 	Admission:         "admission",
 	AdaptiveAdmission: "adaptive_admission",
 	MinimumShare:      "minimum_share",
+	FairShare:         "fair_share",
+	PermitRoom:        "permit_room",
 	DurationCheck:     "duration_check",
 	OverloadDetection: "overload_detection",
 	LedgerGrace:       "ledger_grace",
 	RelayedAppends:    "relayed_appends",
 	FollowMembers:     "follow_members",
 	SegmentIndex:      "segment_index",
+	WorkPrediction:    "work_prediction",
 }
 
 // Names returns the names of all mechanisms, as they appear in settings.
--- a/relay/account.go
+++ b/relay/account.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
 )
@@ -114,3 +115,29 @@
 	}
 	return e.route.Priority
 }
+
+// accountHash identifies the caller's client account to other entries; 0 if there is none.
+func (e *exchange) accountHash() uint64 {
+	if e.account == nil {
+		return 0
+	}
+	return catalog.HashAccount(e.account.Name)
+}
+
+// beginAccountCall counts the call as work of its account until the returned function is
+// called.
+func (e *exchange) beginAccountCall() (end func()) {
+	account, service := e.accountHash(), e.service
+	if account == 0 {
+		return func() {}
+	}
+	r := e.relay
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleet.RecordAccountStart(service, account, time.Now())
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.fleet.RecordAccountEnd(service, account, time.Now())
+	}
+}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/fleet"
 	"github.com/rhubarbsaddle/rhubarbsaddle/quota"
 )
 
@@ -24,11 +25,17 @@
 	accounts        *prometheus.CounterVec
 	accountLabels   accountLabels
 	quotas          *prometheus.CounterVec
+	programs        *prometheus.CounterVec
+	predictionError prometheus.Histogram
+	targetBytes     *prometheus.CounterVec
 }
 
 // buckets are in seconds and range from a few milliseconds to the longest deadlines.
 var buckets = []float64{.005, .01, .025, .05, .1, .2, .4, .8, 1.6, 3.2, 6.4}
 
+// errorBuckets are shares of the predicted time.
+var errorBuckets = []float64{.05, .1, .2, .4, .8, 1.6, 3.2}
+
 // NewMetrics creates the metrics and registers them with reg.
 func NewMetrics(reg prometheus.Registerer) *Metrics {
 	m := &Metrics{
@@ -66,7 +73,17 @@
 	m.quotas = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "rhubarbsaddle_quota_decisions_total", Help: "Requests of accounts with a quota, by how it was decided whether they are within it.",
 	}, []string{"outcome"})
-	reg.MustRegister(m.accounts, m.quotas, m.lostByCrash, m.condemned, m.unlogged, m.permits, m.requests, m.duration, m.firstEventDelay, m.connects, m.staleResponses)
+	m.programs = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "rhubarbsaddle_programs_total", Help: "Programs that asked to start, by decision.",
+	}, []string{"decision"})
+	m.predictionError = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "rhubarbsaddle_prediction_error", Help: "Difference between the time that an attempt took and the predicted time, relative to the latter.",
+		Buckets: errorBuckets,
+	})
+	m.targetBytes = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "rhubarbsaddle_target_bytes_total", Help: "Bytes of bodies exchanged with targets, by direction and by whether the target is in another failure domain.",
+	}, []string{"direction", "crosses_domain"})
+	reg.MustRegister(m.accounts, m.quotas, m.programs, m.targetBytes, m.predictionError, m.lostByCrash, m.condemned, m.unlogged, m.permits, m.requests, m.duration, m.firstEventDelay, m.connects, m.staleResponses)
 	return m
 }
 
@@ -75,6 +92,8 @@
 	m.duration.WithLabelValues(kind).Observe(duration.Seconds())
 }
 
+func (m *Metrics) countProgram(a fleet.Admission) { m.programs.WithLabelValues(a.String()).Inc() }
+
 func (m *Metrics) countPermit(granted bool) {
 	m.permits.WithLabelValues(strconv.FormatBool(granted)).Inc()
 }
@@ -83,6 +102,16 @@
 	m.quotas.WithLabelValues(outcome.String()).Inc()
 }
 
+// Directions of bytes.
+const (
+	sent     = "sent"
+	received = "received"
+)
+
+func (m *Metrics) countTargetBytes(direction string, crossesDomain bool, n int) {
+	m.targetBytes.WithLabelValues(direction, strconv.FormatBool(crossesDomain)).Add(float64(n))
+}
+
 func (m *Metrics) observeFirstEvent(delay time.Duration) {
 	if delay > 0 {
 		m.firstEventDelay.Observe(delay.Seconds())
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -177,7 +177,8 @@
 	// that will need a target.
 	loadChanged chan struct{}
 
-	quotas accountQuotas
+	quotas     accountQuotas
+	refusalLog refusalLog
 
 	mu       sync.Mutex
 	fleet    *fleet.Fleet
@@ -294,12 +295,18 @@
 	now := time.Now()
 	choice, ok := r.fleet.Pick(q, now)
 	if ok && !choice.Limit.IsLimited {
-		r.fleet.RecordStart(choice.Target.TargetKey, q.Prompt, now)
-		r.signalLoadChange()
+		r.start(&choice, q, now)
 	}
 	return choice, ok
 }
 
+// start records the start of an attempt at the chosen target. Mu must be held.
+func (r *Relay) start(choice *fleet.Choice, q fleet.Query, now time.Time) {
+	r.fleet.RecordStart(choice.Target.TargetKey, q.Prompt, now)
+	choice.Call = r.fleet.StartCall(*choice, q, now)
+	r.signalLoadChange()
+}
+
 // LoadChanged returns a channel that receives a value when the calls in flight should be
 // exchanged with other processes.
 func (r *Relay) LoadChanged() <-chan struct{} { return r.loadChanged }
@@ -350,6 +357,13 @@
 	r.fleet.RecordLoad(key, response.Load, time.Now())
 }
 
+// recordEvent records that an event of a stream has arrived.
+func (r *Relay) recordEvent(call *fleet.Call) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fleet.RecordEvent(call, time.Now())
+}
+
 // recordFirstEvent records how long a target took to send the first event.
 func (r *Relay) recordFirstEvent(service string, delay time.Duration) {
 	r.mu.Lock()
@@ -382,19 +396,24 @@
 	}
 }
 
-// recordEnd records how an attempt ended and how long it took.
-func (r *Relay) recordEnd(key catalog.TargetKey, outcome fleet.Outcome, duration time.Duration) {
+// recordEnd records how an attempt at the chosen target ended and how long it took.
+func (r *Relay) recordEnd(choice fleet.Choice, outcome fleet.Outcome, duration time.Duration) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.fleet.RecordEnd(key, outcome, duration, time.Now())
+	now := time.Now()
+	relativeError, ok := r.fleet.EndCall(choice.Call, outcome, now)
+	r.fleet.RecordEnd(choice.Target.TargetKey, outcome, duration, now)
+	r.mu.Unlock()
+	if ok {
+		r.metrics.predictionError.Observe(relativeError)
+	}
 	r.signalLoadChange()
 }
 
-// admits reports whether a new program may start.
-func (r *Relay) admits(service string, priority int) bool {
+// admit decides whether a new program may start.
+func (r *Relay) admit(p fleet.Program) fleet.Decision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.fleet.Admits(service, priority, time.Now())
+	return r.fleet.Admit(p, time.Now())
 }
 
 // recordObjective records the outcome of an objective.
@@ -412,6 +431,22 @@
 	return r.fleet.ExpectedDuration(service)
 }
 
+// shortestDuration returns the duration that few calls of a service stay below; zero if that is
+// not known.
+func (r *Relay) shortestDuration(service string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fleet.ShortestDuration(service)
+}
+
+// accountRetryAfter returns the time after which a refused program of an account should be
+// tried again.
+func (r *Relay) accountRetryAfter(service string, account uint64, usable time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fleet.AccountRetryAfter(service, account, usable, time.Now())
+}
+
 func (r *Relay) retryAfter(service string) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/fleet"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/quorum"
@@ -28,6 +29,9 @@
 	// ledgerRetryAfter is the Retry-After while the ledger has no quorum. A member that
 	// was killed restarts within seconds.
 	ledgerRetryAfter = 400 * time.Millisecond
+	// retryTimeDivisor is the divisor of the time left that gives the longest Retry-After that
+	// callers wait for.
+	retryTimeDivisor = 3
 )
 
 // turn is a streaming request together with its state in the ledger.
@@ -53,6 +57,7 @@
 		return
 	}
 	t.ledgerWait = time.Since(t.arrived)
+	defer t.beginAccountCall()()
 	t.stream(ctx)
 }
 
@@ -69,6 +74,10 @@
 		t.respond(http.StatusBadRequest, reasonBadID)
 		return false
 	}
+	if !t.canFinish() {
+		t.respondTimeout()
+		return false
+	}
 	if !t.hasBudget() && t.isResume() && t.hasVersions() {
 		return t.readOrigin(ctx)
 	}
@@ -169,11 +178,33 @@
 		return false
 	}
 	startsProgram := committed == 0 && t.call.Previous == ""
-	if startsProgram && !t.relay.admits(t.service, t.priority()) {
-		t.respondUnavailable(reasonOverload, t.relay.retryAfter(t.service))
-		return false
+	return !startsProgram || t.startByQuota() && t.admitProgram()
+}
+
+// admitProgram decides whether a new program may start. If it returns false, it has answered
+// the caller.
+func (t *turn) admitProgram() bool {
+	decision := t.relay.admit(fleet.Program{Service: t.service, Account: t.accountHash(), Priority: t.priority()})
+	t.relay.metrics.countProgram(decision.Admission)
+	if decision.Admission == fleet.Admitted {
+		return true
 	}
-	return true
+	t.relay.logRefusedProgram(t.exchange, decision, time.Now())
+	reason := reasonOverload
+	if decision.Admission == fleet.OverShare {
+		reason = reasonOverShare
+	}
+	t.respondUnavailable(reason, t.programRetryAfter())
+	return false
+}
+
+// programRetryAfter returns the Retry-After of a refused program.
+func (t *turn) programRetryAfter() time.Duration {
+	account := t.accountHash()
+	if account == 0 || t.relay.disabled.Disables(mechanism.FairShare) {
+		return t.relay.retryAfter(t.service)
+	}
+	return t.relay.accountRetryAfter(t.service, account, time.Until(t.deadline)/retryTimeDivisor)
 }
 
 // awaitLedger waits for the ledger if it became unavailable less than
@@ -245,11 +276,3 @@
 	}
 	return t.scope.qualify("turn/" + t.call.ID)
 }
-
-// tokensPerEvent returns how many tokens one event of the service counts for.
-func (t *turn) tokensPerEvent() int {
-	if engine := t.config.Services[t.service].Engine; engine != nil {
-		return engine.TokensPerEvent
-	}
-	return 1
-}
