--- a/relay/accountquota_test.go
+++ b/relay/accountquota_test.go
@@ -121,7 +121,7 @@
 	board := newSharedBoard()
 	_, call := newTestbedWithQuota(t, board, catalog.Quota{PerSecond: 100, Burst: 100}, target)
 	turn := func(id string) callResult {
-		return call(resumablePath, program, id, budget, "1000", "X-Rhubarbsaddle-Token-Usage", "10,30")
+		return call(resumablePath, program, id, budget, "1000", usage, "10,30")
 	}
 	require.Equal(t, http.StatusOK, turn("under-way").status)
 	board.startWait = 2 * time.Second
