relay: a stalled call is given up only once its next target is reserved

Callers saw 502 (answer_lost) from idempotent calls and from streams without an event, although the first target would have answered. Cause: after the stall limit, the timer looked whether another target was free and interrupted the attempt. The target was chosen afterwards; by then other calls had taken its room, or it had been ejected because others timed out on it. A call that may have run and finds no target ends with 502. Change: the timer chooses the target and records the start of the attempt in one step, before it interrupts; the limit of failovers is asked in the same step. The next attempt gets that target. Conclusion: a fault of the product, mended for a room that is lost.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -111,7 +111,7 @@
 	}
 	stall := startStallTimer(a.conn, e.headTimeout(), e.onStall())
 	fail := a.readHead(request, e.call.ID)
-	timedOut := stall.stop()
+	timedOut := e.stopStallTimer(stall)
 	if fail == nil && timedOut {
 		// The head arrived just as the timer interrupted the connection, so the body
 		// can't be read any more.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -88,6 +88,8 @@
 	// choice is the last target that was chosen, with the estimates that the choice was
 	// based on.
 	choice fleet.Choice
+	// reserved is the target reserved for the next attempt; nil if there is none.
+	reserved *reservation
 	// ledgerWait is how long a turn waited for the ledger. firstEventAfter is the time
 	// from the turn's arrival to the first event. deliveredTokens counts the tokens sent
 	// to the caller.
@@ -139,6 +141,7 @@
 	defer e.refundQuota()
 	ctx, cancel := context.WithDeadline(e.req.Context(), e.deadline)
 	defer cancel()
+	defer e.releaseReserved()
 	if e.route.Kind == catalog.Streaming {
 		e.serveTurn(ctx)
 		return
--- a/relay/permit.go
+++ b/relay/permit.go
@@ -30,10 +30,14 @@
 	return time.Duration(permitWaitShare * float64(time.Until(e.deadline)))
 }
 
-// chooseTarget chooses a target and records the start of an attempt at it. If the target has
+// chooseTarget chooses a target and records the start of an attempt at it. A target that was
+// reserved for the attempt is taken without another choice. If the target has
 // a rate limit, it waits until the permit may be used, or chooses another target if the wait
 // is longer than expected.
 func (e *exchange) chooseTarget(ctx context.Context, allowFull bool) (fleet.Choice, bool) {
+	if choice, ok := e.takeReserved(); ok {
+		return choice, true
+	}
 	query := e.targetQuery(allowFull)
 	left := query.MaxWait
 	for range maxPermitAsks {
--- a/relay/stalltimer.go
+++ b/relay/stalltimer.go
@@ -38,37 +38,39 @@
 	timer *time.Timer
 
 	mu sync.Mutex
-	// fired is set once the timer has interrupted the attempt. stopped is set
-	// once the timer must not interrupt it any more, because the connection may
-	// already serve another request.
-	fired, stopped bool
+	// next is the target reserved for the request once the timer has interrupted the
+	// attempt. stopped is set once the timer must not interrupt it any more, because
+	// the connection may already serve another request.
+	next    *reservation
+	stopped bool
 }
 
-// startStallTimer starts a timer that calls onStall after limit and, if that returns true,
-// interrupts the read on c. A limit of zero disables the timer.
-func startStallTimer(c *conn, limit time.Duration, onStall func() bool) *stallTimer {
+// startStallTimer starts a timer that calls onStall after limit and, if that reserves a
+// target, interrupts the read on c. A limit of zero disables the timer.
+func startStallTimer(c *conn, limit time.Duration, onStall func() *reservation) *stallTimer {
 	s := &stallTimer{}
 	if limit <= 0 {
 		return s
 	}
 	s.timer = time.AfterFunc(limit, func() {
-		if onStall() {
-			s.interrupt(c)
+		if next := onStall(); next != nil && !s.interrupt(c, next) {
+			next.release()
 		}
 	})
 	return s
 }
 
-// interrupt makes the pending read on the connection fail.
-func (s *stallTimer) interrupt(c *conn) {
+// interrupt makes the pending read on the connection fail, unless the timer is stopped.
+func (s *stallTimer) interrupt(c *conn, next *reservation) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stopped {
-		return
+		return false
 	}
-	s.fired = true
+	s.next = next
 	// This only fails on a closed connection, where the read has failed already.
 	_ = c.nc.SetReadDeadline(time.Unix(1, 0))
+	return true
 }
 
 // reset restarts the timer after data has arrived, unless it is stopped or has
@@ -79,16 +81,27 @@
 	}
 }
 
-// stop disables the timer and reports whether it has interrupted the attempt.
-func (s *stallTimer) stop() bool {
+// stop disables the timer. If the timer has interrupted the attempt, stop returns the target
+// reserved for the request.
+func (s *stallTimer) stop() *reservation {
 	if s.timer == nil {
-		return false
+		return nil
 	}
 	s.timer.Stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stopped = true
-	return s.fired
+	return s.next
+}
+
+// stopStallTimer stops the timer and reports whether it has interrupted the attempt. The next
+// attempt then gets the target reserved for it.
+func (e *exchange) stopStallTimer(s *stallTimer) bool {
+	next := s.stop()
+	if next != nil {
+		e.reserved = next
+	}
+	return next != nil
 }
 
 // mayMove reports whether another target may execute the request if this one stalls.
@@ -110,25 +123,25 @@
 	return limit
 }
 
-// onStall returns a function that is called when the chosen target has stalled. It reports
-// whether the request is to move to another target: it may be executed again, another target
+// onStall returns a function that is called when the chosen target has stalled. It reserves
+// another target if the request is to move: it may be executed again, another target
 // is available, and for plain requests the limit of failovers allows it. Streams aren't
 // limited: there are few of them, and a caller can do nothing with a stream without events.
 // A stream that must not move waits on, but the stall counts as a failure of its target.
-func (e *exchange) onStall() func() bool {
+func (e *exchange) onStall() func() *reservation {
 	// The exchange's fields are read here because the function runs on the timer's
 	// goroutine, while they may change.
 	query := e.targetQuery(false)
-	// A target that may have no permit is no reason to give this one up.
-	query.Unlimited = true
 	isStream, mayMove, target := e.route.Kind == catalog.Streaming, e.mayMove(), e.choice.Target.TargetKey
-	return func() bool {
-		if mayMove && e.relay.hasTarget(query) && (isStream || e.relay.failovers.Allow()) {
-			return true
+	return func() *reservation {
+		if mayMove {
+			if next := e.relay.reserve(query, isStream); next != nil {
+				return next
+			}
 		}
 		if isStream {
 			e.relay.recordStall(target)
 		}
-		return false
+		return nil
 	}
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -143,7 +143,7 @@
 	flusher := http.NewResponseController(t.w)
 	first, gap := t.eventTimeouts()
 	stall := startStallTimer(a.conn, first, t.onStall())
-	defer stall.stop()
+	defer t.stopStallTimer(stall)
 	for {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -152,7 +152,7 @@
 			return nil
 		}
 		if err != nil {
-			if stall.stop() {
+			if t.stopStallTimer(stall) {
 				a.outcome = fleet.TimedOut
 			}
 			a.abort(ctx)
