--- a/relay/reservation.go
+++ b/relay/reservation.go
@@ -27,14 +27,13 @@
 	if !ok || !isUncounted && !r.failovers.Allow() {
 		return nil
 	}
-	r.fleet.RecordStart(choice.Target.TargetKey, q.Prompt, now)
-	r.signalLoadChange()
+	r.start(&choice, q, now)
 	return &reservation{relay: r, choice: choice}
 }
 
 // release takes back a reservation that is not used.
 func (s *reservation) release() {
-	s.relay.recordEnd(s.choice.Target.TargetKey, fleet.Canceled, 0)
+	s.relay.recordEnd(s.choice, fleet.Canceled, 0)
 }
 
 // takeReserved returns the target reserved for the next attempt, unless it can't serve the
