fairshare: calls beyond normal are remembered, not the blame

Cause, by reading: with the load just above the limit any account beyond normal explains the whole excess, and that blame was kept for 2 s while the load grew, so that programs were let in beyond a general shortage. Change: the calls beyond normal are kept for that time and compared with the excess of the moment.

--- a/fairshare/tracker.go
+++ b/fairshare/tracker.go
@@ -27,7 +27,7 @@
 	// not taken for usual.
 	pressureTime = 2 * time.Second
 	// othersTTL is how long the calls of other processes count without a new exchange. After
-	// that, a process decides by its own calls, of which none is another account's.
+	// that, a process decides by its own calls.
 	othersTTL = time.Second
 	// minWeightShare is the smallest weight of an account, as a share of the mean. No account
 	// is served less than a quarter as often as all.
@@ -70,11 +70,11 @@
 	othersAt time.Time
 	// pressedAt is when a program last asked for room while there was none.
 	pressedAt time.Time
-	// level, meanUsual, growth, blame and total, the calls in flight of all accounts, are
-	// those of levelAt.
-	level, meanUsual, growth, blame, total float64
-	levelAt                                time.Time
-	claims                                 []Claim
+	// level, meanUsual, growth, blame, beyond and total are those of levelAt. Beyond are the
+	// calls that count for blame, total the calls in flight of all accounts.
+	level, meanUsual, growth, blame, beyond, total float64
+	levelAt                                        time.Time
+	claims                                         []Claim
 }
 
 // NewTracker returns a tracker without accounts.
@@ -212,7 +212,7 @@
 	if now.Sub(t.levelAt) < levelTTL {
 		return
 	}
-	before := t.blame * decay(now.Sub(t.levelAt), blameTime)
+	before := t.beyond * decay(now.Sub(t.levelAt), blameTime)
 	t.levelAt, t.total = now, 0
 	active, usual := 0, 0.0
 	for _, a := range t.accounts {
@@ -234,7 +234,11 @@
 	room := t.total * scale
 	t.level = Level(t.claims, room)
 	t.growth = t.medianGrowth()
-	t.blame = max(before, t.blameFor(t.total-room, now))
+	t.beyond = max(before, t.callsBeyondNormal(now))
+	t.blame = 0
+	if excess := t.total - room; excess > 0 {
+		t.blame = min(1, t.beyond/excess)
+	}
 }
 
 // medianGrowth returns the median, weighted by usual calls, of the calls in flight of the
@@ -251,12 +255,9 @@
 	return weightedMedian(t.claims, usual)
 }
 
-// blameFor returns the part of the calls beyond the room that accounts have in flight whose
-// demand has grown far more than that of most.
-func (t *Tracker) blameFor(excess float64, now time.Time) float64 {
-	if excess <= 0 {
-		return 0
-	}
+// callsBeyondNormal returns the calls in flight beyond what is normal, of accounts whose demand
+// has grown far more than that of most.
+func (t *Tracker) callsBeyondNormal(now time.Time) float64 {
 	beyond := 0.0
 	for _, a := range t.accounts {
 		normal, calls := t.growth*t.weight(a), t.inFlight(a, now)
@@ -264,7 +265,7 @@
 			beyond += calls - normal
 		}
 	}
-	return min(1, beyond/excess)
+	return beyond
 }
 
 // minActive is the number of calls above which an account counts as active.
