ledger/member: a seat is replaced only with enough ready sources

Callers: would see all turns refused with ledger_unavailable for good. A new VM took the seat of a member that was merely down while another one recovered from a lost disk. Cause: takeSeat replaced the first unresponsive member without asking about the others. The new member and the recovering one lacked each other as a source, and the replaced member, which has all records on its disk, counts as incomplete once it has no seat. Change: a counting seat is replaced only if as many others, ready by the view, respond as ready as the new member needs to copy from under the next view. With three or four seats and f = 1 these are all others, as the model demanded. With five, three of four suffice: if all were asked for, two VMs that have ended for good would keep each other's seats from being taken for ever, since a removal needs all others as well. If the recovering member can only recover from the unresponsive one, the new one could not recover either, so waiting costs nothing. A joining seat may still be replaced at any time. The only seat of a ledger is no longer replaced: its records would be lost with it.

Checks changed: the model has the rule SourcesBeforeReplacement in place of "all others must be ready"; the two are the same below five seats. A sixth member is allowed in it.

--- a/ledger/member/cluster_test.go
+++ b/ledger/member/cluster_test.go
@@ -363,6 +363,26 @@
 	c.checkChain(3)
 }
 
+// A new member replaced one that was merely down while another one recovered from the loss of
+// its disk. The two lacked each other as a source to copy from, and the replaced member, which
+// has all records, counts as incomplete without a seat: no quorum came together any more.
+func TestNoSeatIsReplacedWhileAnotherMemberRecovers(t *testing.T) {
+	c := newCluster(t)
+	c.startThree()
+	c.write(1, 3)
+	c.stop("m2", "m3")
+	c.wipe("m3")
+	c.start("m3", false)
+	c.start("m4", false)
+	assert.Never(t, func() bool {
+		_, seated := c.views.Snapshot().View.Seat("m2")
+		return !seated
+	}, 3*time.Second, 20*time.Millisecond, "longer than the pings before a replacement take")
+	c.start("m2", false)
+	c.awaitSeats("m1", "m2", "m3", "m4")
+	c.checkChain(3)
+}
+
 // A member that is added stores what is written meanwhile, and its seat never counts before it
 // has copied.
 func TestAddedSeatJoinsBeforeItCounts(t *testing.T) {
--- a/ledger/member/seat.go
+++ b/ledger/member/seat.go
@@ -99,7 +99,8 @@
 // member, or else adds a seat, which counts once the member has copied (see recover).
 //
 // Invariant: a seat is only added while all other members are ready. A member without a ready
-// replica, and one that has lost its disk, would each lack the other to copy from.
+// replica, and one that has lost its disk, would each lack the other to copy from. For the same
+// reason, a seat is only replaced while enough others are ready (see mayReplace).
 func (m *Member) takeSeat(ctx context.Context, view ledger.View) error {
 	if view.Version == 0 && !m.options.FirstStart {
 		// The store has a view, but this member has not read it yet.
@@ -110,6 +111,9 @@
 			return err
 		}
 		if unresponsive, found := m.findUnresponsive(ctx, view); found {
+			if !m.mayReplace(ctx, view, unresponsive) {
+				return nil
+			}
 			m.log.Info().Str("event", "seat_replaced").Str("peer", unresponsive).Msg("")
 			return m.compareAndSwapView(ctx, view, view.Replacing(unresponsive, m.seat(false)))
 		}
@@ -120,6 +124,24 @@
 	return m.compareAndSwapView(ctx, view, view.Adding(m.seat(m.ready.Load()), m.options.DisksLost))
 }
 
+// mayReplace reports whether this member may take the seat of an unresponsive one: enough others
+// must be ready to copy from. With fewer, neither it nor those that recover could get ready, and
+// the unresponsive member, which may only be down, would be lost as a source. A joining seat is in
+// no quorum and no source, so it may be replaced at any time.
+func (m *Member) mayReplace(ctx context.Context, view ledger.View, name string) bool {
+	if !view.Counts(name) {
+		return true
+	}
+	next := view.Replacing(name, m.seat(false))
+	sources := 0
+	for _, seat := range next.Counting() {
+		if seat.Name != m.options.Name && seat.Ready && m.isReady(ctx, seat, view.Version) {
+			sources++
+		}
+	}
+	return sources >= next.CopySources(m.options.Name, m.options.DisksLost)
+}
+
 // countSeat changes the view so that this member's seat counts after it has copied under that
 // view. It reports whether it does.
 func (m *Member) countSeat(ctx context.Context, view ledger.View) (bool, error) {
--- a/ledger/member/seat_test.go
+++ b/ledger/member/seat_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -53,6 +54,84 @@
 	assert.Equal(t, 3, seats())
 }
 
+// The seat of a member that is merely down was taken while another one recovered, which left
+// neither of them enough others to copy from. Where enough are ready, a second member that has
+// ended for good must not keep the first one's seat from being taken.
+func TestSeatIsReplacedOnlyWithEnoughSources(t *testing.T) {
+	const (
+		ready      = ledgerpb.Status_STATUS_NOT_FOUND
+		recovering = ledgerpb.Status_STATUS_RECOVERING
+		ended      = ledgerpb.Status_STATUS_UNSPECIFIED
+	)
+	for _, test := range []struct {
+		name     string
+		others   []ledgerpb.Status
+		replaced bool
+	}{
+		{"the only one", nil, false},
+		{"two", []ledgerpb.Status{ready}, true},
+		{"three", []ledgerpb.Status{ready, ready}, true},
+		{"three, one recovers", []ledgerpb.Status{ready, recovering}, false},
+		{"four, one recovers", []ledgerpb.Status{ready, ready, recovering}, false},
+		{"five, one recovers", []ledgerpb.Status{ready, ready, ready, recovering}, true},
+		{"five, another has ended", []ledgerpb.Status{ready, ready, ready, ended}, true},
+		{"five, two recover", []ledgerpb.Status{ready, ready, recovering, recovering}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			view := ledger.View{}.With(ledger.Seat{Name: "a", Addr: endedPeer(t), Ready: true})
+			for i, status := range test.others {
+				addr := endedPeer(t)
+				if status != ended {
+					addr = startPeer(t, func() ledgerpb.Status { return status })
+				}
+				view = view.With(ledger.Seat{Name: fmt.Sprintf("m%d", i), Addr: addr, Ready: true})
+			}
+			m, keyValues := newStandby(t, view)
+			require.NoError(t, m.takeSeat(t.Context(), view))
+			stored, err := ledger.DecodeView(keyValues.Value(discovery.ViewKey))
+			require.NoError(t, err)
+			want := view
+			if test.replaced {
+				want = view.Replacing("a", m.seat(false))
+			}
+			assert.Equal(t, want, stored)
+		})
+	}
+}
+
+// newStandby returns a member with an empty disk and no seat in the view.
+func newStandby(t *testing.T, view ledger.View) (*Member, *platformtest.Store) {
+	t.Helper()
+	keyValues := platformtest.NewStore()
+	t.Cleanup(keyValues.Close)
+	keyValues.Put(discovery.ViewKey, view.Encode())
+	directory := emptyDirectory()
+	directory.MergeView(view)
+	m, err := Open(Options{Name: "standby", Addr: "127.0.0.1:0", Dir: t.TempDir(), DisksLost: 1, Store: platform.NewStore(keyValues.Addr()), Directory: directory, Log: quietLogger()})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = m.listener.Close() })
+	return m, keyValues
+}
+
+// endedPeer returns an address at which each connection ends at once.
+func endedPeer(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			nc, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = nc.Close()
+		}
+	}()
+	return listener.Addr().String()
+}
+
 // joiningMember is a member with an empty disk whose seat is joining in a view of three others,
 // which respond to each request with a status.
 type joiningMember struct {
--- a/spec/ledger/model.go
+++ b/spec/ledger/model.go
@@ -16,7 +16,7 @@
 
 // maxMembers bounds the VMs that ever have a seat, maxViews the number of views.
 const (
-	maxMembers = 5
+	maxMembers = 6
 	maxViews   = 6
 )
 
@@ -47,13 +47,16 @@
 	// once: a member with an empty disk could otherwise recover under the first view from
 	// members that all lack what was written under the second one.
 	CountAfterCopying bool
+	// SourcesBeforeReplacement replaces a member only while enough others are ready for the new
+	// one to copy from.
+	SourcesBeforeReplacement bool
 }
 
 // AllRules returns Rules with every rule of the implementation enabled.
 func AllRules() Rules {
 	return Rules{
 		RejectStaleWriters: true, OnlyReadyCount: true, EnoughSources: true, SameView: true, HandOverBeforeRemoval: true,
-		OthersHaveLatestView: true, NewMembersRecover: true, CountAfterCopying: true,
+		OthersHaveLatestView: true, NewMembersRecover: true, CountAfterCopying: true, SourcesBeforeReplacement: true,
 	}
 }
 
@@ -343,8 +346,7 @@
 			emit(fmt.Sprintf("m%d is added", i), next)
 		}
 		for j := range maxMembers {
-			// The replaced member counts as lost, so all others must be ready.
-			if seats.has(j) && s.ready.contains(seats.without(j)) {
+			if seats.has(j) && m.mayReplace(s, j, i) {
 				emit(fmt.Sprintf("m%d takes the seat of m%d", i, j), m.addMember(s, seats.without(j).with(i), i))
 			}
 			if s.joining[s.latest].has(j) {
@@ -357,6 +359,13 @@
 	}
 }
 
+// mayReplace reports whether member i may take the seat of member j. Member j counts as lost, so
+// with 2f+1 seats all others must be ready. With more, others may recover at the same time.
+func (m *Model) mayReplace(s state, j, i int) bool {
+	rest := s.views[s.latest].without(j)
+	return !m.rules.SourcesBeforeReplacement || (s.ready&rest).count() >= m.copySources(rest.with(i), i)
+}
+
 // addMember returns the state with a new view of the seats, in which member i is new.
 func (m *Model) addMember(s state, seats mask, i int) state {
 	s.latest++
--- a/spec/ledger/model_test.go
+++ b/spec/ledger/model_test.go
@@ -100,6 +100,38 @@
 	}
 }
 
+// With five members, one may be replaced while another one recovers, since three are left to copy
+// from. The whole size has too many states, so the exploration starts after the disk was lost.
+func TestReplacementWhileAnotherOfFiveRecovers(t *testing.T) {
+	if testing.Short() || raceEnabled {
+		t.Skip("a long exploration")
+	}
+	model := NewModel(AllRules(), Bounds{Members: 5, Spares: 1, DisksLost: 1, Wipes: 1, Views: 2, WipesWhileAdding: true})
+	for _, script := range [][]string{
+		{"m4 loses its disk"},
+		{"the writer starts with view 0", "m2 stores", "m3 stores", "m4 stores", "m4 loses its disk"},
+	} {
+		start, err := search.Follow(model, script)
+		require.NoError(t, err)
+		report := search.Explore(search.From(model, start), stateLimit)
+		t.Logf("%v: %d states, %d transitions, depth %d", script, report.States, report.Transitions, report.Depth)
+		if report.Violation != nil {
+			t.Fatal(report.Violation)
+		}
+		require.True(t, report.Complete)
+	}
+}
+
+// A member took the seat of one that was merely down while another one recovered, and the two
+// lacked each other to copy from.
+func TestReplacementWithoutSourcesLeavesTooFew(t *testing.T) {
+	rules := AllRules()
+	rules.SourcesBeforeReplacement = false
+	report := search.Explore(NewModel(rules, addedWhileDiskIsLost[0]), stateLimit)
+	require.NotNil(t, report.Violation)
+	t.Logf("violation found after %d states:\n%v", report.States, report.Violation)
+}
+
 func TestSeatsThatCountAtOnceLeaveTooFewSources(t *testing.T) {
 	rules := AllRules()
 	rules.CountAfterCopying = false
