ledger/member: a disk is marked before its member's seat counts

Cause: the disk was marked as complete after the change of the view. A member that ended between the two counted as one with a lost disk, and it and the other one lacked each other as a source. Change: the disk is marked before the change, with the version in which the seat will count (complete_from). A member that starts with the mark is ready once it knows that view or a later one, and its seat counts there as ready with the incarnation of its disk; then it catches up. The same holds for one whose change took effect although the store did not respond. A mark whose change failed is ignored, since only the member itself makes its seat ready. The version excludes older views that a process may still read. Loss of the seat and damaged records end the mark. Records that a member misses between its copying and the change are no new case: a joining member may miss them while it runs too, and the model lets it.

Mixed releases: an older process ignores the mark and copies, as before.

Checks changed: none of the existing tests.

--- a/ledger/member/cluster_test.go
+++ b/ledger/member/cluster_test.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
+	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -383,6 +385,35 @@
 	c.checkChain(3)
 }
 
+// A new member ended just after its seat had come to count, before its disk said that it is
+// complete, and another disk was lost: each of the two lacked the other to copy from.
+func TestDiskLossWhileNewMemberEndsOnceItsSeatCounts(t *testing.T) {
+	c := newCluster(t)
+	c.startThree()
+	c.start("m4", false)
+	c.awaitSeats("m1", "m2", "m3", "m4")
+	c.write(1, 3)
+	c.stop("m3", "m4")
+	c.wipe("m3")
+	path := filepath.Join(c.dirs["m4"], "identity.json")
+	data, err := os.ReadFile(path)
+	require.NoError(t, err)
+	var id map[string]json.RawMessage
+	require.NoError(t, json.Unmarshal(data, &id))
+	id["complete"] = json.RawMessage("false")
+	id["complete_from"], err = json.Marshal(c.views.Snapshot().View.Version)
+	require.NoError(t, err)
+	data, err = json.Marshal(id)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(path, data, 0o600))
+	c.start("m3", false)
+	c.start("m4", false)
+	for _, name := range []string{"m3", "m4"} {
+		require.Eventually(t, func() bool { return isReadyWith(c.addrs[name], c.views.Snapshot().View.Version, 9) }, waitTimeout, 20*time.Millisecond)
+	}
+	c.checkChain(3)
+}
+
 // A member that is added stores what is written meanwhile, and its seat never counts before it
 // has copied.
 func TestAddedSeatJoinsBeforeItCounts(t *testing.T) {
--- a/ledger/member/copy.go
+++ b/ledger/member/copy.go
@@ -57,12 +57,21 @@
 			return err
 		}
 	}
+	if err := m.becomeReady(damages); err != nil {
+		return err
+	}
+	m.log.Info().Str("event", "recovered").Int("sources", copied).Msg("")
+	return nil
+}
+
+// becomeReady marks the disk as complete and lets the member count towards quorums, unless more
+// damages than those are found.
+func (m *Member) becomeReady(damages uint64) error {
 	if err := m.setIdentity(identity{Member: m.options.Name, Incarnation: m.identity.Incarnation, Complete: true}); err != nil {
 		return err
 	}
 	m.post(ledger.Recovered{Damages: damages})
 	m.ready.Store(true)
-	m.log.Info().Str("event", "recovered").Int("sources", copied).Msg("")
 	return nil
 }
 
--- a/ledger/member/identity.go
+++ b/ledger/member/identity.go
@@ -21,6 +21,10 @@
 	// Complete means that the disk has every record that a quorum had stored when the
 	// disk was new.
 	Complete bool `json:"complete"`
+	// CompleteFrom is not 0 while the change of the view with which the member's seat begins to
+	// count is under way. It is the version of the changed view. The disk is complete if the
+	// seat counts as ready in that view or a later one.
+	CompleteFrom uint64 `json:"complete_from,omitempty"`
 }
 
 // readIdentity returns the identity of the disk, or the zero identity if it has none.
--- a/ledger/member/member.go
+++ b/ledger/member/member.go
@@ -158,7 +158,7 @@
 			return err
 		}
 	}
-	if damaged && m.identity.Complete {
+	if damaged && (m.identity.Complete || m.identity.CompleteFrom != 0) {
 		// The damaged files are indexed anew, so the next start would not find the damage.
 		if err := m.setIdentity(identity{Member: m.options.Name, Incarnation: m.identity.Incarnation}); err != nil {
 			return err
--- a/ledger/member/restart_test.go
+++ b/ledger/member/restart_test.go
@@ -142,6 +142,16 @@
 	assert.False(t, openDisk(t, dir).Ready(), "the process was killed before it had copied the records")
 }
 
+// A disk that lost indexed records after it was marked, before the member's seat counted, would
+// otherwise count as complete once the member reads the view.
+func TestLostRecordsEndTheMark(t *testing.T) {
+	dir, _ := writeDisk(t, 40, 100, true)
+	require.NoError(t, writeIdentity(dir, identity{Member: "m1", Incarnation: 1, CompleteFrom: 4}))
+	assert.Equal(t, uint64(4), openDisk(t, dir).identity.CompleteFrom)
+	require.NoError(t, os.Truncate(filepath.Join(dir, "segments", "00000001.log"), 500))
+	assert.Equal(t, identity{Member: "m1", Incarnation: 1}, openDisk(t, dir).identity)
+}
+
 // benchmarkRecords is the size of the disk in BenchmarkLoadDisk.
 const benchmarkRecords = 200_000
 
--- a/ledger/member/seat.go
+++ b/ledger/member/seat.go
@@ -68,6 +68,9 @@
 	}
 	m.hadSeat = true
 	if !m.ready.Load() {
+		if m.isCompleteSince(view) {
+			return m.resume(ctx)
+		}
 		return m.recover(ctx, view)
 	}
 	if seat != m.seat(true) {
@@ -143,9 +146,13 @@
 }
 
 // countSeat changes the view so that this member's seat counts after it has copied under that
-// view. It reports whether it does.
+// view. It reports whether it does. The disk is marked before: once the seat counts, quorums and
+// other members that recover may need this one, also if it ends just then.
 func (m *Member) countSeat(ctx context.Context, view ledger.View) (bool, error) {
 	next := view.With(m.seat(true))
+	if err := m.setIdentity(identity{Member: m.options.Name, Incarnation: m.identity.Incarnation, CompleteFrom: next.Version}); err != nil {
+		return false, err
+	}
 	if err := m.compareAndSwapView(ctx, view, next); err != nil {
 		return false, err
 	}
@@ -154,6 +161,24 @@
 	return current.Version == next.Version && seat == m.seat(true), nil
 }
 
+// isCompleteSince reports whether the disk was marked for a change of the view that took effect.
+// Only this member makes its seat ready, so no other change can be mistaken for that one.
+func (m *Member) isCompleteSince(view ledger.View) bool {
+	seat, _ := view.Seat(m.options.Name)
+	from := m.identity.CompleteFrom
+	return from != 0 && view.Version >= from && seat == m.seat(true)
+}
+
+// resume makes a member ready that ended, or lost the store, while its seat began to count.
+func (m *Member) resume(ctx context.Context) error {
+	if err := m.becomeReady(m.handledDamages); err != nil {
+		return err
+	}
+	m.log.Info().Str("event", "resumed").Msg("")
+	m.catchUp(ctx)
+	return nil
+}
+
 // othersAreReady asks the other members whether they are ready. The view may say that they are
 // although they have lost their disks since.
 func (m *Member) othersAreReady(ctx context.Context, view ledger.View) bool {
@@ -182,7 +207,7 @@
 // markIncomplete marks the member's disk as lacking records: those that were written while
 // it had no seat, or those that are damaged.
 func (m *Member) markIncomplete() error {
-	if !m.ready.Load() {
+	if !m.ready.Load() && m.identity.CompleteFrom == 0 {
 		return nil
 	}
 	if err := m.setIdentity(identity{Member: m.options.Name, Incarnation: m.identity.Incarnation}); err != nil {
--- a/ledger/member/seat_test.go
+++ b/ledger/member/seat_test.go
@@ -159,6 +159,18 @@
 	return joiningMember{Member: m, view: view, store: keyValues}
 }
 
+// restart opens another member with the same disk, which knows the view.
+func (j joiningMember) restart(t *testing.T, view ledger.View) *Member {
+	t.Helper()
+	options := j.options
+	options.Directory = emptyDirectory()
+	options.Directory.MergeView(view)
+	m, err := Open(options)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = m.listener.Close() })
+	return m
+}
+
 // storedView returns the view that the store has.
 func (j joiningMember) storedView(t *testing.T) ledger.View {
 	t.Helper()
@@ -180,6 +192,64 @@
 	assert.True(t, m.Ready())
 }
 
+// A member that ended between the view in which its seat counts and the mark on its disk counted
+// as one with a lost disk. If another disk was lost too, each lacked the other as a source.
+func TestMemberThatEndedOnceItsSeatCountedIsComplete(t *testing.T) {
+	m := newJoiningMember(t, ledgerpb.Status_STATUS_RECOVERING)
+	counts, err := m.countSeat(t.Context(), m.view)
+	require.NoError(t, err)
+	require.True(t, counts)
+	restarted := m.restart(t, m.storedView(t))
+	require.False(t, restarted.Ready(), "the member does not know yet whether the view was changed")
+	require.NoError(t, restarted.reconcileSeat(t.Context()))
+	assert.True(t, restarted.Ready())
+	assert.Equal(t, m.identity.Incarnation, restarted.identity.Incarnation)
+	assert.True(t, m.restart(t, ledger.View{}).Ready(), "the disk is complete from now on")
+}
+
+// A member that trusted its mark although its seat never counted, or no longer does, would lack
+// what quorums without it have stored.
+func TestMarkOfSeatThatDoesNotCountIsIgnored(t *testing.T) {
+	for name, viewOf := range map[string]func(joiningMember) ledger.View{
+		"the change of the view failed": func(m joiningMember) ledger.View { return m.view },
+		"another change came first":     func(m joiningMember) ledger.View { return m.view.Without("m1") },
+		"seat of another disk": func(m joiningMember) ledger.View {
+			seat := m.seat(true)
+			seat.Incarnation++
+			return m.view.With(seat)
+		},
+		"seat that was not ready": func(m joiningMember) ledger.View { return m.view.With(m.seat(true)).With(m.seat(false)) },
+		"an older view": func(m joiningMember) ledger.View {
+			view := m.view.With(m.seat(true))
+			view.Version = m.view.Version
+			return view
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newJoiningMember(t, ledgerpb.Status_STATUS_RECOVERING)
+			_, err := m.countSeat(t.Context(), m.view)
+			require.NoError(t, err)
+			restarted := m.restart(t, viewOf(m))
+			require.ErrorIs(t, restarted.reconcileSeat(t.Context()), errTooFewSources)
+			assert.False(t, restarted.Ready())
+		})
+	}
+}
+
+// The records that were written while the member had no seat are missing also if the mark says
+// from which view on the disk was complete.
+func TestMarkEndsWithTheSeat(t *testing.T) {
+	m := newJoiningMember(t, ledgerpb.Status_STATUS_RECOVERING)
+	_, err := m.countSeat(t.Context(), m.view)
+	require.NoError(t, err)
+	counting := m.storedView(t)
+	restarted := m.restart(t, counting.Without("m4"))
+	require.NoError(t, restarted.reconcileSeat(t.Context()))
+	again := m.restart(t, counting)
+	require.ErrorIs(t, again.reconcileSeat(t.Context()), errTooFewSources)
+	assert.False(t, again.Ready())
+}
+
 func TestSeatDoesNotCountWithTooFewSources(t *testing.T) {
 	m := newJoiningMember(t, ledgerpb.Status_STATUS_RECOVERING)
 	require.ErrorIs(t, m.reconcileSeat(t.Context()), errTooFewSources)
--- a/spec/ledger/model.go
+++ b/spec/ledger/model.go
@@ -50,6 +50,9 @@
 	// SourcesBeforeReplacement replaces a member only while enough others are ready for the new
 	// one to copy from.
 	SourcesBeforeReplacement bool
+	// MarkBeforeCounting marks a member's disk as complete before its seat begins to count. A
+	// member that ends just then needs no other one to copy from.
+	MarkBeforeCounting bool
 }
 
 // AllRules returns Rules with every rule of the implementation enabled.
@@ -57,6 +60,7 @@
 	return Rules{
 		RejectStaleWriters: true, OnlyReadyCount: true, EnoughSources: true, SameView: true, HandOverBeforeRemoval: true,
 		OthersHaveLatestView: true, NewMembersRecover: true, CountAfterCopying: true, SourcesBeforeReplacement: true,
+		MarkBeforeCounting: true,
 	}
 }
 
@@ -93,6 +97,9 @@
 	// added is the set of members that have not copied since they were added. Their empty
 	// disks are none of those lost.
 	added mask
+	// marked is the set of members that have ended while their seats began to count, and will
+	// be ready once they use a view in which they do.
+	marked mask
 	// memberView is the index of the view that each member uses.
 	memberView [maxMembers]uint8
 	// hasRecord is the set of members that have the record. ready is the set of
@@ -177,7 +184,7 @@
 // copy from.
 func (m *Model) checkSources(s state) error {
 	seats := s.views[s.latest]
-	ready := seats & s.ready
+	ready := seats & (s.ready | s.marked)
 	if !m.bounds.WipesWhileAdding {
 		return nil
 	}
@@ -264,6 +271,9 @@
 }
 
 func (s *state) loseDisk(i int) {
+	if s.marked.has(i) {
+		s.marked, s.added = s.marked.without(i), s.added.without(i)
+	}
 	s.hasRecord = s.hasRecord.without(i)
 	s.ready = s.ready.without(i)
 	s.copied[i] = 0
@@ -277,6 +287,10 @@
 		if s.ready.has(i) || !seats.has(i) && !isJoining {
 			continue
 		}
+		if s.marked.has(i) {
+			m.resume(s, i, emit)
+			continue
+		}
 		for j := range maxMembers {
 			if j == i || !seats.has(j) || !s.ready.has(j) || m.rules.SameView && s.memberView[j] != s.memberView[i] {
 				continue
@@ -317,6 +331,21 @@
 	next.memberView[i] = next.latest
 	next.ready, next.added, next.copied[i] = s.ready.with(i), s.added.without(i), 0
 	emit(fmt.Sprintf("the seat of m%d counts", i), next)
+	next.memberView[i], next.ready, next.added = s.memberView[i], s.ready, s.added
+	if m.rules.MarkBeforeCounting {
+		next.marked = s.marked.with(i)
+	}
+	emit(fmt.Sprintf("the seat of m%d counts, and it ends", i), next)
+}
+
+// resume makes a member ready that finds the mark on its disk, if its seat counts in its view.
+func (m *Model) resume(s state, i int, emit func(string, state)) {
+	if !s.views[s.memberView[i]].has(i) {
+		return
+	}
+	next := s
+	next.marked, next.added, next.ready = s.marked.without(i), s.added.without(i), s.ready.with(i)
+	emit(fmt.Sprintf("m%d finds its mark", i), next)
 }
 
 // changeView adds, replaces or removes one seat.
@@ -372,6 +401,7 @@
 	s.views[s.latest], s.joining[s.latest] = seats, s.joining[s.latest-1]
 	s.memberView[i] = s.latest
 	s.copied[i] = 0
+	s.marked = s.marked.without(i)
 	if m.rules.NewMembersRecover {
 		s.ready = s.ready.without(i)
 	} else {
--- a/spec/ledger/model_test.go
+++ b/spec/ledger/model_test.go
@@ -132,6 +132,16 @@
 	t.Logf("violation found after %d states:\n%v", report.States, report.Violation)
 }
 
+// A member ended between the view in which its seat counts and the mark on its disk, and had to
+// copy again, as did another one that lost its disk.
+func TestMemberThatEndsUnmarkedLeavesTooFewSources(t *testing.T) {
+	rules := AllRules()
+	rules.MarkBeforeCounting = false
+	report := search.Explore(NewModel(rules, addedWhileDiskIsLost[0]), stateLimit)
+	require.NotNil(t, report.Violation)
+	t.Logf("violation found after %d states:\n%v", report.States, report.Violation)
+}
+
 func TestSeatsThatCountAtOnceLeaveTooFewSources(t *testing.T) {
 	rules := AllRules()
 	rules.CountAfterCopying = false
