--- a/ledger/member/seat.go
+++ b/ledger/member/seat.go
@@ -68,6 +68,9 @@
 	}
 	m.hadSeat = true
 	if !m.ready.Load() {
+		if m.isCompleteSince(view) {
+			return m.resume(ctx)
+		}
 		return m.recover(ctx, view)
 	}
 	if seat != m.seat(true) {
@@ -99,7 +102,8 @@
 // member, or else adds a seat, which counts once the member has copied (see recover).
 //
 // Invariant: a seat is only added while all other members are ready. A member without a ready
-// replica, and one that has lost its disk, would each lack the other to copy from.
+// replica, and one that has lost its disk, would each lack the other to copy from. For the same
+// reason, a seat is only replaced while enough others are ready (see mayReplace).
 func (m *Member) takeSeat(ctx context.Context, view ledger.View) error {
 	if view.Version == 0 && !m.options.FirstStart {
 		// The store has a view, but this member has not read it yet.
@@ -110,6 +114,9 @@
 			return err
 		}
 		if unresponsive, found := m.findUnresponsive(ctx, view); found {
+			if !m.mayReplace(ctx, view, unresponsive) {
+				return nil
+			}
 			m.log.Info().Str("event", "seat_replaced").Str("peer", unresponsive).Msg("")
 			return m.compareAndSwapView(ctx, view, view.Replacing(unresponsive, m.seat(false)))
 		}
@@ -120,10 +127,32 @@
 	return m.compareAndSwapView(ctx, view, view.Adding(m.seat(m.ready.Load()), m.options.DisksLost))
 }
 
+// mayReplace reports whether this member may take the seat of an unresponsive one: enough others
+// must be ready to copy from. With fewer, neither it nor those that recover could get ready, and
+// the unresponsive member, which may only be down, would be lost as a source. A joining seat is in
+// no quorum and no source, so it may be replaced at any time.
+func (m *Member) mayReplace(ctx context.Context, view ledger.View, name string) bool {
+	if !view.Counts(name) {
+		return true
+	}
+	next := view.Replacing(name, m.seat(false))
+	sources := 0
+	for _, seat := range next.Counting() {
+		if seat.Name != m.options.Name && seat.Ready && m.isReady(ctx, seat, view.Version) {
+			sources++
+		}
+	}
+	return sources >= next.CopySources(m.options.Name, m.options.DisksLost)
+}
+
 // countSeat changes the view so that this member's seat counts after it has copied under that
-// view. It reports whether it does.
+// view. It reports whether it does. The disk is marked before: once the seat counts, quorums and
+// other members that recover may need this one, also if it ends just then.
 func (m *Member) countSeat(ctx context.Context, view ledger.View) (bool, error) {
 	next := view.With(m.seat(true))
+	if err := m.setIdentity(identity{Member: m.options.Name, Incarnation: m.identity.Incarnation, CompleteFrom: next.Version}); err != nil {
+		return false, err
+	}
 	if err := m.compareAndSwapView(ctx, view, next); err != nil {
 		return false, err
 	}
@@ -132,6 +161,24 @@
 	return current.Version == next.Version && seat == m.seat(true), nil
 }
 
+// isCompleteSince reports whether the disk was marked for a change of the view that took effect.
+// Only this member makes its seat ready, so no other change can be mistaken for that one.
+func (m *Member) isCompleteSince(view ledger.View) bool {
+	seat, _ := view.Seat(m.options.Name)
+	from := m.identity.CompleteFrom
+	return from != 0 && view.Version >= from && seat == m.seat(true)
+}
+
+// resume makes a member ready that ended, or lost the store, while its seat began to count.
+func (m *Member) resume(ctx context.Context) error {
+	if err := m.becomeReady(m.handledDamages); err != nil {
+		return err
+	}
+	m.log.Info().Str("event", "resumed").Msg("")
+	m.catchUp(ctx)
+	return nil
+}
+
 // othersAreReady asks the other members whether they are ready. The view may say that they are
 // although they have lost their disks since.
 func (m *Member) othersAreReady(ctx context.Context, view ledger.View) bool {
@@ -160,7 +207,7 @@
 // markIncomplete marks the member's disk as lacking records: those that were written while
 // it had no seat, or those that are damaged.
 func (m *Member) markIncomplete() error {
-	if !m.ready.Load() {
+	if !m.ready.Load() && m.identity.CompleteFrom == 0 {
 		return nil
 	}
 	if err := m.setIdentity(identity{Member: m.options.Name, Incarnation: m.identity.Incarnation}); err != nil {
--- a/ledger/member/seat_test.go
+++ b/ledger/member/seat_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -53,6 +54,84 @@
 	assert.Equal(t, 3, seats())
 }
 
+// The seat of a member that is merely down was taken while another one recovered, which left
+// neither of them enough others to copy from. Where enough are ready, a second member that has
+// ended for good must not keep the first one's seat from being taken.
+func TestSeatIsReplacedOnlyWithEnoughSources(t *testing.T) {
+	const (
+		ready      = ledgerpb.Status_STATUS_NOT_FOUND
+		recovering = ledgerpb.Status_STATUS_RECOVERING
+		ended      = ledgerpb.Status_STATUS_UNSPECIFIED
+	)
+	for _, test := range []struct {
+		name     string
+		others   []ledgerpb.Status
+		replaced bool
+	}{
+		{"the only one", nil, false},
+		{"two", []ledgerpb.Status{ready}, true},
+		{"three", []ledgerpb.Status{ready, ready}, true},
+		{"three, one recovers", []ledgerpb.Status{ready, recovering}, false},
+		{"four, one recovers", []ledgerpb.Status{ready, ready, recovering}, false},
+		{"five, one recovers", []ledgerpb.Status{ready, ready, ready, recovering}, true},
+		{"five, another has ended", []ledgerpb.Status{ready, ready, ready, ended}, true},
+		{"five, two recover", []ledgerpb.Status{ready, ready, recovering, recovering}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			view := ledger.View{}.With(ledger.Seat{Name: "a", Addr: endedPeer(t), Ready: true})
+			for i, status := range test.others {
+				addr := endedPeer(t)
+				if status != ended {
+					addr = startPeer(t, func() ledgerpb.Status { return status })
+				}
+				view = view.With(ledger.Seat{Name: fmt.Sprintf("m%d", i), Addr: addr, Ready: true})
+			}
+			m, keyValues := newStandby(t, view)
+			require.NoError(t, m.takeSeat(t.Context(), view))
+			stored, err := ledger.DecodeView(keyValues.Value(discovery.ViewKey))
+			require.NoError(t, err)
+			want := view
+			if test.replaced {
+				want = view.Replacing("a", m.seat(false))
+			}
+			assert.Equal(t, want, stored)
+		})
+	}
+}
+
+// newStandby returns a member with an empty disk and no seat in the view.
+func newStandby(t *testing.T, view ledger.View) (*Member, *platformtest.Store) {
+	t.Helper()
+	keyValues := platformtest.NewStore()
+	t.Cleanup(keyValues.Close)
+	keyValues.Put(discovery.ViewKey, view.Encode())
+	directory := emptyDirectory()
+	directory.MergeView(view)
+	m, err := Open(Options{Name: "standby", Addr: "127.0.0.1:0", Dir: t.TempDir(), DisksLost: 1, Store: platform.NewStore(keyValues.Addr()), Directory: directory, Log: quietLogger()})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = m.listener.Close() })
+	return m, keyValues
+}
+
+// endedPeer returns an address at which each connection ends at once.
+func endedPeer(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			nc, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = nc.Close()
+		}
+	}()
+	return listener.Addr().String()
+}
+
 // joiningMember is a member with an empty disk whose seat is joining in a view of three others,
 // which respond to each request with a status.
 type joiningMember struct {
@@ -80,6 +159,18 @@
 	return joiningMember{Member: m, view: view, store: keyValues}
 }
 
+// restart opens another member with the same disk, which knows the view.
+func (j joiningMember) restart(t *testing.T, view ledger.View) *Member {
+	t.Helper()
+	options := j.options
+	options.Directory = emptyDirectory()
+	options.Directory.MergeView(view)
+	m, err := Open(options)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = m.listener.Close() })
+	return m
+}
+
 // storedView returns the view that the store has.
 func (j joiningMember) storedView(t *testing.T) ledger.View {
 	t.Helper()
@@ -101,6 +192,64 @@
 	assert.True(t, m.Ready())
 }
 
+// A member that ended between the view in which its seat counts and the mark on its disk counted
+// as one with a lost disk. If another disk was lost too, each lacked the other as a source.
+func TestMemberThatEndedOnceItsSeatCountedIsComplete(t *testing.T) {
+	m := newJoiningMember(t, ledgerpb.Status_STATUS_RECOVERING)
+	counts, err := m.countSeat(t.Context(), m.view)
+	require.NoError(t, err)
+	require.True(t, counts)
+	restarted := m.restart(t, m.storedView(t))
+	require.False(t, restarted.Ready(), "the member does not know yet whether the view was changed")
+	require.NoError(t, restarted.reconcileSeat(t.Context()))
+	assert.True(t, restarted.Ready())
+	assert.Equal(t, m.identity.Incarnation, restarted.identity.Incarnation)
+	assert.True(t, m.restart(t, ledger.View{}).Ready(), "the disk is complete from now on")
+}
+
+// A member that trusted its mark although its seat never counted, or no longer does, would lack
+// what quorums without it have stored.
+func TestMarkOfSeatThatDoesNotCountIsIgnored(t *testing.T) {
+	for name, viewOf := range map[string]func(joiningMember) ledger.View{
+		"the change of the view failed": func(m joiningMember) ledger.View { return m.view },
+		"another change came first":     func(m joiningMember) ledger.View { return m.view.Without("m1") },
+		"seat of another disk": func(m joiningMember) ledger.View {
+			seat := m.seat(true)
+			seat.Incarnation++
+			return m.view.With(seat)
+		},
+		"seat that was not ready": func(m joiningMember) ledger.View { return m.view.With(m.seat(true)).With(m.seat(false)) },
+		"an older view": func(m joiningMember) ledger.View {
+			view := m.view.With(m.seat(true))
+			view.Version = m.view.Version
+			return view
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newJoiningMember(t, ledgerpb.Status_STATUS_RECOVERING)
+			_, err := m.countSeat(t.Context(), m.view)
+			require.NoError(t, err)
+			restarted := m.restart(t, viewOf(m))
+			require.ErrorIs(t, restarted.reconcileSeat(t.Context()), errTooFewSources)
+			assert.False(t, restarted.Ready())
+		})
+	}
+}
+
+// The records that were written while the member had no seat are missing also if the mark says
+// from which view on the disk was complete.
+func TestMarkEndsWithTheSeat(t *testing.T) {
+	m := newJoiningMember(t, ledgerpb.Status_STATUS_RECOVERING)
+	_, err := m.countSeat(t.Context(), m.view)
+	require.NoError(t, err)
+	counting := m.storedView(t)
+	restarted := m.restart(t, counting.Without("m4"))
+	require.NoError(t, restarted.reconcileSeat(t.Context()))
+	again := m.restart(t, counting)
+	require.ErrorIs(t, again.reconcileSeat(t.Context()), errTooFewSources)
+	assert.False(t, again.Ready())
+}
+
 func TestSeatDoesNotCountWithTooFewSources(t *testing.T) {
 	m := newJoiningMember(t, ledgerpb.Status_STATUS_RECOVERING)
 	require.ErrorIs(t, m.reconcileSeat(t.Context()), errTooFewSources)
--- a/spec/ledger/model.go
+++ b/spec/ledger/model.go
@@ -16,7 +16,7 @@
 
 // maxMembers bounds the VMs that ever have a seat, maxViews the number of views.
 const (
-	maxMembers = 5
+	maxMembers = 6
 	maxViews   = 6
 )
 
@@ -47,13 +47,20 @@
 	// once: a member with an empty disk could otherwise recover under the first view from
 	// members that all lack what was written under the second one.
 	CountAfterCopying bool
+	// SourcesBeforeReplacement replaces a member only while enough others are ready for the new
+	// one to copy from.
+	SourcesBeforeReplacement bool
+	// MarkBeforeCounting marks a member's disk as complete before its seat begins to count. A
+	// member that ends just then needs no other one to copy from.
+	MarkBeforeCounting bool
 }
 
 // AllRules returns Rules with every rule of the implementation enabled.
 func AllRules() Rules {
 	return Rules{
 		RejectStaleWriters: true, OnlyReadyCount: true, EnoughSources: true, SameView: true, HandOverBeforeRemoval: true,
-		OthersHaveLatestView: true, NewMembersRecover: true, CountAfterCopying: true,
+		OthersHaveLatestView: true, NewMembersRecover: true, CountAfterCopying: true, SourcesBeforeReplacement: true,
+		MarkBeforeCounting: true,
 	}
 }
 
@@ -90,6 +97,9 @@
 	// added is the set of members that have not copied since they were added. Their empty
 	// disks are none of those lost.
 	added mask
+	// marked is the set of members that have ended while their seats began to count, and will
+	// be ready once they use a view in which they do.
+	marked mask
 	// memberView is the index of the view that each member uses.
 	memberView [maxMembers]uint8
 	// hasRecord is the set of members that have the record. ready is the set of
@@ -174,7 +184,7 @@
 // copy from.
 func (m *Model) checkSources(s state) error {
 	seats := s.views[s.latest]
-	ready := seats & s.ready
+	ready := seats & (s.ready | s.marked)
 	if !m.bounds.WipesWhileAdding {
 		return nil
 	}
@@ -261,6 +271,9 @@
 }
 
 func (s *state) loseDisk(i int) {
+	if s.marked.has(i) {
+		s.marked, s.added = s.marked.without(i), s.added.without(i)
+	}
 	s.hasRecord = s.hasRecord.without(i)
 	s.ready = s.ready.without(i)
 	s.copied[i] = 0
@@ -274,6 +287,10 @@
 		if s.ready.has(i) || !seats.has(i) && !isJoining {
 			continue
 		}
+		if s.marked.has(i) {
+			m.resume(s, i, emit)
+			continue
+		}
 		for j := range maxMembers {
 			if j == i || !seats.has(j) || !s.ready.has(j) || m.rules.SameView && s.memberView[j] != s.memberView[i] {
 				continue
@@ -314,6 +331,21 @@
 	next.memberView[i] = next.latest
 	next.ready, next.added, next.copied[i] = s.ready.with(i), s.added.without(i), 0
 	emit(fmt.Sprintf("the seat of m%d counts", i), next)
+	next.memberView[i], next.ready, next.added = s.memberView[i], s.ready, s.added
+	if m.rules.MarkBeforeCounting {
+		next.marked = s.marked.with(i)
+	}
+	emit(fmt.Sprintf("the seat of m%d counts, and it ends", i), next)
+}
+
+// resume makes a member ready that finds the mark on its disk, if its seat counts in its view.
+func (m *Model) resume(s state, i int, emit func(string, state)) {
+	if !s.views[s.memberView[i]].has(i) {
+		return
+	}
+	next := s
+	next.marked, next.added, next.ready = s.marked.without(i), s.added.without(i), s.ready.with(i)
+	emit(fmt.Sprintf("m%d finds its mark", i), next)
 }
 
 // changeView adds, replaces or removes one seat.
@@ -343,8 +375,7 @@
 			emit(fmt.Sprintf("m%d is added", i), next)
 		}
 		for j := range maxMembers {
-			// The replaced member counts as lost, so all others must be ready.
-			if seats.has(j) && s.ready.contains(seats.without(j)) {
+			if seats.has(j) && m.mayReplace(s, j, i) {
 				emit(fmt.Sprintf("m%d takes the seat of m%d", i, j), m.addMember(s, seats.without(j).with(i), i))
 			}
 			if s.joining[s.latest].has(j) {
@@ -357,12 +388,20 @@
 	}
 }
 
+// mayReplace reports whether member i may take the seat of member j. Member j counts as lost, so
+// with 2f+1 seats all others must be ready. With more, others may recover at the same time.
+func (m *Model) mayReplace(s state, j, i int) bool {
+	rest := s.views[s.latest].without(j)
+	return !m.rules.SourcesBeforeReplacement || (s.ready&rest).count() >= m.copySources(rest.with(i), i)
+}
+
 // addMember returns the state with a new view of the seats, in which member i is new.
 func (m *Model) addMember(s state, seats mask, i int) state {
 	s.latest++
 	s.views[s.latest], s.joining[s.latest] = seats, s.joining[s.latest-1]
 	s.memberView[i] = s.latest
 	s.copied[i] = 0
+	s.marked = s.marked.without(i)
 	if m.rules.NewMembersRecover {
 		s.ready = s.ready.without(i)
 	} else {
