--- a/fleet/work_test.go
+++ b/fleet/work_test.go
@@ -91,6 +91,7 @@
 // neither with fresh figures nor when 60 entries have old ones. Preferring the pace of an engine
 // whatever the load did that.
 func TestUnevenEnginesNearCapacity(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		entries   int
 		period    time.Duration
