local: wait for the observations of both turns before reading the report

Cause: an entry observes a request after the last byte of its answer has been sent, in the goroutine of the handler. The test waited until each measure had been seen once, which the first turn does, and read the report while the second turn's observation was still to come.

The test waits for what it then requires: every measure, and first_token and refused of each turn. The equalities stay as they were.

Ruled out: a lost observation.

--- a/local/report_test.go
+++ b/local/report_test.go
@@ -47,7 +47,8 @@
 	defer cancel()
 	c := newClient(d.Entries()[0], option.WithHeader(front.HeaderProgram, "p1"), option.WithHeader(front.HeaderProgramKind, "haggle"))
 	conversation := []string{"hello"}
-	for range 2 {
+	const turns = 2
+	for range turns {
 		stream := c.Chat.Completions.NewStreaming(ctx, chatParams(conversation...))
 		var answer string
 		for stream.Next() {
@@ -64,13 +65,14 @@
 	var decisions []observe.Decision
 	complete := func() bool {
 		observations, decisions = fetchEvents(ctx, t, d)
-		seen := map[observe.Measure]bool{}
+		seen := map[observe.Measure]int{}
 		for _, o := range observations {
-			seen[o.Measure] = true
+			seen[o.Measure]++
 		}
-		return len(seen) == 5
+		// A request is observed after the last byte of its answer has been sent.
+		return len(seen) == 5 && seen[observe.FirstToken] >= turns && seen[observe.Refused] >= turns
 	}
-	require.Eventually(t, complete, eventuallyTimeout, 50*time.Millisecond, "every measure must have been observed")
+	require.Eventually(t, complete, eventuallyTimeout, 50*time.Millisecond, "every measure must have been observed, of each turn")
 
 	files, err := observe.Files([]string{options.DataDir})
 	require.NoError(t, err)
@@ -91,7 +93,7 @@
 		measures[o.Measure] = o
 	}
 	require.Len(t, measures, 5)
-	require.Equal(t, 2, measures[observe.FirstToken].Events)
+	require.Equal(t, turns, measures[observe.FirstToken].Events)
 	require.Equal(t, 1.0, measures[observe.Refused].GoodShare)
 	require.Equal(t, 1, measures[observe.ProgramLatency].Events)
 
