quota: charge what entries admit while no board answers

What happened: after a second without a load board, accounts that send more than their quota ran up to a quarter more in 5 s than is allowed.

Cause: while no board answers, each entry uses 0.7 of its part of the quota. The board never learned of it and had refilled its bucket in that time, so the same time was granted twice. Eight seconds without a board, as the simulation had it, hide this: then no window holds the burst before it and the full bucket after it.

Change: an entry reports what it admitted alone with its next ask, as it reports further executions, up to its share of a full bucket.

--- a/loadboard/quotas.go
+++ b/loadboard/quotas.go
@@ -45,7 +45,8 @@
 	Want, Need int
 	// Unused is the number of requests that were granted earlier and are returned.
 	Unused int
-	// Spent is the number of further executions, which need no grant.
+	// Spent is the number of requests that ran without a grant: further executions, and those
+	// admitted while no board answered.
 	Spent int
 	// Refused is the number of requests that the process has refused since its last ask, and
 	// Started that of the programs that it has started.
@@ -185,10 +186,13 @@
 	return q
 }
 
-func (q *quotaState) capacity() float64 {
-	return max(1, q.burst+min(maxQuotaAllowance, q.perSecond*quotaAllowance.Seconds()))
+// QuotaCapacity returns how many requests a full bucket of a quota holds.
+func QuotaCapacity(perSecond, burst float64) float64 {
+	return max(1, burst+min(maxQuotaAllowance, perSecond*quotaAllowance.Seconds()))
 }
 
+func (q *quotaState) capacity() float64 { return QuotaCapacity(q.perSecond, q.burst) }
+
 // ahead is the time that a full bucket lasts.
 func (q *quotaState) ahead() time.Duration { return tokenbucket.Period(q.capacity(), q.perSecond) }
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -99,6 +99,8 @@
 type Ask struct {
 	loadboard.QuotaAsk
 	Name string
+	// spentAlone is the part of Spent that was admitted alone.
+	spentAlone int
 }
 
 // Episode is a time in which requests of an account were refused.
@@ -124,7 +126,9 @@
 	// wait for its answer, and need the number of those that it left without a grant.
 	answered      chan struct{}
 	waiting, need int
-	spent         int
+	// spent is the number of further executions since the last ask, and spentAlone that of the
+	// requests admitted alone, up to what could be missing from a bucket that is full again.
+	spent, spentAlone int
 	// started is the number of programs started since the last ask, and startsAt when the next
 	// one may start.
 	started  int
@@ -214,12 +218,11 @@
 		a.probeAt = now.Add(probeDelay)
 		d.Ask = h.newAsk(a, now)
 	}
-	known := float64(cmp.Or(h.knownProcesses(), unknownProcesses))
-	share := fallbackShare / known
+	share := h.aloneShare()
 	perSecond := a.quota.PerSecond * share
 	if a.aloneSince != h.aloneSince {
 		a.aloneSince = h.aloneSince
-		delay := tokenbucket.Period(h.phase(a.name)-fallbackStart/known, perSecond)
+		delay := tokenbucket.Period(h.phase(a.name)-fallbackStart*share/fallbackShare, perSecond)
 		a.fallback.SetUsed(max(a.fallback.Used(now), delay), now)
 	}
 	if wait := a.fallback.Wait(tokenbucket.Period(a.quota.Burst*share-1, perSecond), now); wait > 0 {
@@ -227,9 +230,22 @@
 		return d
 	}
 	a.fallback.Take(tokenbucket.Period(1, perSecond), now)
+	a.addSpentAlone(1, share)
 	return d
 }
 
+// aloneShare returns the part of a quota that the process uses while no board answers.
+func (h *Holder) aloneShare() float64 {
+	return fallbackShare / float64(cmp.Or(h.knownProcesses(), unknownProcesses))
+}
+
+// addSpentAlone counts requests that the board is to charge later. What is beyond the process's
+// share of a full bucket has been refilled meanwhile.
+func (a *account) addSpentAlone(n int, share float64) {
+	limit := math.Ceil(share * loadboard.QuotaCapacity(a.quota.PerSecond, a.quota.Burst))
+	a.spentAlone = min(a.spentAlone+n, int(limit))
+}
+
 // phase returns a number in [0, 1) that differs among processes.
 func (h *Holder) phase(name string) float64 {
 	return float64(xxhash.Sum64String(name+strconv.FormatUint(h.seed, 16))%phases) / phases
@@ -247,11 +263,11 @@
 func (h *Holder) newAsk(a *account, now time.Time) *Ask {
 	perSecond := min(a.demand(now), a.quota.PerSecond)
 	a.batch = max(1, a.need, int(perSecond*batchTime.Seconds()))
-	ask := &Ask{Name: a.name, QuotaAsk: loadboard.QuotaAsk{
+	ask := &Ask{Name: a.name, spentAlone: a.spentAlone, QuotaAsk: loadboard.QuotaAsk{
 		Account: catalog.HashAccount(a.name), PerSecond: a.quota.PerSecond, Burst: a.quota.Burst, Version: a.version,
-		Want: a.batch, Need: a.need, Unused: a.unused, Spent: a.spent, Refused: a.unreported, Started: a.started, Processes: h.knownProcesses(),
+		Want: a.batch, Need: a.need, Unused: a.unused, Spent: a.spent + a.spentAlone, Refused: a.unreported, Started: a.started, Processes: h.knownProcesses(),
 	}}
-	a.need, a.unused, a.spent, a.unreported, a.started = 0, 0, 0, 0, 0
+	a.need, a.unused, a.spent, a.spentAlone, a.unreported, a.started = 0, 0, 0, 0, 0, 0
 	a.answered = make(chan struct{})
 	return ask
 }
@@ -284,7 +300,8 @@
 	if a == nil {
 		return
 	}
-	a.spent += ask.Spent
+	a.spent += ask.Spent - ask.spentAlone
+	a.addSpentAlone(ask.spentAlone, h.aloneShare())
 	a.started += ask.Started
 	a.startsAt = time.Time{}
 	// Returned later, these would add to what is used in that time.
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -196,9 +196,18 @@
 			8 * time.Second:  func(s *simulation) { s.restartShare(0.5) },
 			10 * time.Second: func(s *simulation) { s.restartShare(0.5) },
 		},
-		"entry is cut off":    {8 * time.Second: func(s *simulation) { s.entries[0].board = -1 }},
-		"a third is cut off":  {8 * time.Second: func(s *simulation) { s.useBoard(-1, 1.0/3) }},
-		"no board":            {8 * time.Second: func(s *simulation) { s.useBoard(-1, 1) }, 16 * time.Second: func(s *simulation) { s.useBoard(1, 1) }},
+		"entry is cut off":   {8 * time.Second: func(s *simulation) { s.entries[0].board = -1 }},
+		"a third is cut off": {8 * time.Second: func(s *simulation) { s.useBoard(-1, 1.0/3) }},
+		"no board":           {8 * time.Second: func(s *simulation) { s.useBoard(-1, 1) }, 16 * time.Second: func(s *simulation) { s.useBoard(1, 1) }},
+		"no board for 1.1 s": {8 * time.Second: func(s *simulation) { s.useBoard(-1, 1) }, 9100 * time.Millisecond: func(s *simulation) { s.useBoard(0, 1) }},
+		"no board now and then": {
+			8 * time.Second:         func(s *simulation) { s.useBoard(-1, 1) },
+			8600 * time.Millisecond: func(s *simulation) { s.useBoard(0, 1) },
+			9 * time.Second:         func(s *simulation) { s.useBoard(-1, 1) },
+			9800 * time.Millisecond: func(s *simulation) { s.useBoard(0, 1) },
+			11 * time.Second:        func(s *simulation) { s.useBoard(-1, 1) },
+			12 * time.Second:        func(s *simulation) { s.useBoard(0, 1) },
+		},
 		"all processes start": {8 * time.Second: func(s *simulation) { s.boards[0] = loadboard.New(); s.restartShare(1) }},
 	} {
 		for _, q := range []catalog.Quota{{PerSecond: 2, Burst: 4}, {PerSecond: 30, Burst: 20}, {PerSecond: 100, Burst: 100}} {
