ledger/quorum: ask stalled members one call at a time after a timeout

What callers saw: while members' disks hang, most appends of an entry waited 60 to 450 ms for a second member, again and again, although others store at once.

Cause: a member counts as stalled while calls to it are pending. They fail after two seconds, or when the connection is closed after 0.6 s without a response; then none is pending, the member is preferred again, and all calls go to it first until it counts as stalled half a second later.

Change: after a call has failed without a response, a member is asked last for half a second and then by one call at a time, until it completes one.

--- a/ledger/quorum/hedge_test.go
+++ b/ledger/quorum/hedge_test.go
@@ -1,6 +1,7 @@
 package quorum_test
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -83,17 +84,19 @@
 	assert.LessOrEqual(t, requests.Load(), int64(calls+calls/10+burst+beforeFirstResponse))
 }
 
-// A member whose disk hangs still answers some calls, so its connection stays. Calls that need
-// the disk go to other members until it completes one.
-func TestStalledMemberIsAskedLast(t *testing.T) {
+// newClientOfHangingMembers returns a client of three members whose disks hang, and of one that
+// stores. A member whose disk hangs still answers some calls, so its connection stays. hung counts
+// the calls that hang.
+func newClientOfHangingMembers(t *testing.T, ctx context.Context) (client *quorum.RelayClient, hung *atomic.Int64) {
+	hung = &atomic.Int64{}
 	stalled := func(req *ledgerpb.Request) *ledgerpb.Response {
 		if req.GetExchangeLoad() == nil {
+			hung.Add(1)
 			return nil
 		}
 		return &ledgerpb.Response{Status: ledgerpb.Status_STATUS_OK, Load: &ledgerpb.Load{}}
 	}
-	client := newRelayClient(t, stalled, stalled, stalled, accepts)
-	ctx := contextWithTimeout(t, 10*time.Second)
+	client = newRelayClient(t, stalled, stalled, stalled, accepts)
 	exchange := func() {
 		for ctx.Err() == nil {
 			_, _ = client.ExchangeLoad(ctx, "vm", loadboard.Report{})
@@ -101,6 +104,13 @@
 		}
 	}
 	go exchange()
+	return client, hung
+}
+
+// Calls that need the disk go to other members until the stalled one completes one.
+func TestStalledMemberIsAskedLast(t *testing.T) {
+	ctx := contextWithTimeout(t, 10*time.Second)
+	client, _ := newClientOfHangingMembers(t, ctx)
 	began := time.Now()
 	for range 100 {
 		_, err := client.Append(ctx, record)
@@ -109,6 +119,22 @@
 	assert.Less(t, time.Since(began), 5*time.Second)
 }
 
+// Whenever the calls to stalled members had failed, all calls went to these first, for half a
+// second each: 48 appends in 8 s. One call at a time finds out whether they have recovered.
+func TestCallsAfterTimeoutDoNotReturnToStalledMember(t *testing.T) {
+	const span, members, beforeStalled, probesPerSecond = 5 * time.Second, 3, 8, 2
+	ctx := contextWithTimeout(t, 2*span)
+	client, hung := newClientOfHangingMembers(t, ctx)
+	appends := 0
+	for began := time.Now(); time.Since(began) < span; appends++ {
+		_, err := client.Append(ctx, record)
+		require.NoError(t, err)
+		time.Sleep(5 * time.Millisecond)
+	}
+	assert.LessOrEqual(t, hung.Load(), int64(members*(beforeStalled+probesPerSecond*span.Seconds())))
+	assert.Greater(t, appends, 100)
+}
+
 func TestSilentMemberDelaysCallsBriefly(t *testing.T) {
 	client := newRelayClient(t, unresponsive, accepts, accepts)
 	for range 5 {
--- a/ledger/quorum/link.go
+++ b/ledger/quorum/link.go
@@ -19,6 +19,9 @@
 	// are well under the time within which a restarted member has to serve.
 	minRedialDelay = 50 * time.Millisecond
 	maxRedialDelay = 400 * time.Millisecond
+	// stalledRetryDelay is how long a member whose calls have failed without a response is asked
+	// last.
+	stalledRetryDelay = 500 * time.Millisecond
 	// tunnelDialTimeout bounds the search for an entry whose tunnel reaches the member.
 	tunnelDialTimeout = 500 * time.Millisecond
 	// directProbePeriod is the time between two attempts to reach a member directly
@@ -62,6 +65,8 @@
 	// number of such calls without a response, which it has had since waitingSince.
 	completedAt, waitingSince time.Time
 	waiting                   int
+	// failedAt is when such a call last failed without a response, zero once one has completed.
+	failedAt time.Time
 }
 
 func newLink(seat ledger.Seat, tunnels func() []string) *link {
@@ -282,15 +287,21 @@
 	defer l.mu.Unlock()
 	l.waiting--
 	switch response.GetStatus() {
+	case ledgerpb.Status_STATUS_UNSPECIFIED:
+		l.failedAt = time.Now()
 	case ledgerpb.Status_STATUS_OK, ledgerpb.Status_STATUS_PARTIAL, ledgerpb.Status_STATUS_NOT_FOUND:
-		l.completedAt = time.Now()
+		l.completedAt, l.failedAt = time.Now(), time.Time{}
 	}
 }
 
-// isStalled reports whether the member has completed none of its calls for lateHedgeDelay.
+// isStalled reports whether the member has completed none of its calls for lateHedgeDelay. After
+// calls have failed, one at a time finds out whether it completes calls again.
 func (l *link) isStalled() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.failedAt.IsZero() {
+		return l.waiting > 0 || time.Since(l.failedAt) < stalledRetryDelay
+	}
 	since := l.waitingSince
 	if l.completedAt.After(since) {
 		since = l.completedAt
