ledger/quorum: send records again to members that were recovering

Cause: a response other than OK and STALE_VIEW was dropped, and nothing sent the records to that member again.

Change: a member that answers RECOVERING gets the records again after 50 ms, then after twice the time, up to 400 ms, until the append ends. Appending a record twice has the effect of once.

--- a/ledger/quorum/client.go
+++ b/ledger/quorum/client.go
@@ -17,8 +17,14 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 )
 
-// quorumPollPeriod is the time between two checks for a connected quorum.
-const quorumPollPeriod = 10 * time.Millisecond
+const (
+	// quorumPollPeriod is the time between two checks for a connected quorum.
+	quorumPollPeriod = 10 * time.Millisecond
+	// minAppendRetryDelay and maxAppendRetryDelay bound the time after which records are sent
+	// again to a member that was recovering. It doubles with each time.
+	minAppendRetryDelay = 50 * time.Millisecond
+	maxAppendRetryDelay = 400 * time.Millisecond
+)
 
 // Errors of calls to the ledger.
 var (
@@ -76,7 +82,7 @@
 	c.view = view
 	wanted := make(map[string]bool, len(view.Seats))
 	for _, seat := range view.Seats {
-		id := seat.Name + "/" + seat.Addr
+		id := linkID(seat)
 		wanted[id] = true
 		if c.links[id] == nil {
 			c.links[id] = newLink(seat, c.tunnels)
@@ -91,6 +97,16 @@
 	return true
 }
 
+// linkTo returns the link to a member; nil if the current view does not have its seat.
+func (c *Client) linkTo(seat ledger.Seat) *link {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.links[linkID(seat)]
+}
+
+// linkID identifies a member's link: a member with another address needs another one.
+func linkID(seat ledger.Seat) string { return seat.Name + "/" + seat.Addr }
+
 // View returns the client's current view.
 func (c *Client) View() ledger.View {
 	c.mu.RLock()
@@ -168,7 +184,7 @@
 	if view.Version == 0 {
 		return nil, &Error{Step: "append", Peer: "no member", Err: ErrNoMembership}
 	}
-	a := &appendCall{client: c, records: records, view: view, acks: make(map[string]bool), done: make(chan struct{})}
+	a := &appendCall{client: c, records: records, view: view, acks: make(map[string]bool), retryDelays: make(map[string]time.Duration), done: make(chan struct{})}
 	for _, l := range links {
 		l.send(a)
 	}
@@ -192,6 +208,8 @@
 	acks     map[string]bool
 	spending ledger.Spending
 	isDone   bool
+	// retryDelays are the last delays after which members that recover are asked again.
+	retryDelays map[string]time.Duration
 }
 
 func (a *appendCall) request() *ledgerpb.Request {
@@ -211,6 +229,10 @@
 		a.restartWithNewerView(response)
 		return
 	}
+	if response.GetStatus() == ledgerpb.Status_STATUS_RECOVERING {
+		a.retryLater(seat)
+		return
+	}
 	if response.GetStatus() != ledgerpb.Status_STATUS_OK {
 		return
 	}
@@ -229,6 +251,22 @@
 	}
 }
 
+// retryLater sends the records again to a member that is recovering.
+func (a *appendCall) retryLater(seat ledger.Seat) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.isDone {
+		return
+	}
+	delay := min(max(minAppendRetryDelay, 2*a.retryDelays[seat.Name]), maxAppendRetryDelay)
+	a.retryDelays[seat.Name] = delay
+	time.AfterFunc(delay, func() {
+		if l := a.client.linkTo(seat); l != nil {
+			l.send(a)
+		}
+	})
+}
+
 // restartWithNewerView sends the call again, under the newer view that a member returned.
 func (a *appendCall) restartWithNewerView(response *ledgerpb.Response) {
 	view, err := ledger.DecodeView(response.GetState().GetView())
--- a/ledger/quorum/client_test.go
+++ b/ledger/quorum/client_test.go
@@ -144,6 +144,25 @@
 	}
 }
 
+// An append that reached members while they recovered waited for its deadline, although they
+// were ready half a second later (a trial of TestDiskLossWhileSeatIsAdded).
+func TestAppendReachesMembersThatHaveRecovered(t *testing.T) {
+	var ready atomic.Bool
+	var asked atomic.Int64
+	recovering := func(r *ledgerpb.Request) *ledgerpb.Response {
+		asked.Add(1)
+		if ready.Load() {
+			return accepts(r)
+		}
+		return recovers(r)
+	}
+	client, _ := newClient(t, accepts, recovering, recovering)
+	time.AfterFunc(300*time.Millisecond, func() { ready.Store(true) })
+	_, err := client.Append(contextWithTimeout(t, 5*time.Second), record)
+	require.NoError(t, err)
+	assert.LessOrEqual(t, asked.Load(), int64(12), "requests to members that recover are spaced")
+}
+
 // A member with a joining seat may lack records that a quorum has stored, and other clients do
 // not have its seat in the size of a quorum. Counting it would lose acknowledged records and
 // report existing turns as unknown. It still has to get what is written.
