ledger/quorum: ask members again that could not read a chain yet

What callers saw: a turn that continues another one waited 1.5 s and was refused with ledger_unavailable if its read met all members while they recovered, or only members with a newer view that lack the turn.

Change: a member that answers RECOVERING or OVERLOADED is asked again after 50 ms, then after twice the time up to 400 ms, with the code that appends use; a newer view is adopted, and all members are asked under it.

--- a/ledger/quorum/client.go
+++ b/ledger/quorum/client.go
@@ -20,10 +20,10 @@
 const (
 	// quorumPollPeriod is the time between two checks for a connected quorum.
 	quorumPollPeriod = 10 * time.Millisecond
-	// minAppendRetryDelay and maxAppendRetryDelay bound the time after which records are sent
-	// again to a member that was recovering. It doubles with each time.
-	minAppendRetryDelay = 50 * time.Millisecond
-	maxAppendRetryDelay = 400 * time.Millisecond
+	// minResendDelay and maxResendDelay bound the time after which a call is sent again to a
+	// member that was recovering or overloaded. It doubles with each time.
+	minResendDelay = 50 * time.Millisecond
+	maxResendDelay = 400 * time.Millisecond
 )
 
 // Errors of calls to the ledger.
@@ -184,7 +184,7 @@
 	if view.Version == 0 {
 		return nil, &Error{Step: "append", Peer: "no member", Err: ErrNoMembership}
 	}
-	a := &appendCall{client: c, records: records, view: view, acks: make(map[string]bool), retryDelays: make(map[string]time.Duration), done: make(chan struct{})}
+	a := &appendCall{client: c, records: records, view: view, acks: make(map[string]bool), resends: resends{client: c}, done: make(chan struct{})}
 	for _, l := range links {
 		l.send(a)
 	}
@@ -208,8 +208,28 @@
 	acks     map[string]bool
 	spending ledger.Spending
 	isDone   bool
-	// retryDelays are the last delays after which members that recover are asked again.
-	retryDelays map[string]time.Duration
+	resends  resends
+}
+
+// resends sends a call again to members that could not execute it yet.
+type resends struct {
+	client *Client
+	// delays are the last delays, by the name of the member.
+	delays map[string]time.Duration
+}
+
+// later sends the call to a member after a delay. The lock of the call must be held.
+func (r *resends) later(c call, seat ledger.Seat) {
+	if r.delays == nil {
+		r.delays = make(map[string]time.Duration)
+	}
+	delay := min(max(minResendDelay, 2*r.delays[seat.Name]), maxResendDelay)
+	r.delays[seat.Name] = delay
+	time.AfterFunc(delay, func() {
+		if l := r.client.linkTo(seat); l != nil {
+			l.send(c)
+		}
+	})
 }
 
 func (a *appendCall) request() *ledgerpb.Request {
@@ -229,16 +249,15 @@
 		a.restartWithNewerView(response)
 		return
 	}
-	if response.GetStatus() == ledgerpb.Status_STATUS_RECOVERING {
-		a.retryLater(seat)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.isDone {
 		return
 	}
-	if response.GetStatus() != ledgerpb.Status_STATUS_OK {
-		return
+	if response.GetStatus() == ledgerpb.Status_STATUS_RECOVERING {
+		a.resends.later(a, seat)
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.isDone || !a.view.Counts(seat.Name) {
+	if response.GetStatus() != ledgerpb.Status_STATUS_OK || !a.view.Counts(seat.Name) {
 		return
 	}
 	a.acks[seat.Name] = true
@@ -251,22 +270,6 @@
 	}
 }
 
-// retryLater sends the records again to a member that is recovering.
-func (a *appendCall) retryLater(seat ledger.Seat) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.isDone {
-		return
-	}
-	delay := min(max(minAppendRetryDelay, 2*a.retryDelays[seat.Name]), maxAppendRetryDelay)
-	a.retryDelays[seat.Name] = delay
-	time.AfterFunc(delay, func() {
-		if l := a.client.linkTo(seat); l != nil {
-			l.send(a)
-		}
-	})
-}
-
 // restartWithNewerView sends the call again, under the newer view that a member returned.
 func (a *appendCall) restartWithNewerView(response *ledgerpb.Response) {
 	view, err := ledger.DecodeView(response.GetState().GetView())
@@ -321,7 +324,7 @@
 	if view.Version == 0 {
 		return nil, "", &Error{Step: "read", Peer: "no member", Err: ErrNoMembership}
 	}
-	r := &readCall{client: c, turn: turn, view: view, lacksTurn: make(map[string]bool), done: make(chan struct{}),
+	r := &readCall{client: c, turn: turn, view: view, lacksTurn: make(map[string]bool), resends: resends{client: c}, done: make(chan struct{}),
 		noChain: make(chan struct{}, 1)}
 	hedge := c.hedges.startHedgeTimer()
 	defer hedge.Stop()
@@ -354,12 +357,13 @@
 type readCall struct {
 	client *Client
 	turn   string
-	view   ledger.View
 	done   chan struct{}
 	// noChain signals that a member responded without a chain.
 	noChain chan struct{}
 
 	mu        sync.Mutex
+	view      ledger.View
+	resends   resends
 	lacksTurn map[string]bool
 	text      []byte
 	// missing is the turn that precedes text in the chain; empty if the chain is complete.
@@ -368,14 +372,10 @@
 	isDone  bool
 }
 
-func (r *readCall) hasEnded() bool {
+func (r *readCall) request() *ledgerpb.Request {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.isDone
-}
-
-func (r *readCall) request() *ledgerpb.Request {
-	if r.hasEnded() {
+	if r.isDone {
 		return nil
 	}
 	return &ledgerpb.Request{
@@ -397,11 +397,12 @@
 		close(r.done)
 		return
 	case ledgerpb.Status_STATUS_STALE_VIEW:
-		// This call continues with the view that it started with. Later calls use
-		// the newer one.
 		if view, err := ledger.DecodeView(response.GetState().GetView()); err == nil {
 			r.client.SetView(view)
+			r.adoptNewerView()
 		}
+	case ledgerpb.Status_STATUS_RECOVERING, ledgerpb.Status_STATUS_OVERLOADED:
+		r.resends.later(r, seat)
 	case ledgerpb.Status_STATUS_NOT_FOUND:
 		if r.view.Counts(seat.Name) {
 			r.lacksTurn[seat.Name] = true
@@ -419,6 +420,20 @@
 	}
 }
 
+// adoptNewerView asks all members again under the client's view if it is newer: under the one
+// before, members do not say that they lack the turn.
+func (r *readCall) adoptNewerView() {
+	view, links := r.client.linksByPreference()
+	if view.Version <= r.view.Version {
+		return
+	}
+	r.view = view
+	clear(r.lacksTurn)
+	for _, l := range links {
+		go l.send(r)
+	}
+}
+
 // cancel ends the call and returns the number of members that lack the turn.
 func (r *readCall) cancel() int {
 	r.mu.Lock()
--- a/ledger/quorum/client_test.go
+++ b/ledger/quorum/client_test.go
@@ -163,6 +163,37 @@
 	assert.LessOrEqual(t, asked.Load(), int64(12), "requests to members that recover are spaced")
 }
 
+// Reads that met members while they recovered, or only members with a newer view that lack the
+// turn, waited for their deadline.
+func TestReadIsAskedAgain(t *testing.T) {
+	chain := func(*ledgerpb.Request) *ledgerpb.Response { return chainResponse("text", "") }
+	var ready atomic.Bool
+	recovering := func(r *ledgerpb.Request) *ledgerpb.Response {
+		if ready.Load() {
+			return chain(r)
+		}
+		return recovers(r)
+	}
+	client, _ := newClient(t, recovering, recovering, recovering)
+	time.AfterFunc(300*time.Millisecond, func() { ready.Store(true) })
+	text, err := client.ReadChain(contextWithTimeout(t, 5*time.Second), "t")
+	require.NoError(t, err)
+	assert.Equal(t, "text", string(text))
+
+	var newer ledger.View
+	stale := func(r *ledgerpb.Request) *ledgerpb.Response {
+		if r.GetViewVersion() < newer.Version {
+			return &ledgerpb.Response{Status: ledgerpb.Status_STATUS_STALE_VIEW, State: &ledgerpb.State{View: newer.Encode()}}
+		}
+		return unknown(r)
+	}
+	view := viewOf(t, []script{stale, stale, stale})
+	client = newClientOf(t, view)
+	newer = view.With(ledger.Seat{Name: "m3", Addr: startScriptedMember(t, stale), Domain: "d3", Ready: true})
+	_, err = client.ReadChain(contextWithTimeout(t, 5*time.Second), "t")
+	assert.ErrorIs(t, err, quorum.ErrNoSuchTurn)
+}
+
 // A member with a joining seat may lack records that a quorum has stored, and other clients do
 // not have its seat in the size of a quorum. Counting it would lose acknowledged records and
 // report existing turns as unknown. It still has to get what is written.
