relay: a program counts as started for its account's quota only once the fleet has admitted it

A program that the quota had room for and the fleet refused was counted as started, with all the requests that it would have made, and again with each return: the quota's room was taken for seconds by programs that never ran. The check and the record are two calls now.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -298,15 +298,19 @@
 func (h *Holder) Start(name string, now time.Time) Decision {
 	a := h.accounts[name]
 	if a == nil || h.isAlone || !now.Before(a.startsAt) {
-		if a != nil {
-			a.started++
-		}
 		return Decision{Outcome: InHand}
 	}
 	a.roomAt = a.startsAt
 	return a.refuse(now)
 }
 
+// RecordStart records that a program whose first request has been admitted starts.
+func (h *Holder) RecordStart(name string) {
+	if a := h.accounts[name]; a != nil {
+		a.started++
+	}
+}
+
 // Refund takes back the charge for a request that no target can have run. If the account has
 // no steady demand here, it returns an ask that gives the charge to other processes at once.
 func (h *Holder) Refund(name string, now time.Time) *Ask {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -98,6 +98,18 @@
 	assert.Equal(t, low.PerSecond, d.Ask.PerSecond)
 }
 
+// Programs that the fleet had no room for counted as started, and new ones were held back.
+func TestOnlyProgramsThatStartAreReported(t *testing.T) {
+	h := granted(t, 1)
+	require.True(t, h.Start("a", start).Outcome.IsAdmitted())
+	require.True(t, h.Start("a", start).Outcome.IsAdmitted())
+	h.RecordStart("a")
+	require.Equal(t, quota.Asked, h.Resume("a", limited, 1, start).Outcome)
+	ask := h.Refund("a", start)
+	require.NotNil(t, ask)
+	assert.Equal(t, 1, ask.Started)
+}
+
 func TestRefusalsAreToldApartAndReported(t *testing.T) {
 	h := quota.New(1)
 	refuse := func(partial bool, now time.Time) quota.Decision {
--- a/relay/accountquota.go
+++ b/relay/accountquota.go
@@ -68,6 +68,17 @@
 	return false
 }
 
+// recordProgramStart counts a program that starts as one whose further requests will need the
+// account's quota.
+func (e *exchange) recordProgramStart() {
+	if e.charged == 0 {
+		return
+	}
+	e.relay.quotas.mu.Lock()
+	defer e.relay.quotas.mu.Unlock()
+	e.relay.quotas.holder.RecordStart(e.account.Name)
+}
+
 // respondOverQuota answers a request that is refused because of the account's quota.
 func (e *exchange) respondOverQuota(d quota.Decision) {
 	if d.Begins {
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -178,7 +178,14 @@
 		return false
 	}
 	startsProgram := committed == 0 && t.call.Previous == ""
-	return !startsProgram || t.startByQuota() && t.admitProgram()
+	if !startsProgram {
+		return true
+	}
+	if !t.startByQuota() || !t.admitProgram() {
+		return false
+	}
+	t.recordProgramStart()
+	return true
 }
 
 // admitProgram decides whether a new program may start. If it returns false, it has answered
