--- a/loadboard/quotaprograms.go
+++ b/loadboard/quotaprograms.go
@@ -3,11 +3,19 @@
 import (
 	"math"
 	"time"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/tokenbucket"
 )
 
 const (
-	// programTime is about how long a program makes requests after its first one.
-	programTime = 3 * time.Second
+	// programTime is about how long after its first request a program makes the others, on
+	// average.
+	programTime = 2 * time.Second
+	// dueTime is the same for programs under way: many are near their end.
+	dueTime = 1200 * time.Millisecond
+	// startsUnknown is the time in which a board that takes over gets requests of many programs
+	// whose starts it does not know. It does not learn the size of programs from them.
+	startsUnknown = 3 * programTime
 	// sizeTime is the time constant with which the size of programs is forgotten.
 	sizeTime = time.Minute
 	// initialProgramSize is the size of a program, in requests, before any is known, and
@@ -23,25 +31,23 @@
 	minStartWait = 50 * time.Millisecond
 )
 
+// startHorizons are the times from now until which a quota must have room for what is due.
+var startHorizons = [...]time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, quotaWindow}
+
 // programSize estimates how many requests a program makes, over the programs of all accounts.
 type programSize struct {
-	// requests and programs are decaying counts, and young is the number of programs that have
-	// just started and still make most of their requests; all as of at.
-	requests, programs, young float64
-	at                        time.Time
+	// requests and programs are decaying counts as of at.
+	requests, programs float64
+	at                 time.Time
 }
 
-// record counts requests and programs that have started.
-func (p *programSize) record(requests, started int, now time.Time) {
+// record counts requests, and the programs that have made them.
+func (p *programSize) record(requests, programs float64, now time.Time) {
 	if p.at.IsZero() {
 		p.requests, p.programs, p.at = initialProgramSize*initialPrograms, initialPrograms, now
 	}
-	elapsed := now.Sub(p.at)
-	grown := p.young * (1 - remaining(elapsed, programTime))
-	p.young += float64(started) - grown
-	p.requests = p.requests*remaining(elapsed, sizeTime) + float64(requests)
-	p.programs = p.programs*remaining(elapsed, sizeTime) + grown
-	p.at = now
+	kept := remaining(now.Sub(p.at), sizeTime)
+	p.requests, p.programs, p.at = p.requests*kept+requests, p.programs*kept+programs, now
 }
 
 // mean returns the mean number of requests.
@@ -57,40 +63,49 @@
 	return math.Exp(-max(0, elapsed.Seconds()) / constant.Seconds())
 }
 
-// committed is the number of requests that the programs of one account which have started are
-// expected to make still.
-type committed struct {
-	requests float64
+// startedPrograms are the programs of one account that have started, each counted by the part of
+// its requests that it is expected to make still.
+type startedPrograms struct {
+	underWay float64
 	at       time.Time
 }
 
-func (c *committed) add(requests float64, now time.Time) {
-	c.requests, c.at = c.left(now)+requests, now
+func (p *startedPrograms) left(now time.Time) float64 {
+	return p.underWay * remaining(now.Sub(p.at), programTime)
 }
 
-func (c *committed) left(now time.Time) float64 {
-	return c.requests * remaining(now.Sub(c.at), programTime)
+// add counts programs that have started. It returns how many programs the requests made since
+// the last call amount to.
+func (p *startedPrograms) add(started int, now time.Time) (done float64) {
+	left := p.left(now)
+	done = p.underWay - left
+	p.underWay, p.at = left+float64(started), now
+	return done
 }
 
 // recordPrograms records requests of an account, and programs that it has started.
 func (b *Board) recordPrograms(q *quotaState, requests, started int, now time.Time) {
-	if q.level(now) >= unpressedShare*q.capacity() {
-		b.programSize.record(requests, started, now)
+	done := q.programs.add(started, now)
+	if q.level(now) >= unpressedShare*q.capacity() && now.Sub(b.coverage.since) >= startsUnknown {
+		b.programSize.record(float64(requests), done, now)
 	}
-	q.committed.add(float64(started)*(b.programSize.mean()-1), now)
 }
 
 // startWait returns the time until an account's quota has room for a whole program besides
 // those under way; 0 if it has now. A quota counts requests, but a program that is refused one
 // of its requests has wasted all others.
 func (b *Board) startWait(q *quotaState, now time.Time) time.Duration {
-	underWay, refill := q.committed.left(now), q.perSecond*programTime.Seconds()
+	size := b.programSize.mean()
+	underWay := q.programs.left(now) * (size - 1)
 	// A quota that never has room for a whole program must not refuse all of them.
-	need := min(b.programSize.mean(), q.capacity()+refill)
-	excess := underWay + need - q.level(now) - refill
-	if excess <= 0 {
-		return 0
+	need := min(size, q.capacity()/2)
+	wait := time.Duration(0)
+	for _, d := range startHorizons {
+		left := underWay * remaining(d, dueTime)
+		if excess := underWay - left + need - q.room(d, now); excess > 0 {
+			// The quota gains the rate, and what is under way gets less.
+			wait = max(wait, minStartWait, tokenbucket.Period(excess, q.refill()+left/dueTime.Seconds()))
+		}
 	}
-	seconds := excess / (q.perSecond + underWay/programTime.Seconds())
-	return min(maxReturnWait, max(minStartWait, time.Duration(seconds*float64(time.Second))))
+	return min(wait, maxReturnWait)
 }
--- a/loadboard/quotaprograms_test.go
+++ b/loadboard/quotaprograms_test.go
@@ -90,3 +90,22 @@
 	assert.Equal(t, without, completed)
 	assert.Zero(t, wasted)
 }
+
+// A board that took over counted the requests of programs whose starts it did not know, took
+// programs for five times as long as they are and refused those of accounts far below their
+// quotas for ten seconds (trouble-3 of catalogo-vivo-grown, after all processes had been killed).
+func TestSizeIsNotLearnedFromProgramsStartedBefore(t *testing.T) {
+	b, now := loadboard.New(), start
+	take := func(account uint64, perSecond float64, n, started int) loadboard.QuotaGrant {
+		return b.AcquireQuota(loadboard.QuotaAsk{Account: account, PerSecond: perSecond, Burst: perSecond, Version: 1, Want: n, Need: n, Started: started}, now)
+	}
+	for i := range 80 {
+		b.Exchange("a", loadboard.Report{}, now)
+		// The board learns of starts for the last seven seconds.
+		take(7, 1000, 10, min(1, i/10))
+		now = now.Add(100 * time.Millisecond)
+	}
+	for range 2 {
+		assert.Zero(t, take(8, 12, 1, 1).StartWait)
+	}
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -22,7 +22,7 @@
 	// in a span of time beyond what is granted in it.
 	grantTTL = 500 * time.Millisecond
 	// batchTime is the time whose requests one ask covers.
-	batchTime = 250 * time.Millisecond
+	batchTime = 200 * time.Millisecond
 	// minSteadyBatch is the smallest batch of an account with a steady demand, which is asked
 	// for in advance.
 	minSteadyBatch = 2
@@ -38,7 +38,10 @@
 	maxRetryAfter = 5 * time.Second
 	// fallbackShare is the part of a process's equal share of a quota that it uses while no
 	// board answers: other processes may be using the whole quota.
-	fallbackShare = 0.7
+	fallbackShare = 0.6
+	// fallbackBurst is the part of its share of the burst that a process has left when it begins
+	// to decide alone: the burst may just have been used.
+	fallbackBurst = 0.25
 	// fallbackStart is how many processes together may use one request at once when they begin to
 	// decide alone. The others have their first one later, each at another time.
 	fallbackStart = 8
@@ -219,7 +222,7 @@
 	perSecond := a.quota.PerSecond * share
 	if a.aloneSince != h.aloneSince {
 		a.aloneSince = h.aloneSince
-		delay := tokenbucket.Period(h.phase(a.name)-fallbackStart/known, perSecond)
+		delay := tokenbucket.Period(max(h.phase(a.name)-fallbackStart/known, (1-fallbackBurst)*(a.quota.Burst*share-1)), perSecond)
 		a.fallback.SetUsed(max(a.fallback.Used(now), delay), now)
 	}
 	if wait := a.fallback.Wait(tokenbucket.Period(a.quota.Burst*share-1, perSecond), now); wait > 0 {
