loadboard: an ask out of a quota counts as a report of its process

Asks out of quotas went on to the next member after 60 ms, but the exchange of load stayed with the old one for 1.2 s, until its connections had been closed.

The ask names its process, which counts as one that uses the board. Processes of an older release send no name and count by their reports, as before.

--- a/daemon/resident/entry.go
+++ b/daemon/resident/entry.go
@@ -122,7 +122,7 @@
 func (e *entry) relayOptions() relay.Options {
 	disabled := e.settings.Experiment.Disabled()
 	o := relay.Options{
-		Dialect: platform.Dialect{}, Ledger: e.ledger, Permits: e.ledger, Quotas: e.ledger, Domain: e.settings.Domain, Log: e.log,
+		Dialect: platform.Dialect{}, Ledger: e.ledger, Permits: e.ledger, Quotas: e.ledger, Domain: e.settings.Domain, VM: e.settings.VM, Log: e.log,
 		Metrics: relay.NewMetrics(e.registry), Seed: xxhash.Sum64String(e.settings.VM),
 		Disabled: disabled, AwaitFacts: !disabled.Disables(mechanism.OthersLoad),
 	}
--- a/ledger/load.go
+++ b/ledger/load.go
@@ -142,6 +142,7 @@
 	return &ledgerpb.AcquireQuota{
 		Account: a.Account, PerSecond: a.PerSecond, Burst: a.Burst, Version: a.Version, Want: uint32(a.Want), Need: uint32(a.Need),
 		Unused: uint32(a.Unused), Spent: uint32(a.Spent), Refused: uint32(a.Refused), Started: uint32(a.Started), Processes: uint32(a.Processes),
+		Vm: a.Process,
 	}
 }
 
@@ -150,6 +151,7 @@
 	return loadboard.QuotaAsk{
 		Account: a.GetAccount(), PerSecond: a.GetPerSecond(), Burst: a.GetBurst(), Version: a.GetVersion(), Want: int(a.GetWant()), Need: int(a.GetNeed()),
 		Unused: int(a.GetUnused()), Spent: int(a.GetSpent()), Refused: int(a.GetRefused()), Started: int(a.GetStarted()), Processes: int(a.GetProcesses()),
+		Process: a.GetVm(),
 	}
 }
 
--- a/loadboard/quotas.go
+++ b/loadboard/quotas.go
@@ -43,6 +43,8 @@
 
 // QuotaAsk asks for requests out of an account's quota.
 type QuotaAsk struct {
+	// Process is the name of the asking process.
+	Process string
 	// Account is the hash of the account's name.
 	Account uint64
 	// PerSecond and Burst are the quota, as of a version of the configuration.
@@ -176,7 +178,8 @@
 		return QuotaGrant{Wait: maxReturnWait}
 	}
 	b.coverage.recordKnown(ask.Processes, now)
-	b.coverage.report("", now)
+	// An ask goes on to the next member sooner than a report.
+	b.coverage.report(ask.Process, now)
 	q, share := b.quotaOf(ask, now), b.coverage.share(now)
 	q.bucket.Return(float64(ask.Unused))
 	q.bucket.Take(float64(ask.Spent), q.refill(), now)
--- a/loadboard/quotas_test.go
+++ b/loadboard/quotas_test.go
@@ -130,3 +130,18 @@
 	assert.Equal(t, 3, grantAfter(4))
 	assert.Equal(t, 102, grantAfter(70))
 }
+
+// After a member with the board had been replaced, asks reached the next one a second before
+// reports did. One process had reported there, so all others were refused (trouble-3 of
+// catalogo-vivo-grown).
+func TestAskCountsAsReport(t *testing.T) {
+	b, now := boardInUse()
+	var got loadboard.QuotaGrant
+	for _, process := range []string{"a", "b", "c", "d", "e", "f"} {
+		few := ask(1, 1)
+		few.Process, few.Processes = process, 10
+		got = b.AcquireQuota(few, now)
+	}
+	assert.False(t, got.IsPartial)
+	assert.Equal(t, 1, got.Granted)
+}
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -51,6 +51,8 @@
 	board   int
 	waiting int
 	isDead  bool
+	// isSilent means that its reports do not reach the board.
+	isSilent bool
 }
 
 func newSimulation(entries int, q catalog.Quota) *simulation {
@@ -92,7 +94,7 @@
 
 func (s *simulation) maintain(i int, e *simEntry) {
 	ms := s.at().Milliseconds() + int64(i)*simStep.Milliseconds()
-	if ms%simExchange.Milliseconds() == 0 && e.board >= 0 {
+	if ms%simExchange.Milliseconds() == 0 && e.board >= 0 && !e.isSilent {
 		e.holder.RecordProcesses(s.boards[e.board].Exchange(e.name, loadboard.Report{}, s.now).Processes, s.now)
 	}
 	if ms%500 == 0 {
@@ -129,6 +131,7 @@
 		s.after(simTimeout, func() { s.answer(e, func() { e.holder.RecordFailure(ask, s.now) }) })
 		return
 	}
+	ask.Process = e.name
 	board := s.boards[e.board]
 	s.after(simDelay, func() {
 		grant := board.AcquireQuota(ask.QuotaAsk, s.now)
@@ -301,6 +304,23 @@
 	assert.Zero(t, s.unknown)
 }
 
+// When the member with the board had been replaced, asks went on to the next one at once, and
+// reports only when their connections had been closed. One process had reported there before,
+// so all others were refused for a second (trouble-3 of catalogo-vivo-grown).
+func TestBoardServesProcessesBeforeTheyReport(t *testing.T) {
+	s := newSimulation(20, catalog.Quota{PerSecond: 300, Burst: 300})
+	load := func(int, time.Duration) float64 { return 0.5 * 300 / 20 }
+	s.entries[0].board = 1
+	s.run(10*time.Second, load)
+	s.unknown = 0
+	for _, e := range s.entries[1:] {
+		e.board, e.isSilent = 1, true
+	}
+	s.run(11200*time.Millisecond, load)
+	assert.Zero(t, s.refused)
+	assert.LessOrEqual(t, s.unknown, int(0.5*300*0.2))
+}
+
 // When the member with the board was killed, entries asked the next one before their first
 // reports had reached it, and refused accounts below their limit (quotas-under-kills).
 func TestBoardThatTakesOverServesAccountsBelowLimit(t *testing.T) {
--- a/relay/accountquota.go
+++ b/relay/accountquota.go
@@ -23,6 +23,8 @@
 // accountQuotas decides which requests are within the quotas of their accounts.
 type accountQuotas struct {
 	board Quotas
+	// process is the name of this process.
+	process string
 
 	mu     sync.Mutex
 	holder *quota.Holder
@@ -123,6 +125,7 @@
 func (r *Relay) askQuota(ask *quota.Ask) {
 	ctx, cancel := context.WithTimeout(context.Background(), quotaTimeout)
 	defer cancel()
+	ask.Process = r.quotas.process
 	grant, err := r.quotas.board.AcquireQuota(ctx, ask.QuotaAsk)
 	if err != nil {
 		r.log.Debug().Str("event", "quota_ask_failed").Str("account", ask.Name).Err(err).Msg("")
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -191,8 +191,9 @@
 	Ledger  Ledger
 	Permits Permits
 	Quotas  Quotas
-	// Domain is the failure domain of this process.
+	// Domain is the failure domain of this process, and VM the name by which boards know it.
 	Domain  string
+	VM      string
 	Log     *log.Logger
 	Metrics *Metrics
 	// Seed determines the order among equal targets.
@@ -212,7 +213,7 @@
 		pool: newPool(o.Metrics), fleet: fleet.New(o.Seed, o.Disabled), startedAt: time.Now(),
 		failovers: newFailoverLimiter(o.Disabled), disabled: o.Disabled, loadChanged: make(chan struct{}, 1), suspects: newSuspects(),
 		informed: make(chan struct{}), awaitFacts: o.AwaitFacts,
-		quotas: accountQuotas{board: o.Quotas, holder: quota.New(o.Seed)},
+		quotas: accountQuotas{board: o.Quotas, holder: quota.New(o.Seed), process: o.VM},
 	}
 }
 
