relay: requests wait for the first configuration

Callers that return after a loss of all processes reach entries 15 to 50 ms before these know the configuration.

For one second after the start of its process, a request now waits for the configuration, for at most a third of the caller's time. After that it is refused as before.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -26,6 +26,10 @@
 	// maxAttempts bounds the attempts of one request, including those that targets
 	// refused.
 	maxAttempts = 6
+	// configGracePeriod is the time after the start of the process in which requests wait for
+	// the first configuration instead of being refused. It is known within milliseconds if the
+	// store or a ledger member responds.
+	configGracePeriod = time.Second
 	// configRetryAfter is the Retry-After while no configuration is known. A process
 	// receives it within a second of its start.
 	configRetryAfter = 500 * time.Millisecond
@@ -107,7 +111,11 @@
 // to the kind of its route.
 func (e *exchange) serve() {
 	e.call = e.relay.dialect.ReadCall(e.req.Header)
-	e.config = e.relay.config.Load()
+	wait := e.call.TimeLeft
+	if wait <= 0 {
+		wait = defaultCallerTimeout
+	}
+	e.config = e.relay.awaitConfig(e.req.Context(), wait)
 	if e.config == nil {
 		e.respondUnavailable(reasonNoConfig, configRetryAfter)
 		return
@@ -121,10 +129,6 @@
 		return
 	}
 	e.service = e.route.ServiceFor(e.splitPoint())
-	wait := e.call.TimeLeft
-	if wait <= 0 {
-		wait = defaultCallerTimeout
-	}
 	e.deadline = e.arrived.Add(wait - answerMargin)
 	if e.route.Timeout > 0 && e.route.Timeout < wait {
 		e.deadline = e.arrived.Add(e.route.Timeout - answerMargin)
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -170,6 +170,15 @@
 
 // newTestbedWithOptions returns a testbed with further options of its relay.
 func newTestbedWithOptions(t testing.TB, o relay.Options, m *memoryLedger, targets ...*platformtest.Target) *testbed {
+	t.Helper()
+	b := newUnconfiguredTestbed(t, o, m)
+	b.update(targets...)
+	return b
+}
+
+// newUnconfiguredTestbed returns a testbed whose relay knows no configuration until update is
+// called.
+func newUnconfiguredTestbed(t testing.TB, o relay.Options, m *memoryLedger) *testbed {
 	t.Helper()
 	b := &testbed{t: t, ledger: m}
 	o.Dialect, o.Ledger, o.Domain = platform.Dialect{}, b.ledger, "d"
@@ -181,7 +190,6 @@
 	b.relay = relay.New(o)
 	b.server = httptest.NewServer(b.relay)
 	t.Cleanup(b.server.Close)
-	b.update(targets...)
 	return b
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -157,6 +157,9 @@
 	failovers *rate.Limiter
 
 	config atomic.Pointer[catalog.Config]
+	// configured is closed once there is a configuration.
+	configured    chan struct{}
+	configureOnce sync.Once
 	// ledgerAvailableAt is when the ledger was last seen available, in nanoseconds
 	// since startedAt.
 	ledgerAvailableAt atomic.Int64
@@ -211,7 +214,7 @@
 		dialect: o.Dialect, ledger: o.Ledger, permits: o.Permits, domain: o.Domain, log: o.Log, metrics: o.Metrics,
 		pool: newPool(o.Metrics), fleet: fleet.New(o.Seed, o.Disabled), startedAt: time.Now(),
 		failovers: newFailoverLimiter(o.Disabled), disabled: o.Disabled, loadChanged: make(chan struct{}, 1), suspects: newSuspects(),
-		informed: make(chan struct{}), awaitFacts: o.AwaitFacts,
+		configured: make(chan struct{}), informed: make(chan struct{}), awaitFacts: o.AwaitFacts,
 		quotas: accountQuotas{board: o.Quotas, holder: quota.New(o.Seed)},
 	}
 }
@@ -226,9 +229,31 @@
 	r.fleet.Update(s.Targets, s.Config.Services)
 	r.mu.Unlock()
 	r.config.Store(s.Config)
+	r.configureOnce.Do(func() { close(r.configured) })
 	r.pool.closeExcept(s.Targets)
 }
 
+// awaitConfig returns the configuration in force, or nil if there is none. In the first
+// configGracePeriod of the process it waits for one: a caller that is refused in the milliseconds
+// until then loses the retry and more time. It waits for at most a share of the caller's time.
+func (r *Relay) awaitConfig(ctx context.Context, callerTime time.Duration) *catalog.Config {
+	if config := r.config.Load(); config != nil {
+		return config
+	}
+	wait := min(configGracePeriod-time.Since(r.startedAt), callerTime/retryTimeDivisor)
+	if wait <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-r.configured:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return r.config.Load()
+}
+
 // HasConfig reports whether Update has applied a configuration.
 func (r *Relay) HasConfig() bool { return r.config.Load() != nil }
 
