ledger/quorum: links dial restarting members again sooner

All processes of a deployment start within half a second of each other. The delay between two dials doubled from 50 ms, so a link that found its member down 0.3 s after the start waited for up to 0.4 s more. It now grows by 15 in 100 from 25 ms, up to 400 ms as before; in three seconds at most 20 dials.

--- a/ledger/quorum/link.go
+++ b/ledger/quorum/link.go
@@ -15,10 +15,13 @@
 )
 
 const (
-	// minRedialDelay and maxRedialDelay bound the delay between two connection attempts. They
-	// are well under the time within which a restarted member has to serve.
-	minRedialDelay = 50 * time.Millisecond
+	// minRedialDelay and maxRedialDelay bound the delay between two connection attempts,
+	// before jitter of up to as much again. The delay grows by redialGrowth with each failed
+	// attempt: slowly, since all processes may start within half a second of each other, and
+	// callers wait until the members are connected.
+	minRedialDelay = 25 * time.Millisecond
 	maxRedialDelay = 400 * time.Millisecond
+	redialGrowth   = 1.15
 	// tunnelDialTimeout bounds the search for an entry whose tunnel reaches the member.
 	tunnelDialTimeout = 500 * time.Millisecond
 	// directProbePeriod is the time between two attempts to reach a member directly
@@ -73,15 +76,15 @@
 
 // run connects the link and reconnects it after each lost connection, until ctx ends.
 func (l *link) run(ctx context.Context) {
-	wait := minRedialDelay
+	delay := minRedialDelay
 	for ctx.Err() == nil {
 		conn, err := l.dial(ctx)
 		if err != nil {
-			ctxwait.Sleep(ctx, wait+rand.N(wait))
-			wait = min(2*wait, maxRedialDelay)
+			ctxwait.Sleep(ctx, delay+rand.N(delay))
+			delay = nextRedialDelay(delay)
 			continue
 		}
-		wait = minRedialDelay
+		delay = minRedialDelay
 		l.setConn(conn)
 		l.waitUntilClosed(ctx, conn)
 		l.mu.Lock()
@@ -90,6 +93,10 @@
 	}
 }
 
+func nextRedialDelay(delay time.Duration) time.Duration {
+	return min(time.Duration(redialGrowth*float64(delay)), maxRedialDelay)
+}
+
 // dial connects directly or, if that fails, through the first tunnel that reaches the
 // member.
 func (l *link) dial(ctx context.Context) (*transport.Conn, error) {
--- a/ledger/quorum/link_test.go
+++ b/ledger/quorum/link_test.go
@@ -96,3 +96,19 @@
 	connect("m1")
 	assert.True(t, client.HasQuorum())
 }
+
+// All processes restarted within half a second of each other. The first turns waited longer for
+// the links to the members than for the members.
+func TestRedialsFollowRestartOfMemberClosely(t *testing.T) {
+	const restartTime = 500 * time.Millisecond
+	delay, elapsed, attempts := minRedialDelay, time.Duration(0), 0
+	for ; elapsed < 3*time.Second; attempts++ {
+		longest := 2 * delay
+		if elapsed < restartTime {
+			assert.LessOrEqual(t, longest, 200*time.Millisecond, "%v after the start", elapsed)
+		}
+		elapsed += longest
+		delay = nextRedialDelay(delay)
+	}
+	assert.LessOrEqual(t, attempts, 20, "a member that stays away must not be flooded")
+}
