relay: a call is given up only for a target that it is connected to; 504 after the deadline

Callers saw 502 (answer_lost) from idempotent calls and from streams without an event that had stalled: the next target could not be connected to, and no other was to be had, although the first one would have answered. Some of these came after the deadline, when 504 is due. Cause: the stall timer reserved the next target and interrupted the attempt; only then was the target connected to. After the deadline the longest wait for a permit is negative, which excludes every target, and a call without a target ended with 502 whatever the time. A call that had used up its attempts was given up too, for a target that no attempt may be sent to. Change: a reservation includes its connection. A target that can't be connected to is taken back, with the outcome that an attempt would record, and the next one is tried; without any, the call waits on. No target is chosen once the caller waits no more, and such a call ends with 504, or with 503 if it can't have run. A call without a further attempt waits on. Unused reservations give their connection back to the pool. Tests can replace the function that connects (pool.dial). TestStoppedStallTimerDoesNotInterruptConnection connects to the other end of its pipe, since a reservation needs a connection now; its checks are the same.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -86,24 +86,17 @@
 	err             error
 }
 
-// startAttempt sends the request to a target and reads the head of the response.
-func (r *Relay) startAttempt(ctx context.Context, e *exchange, choice fleet.Choice, body []byte, resumeAfter string) (*attempt, *failure) {
-	target := choice.Target
-	a := &attempt{relay: r, choice: choice, target: target, startedAt: time.Now(), outcome: fleet.ConnectionLost, fingerprints: e.fingerprints}
+// startAttempt sends the request to the chosen target and reads the head of the response.
+func (r *Relay) startAttempt(ctx context.Context, e *exchange, next *reservation, body []byte, resumeAfter string) (*attempt, *failure) {
+	target := next.choice.Target
+	a := &attempt{relay: r, choice: next.choice, target: target, startedAt: time.Now(), outcome: fleet.ConnectionLost, fingerprints: e.fingerprints}
 	a.suspicion = r.startSuspicion(target.TargetKey, e.fingerprints)
-	c, err := r.pool.get(ctx, poolKey{target.TargetKey, target.Addr})
-	if err != nil {
-		refused := errors.Is(err, syscall.ECONNREFUSED)
-		a.outcome = fleet.Unreachable
-		switch {
-		case ctx.Err() != nil:
-			a.outcome = fleet.Canceled
-		case refused:
-			a.outcome = fleet.Ended
-		}
+	if err := next.connect(ctx); err != nil {
+		a.outcome = connectOutcome(ctx, err)
 		a.end()
-		return nil, &failure{execution: notSent, target: target, refused: refused, err: err}
+		return nil, &failure{execution: notSent, target: target, refused: errors.Is(err, syscall.ECONNREFUSED), err: err}
 	}
+	c := next.conn
 	a.conn = c
 	a.countBytes(sent, len(body))
 	a.stop = context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(time.Unix(1, 0)) })
@@ -112,7 +105,7 @@
 		a.abort(ctx)
 		return nil, fail
 	}
-	stall := startStallTimer(a.conn, e.headTimeout(), e.onStall())
+	stall := startStallTimer(a.conn, e.headTimeout(), e.onStall(ctx))
 	fail := a.readHead(request, e.call.ID)
 	timedOut := e.stopStallTimer(stall)
 	if fail == nil && timedOut {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -283,18 +283,20 @@
 	return time.Until(e.deadline) >= needed
 }
 
-// send chooses a target and sends the request to it once. If no target is available, or the
-// request must reach none, it returns neither an attempt nor a failure. The key is checked
-// again after all that may take long, since it may have been revoked meanwhile.
+// send chooses a target and sends the request to it once. If no target is available, the
+// deadline has passed, or the request must reach none, it returns neither an attempt nor a
+// failure. The key is checked again after all that may take long, since it may have been revoked
+// meanwhile.
 func (e *exchange) send(ctx context.Context, body []byte, resumeAfter string, allowFull bool) (*attempt, *failure) {
-	if e.isCondemned() || !e.isAuthorized() {
+	if ctx.Err() != nil || e.isCondemned() || !e.isAuthorized() {
 		return nil, nil
 	}
 	e.sentBytes = len(body)
-	choice, ok := e.chooseTarget(ctx, allowFull)
-	if !ok {
+	next := e.chooseTarget(ctx, allowFull)
+	if next == nil {
 		return nil, nil
 	}
+	choice := next.choice
 	e.attempts++
 	e.executions++
 	e.choice = choice
@@ -304,13 +306,13 @@
 		err = e.accountErr
 	}
 	if err != nil {
-		e.relay.recordEnd(choice, fleet.Canceled, 0)
+		next.release()
 		fail := &failure{execution: notSent, target: choice.Target, err: err}
 		e.recordFailure(ctx, fail)
 		return nil, fail
 	}
 	e.chargeExecution()
-	a, fail := e.relay.startAttempt(ctx, e, choice, body, resumeAfter)
+	a, fail := e.relay.startAttempt(ctx, e, next, body, resumeAfter)
 	if fail == nil && a.responseInfo.NotExecuted {
 		fail = e.readRefusal(a)
 	}
@@ -403,15 +405,22 @@
 		e.respondCondemned()
 		return
 	}
-	if e.executions > 0 || e.mayHaveRun {
-		e.respond(http.StatusBadGateway, reasonAnswerLost)
-		return
-	}
-	if e.accountErr != nil {
+	mayHaveRun := e.executions > 0 || e.mayHaveRun
+	switch {
+	case e.accountErr != nil && !mayHaveRun:
 		e.respondNotAuthorized()
-		return
+	case e.hasEnded():
+		e.respondTimeout()
+	case mayHaveRun:
+		e.respond(http.StatusBadGateway, reasonAnswerLost)
+	default:
+		e.respondUnavailable(reasonTargetsFull, e.relay.retryAfter(e.service))
 	}
-	e.respondUnavailable(reasonTargetsFull, e.relay.retryAfter(e.service))
+}
+
+// hasEnded reports whether the caller waits for no answer any more.
+func (e *exchange) hasEnded() bool {
+	return e.req.Context().Err() != nil || !time.Now().Before(e.deadline)
 }
 
 // respondTimeout answers a request whose deadline has passed or is too close.
--- a/relay/permit.go
+++ b/relay/permit.go
@@ -27,16 +27,16 @@
 
 // maxPermitWait returns the longest time that the call can wait for a permit.
 func (e *exchange) maxPermitWait() time.Duration {
-	return time.Duration(permitWaitShare * float64(time.Until(e.deadline)))
+	return max(0, time.Duration(permitWaitShare*float64(time.Until(e.deadline))))
 }
 
 // chooseTarget chooses a target and records the start of an attempt at it. A target that was
 // reserved for the attempt is taken without another choice. If the target has
 // a rate limit, it waits until the permit may be used, or chooses another target if the wait
-// is longer than expected.
-func (e *exchange) chooseTarget(ctx context.Context, allowFull bool) (fleet.Choice, bool) {
-	if choice, ok := e.takeReserved(); ok {
-		return choice, true
+// is longer than expected. It returns nil if there is no target.
+func (e *exchange) chooseTarget(ctx context.Context, allowFull bool) *reservation {
+	if reserved := e.takeReserved(); reserved != nil {
+		return reserved
 	}
 	query := e.targetQuery(allowFull)
 	left := query.MaxWait
@@ -49,8 +49,12 @@
 			left -= loadboard.MaxPermitWait
 			continue
 		}
-		if !ok || !choice.Limit.IsLimited {
-			return choice, ok
+		if !ok {
+			return nil
+		}
+		next := &reservation{relay: e.relay, choice: choice}
+		if !choice.Limit.IsLimited {
+			return next
 		}
 		permit, err := e.relay.acquirePermit(ctx, choice, min(choice.PermitWait+permitSlack, query.MaxWait))
 		if err != nil {
@@ -62,13 +66,13 @@
 		}
 		ctxwait.Sleep(ctx, permit.Wait)
 		if ctx.Err() != nil {
-			return fleet.Choice{}, false
+			return nil
 		}
-		if e.relay.recordStart(&choice, query) {
-			return choice, true
+		if e.relay.recordStart(&next.choice, query) {
+			return next
 		}
 	}
-	return fleet.Choice{}, false
+	return nil
 }
 
 // mayWaitLonger reports whether a target may have a permit within left, which is more than
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -49,12 +49,18 @@
 // pool keeps idle connections to targets.
 type pool struct {
 	metrics *Metrics
+	dial    dialFunc
 
 	mu   sync.Mutex
 	idle map[poolKey][]*conn
 }
 
-func newPool(m *Metrics) *pool { return &pool{metrics: m, idle: make(map[poolKey][]*conn)} }
+// dialFunc opens a connection.
+type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+func newPool(m *Metrics) *pool {
+	return &pool{metrics: m, dial: netopt.Dialer(connectTimeout).DialContext, idle: make(map[poolKey][]*conn)}
+}
 
 // get returns an idle connection that is still open, or a new one.
 func (p *pool) get(ctx context.Context, key poolKey) (*conn, error) {
@@ -70,7 +76,7 @@
 		}
 		c.close()
 	}
-	nc, err := netopt.Dialer(connectTimeout).DialContext(ctx, "tcp", key.addr)
+	nc, err := p.dial(ctx, "tcp", key.addr)
 	if err != nil {
 		return nil, err
 	}
@@ -126,6 +132,19 @@
 		return
 	}
 	c.usableUntil = time.Now().Add(idleTimeout - idleTimeoutMargin)
+	p.addIdle(key, c)
+}
+
+// putUnused returns a connection that was not used since get returned it.
+func (p *pool) putUnused(key poolKey, c *conn) {
+	if !c.reused {
+		p.put(key, c, defaultIdleTimeout)
+		return
+	}
+	p.addIdle(key, c)
+}
+
+func (p *pool) addIdle(key poolKey, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[key] = append(p.idle[key], c)
@@ -179,7 +198,7 @@
 // isOpen reports whether an idle connection can be used: the target has neither
 // closed it nor sent bytes that belong to no request.
 func (c *conn) isOpen() bool {
-	raw, err := c.nc.(*net.TCPConn).SyscallConn()
+	raw, err := c.nc.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/relay/reservation_test.go
+++ b/relay/reservation_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
+	"net"
 	"net/http"
+	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,3 +102,66 @@
 		})
 	}
 }
+
+// A call was given up at a stalled target for another that could then not be connected to, and
+// ended with 502 (answer_lost), although the first target would have answered.
+func TestStalledCallIsGivenUpOnlyForConnectedTarget(t *testing.T) {
+	for path, answer := range map[string]http.HandlerFunc{
+		idempotentPath: platformtest.Respond(http.StatusOK, "yes"),
+		resumablePath:  platformtest.StreamEvents(3, 0, 0),
+	} {
+		t.Run(path, func(t *testing.T) {
+			var dials atomic.Int32
+			unconnectable := make(chan struct{})
+			slow := func(w http.ResponseWriter, r *http.Request) {
+				select {
+				case <-unconnectable:
+					answer(w, r)
+				case <-r.Context().Done():
+				}
+			}
+			b := newTestbed(t)
+			b.relay.WrapDial(func(dial relay.DialFunc) relay.DialFunc {
+				return func(ctx context.Context, network, addr string) (net.Conn, error) {
+					switch dials.Add(1) {
+					case 1:
+						return dial(ctx, network, addr)
+					case 3: // both other targets were tried
+						defer close(unconnectable)
+					}
+					return nil, os.ErrDeadlineExceeded
+				}
+			})
+			b.edit = allowPatience
+			b.update(platformtest.NewTarget("i1", slow), platformtest.NewTarget("i2", slow), platformtest.NewTarget("i3", slow))
+			assert.Equal(t, http.StatusOK, b.send(t.Context(), "r", path, "x", patient...).status)
+			assert.Equal(t, int32(3), dials.Load())
+		})
+	}
+}
+
+// A call was given up at a stalled target when no further attempt was allowed.
+func TestStalledCallWaitsOnAfterLastAttempt(t *testing.T) {
+	const maxAttempts, stallTime = 6, 200 * time.Millisecond
+	var requests atomic.Int32
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if requests.Add(1) < maxAttempts {
+			platformtest.RejectUnexecuted(http.StatusServiceUnavailable)(w, r)
+			return
+		}
+		select {
+		case <-time.After(3 * stallTime):
+			platformtest.Respond(http.StatusOK, "late")(w, r)
+		case <-r.Context().Done():
+		}
+	}
+	var targets []*platformtest.Target
+	for i := range maxAttempts + 1 {
+		targets = append(targets, platformtest.NewTarget(fmt.Sprintf("i%d", i), handler))
+	}
+	b := newTestbed(t)
+	b.edit = allowPatience
+	b.update(targets...)
+	assert.Equal(t, "late", b.send(t.Context(), "r", idempotentPath, "x", patient...).body)
+	assert.Equal(t, int32(maxAttempts), requests.Load())
+}
--- a/relay/stalltimer.go
+++ b/relay/stalltimer.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -106,7 +107,7 @@
 
 // mayMove reports whether another target may execute the request if this one stalls.
 func (e *exchange) mayMove() bool {
-	return e.route.Retryable() && e.executions < e.route.MaxTargets && !e.relay.disabled.Disables(mechanism.Failover)
+	return e.route.Retryable() && e.executions < e.route.MaxTargets && e.attempts < maxAttempts && !e.relay.disabled.Disables(mechanism.Failover)
 }
 
 // headTimeout returns how long to wait for the head of the response before the target counts
@@ -128,14 +129,14 @@
 // is available, and for plain requests the limit of failovers allows it. Streams aren't
 // limited: there are few of them, and a caller can do nothing with a stream without events.
 // A stream that must not move waits on, but the stall counts as a failure of its target.
-func (e *exchange) onStall() func() *reservation {
+func (e *exchange) onStall(ctx context.Context) func() *reservation {
 	// The exchange's fields are read here because the function runs on the timer's
 	// goroutine, while they may change.
 	query := e.targetQuery(false)
 	isStream, mayMove, target := e.route.Kind == catalog.Streaming, e.mayMove(), e.choice.Target.TargetKey
 	return func() *reservation {
 		if mayMove {
-			if next := e.relay.reserve(query, isStream); next != nil {
+			if next := e.relay.reserve(ctx, query, isStream); next != nil {
 				return next
 			}
 		}
--- a/relay/stalltimer_test.go
+++ b/relay/stalltimer_test.go
@@ -1,10 +1,12 @@
 package relay
 
 import (
+	"context"
 	"net"
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -31,10 +33,11 @@
 func TestStoppedStallTimerDoesNotInterruptConnection(t *testing.T) {
 	near, far := net.Pipe()
 	t.Cleanup(func() { _, _ = near.Close(), far.Close() })
-	r := New(Options{})
+	r := New(Options{Metrics: NewMetrics(prometheus.NewRegistry())})
+	r.pool.dial = func(context.Context, string, string) (net.Conn, error) { return far, nil }
 	target := catalog.Target{TargetKey: catalog.TargetKey{ID: "i1"}, Service: "engine", Slots: 4}
 	r.Update(discovery.Snapshot{Config: &catalog.Config{}, Targets: []catalog.Target{target}})
-	reserved := r.reserve(fleet.Query{Service: "engine"}, true)
+	reserved := r.reserve(t.Context(), fleet.Query{Service: "engine"}, true)
 	require.NotNil(t, reserved)
 	called, result := make(chan struct{}), make(chan *reservation)
 	s := startStallTimer(&conn{nc: near}, time.Millisecond, func() *reservation { close(called); return <-result })
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -104,10 +104,8 @@
 		t.abort(reasonTimeout)
 	case p.started:
 		t.abort(reasonStreamBroken)
-	case t.req.Context().Err() == nil && !timedOut:
-		t.respondNoTarget()
 	default:
-		t.respondTimeout()
+		t.respondNoTarget()
 	}
 }
 
@@ -142,7 +140,7 @@
 	events := eventReader{reader: bufio.NewReaderSize(a.response.Body, eventBufferBytes)}
 	flusher := http.NewResponseController(t.w)
 	first, gap := t.eventTimeouts()
-	stall := startStallTimer(a.conn, first, t.onStall())
+	stall := startStallTimer(a.conn, first, t.onStall(ctx))
 	defer t.stopStallTimer(stall)
 	for {
 		ev, err := events.next()
