relay: what is read for a body or an event is bounded on the connection too

Cause: the bounds of answers, events and discarded bodies counted their content. In chunks of one byte, a body takes 6 to 20 times its content on the connection, and processor time for each chunk: up to 42 MB were read of an answer without end, where 2 MiB are allowed. Change: headReader becomes boundedReader, which also bounds bodies and events, with twice the bound of their content. The bound of the memory stays.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -184,9 +184,9 @@
 // to earlier ones.
 func (a *attempt) readHead(request *http.Request, id string) *failure {
 	for range maxStaleResponses + 1 {
-		a.conn.head.begin()
+		a.conn.source.begin(maxHeadBytes, errHeadTooLarge)
 		response, err := http.ReadResponse(a.conn.reader, request)
-		a.conn.head.end()
+		a.conn.source.end()
 		if err != nil {
 			return a.lostResponse(err)
 		}
@@ -199,7 +199,7 @@
 			return nil
 		}
 		a.relay.metrics.staleResponses.Inc()
-		if err := discardBounded(response.Body); err != nil {
+		if err := a.conn.discardBounded(response.Body); err != nil {
 			return a.lostResponse(err)
 		}
 	}
--- a/relay/bounded.go
+++ b/relay/bounded.go
@@ -16,6 +16,9 @@
 	maxDiscardedBytes = 64 << 10
 	// maxStoredOutputBytes bounds the output of a turn that is stored.
 	maxStoredOutputBytes = 8 << 20
+	// framingFactor bounds what is read from the connection for a body or an event, as a
+	// multiple of the bound of its content. Chunks of one byte take up to 20 times their content.
+	framingFactor = 2
 )
 
 // Errors of responses without end.
@@ -25,32 +28,36 @@
 	errOutputTooLarge = errors.New("output of the turn exceeds the size limit")
 )
 
-// headReader reads from a connection and bounds the heads of responses: while a head is read,
-// it returns errHeadTooLarge after maxHeadBytes. It is not safe for concurrent use.
-type headReader struct {
+// boundedReader reads from a connection and bounds what a part of a response may take there:
+// between begin and end, it returns an error after a number of bytes. It is not safe for
+// concurrent use.
+type boundedReader struct {
 	io.Reader
 	// left is the number of bytes that may still be read; negative if there is no bound.
 	left int
+	err  error
 }
 
-func (r *headReader) begin() { r.left = maxHeadBytes }
-func (r *headReader) end()   { r.left = -1 }
+func (r *boundedReader) begin(limit int, err error) { r.left, r.err = limit, err }
+func (r *boundedReader) end()                       { r.left = -1 }
 
 // Read implements io.Reader.
-func (r *headReader) Read(p []byte) (int, error) {
+func (r *boundedReader) Read(p []byte) (int, error) {
 	if r.left < 0 {
 		return r.Reader.Read(p)
 	}
 	if r.left == 0 {
-		return 0, errHeadTooLarge
+		return 0, r.err
 	}
 	n, err := r.Reader.Read(p[:min(len(p), r.left)])
 	r.left -= n
 	return n, err
 }
 
-// readBounded reads a whole body of at most maxAnswerBytes.
-func readBounded(body io.Reader) ([]byte, error) {
+// readBounded reads the whole body of a response, of at most maxAnswerBytes.
+func (c *conn) readBounded(body io.Reader) ([]byte, error) {
+	c.source.begin(framingFactor*maxAnswerBytes, errAnswerTooLarge)
+	defer c.source.end()
 	content, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes+1))
 	if err == nil && len(content) > maxAnswerBytes {
 		return nil, errAnswerTooLarge
@@ -59,7 +66,9 @@
 }
 
 // discardBounded reads and drops the rest of a body of at most maxDiscardedBytes.
-func discardBounded(body io.Reader) error {
+func (c *conn) discardBounded(body io.Reader) error {
+	c.source.begin(framingFactor*maxDiscardedBytes, errAnswerTooLarge)
+	defer c.source.end()
 	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardedBytes+1))
 	if err == nil && n > maxDiscardedBytes {
 		return errAnswerTooLarge
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -208,7 +208,7 @@
 		if !ok {
 			return
 		}
-		body, err := readBounded(a.response.Body)
+		body, err := a.conn.readBounded(a.response.Body)
 		if err != nil {
 			a.abort(ctx)
 			fail := &failure{execution: mayHaveExecuted, target: a.target, err: err}
@@ -371,7 +371,7 @@
 // readRefusal reads the rest of a target's refusal and ends the attempt.
 func (e *exchange) readRefusal(a *attempt) *failure {
 	status := a.response.StatusCode
-	if err := discardBounded(a.response.Body); err != nil {
+	if err := a.conn.discardBounded(a.response.Body); err != nil {
 		a.abort(context.Background())
 	} else {
 		a.complete()
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -39,7 +39,7 @@
 // conn is one connection to a target.
 type conn struct {
 	nc     net.Conn
-	head   *headReader
+	source *boundedReader
 	reader *bufio.Reader
 	reused bool
 	// usableUntil is when an idle connection expires.
@@ -81,8 +81,8 @@
 		return nil, err
 	}
 	p.metrics.connects.Inc()
-	head := &headReader{Reader: nc, left: -1}
-	return &conn{nc: nc, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}, nil
+	source := &boundedReader{Reader: nc, left: -1}
+	return &conn{nc: nc, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}, nil
 }
 
 // refusesConnections reports whether nothing listens at a target's address any
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -112,7 +112,7 @@
 // forwardError forwards a target's error response to the caller, or returns true if
 // another target must be tried.
 func (t *turn) forwardError(ctx context.Context, a *attempt, p *progress) bool {
-	body, err := readBounded(a.response.Body)
+	body, err := a.conn.readBounded(a.response.Body)
 	if err != nil {
 		a.abort(ctx)
 		t.recordFailure(ctx, &failure{execution: mayHaveExecuted, target: a.target, err: err})
@@ -137,7 +137,7 @@
 
 // forwardEvents forwards the events of one target as they arrive.
 func (t *turn) forwardEvents(ctx context.Context, a *attempt, p *progress) error {
-	events := eventReader{reader: bufio.NewReaderSize(a.response.Body, eventBufferBytes)}
+	events := eventReader{conn: a.conn, reader: bufio.NewReaderSize(a.response.Body, eventBufferBytes)}
 	flusher := http.NewResponseController(t.w)
 	first, gap := t.eventTimeouts()
 	stall := startStallTimer(a.conn, first, t.onStall(ctx))
@@ -243,6 +243,7 @@
 // eventReader reads the events of a stream. An event is valid until the next call of
 // next.
 type eventReader struct {
+	conn   *conn
 	reader *bufio.Reader
 	raw    []byte
 }
@@ -251,6 +252,8 @@
 // io.ErrUnexpectedEOF if it ends within one.
 func (r *eventReader) next() (event, error) {
 	r.raw = r.raw[:0]
+	r.conn.source.begin(framingFactor*maxEventBytes, errEventTooLong)
+	defer r.conn.source.end()
 	for {
 		line, err := r.reader.ReadSlice('\n')
 		r.raw = append(r.raw, line...)
