local, standin/ports: ports of processes are reserved

Cause: a free port was chosen by listening on it and closing the listener at once. The processes are started without waiting for them to listen, so a later VM of the same deployment, or another test, could choose the same port. The process that came second ended with "address already in use", and the deployment waited for its state and its slots until the time was over. 20 ports out of 18,000 collide in about one start of a hundred; out of the system's range, from which they came when the test failed, about as often. Change: a port is reserved by a socket that is bound to it and never listens, for as long as the deployment runs. The process can listen on it, also after a restart; nobody else can reserve it. The tests of package cli and of the ledger's members, which chose ports in the same way, use it too.

--- a/cli/daemon_test.go
+++ b/cli/daemon_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"testing"
@@ -14,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/standin/kv"
+	"github.com/rhubarbsaddle/rhubarbsaddle/standin/ports"
 	"github.com/rhubarbsaddle/rhubarbsaddle/standin/vmlist"
 )
 
@@ -21,10 +21,11 @@
 
 // freeAddr returns a loopback address on which nothing listens.
 func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	t.Helper()
+	port, err := ports.Reserve()
 	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	t.Cleanup(func() { require.NoError(t, port.Close()) })
+	return port.Addr()
 }
 
 // writeSettings starts stand-ins of the platform's services and writes the settings
--- a/ledger/member/cluster_test.go
+++ b/ledger/member/cluster_test.go
@@ -5,8 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -24,6 +22,7 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/quorum"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform/platformtest"
+	"github.com/rhubarbsaddle/rhubarbsaddle/standin/ports"
 )
 
 // waitTimeout bounds each wait of a test; the awaited changes take a second or two.
@@ -85,20 +84,14 @@
 	}
 }
 
-// freeAddress returns a loopback address with a free port. The port is below the
-// ephemeral range, so that no outgoing connection and no other test uses it while
-// a member is stopped: a member keeps its port when it is started again.
+// freeAddress returns a loopback address that is reserved until the test ends: a member keeps
+// its port when it is started again.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	for range 100 {
-		addr := fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(18000))
-		if listener, err := net.Listen("tcp", addr); err == nil {
-			require.NoError(t, listener.Close())
-			return addr
-		}
-	}
-	t.Fatal("no free port was found")
-	return ""
+	port, err := ports.Reserve()
+	require.NoError(t, err)
+	t.Cleanup(func() { assert.NoError(t, port.Close()) })
+	return port.Addr()
 }
 
 // start runs a member, which keeps its disk and address across restarts.
--- a/local/local.go
+++ b/local/local.go
@@ -104,10 +104,10 @@
 		for i := range d.options.EntriesPerDomain {
 			name := fmt.Sprintf("entry-%s-%d", domain.Name, i)
 			vm := d.newVM(name, domain.Name, core.RoleEntry)
+			d.entries = append(d.entries, vm)
 			if err := vm.Start(); err != nil {
 				return err
 			}
-			d.entries = append(d.entries, vm)
 		}
 	}
 	if err := d.publishVMs(); err != nil {
@@ -226,6 +226,7 @@
 func (d *Deployment) Close() {
 	for _, vm := range slices.Concat(d.entries, d.sidecars) {
 		vm.Kill()
+		vm.releasePorts()
 	}
 	for _, m := range d.models {
 		m.Server.Close()
--- a/local/process.go
+++ b/local/process.go
@@ -2,10 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,6 +10,7 @@
 	"github.com/goccy/go-yaml"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	"github.com/rhubarbsaddle/rhubarbsaddle/standin/ports"
 )
 
 // process is a daemon that runs in its own process.
@@ -58,7 +55,7 @@
 }
 
 // choosePorts replaces listening addresses that have no port with addresses
-// that have a free port.
+// whose ports are reserved for the VM.
 func (v *VM) choosePorts() error {
 	addrs := []*string{&v.settings.Listen.Peers, &v.settings.Listen.Operators}
 	if v.role == core.RoleEntry {
@@ -68,39 +65,23 @@
 		if *addr != loopback {
 			continue
 		}
-		free, err := freeAddress()
+		port, err := ports.Reserve()
 		if err != nil {
 			return err
 		}
-		*addr = free
+		v.reserved = append(v.reserved, port)
+		*addr = port.Addr()
 	}
 	return nil
 }
 
-const (
-	// firstPort and lastPort bound the ports of processes. The range is below the
-	// system's ephemeral ports: an outgoing connection, or a listener without a
-	// given port, could otherwise take the chosen port before the process starts.
-	firstPort, lastPort = 12000, 30000
-	// portAttempts bounds the number of ports that are tried.
-	portAttempts = 100
-)
-
-// errNoPort is the cause when no port is free.
-var errNoPort = errors.New("no free port was found")
-
-// freeAddress returns a loopback address with a free port.
-func freeAddress() (string, error) {
-	for range portAttempts {
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
-		l, err := net.Listen("tcp", addr)
-		if err != nil {
-			// The port is in use.
-			continue
-		}
-		return addr, l.Close()
+// releasePorts ends the reservations of the VM's ports.
+func (v *VM) releasePorts() {
+	for _, port := range v.reserved {
+		// Closing a socket that was never connected can't fail in a way that matters.
+		_ = port.Close()
 	}
-	return "", errNoPort
+	v.reserved = nil
 }
 
 // Close kills the process.
--- a/local/target.go
+++ b/local/target.go
@@ -67,11 +67,8 @@
 	vm := d.newVM(name, domain, core.RoleSidecar)
 	vm.target = target
 	vm.settings.Target = config.Target{Pool: pool.Name, Kind: pool.Kind, Address: addr}
-	if err := vm.Start(); err != nil {
-		return err
-	}
 	d.sidecars = append(d.sidecars, vm)
-	return nil
+	return vm.Start()
 }
 
 const (
--- a/local/vm.go
+++ b/local/vm.go
@@ -13,6 +13,7 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/node"
 	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/sidecar"
 	"github.com/rhubarbsaddle/rhubarbsaddle/engine"
+	"github.com/rhubarbsaddle/rhubarbsaddle/standin/ports"
 )
 
 // vmListPollPeriod is the time between two polls of the VM list by a daemon.
@@ -32,6 +33,9 @@
 	role       core.VMRole
 	settings   config.Node
 	target     engine.Target
+	// reserved are the ports of a daemon that runs in its own process. They stay reserved
+	// while it is stopped.
+	reserved []*ports.Port
 
 	mu      sync.Mutex
 	daemon  daemon
