local: a deployment that does not become ready says why

Seen: a process that could not listen ended at once, and the deployment waited for its slots until the caller's time was over; "the slots have no owners yet" was all that a test said. Change: the start of a deployment fails at once if a process has exited, with its status and the last line of its log. At the end of the time, the error has the state of each entry: its peers and targets, and the slots that no entry owns. Tests: TestStartReportsExitedProcess, TestStateOfDeploymentThatIsNotReady.

--- a/local/local.go
+++ b/local/local.go
@@ -167,47 +167,71 @@
 const readyPollPeriod = 20 * time.Millisecond
 
 // waitReady waits until every slot has an owner with all its replicas, and
-// every entry has a record of all targets.
+// every entry has a record of all targets. It returns an error at once if a
+// process has exited.
 func (d *Deployment) waitReady(ctx context.Context) error {
-	for {
-		if d.isReady(ctx) {
-			return nil
+	for !d.isReady(ctx) {
+		for _, vm := range slices.Concat(d.entries, d.sidecars) {
+			if err := vm.exitError(); err != nil {
+				return err
+			}
 		}
 		select {
 		case <-ctx.Done():
-			return errors.Join(errNotReady, ctx.Err())
+			// The state is read although ctx has ended.
+			return errors.Join(errNotReady, ctx.Err(), d.notReadyError(context.WithoutCancel(ctx)))
 		case <-time.After(readyPollPeriod):
 		}
 	}
+	return nil
 }
 
 func (d *Deployment) isReady(ctx context.Context) bool {
 	owned := 0
 	for _, e := range d.Entries() {
-		status, err := e.Status(ctx)
-		if err != nil {
-			return false
-		}
-		var state entry.Status
-		if json.Unmarshal(status.State, &state) != nil || len(state.Targets) < len(d.sidecars) {
+		state, err := e.entryStatus(ctx)
+		if err != nil || len(state.Targets) < len(d.sidecars) {
 			return false
 		}
-		owned += d.countOwnedSlots(&state)
+		owned += len(d.ownedSlots(state))
 	}
 	return owned == int(d.options.Config.Ownership.Slots)
 }
 
-// countOwnedSlots counts the slots that an entry owns with all the replicas that
-// the configuration requires.
-func (d *Deployment) countOwnedSlots(state *entry.Status) int {
+// ownedSlots returns the slots that an entry owns with all the replicas that the
+// configuration requires.
+func (d *Deployment) ownedSlots(state *entry.Status) []core.SlotID {
 	replicas := min(d.options.Config.Ownership.Replicas, len(d.entries)-1)
-	n := 0
+	var owned []core.SlotID
 	for _, s := range state.Slots {
 		if s.IsOwner && len(s.Replicas) >= replicas {
-			n++
+			owned = append(owned, s.Slot)
 		}
 	}
-	return n
+	return owned
+}
+
+// notReadyError returns an error with the state of each entry, in which only the
+// slots that no entry owns are left.
+func (d *Deployment) notReadyError(ctx context.Context) error {
+	var errs []error
+	var owned []core.SlotID
+	var states []*entry.Status
+	for _, e := range d.entries {
+		state, err := e.entryStatus(ctx)
+		if err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		owned = append(owned, d.ownedSlots(state)...)
+		states = append(states, state)
+	}
+	for _, state := range states {
+		state.Slots = slices.DeleteFunc(state.Slots, func(s entry.SlotStatus) bool { return slices.Contains(owned, s.Slot) })
+		text, err := json.Marshal(state)
+		errs = append(errs, err, fmt.Errorf("state of %s: %s", state.Self, text))
+	}
+	return errors.Join(errs...)
 }
 
 // Entries returns the entries.
--- a/local/outage_test.go
+++ b/local/outage_test.go
@@ -25,3 +25,14 @@
 	_, err := newClient(d.Entries()[1], option.WithAPIKey(walkInKey)).Chat.Completions.New(ctx, chatParams("hello"))
 	require.NoError(t, err, errorCode(err))
 }
+
+func TestStateOfDeploymentThatIsNotReady(t *testing.T) {
+	d := start(t, smallOptions(t))
+	d.entries[0].Kill()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Nanosecond)
+	defer cancel()
+	err := d.waitReady(ctx)
+	require.ErrorIs(t, err, errNotReady)
+	require.ErrorContains(t, err, "state of "+d.entries[0].Name()+": ")
+	require.ErrorContains(t, err, "state of "+d.entries[1].Name()+"#")
+}
--- a/local/process.go
+++ b/local/process.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 
 	"github.com/goccy/go-yaml"
@@ -84,6 +87,22 @@
 	v.reserved = nil
 }
 
+// exitError returns an error if the VM's daemon runs in its own process and that has exited.
+func (v *VM) exitError() error {
+	p, ok := v.currentDaemon().(*process)
+	if !ok {
+		return nil
+	}
+	select {
+	case <-p.done:
+	default:
+		return nil
+	}
+	text, err := os.ReadFile(p.log.Name())
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return errors.Join(fmt.Errorf("the process of %s has exited (%s): %s", v.Name(), p.cmd.ProcessState, lines[len(lines)-1]), err)
+}
+
 // Close kills the process.
 func (p *process) Close() {
 	// Kill fails only if the process has already exited.
--- a/local/processes_test.go
+++ b/local/processes_test.go
@@ -88,3 +88,14 @@
 	}
 	require.Equal(t, 1, tool.Executions("k1"))
 }
+
+// A process that could not listen exited, and the deployment waited for its slots until the test's
+// time was over.
+func TestStartReportsExitedProcess(t *testing.T) {
+	set, err := load.Set("../examples/bancarella")
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), eventuallyTimeout)
+	defer cancel()
+	_, err = local.Start(ctx, local.Options{Config: set, EntriesPerDomain: 1, Binary: "false", ProcessDir: t.TempDir()})
+	require.ErrorContains(t, err, "the process of entry-milano-a-0 has exited (exit status 1)")
+}
--- a/local/vm.go
+++ b/local/vm.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/config"
 	"github.com/rhubarbsaddle/rhubarbsaddle/core"
+	reducer "github.com/rhubarbsaddle/rhubarbsaddle/core/entry"
 	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/entry"
 	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/node"
 	"github.com/rhubarbsaddle/rhubarbsaddle/daemon/sidecar"
@@ -226,6 +228,19 @@
 	}, !v.removed
 }
 
+// entryStatus requests the state of an entry's reducer.
+func (v *VM) entryStatus(ctx context.Context) (*reducer.Status, error) {
+	status, err := v.Status(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("state of %s: %w", v.Name(), err)
+	}
+	var state reducer.Status
+	if err := json.Unmarshal(status.State, &state); err != nil {
+		return nil, fmt.Errorf("state of %s: %w", v.Name(), err)
+	}
+	return &state, nil
+}
+
 // statusTimeout bounds a request for the state of a daemon.
 const statusTimeout = 2 * time.Second
 
