fleet: streams that were cut tell the pace of their engine

Cause: the pace was learned from complete streams only. At an engine so slow that most turns run out of time these are the few short ones, or none, and the engine seemed like its peers. Change: a stream with two events or more tells the pace however it ended; only complete ones tell the number of events. Test: TestCutStreamsTellThePace fails without it: an engine that is 20 times as slow and whose streams are all cut still gets calls.

--- a/fleet/call.go
+++ b/fleet/call.go
@@ -103,13 +103,17 @@
 		}
 	}
 	s := f.services[t.Service]
-	if s == nil || outcome != Answered {
+	if s == nil {
 		return 0, false
 	}
-	took := now.Sub(c.startedAt)
 	if s.isEngine {
-		s.learnStream(c, now)
-	} else {
+		s.learnStream(c, outcome, now)
+	}
+	if outcome != Answered {
+		return 0, false
+	}
+	took := now.Sub(c.startedAt)
+	if !s.isEngine {
 		s.learnPlain(c, took, now)
 	}
 	predicted := c.predictedMS()
--- a/fleet/work_test.go
+++ b/fleet/work_test.go
@@ -274,16 +274,36 @@
 	assert.Less(t, callsBefore(restarted[0].TargetKey), fast)
 }
 
+// Load: engines so slow that callers' deadlines pass before turns end. Only complete streams told
+// the pace, so these engines seemed as fast as the few short streams that ended there.
+func TestCutStreamsTellThePace(t *testing.T) {
+	f := newFleet(3)
+	now := start
+	for range 20 {
+		endStream(f, key(0), 400*time.Millisecond, fleet.Canceled, &now)
+		playStream(f, key(1), 20*time.Millisecond, &now)
+		playStream(f, key(2), 20*time.Millisecond, &now)
+	}
+	for range 3 {
+		assert.NotEqual(t, key(0), send(t, f, query(), now))
+	}
+}
+
 // playStream plays a stream of five events at a target.
 func playStream(f *fleet.Fleet, target catalog.TargetKey, gap time.Duration, now *time.Time) {
+	endStream(f, target, gap, fleet.Answered, now)
+}
+
+// endStream plays a stream of five events that ends with an outcome.
+func endStream(f *fleet.Fleet, target catalog.TargetKey, gap time.Duration, outcome fleet.Outcome, now *time.Time) {
 	call := f.StartCall(fleet.Choice{Target: catalog.Target{TargetKey: target}}, fleet.Query{Class: forecast.Class{Route: "chat"}}, *now)
 	f.RecordStart(target, nil, *now)
 	for range 5 {
 		*now = now.Add(gap)
 		f.RecordEvent(call, *now)
 	}
-	f.EndCall(call, fleet.Answered, *now)
-	f.RecordEnd(target, fleet.Answered, 5*gap, *now)
+	f.EndCall(call, outcome, *now)
+	f.RecordEnd(target, outcome, 5*gap, *now)
 }
 
 // Of a thousand targets not all are compared; the one with the conversation's prompt must be, and
--- a/fleet/workmodel.go
+++ b/fleet/workmodel.go
@@ -111,13 +111,13 @@
 	return s.work.output.Mean() * s.work.eventMS.At(0) / 2
 }
 
-// learnStream learns from a complete stream.
-func (s *service) learnStream(c *Call, now time.Time) {
-	if c.events == 0 {
-		return
+// learnStream learns from a stream. One that was cut tells the pace of its target, but not how
+// many events it would have had.
+func (s *service) learnStream(c *Call, outcome Outcome, now time.Time) {
+	if outcome == Answered && c.events > 0 {
+		s.work.output.Record(c.class, float64(c.events))
 	}
-	s.work.output.Record(c.class, float64(c.events))
-	if c.events == 1 {
+	if c.events <= 1 {
 		return
 	}
 	t := c.target
