--- a/fleet/admit.go
+++ b/fleet/admit.go
@@ -31,9 +31,6 @@
 	limitIncrease   = 0.005
 	limitDecrease   = 0.02
 	programDecrease = 0.04
-	// maxTurnShare is the share of the time left until a program's objective that a turn may
-	// take. What remains must be enough for the tools that follow and for one more turn.
-	maxTurnShare = 0.5
 	// minOtherShare is the share of the recently admitted programs below which those that
 	// are not urgent get the limit of urgent ones. admissionWeight is the weight of one
 	// admitted program in that share.
@@ -50,8 +47,8 @@
 	// objective of its route.
 	FirstEventMet Objective = iota
 	FirstEventMissed
-	// ProgramMissed means that a program misses its objective, or is likely to, or that its
-	// caller gave up during a turn.
+	// ProgramMissed means that a program's objective passed, or its caller gave up, during
+	// a turn.
 	ProgramMissed
 )
 
@@ -78,16 +75,6 @@
 	s.updateSteadyLimit(now)
 }
 
-// RecordTurn records that a turn of a program took a time, of the time that was left until the
-// program's objective when the turn arrived. At this pace a program that has few turns left ends
-// late; when its objective has passed, many more have been admitted. A program that was late
-// before, such as after an outage, says nothing about the load.
-func (f *Fleet) RecordTurn(name string, took, left time.Duration, now time.Time) {
-	if left > 0 && float64(took) > maxTurnShare*float64(left) {
-		f.RecordObjective(name, ProgramMissed, now)
-	}
-}
-
 // recordLoad adds the calls per slot that one target reported to the average.
 func (s *service) recordLoad(ratio float64, now time.Time) {
 	known := s.currentLoadPerSlot(now)
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -37,10 +37,6 @@
 	arrivedAt time.Duration
 	choice    fleet.Choice
 	target    *simTarget
-	// lastTarget is the target of the previous turn. After is called at the first event and at
-	// the end of the call.
-	lastTarget string
-	after      func(hasEnded bool)
 }
 
 // simulation plays calls in virtual time.
@@ -111,7 +107,7 @@
 		c.entry = min(c.entry+int(c.domain[1]-'0'), len(s.entries)-1)
 	}
 	f := s.entries[c.entry]
-	q := fleet.Query{Service: "s", Domain: c.domain, AllowFull: true, Class: forecast.Class{Route: c.route, IsLater: c.lastTarget != ""}, LastTarget: c.lastTarget}
+	q := fleet.Query{Service: "s", Domain: c.domain, AllowFull: true, Class: forecast.Class{Route: c.route}}
 	choice, _ := f.Pick(q, s.time())
 	f.RecordStart(choice.Target.TargetKey, nil, s.time())
 	choice.Call = f.StartCall(choice, q, s.time())
@@ -150,9 +146,6 @@
 		if c.events > 0 {
 			f.RecordEvent(c.choice.Call, s.time())
 		}
-		if c.after != nil && left == c.events {
-			c.after(false)
-		}
 		if left > 1 {
 			s.step(c, left-1)
 			return
@@ -162,9 +155,6 @@
 		f.EndCall(c.choice.Call, fleet.Answered, s.time())
 		f.RecordEnd(t.target.TargetKey, fleet.Answered, s.now-c.arrivedAt, s.time())
 		s.startNext(t)
-		if c.after != nil {
-			c.after(true)
-		}
 	})
 }
 
--- a/relay/objective.go
+++ b/relay/objective.go
@@ -19,9 +19,11 @@
 	t.relay.recordObjective(t.service, outcome)
 }
 
-// recordEnd records how much of the time left of the program the turn took.
+// recordEnd records a program whose objective passed during this turn. A program that was
+// late before, such as after an outage, says nothing about the load.
 func (t *turn) recordEnd() {
-	if t.call.HasObjective {
-		t.relay.recordTurn(t.service, time.Since(t.arrived), t.call.ObjectiveLeft)
+	left := t.call.ObjectiveLeft
+	if t.call.HasObjective && left > 0 && time.Since(t.arrived) > left {
+		t.relay.recordObjective(t.service, fleet.ProgramMissed)
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -423,13 +423,6 @@
 	r.fleet.RecordObjective(service, outcome, time.Now())
 }
 
-// recordTurn records how much of the time left of its program a turn took.
-func (r *Relay) recordTurn(service string, took, left time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.fleet.RecordTurn(service, took, left, time.Now())
-}
-
 // expectedDuration returns how long a call of a service takes on average; zero if that is
 // not known.
 func (r *Relay) expectedDuration(service string) time.Duration {
