fleet: each event of a stream tells the pace of its engine

Cause: the pace was learned when a turn had ended, which takes two seconds at such an engine, and each of 19 entries learns it for itself, from a turn every two seconds at an engine. Change: each event tells the pace, with a weight of 0.05. The record at the end goes, so streams that are cut still tell it. Test: TestRunningStreamsTellThePace fails without it.

--- a/fleet/call.go
+++ b/fleet/call.go
@@ -77,11 +77,14 @@
 	if c == nil {
 		return
 	}
+	s := f.services[c.target.Service]
 	if c.events == 0 {
 		c.firstEventAt, c.running = now, min(c.target.load(now)-1, float64(c.target.Slots))
-		if s := f.services[c.target.Service]; s != nil {
+		if s != nil {
 			s.work.recordFirstEvent(c, now.Sub(c.startedAt), c.pace)
 		}
+	} else if s != nil {
+		s.work.recordGap(c, now.Sub(c.lastEventAt), now)
 	}
 	c.events++
 	c.lastEventAt = now
@@ -106,14 +109,13 @@
 	if s == nil {
 		return 0, false
 	}
-	if s.isEngine {
-		s.learnStream(c, outcome, now)
-	}
 	if outcome != Answered {
 		return 0, false
 	}
 	took := now.Sub(c.startedAt)
-	if !s.isEngine {
+	if s.isEngine {
+		s.learnStream(c)
+	} else {
 		s.learnPlain(c, took, now)
 	}
 	predicted := c.predictedMS()
--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -10,10 +10,10 @@
 	minPace, maxPace = 0.25, 4.0
 	// paceTolerance is the deviation from the pace of the peers that counts as chance.
 	paceTolerance = 0.1
-	// enginePaceWeight and plainPaceWeight are the weights of one call in a target's usual
-	// pace. The work of plain calls varies more.
-	enginePaceWeight = 0.2
-	plainPaceWeight  = 0.05
+	// eventPaceWeight and plainPaceWeight are the weights of one event of a stream and of one
+	// plain call in a target's usual pace. A stream has about ten events.
+	eventPaceWeight = 0.05
+	plainPaceWeight = 0.05
 	// paceMemory is the time constant with which a target without calls is assumed to become
 	// like its peers again, so that it gets the calls that show whether it has.
 	paceMemory = 10 * time.Second
--- a/fleet/work_test.go
+++ b/fleet/work_test.go
@@ -289,6 +289,34 @@
 	}
 }
 
+// Load: engines turn slow while turns run there (storm-on-slow-engines). The pace was learned when
+// a turn had ended, seconds later at such an engine, and those sent meanwhile went there as well.
+func TestRunningStreamsTellThePace(t *testing.T) {
+	f := newFleet(3)
+	now := start
+	for range 20 {
+		for i := range 3 {
+			playStream(f, key(i), 20*time.Millisecond, &now)
+		}
+	}
+	var calls []*fleet.Call
+	for i := range 3 {
+		f.RecordStart(key(i), nil, now)
+		calls = append(calls, f.StartCall(fleet.Choice{Target: catalog.Target{TargetKey: key(i)}}, query(), now))
+	}
+	for event := range 24 {
+		now = now.Add(20 * time.Millisecond)
+		for i, call := range calls {
+			if i > 0 || event%4 == 0 {
+				f.RecordEvent(call, now)
+			}
+		}
+	}
+	for range 2 {
+		assert.NotEqual(t, key(0), send(t, f, query(), now))
+	}
+}
+
 // playStream plays a stream of five events at a target.
 func playStream(f *fleet.Fleet, target catalog.TargetKey, gap time.Duration, now *time.Time) {
 	endStream(f, target, gap, fleet.Answered, now)
--- a/fleet/workmodel.go
+++ b/fleet/workmodel.go
@@ -111,20 +111,21 @@
 	return s.work.output.Mean() * s.work.eventMS.At(0) / 2
 }
 
-// learnStream learns from a stream. One that was cut tells the pace of its target, but not how
-// many events it would have had.
-func (s *service) learnStream(c *Call, outcome Outcome, now time.Time) {
-	if outcome == Answered && c.events > 0 {
-		s.work.output.Record(c.class, float64(c.events))
-	}
-	if c.events <= 1 {
+// recordGap learns the pace of an engine from the time between two events. A stream at a slow
+// engine tells it long before it ends, also if it is cut.
+func (m *workModel) recordGap(c *Call, gap time.Duration, now time.Time) {
+	c.target.pace.recordCall(milliseconds(gap)/max(m.eventMS.At(c.running), minEventMS), gap, eventPaceWeight, now)
+}
+
+// learnStream learns from a complete stream.
+func (s *service) learnStream(c *Call) {
+	if c.events == 0 {
 		return
 	}
-	t := c.target
-	took := c.lastEventAt.Sub(c.firstEventAt)
-	eventMS := milliseconds(took) / float64(c.events-1)
-	s.work.eventMS.Record(c.running, eventMS)
-	t.pace.recordCall(eventMS/max(s.work.eventMS.At(c.running), minEventMS), took, enginePaceWeight, now)
+	s.work.output.Record(c.class, float64(c.events))
+	if c.events > 1 {
+		s.work.eventMS.Record(c.running, milliseconds(c.lastEventAt.Sub(c.firstEventAt))/float64(c.events-1))
+	}
 }
 
 // learnPlain learns from the answer to a plain call. A call that may have waited at its target
