--- a/relay/turn.go
+++ b/relay/turn.go
@@ -233,12 +233,15 @@
 
 // settle records in the background how many tokens the turn has generated, which
 // replaces its reservation.
-func (t *turn) settle() {
+func (t *turn) settle() { t.settleWith(t.choice.Target.ID) }
+
+// settleWith settles the turn and names the target that the program's next turn prefers.
+func (t *turn) settleWith(target string) {
 	if !t.hasReservation {
 		return
 	}
 	t.hasReservation = false
-	record := ledger.NewSettlement(t.programID(), t.call.ID, t.deliveredTokens, t.choice.Target.ID)
+	record := ledger.NewSettlement(t.programID(), t.call.ID, t.deliveredTokens, target)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
