--- a/fleet/call.go
+++ b/fleet/call.go
@@ -106,10 +106,7 @@
 		}
 	}
 	s := f.services[t.Service]
-	if s == nil {
-		return 0, false
-	}
-	if outcome != Answered {
+	if s == nil || outcome != Answered {
 		return 0, false
 	}
 	took := now.Sub(c.startedAt)
