--- a/ledger/budget.go
+++ b/ledger/budget.go
@@ -67,12 +67,7 @@
 
 // LastTarget returns the target that ran a recent attempt of the program, or an empty
 // string. It is a hint: members may disagree on which attempt was the last.
-func (s *Spending) LastTarget() string {
-	if s.lastTarget == NoTarget {
-		return ""
-	}
-	return s.lastTarget
-}
+func (s *Spending) LastTarget() string { return s.lastTarget }
 
 // OnlySoftware returns the hash of the software that began all streams of the program, or false
 // if it differs between them or no stream has begun. Attempts without one began none.
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -40,13 +40,8 @@
 	}}}
 }
 
-// NoTarget is the target of a settlement after which a program prefers no target. Earlier versions
-// take it for a target that is gone.
-const NoTarget = "(none)"
-
 // NewSettlement returns the record of the tokens that an attempt generated at a target.
-// Target is empty if no target ran it, and NoTarget if the program should not return to the one
-// that did.
+// Target is empty if no target ran it.
 func NewSettlement(program, attempt string, tokens int, target string) *ledgerpb.Record {
 	return &ledgerpb.Record{Fact: &ledgerpb.Record_Settlement{Settlement: &ledgerpb.Settlement{
 		Program: program, Attempt: attempt, Tokens: uint64(max(tokens, 0)), Target: target,
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/fleet"
-	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
 )
 
 const (
@@ -95,12 +94,9 @@
 
 // failStream ends a stream that can't be continued.
 func (t *turn) failStream(p *progress) {
+	t.settle()
 	timedOut := !time.Now().Before(t.deadline)
-	if !timedOut {
-		t.settle()
-	} else {
-		// The caller sends the turn again, and it would run out of time there again.
-		t.settleWith(ledger.NoTarget)
+	if timedOut {
 		t.relay.recordObjective(t.service, fleet.ProgramMissed)
 	}
 	switch {
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -233,15 +233,12 @@
 
 // settle records in the background how many tokens the turn has generated, which
 // replaces its reservation.
-func (t *turn) settle() { t.settleWith(t.choice.Target.ID) }
-
-// settleWith settles the turn and names the target that the program's next turn prefers.
-func (t *turn) settleWith(target string) {
+func (t *turn) settle() {
 	if !t.hasReservation {
 		return
 	}
 	t.hasReservation = false
-	record := ledger.NewSettlement(t.programID(), t.call.ID, t.deliveredTokens, target)
+	record := ledger.NewSettlement(t.programID(), t.call.ID, t.deliveredTokens, t.choice.Target.ID)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
