--- a/ledger/member/append.go
+++ b/ledger/member/append.go
@@ -14,7 +14,7 @@
 // try another member long before it expires.
 const relayTimeout = 1500 * time.Millisecond
 
-// append stores records at this member for a peer.
+// append stores records at this member for a peer, and forwards them if the peer asks for it.
 func (m *Member) append(ctx context.Context, call *ledgerpb.Append, respond func(*ledgerpb.Response)) {
 	size := proto.Size(call)
 	if !m.appends.acquire(size, finishing) {
@@ -22,8 +22,10 @@
 		return
 	}
 	m.stats.appends.Add(1)
+	end := m.forward(call, size)
 	requestID := m.newRequestID(func(response *ledgerpb.Response) {
-		m.appends.release(size, 0, time.Time{})
+		end()
+		response.Forwards = true
 		respond(response)
 	})
 	m.post(peerAppend{ctx: ctx, AppendRequested: ledger.AppendRequested{RequestID: requestID, Records: call.GetRecords()}})
--- a/ledger/member/cluster_test.go
+++ b/ledger/member/cluster_test.go
@@ -473,3 +473,26 @@
 	require.Eventually(c.t, func() bool { return c.views.Snapshot().View.Version == added.Version }, waitTimeout, 20*time.Millisecond)
 	return added
 }
+
+// Members of one failure domain get long records from each other. While one of them restarts,
+// no append may fail and none of the others may lack a record.
+func TestMembersForwardRecordsWithinFailureDomain(t *testing.T) {
+	c := newCluster(t)
+	c.domains["m2"], c.domains["m3"] = "east", "east"
+	c.startThree()
+	const turns = 40
+	for i := range turns {
+		switch i {
+		case turns / 4:
+			c.stop("m2")
+		case turns / 2:
+			c.start("m2", false)
+		}
+		id := fmt.Sprintf("t%d", i)
+		_, err := c.client.Append(c.context(), ledger.NewTurn(&ledgerpb.Turn{Program: "p", Id: id, Input: make([]byte, 4096), RetentionMs: 60_000}), ledger.NewSettlement("p", id, 1, ""))
+		require.NoError(t, err)
+	}
+	for _, name := range []string{"m1", "m3"} {
+		require.Eventually(t, func() bool { return isReadyWith(c.addrs[name], c.views.Snapshot().View.Version, 2*turns) }, waitTimeout, 20*time.Millisecond, name)
+	}
+}
--- a/ledger/member/commit.go
+++ b/ledger/member/commit.go
@@ -29,6 +29,9 @@
 	appends, chains, staleViews  atomic.Int64
 	// abandoned counts the appends of peers that disconnected before they were handled.
 	abandoned atomic.Int64
+	// forwards counts the records sent on for other members, missedForwards the awaited ones that
+	// did not arrive.
+	forwards, missedForwards atomic.Int64
 }
 
 // batch is a group of writes, with their encoded records, that share one sync.
@@ -74,7 +77,7 @@
 		payload, err := proto.Marshal(rec)
 		if err != nil {
 			m.log.Error().Str("event", "record_rejected").Err(err).Msg("")
-			m.post(ledger.Stored{RequestID: w.RequestID, Failed: true})
+			m.post(ledger.Stored{RequestID: w.RequestID, Summaries: w.Summaries, Failed: true})
 			return
 		}
 		payloads = append(payloads, payload)
--- a/ledger/member/member.go
+++ b/ledger/member/member.go
@@ -85,8 +85,9 @@
 	ready    atomic.Bool
 	stats    stats
 	// relays are the appends that this member relays for entries, appends those that it
-	// stores for its peers, reads the chains that it reads.
-	relays, appends, reads *backlog
+	// stores for its peers, reads the chains that it reads, awaits the requests for records that
+	// other members forward.
+	relays, appends, reads, awaits *backlog
 
 	loadMu sync.Mutex
 	load   *loadboard.Board
@@ -108,6 +109,7 @@
 		relays:   newBacklog(maxRelays, maxRelayBytes, relayTarget),
 		appends:  newBacklog(maxAppends, maxAppendBytes, 0),
 		reads:    newBacklog(maxReads, 0, 0),
+		awaits:   newBacklog(maxAwaits, 0, 0),
 		// The list of tunnels is empty. A member needs none: if it cannot reach a
 		// quorum, the entry that called it tries another member.
 		peers: quorum.NewClient(options.Domain, options.DisksLost, func() []string { return nil }),
@@ -287,7 +289,7 @@
 		case m.commits <- e:
 		default:
 			// The disk hangs, so the quorum has to come from the other members.
-			m.reply(e.RequestID, &ledgerpb.Response{Status: ledgerpb.Status_STATUS_FAILED})
+			m.post(ledger.Stored{RequestID: e.RequestID, Summaries: e.Summaries, Failed: true})
 		}
 	case ledger.Reply:
 		m.reply(e.RequestID, e.Response)
--- a/ledger/member/metrics.go
+++ b/ledger/member/metrics.go
@@ -32,7 +32,9 @@
 	counter("rhubarbsaddle_ledger_appends_total", "Appends asked for.", m.stats.appends.Load)
 	counter("rhubarbsaddle_ledger_chains_total", "Chains of turns read.", m.stats.chains.Load)
 	counter("rhubarbsaddle_ledger_abandoned_total", "Appends of peers that disconnected before they were handled.", m.stats.abandoned.Load)
-	for name, b := range map[string]*backlog{"relays": m.relays, "appends": m.appends, "reads": m.reads} {
+	counter("rhubarbsaddle_ledger_forwards_total", "Appends forwarded to members of the same failure domain.", m.stats.forwards.Load)
+	counter("rhubarbsaddle_ledger_missed_forwards_total", "Appends that another member did not forward in time.", m.stats.missedForwards.Load)
+	for name, b := range map[string]*backlog{"relays": m.relays, "appends": m.appends, "reads": m.reads, "awaits": m.awaits} {
 		gauge("rhubarbsaddle_ledger_"+name+"_in_flight", "Requests in flight ("+name+").", func() float64 { return float64(b.state().requests) })
 		gauge("rhubarbsaddle_ledger_"+name+"_in_flight_bytes", "Size of the records of requests in flight ("+name+").", func() float64 { return float64(b.state().bytes) })
 		counter("rhubarbsaddle_ledger_"+name+"_rejected_total", "Requests rejected because of too many in flight ("+name+").", func() int64 { return b.state().rejected })
--- a/ledger/member/serve.go
+++ b/ledger/member/serve.go
@@ -102,6 +102,8 @@
 			return
 		}
 		m.append(ctx, call.Append, respond)
+	case *ledgerpb.Request_AwaitRecords:
+		m.awaitRecords(req, call.AwaitRecords.GetKeys(), respond)
 	case *ledgerpb.Request_Relay:
 		m.relay(call.Relay, respond)
 	case *ledgerpb.Request_ReadChain:
--- a/ledger/quorum/client.go
+++ b/ledger/quorum/client.go
@@ -56,13 +56,18 @@
 	mu    sync.RWMutex
 	view  ledger.View
 	links map[string]*link
+	// forwardingPaused is the end of the pause of forwarding by failure domain.
+	forwardingPaused map[string]time.Time
 }
 
 // NewClient returns a client in a failure domain. Its calls fail with ErrNoMembership
 // until SetView is called. Tunnels returns the addresses of the entries' tunnels, through
 // which the client connects to members that it cannot reach directly.
 func NewClient(domain string, disksLost int, tunnels func() []string) *Client {
-	return &Client{disksLost: disksLost, domain: domain, tunnels: tunnels, hedges: newHedgeBudget(), links: make(map[string]*link)}
+	return &Client{
+		disksLost: disksLost, domain: domain, tunnels: tunnels, hedges: newHedgeBudget(),
+		links: make(map[string]*link), forwardingPaused: make(map[string]time.Time),
+	}
 }
 
 // SetView adopts the view if it is newer than the current one, and reports whether it
@@ -76,7 +81,7 @@
 	c.view = view
 	wanted := make(map[string]bool, len(view.Seats))
 	for _, seat := range view.Seats {
-		id := seat.Name + "/" + seat.Addr
+		id := linkID(seat)
 		wanted[id] = true
 		if c.links[id] == nil {
 			c.links[id] = newLink(seat, c.tunnels)
@@ -91,6 +96,9 @@
 	return true
 }
 
+// linkID identifies the link to a seat's member.
+func linkID(seat ledger.Seat) string { return seat.Name + "/" + seat.Addr }
+
 // View returns the client's current view.
 func (c *Client) View() ledger.View {
 	c.mu.RLock()
@@ -168,7 +176,10 @@
 	if view.Version == 0 {
 		return nil, &Error{Step: "append", Peer: "no member", Err: ErrNoMembership}
 	}
-	a := &appendCall{client: c, records: records, view: view, acks: make(map[string]bool), done: make(chan struct{})}
+	a := &appendCall{
+		client: c, records: records, view: view, acks: make(map[string]bool), done: make(chan struct{}),
+		deliveries: c.planDeliveries(records, view, links), awaiting: make(map[string]bool), lacking: make(map[string]bool),
+	}
 	for _, l := range links {
 		l.send(a)
 	}
@@ -192,21 +203,38 @@
 	acks     map[string]bool
 	spending ledger.Spending
 	isDone   bool
+	// deliveries are those that have not begun. What is sent to a member again is sent whole.
+	deliveries map[string]delivery
+	// awaiting are the members that wait for forwarded records, lacking those that waited in
+	// vain.
+	awaiting, lacking map[string]bool
 }
 
-func (a *appendCall) request() *ledgerpb.Request {
+func (a *appendCall) request(seat ledger.Seat) *ledgerpb.Request {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.isDone {
+	if a.isDone && !a.lacking[seat.Name] {
 		return nil
 	}
-	return &ledgerpb.Request{
-		ViewVersion: a.view.Version,
-		Call:        &ledgerpb.Request_Append{Append: &ledgerpb.Append{Records: a.records}},
+	delete(a.lacking, seat.Name)
+	how := a.deliveries[seat.Name]
+	delete(a.deliveries, seat.Name)
+	req := &ledgerpb.Request{ViewVersion: a.view.Version}
+	if how.isForwarded {
+		a.awaiting[seat.Name] = true
+		req.Call = &ledgerpb.Request_AwaitRecords{AwaitRecords: &ledgerpb.AwaitRecords{Keys: keysOf(a.records)}}
+	} else {
+		delete(a.awaiting, seat.Name)
+		req.Call = &ledgerpb.Request_Append{Append: &ledgerpb.Append{Records: a.records, ForwardTo: how.forwardTo}}
 	}
+	return req
 }
 
 func (a *appendCall) handleResponse(seat ledger.Seat, response *ledgerpb.Response) {
+	if a.wasNotForwarded(seat, response.GetStatus()) {
+		a.sendWhole(seat)
+		return
+	}
 	if response.GetStatus() == ledgerpb.Status_STATUS_STALE_VIEW {
 		a.restartWithNewerView(response)
 		return
@@ -244,6 +272,7 @@
 	}
 	a.view = current
 	a.acks = make(map[string]bool)
+	a.deliveries, a.awaiting, a.lacking = nil, make(map[string]bool), make(map[string]bool)
 	a.mu.Unlock()
 	for _, l := range links {
 		l.send(a)
@@ -336,7 +365,7 @@
 	return r.isDone
 }
 
-func (r *readCall) request() *ledgerpb.Request {
+func (r *readCall) request(ledger.Seat) *ledgerpb.Request {
 	if r.hasEnded() {
 		return nil
 	}
--- /dev/null
+++ b/ledger/quorum/export_test.go
@@ -0,0 +1,17 @@
+package quorum
+
+// Forwarders returns the number of members that have shown that they forward records.
+func (c *Client) Forwarders() int {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	n := 0
+	for _, l := range c.links {
+		if l.knowsForwarding() {
+			n++
+		}
+	}
+	return n
+}
+
+// Connected returns the number of members with a connection.
+func (c *Client) Connected() int { return c.connectedMembers(func(string) bool { return true }) }
--- a/ledger/quorum/link.go
+++ b/ledger/quorum/link.go
@@ -38,7 +38,7 @@
 // goroutines of the links.
 type call interface {
 	// request returns the frame to send to a member, or nil if the call has ended.
-	request() *ledgerpb.Request
+	request(seat ledger.Seat) *ledgerpb.Request
 	// handleResponse handles a member's response.
 	handleResponse(seat ledger.Seat, response *ledgerpb.Response)
 }
@@ -58,6 +58,8 @@
 	// isTunneled means that the connection goes through a tunnel.
 	isTunneled bool
 	queued     []call
+	// hasForwarding means that the member has shown on this connection that it forwards records.
+	hasForwarding bool
 	// completedAt is when the member last completed a call that may be hedged, and waiting the
 	// number of such calls without a response, which it has had since waitingSince.
 	completedAt, waitingSince time.Time
@@ -192,7 +194,7 @@
 
 func (l *link) setConn(conn *transport.Conn) {
 	l.mu.Lock()
-	l.conn = conn
+	l.conn, l.hasForwarding = conn, false
 	queued := l.queued
 	l.queued = nil
 	l.mu.Unlock()
@@ -237,13 +239,14 @@
 	if conn == nil {
 		return
 	}
-	req := c.request()
+	req := c.request(l.seat)
 	if req == nil {
 		return
 	}
 	l.recordSent(c)
 	conn.Go(req, func(response *ledgerpb.Response, err error) {
 		l.recordEnd(c, response)
+		l.recordForwarding(conn, response)
 		if err != nil {
 			l.sendExceptOn(c, conn)
 			return
@@ -287,6 +290,39 @@
 	}
 }
 
+// recordForwarding records whether the member at the other end of a connection forwards records.
+// Earlier versions do not.
+func (l *link) recordForwarding(conn *transport.Conn, response *ledgerpb.Response) {
+	if !response.GetForwards() {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == conn {
+		l.hasForwarding = true
+	}
+}
+
+// knowsForwarding reports whether the member is connected and forwards records.
+func (l *link) knowsForwarding() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn != nil && l.hasForwarding
+}
+
+// sendOnce sends a request on the current connection, if there is one. Done is called once,
+// whatever becomes of the request.
+func (l *link) sendOnce(req *ledgerpb.Request, done func()) {
+	l.mu.Lock()
+	conn := l.conn
+	l.mu.Unlock()
+	if conn == nil {
+		done()
+		return
+	}
+	conn.Go(req, func(*ledgerpb.Response, error) { done() })
+}
+
 // isStalled reports whether the member has completed none of its calls for lateHedgeDelay.
 func (l *link) isStalled() bool {
 	l.mu.Lock()
--- a/ledger/quorum/link_test.go
+++ b/ledger/quorum/link_test.go
@@ -23,7 +23,7 @@
 	answered  chan struct{}
 }
 
-func (c *reconnectingCall) request() *ledgerpb.Request {
+func (c *reconnectingCall) request(ledger.Seat) *ledgerpb.Request {
 	if c.requests++; c.requests == 1 {
 		c.reconnect()
 	}
--- a/ledger/quorum/load.go
+++ b/ledger/quorum/load.go
@@ -103,7 +103,7 @@
 	isSent   atomic.Bool
 }
 
-func (c *boardCall) request() *ledgerpb.Request {
+func (c *boardCall) request(ledger.Seat) *ledgerpb.Request {
 	if c.isSent.Swap(true) {
 		return nil
 	}
@@ -139,7 +139,7 @@
 	isSent   bool
 }
 
-func (c *loadCall) request() *ledgerpb.Request {
+func (c *loadCall) request(ledger.Seat) *ledgerpb.Request {
 	if c.isSent {
 		return nil
 	}
--- a/ledger/quorum/relay.go
+++ b/ledger/quorum/relay.go
@@ -133,7 +133,7 @@
 	isDone   bool
 }
 
-func (c *relayCall) request() *ledgerpb.Request {
+func (c *relayCall) request(ledger.Seat) *ledgerpb.Request {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.isDone {
--- a/ledger/replica.go
+++ b/ledger/replica.go
@@ -156,6 +156,7 @@
 	liveRecords map[uint32]int
 	// newestSegment is the segment being written; it is never dropped.
 	newestSegment uint32
+	awaits        awaits
 	// nextExpiry is the time of the next check for expired programs.
 	nextExpiry time.Time
 }
@@ -172,6 +173,7 @@
 		turns:       make(map[string]turn),
 		locations:   make(map[Key]Location),
 		liveRecords: make(map[uint32]int),
+		awaits:      newAwaits(),
 	}
 }
 
@@ -209,6 +211,10 @@
 		return r.startAppend(e, now)
 	case Stored:
 		return r.finishAppend(e, now)
+	case RecordsAwaited:
+		return r.awaitRecords(e)
+	case AwaitEnded:
+		return r.endAwait(e)
 	case ChainRequested:
 		return []Effect{r.readChain(e)}
 	case KeysRequested:
@@ -247,6 +253,7 @@
 		if _, stored := r.locations[summary.Key]; !stored {
 			missing = append(missing, rec)
 			summaries = append(summaries, summary)
+			r.awaits.writes[summary.Key]++
 		}
 	}
 	if len(missing) == 0 {
@@ -258,12 +265,14 @@
 // finishAppend indexes the records of a completed write and responds to the append.
 func (r *Replica) finishAppend(e Stored, _ time.Time) []Effect {
 	if e.Failed {
-		return []Effect{Reply{RequestID: e.RequestID, Response: &ledgerpb.Response{Status: ledgerpb.Status_STATUS_FAILED}}}
+		failed := Reply{RequestID: e.RequestID, Response: &ledgerpb.Response{Status: ledgerpb.Status_STATUS_FAILED}}
+		return append([]Effect{failed}, r.endWrites(e.Summaries, false)...)
 	}
 	for i := range e.Summaries {
 		r.indexRecord(&e.Summaries[i], e.Locations[i])
 	}
-	return []Effect{Reply{RequestID: e.RequestID, Response: r.appendResponse(e.Records)}}
+	stored := Reply{RequestID: e.RequestID, Response: r.appendResponse(e.Records)}
+	return append([]Effect{stored}, r.endWrites(e.Summaries, true)...)
 }
 
 // appendResponse returns the response to an append, with the budgets of the programs for
