--- a/relay/accountsoak_test.go
+++ b/relay/accountsoak_test.go
@@ -199,6 +199,8 @@
 
 // checkQuota requires that no account ran more than its quota allows in any window.
 func (s *accountSoak) checkQuota() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for account, q := range s.quotas {
 		if q.PerSecond == 0 {
 			continue
