--- a/ledger/quorum/client.go
+++ b/ledger/quorum/client.go
@@ -62,8 +62,10 @@
 	mu    sync.RWMutex
 	view  ledger.View
 	links map[string]*link
-	// forwardingPaused is the end of the pause of forwarding by failure domain.
+	// forwardingPaused is the end of the pause of forwarding by failure domain, each of which
+	// takes forwardPause.
 	forwardingPaused map[string]time.Time
+	forwardPause     time.Duration
 }
 
 // NewClient returns a client in a failure domain. Its calls fail with ErrNoMembership
@@ -72,7 +74,7 @@
 func NewClient(domain string, disksLost int, tunnels func() []string) *Client {
 	return &Client{
 		disksLost: disksLost, domain: domain, tunnels: tunnels, hedges: newHedgeBudget(),
-		links: make(map[string]*link), forwardingPaused: make(map[string]time.Time),
+		links: make(map[string]*link), forwardingPaused: make(map[string]time.Time), forwardPause: forwardPause,
 	}
 }
 
--- a/ledger/quorum/export_test.go
+++ b/ledger/quorum/export_test.go
@@ -1,5 +1,7 @@
 package quorum
 
+import "time"
+
 // Forwarders returns the number of members that have shown that they forward records.
 func (c *Client) Forwarders() int {
 	c.mu.RLock()
@@ -15,3 +17,6 @@
 
 // Connected returns the number of members with a connection.
 func (c *Client) Connected() int { return c.connectedMembers(func(string) bool { return true }) }
+
+// SetForwardPause sets how long forwarding pauses after records were not forwarded.
+func (c *Client) SetForwardPause(pause time.Duration) { c.forwardPause = pause }
--- a/ledger/quorum/forward.go
+++ b/ledger/quorum/forward.go
@@ -92,7 +92,7 @@
 func (c *Client) pauseForwarding(domain string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.forwardingPaused[domain] = time.Now().Add(forwardPause)
+	c.forwardingPaused[domain] = time.Now().Add(c.forwardPause)
 }
 
 // Forward sends records to one member, if it is connected, for a client that sent them to this
--- a/ledger/quorum/forward_test.go
+++ b/ledger/quorum/forward_test.go
@@ -126,6 +126,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			client, d := domainClient(t, 5, func(d *deliveries, name string) script { return d.forwards(name, awaited) })
+			client.SetForwardPause(time.Minute)
 			appendTurn(t, client, "second", 2048)
 			for _, domain := range [][]string{{"m1", "m2"}, {"m3", "m4"}} {
 				assert.Eventually(t, func() bool { return d.sums(domain...) == [3]int{4, 1, 1} }, 5*time.Second, time.Millisecond)
