--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # the rule was broken, 0 if it held and 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")" || exit 2
 [ -x ../../target/rhubarbsaddled ] && [ -x ../../target/review/cases ] || { echo "build first"; exit 2; }
-exec ../../target/review/cases condemned record.txt
+exec ../../target/review/cases missed record.txt
--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -48,6 +48,7 @@
 	subnet   int
 	stop     chan struct{}
 	closing  sync.Once
+	front    *StoreFront
 }
 
 // New starts the platform's stand-ins. Record is the path of the record that the deployment
@@ -109,6 +110,9 @@
 	for _, e := range d.engines {
 		e.close()
 	}
+	if d.front != nil {
+		_ = d.front.server.Close()
+	}
 	d.Store.Close()
 	// What is left of the temporary folder does not matter.
 	_ = os.RemoveAll(d.Dir)
@@ -121,6 +125,14 @@
 	return fmt.Sprintf("127.%d.%d.%d", 20+d.subnet/200, d.subnet, 10+d.nextIP)
 }
 
+// storeAddr returns the address of the store for the settings.
+func (d *Deployment) storeAddr() string {
+	if d.front != nil {
+		return d.front.addr
+	}
+	return d.Store.Addr()
+}
+
 // freePort returns a port that is free at an address.
 func freePort(ip string) (int, error) {
 	listener, err := net.Listen("tcp", ip+":0")
@@ -261,7 +273,7 @@
 	values := map[string]any{
 		"node_name": m.Name, "role": m.role, "zone": m.domain, "bootstrap": first, "data_dir": m.Data,
 		"listen.front": front, "listen.ready": ready, "listen.control": control,
-		"ip": m.IP, "port_range.0": m.tunnel, "seeds": seeds, "platform.address": m.d.Store.Addr(),
+		"ip": m.IP, "port_range.0": m.tunnel, "seeds": seeds, "platform.address": m.d.storeAddr(),
 		"fault_tolerance.machines": disksLost, "limits.memory_mb": 164, "bounds.grace_s": graceS,
 	}
 	filled := string(text)
