--- a/review/cases/missed.go
+++ b/review/cases/missed.go
@@ -38,7 +38,7 @@
 	if _, err := d.AddEngine("i-02d9e6b4", plainServer, kit.Domains[0], 6, ok); err != nil {
 		return false, "", err
 	}
-	putConfig(d, 7, false)
+	putConfig(d, 7)
 	s, err := start(d, 3)
 	if err != nil {
 		return false, "", err
@@ -50,11 +50,11 @@
 	if trouble {
 		front.SetSlow(slowFactor)
 		time.Sleep(time.Second)
-		front.Compact(time.Second, func() { putConfig(d, 8, false) })
+		front.Compact(time.Second, func() { putConfig(d, 8) })
 	}
 	time.Sleep(configDelay)
 	// This version adds a route. The one before has none that matches its requests.
-	putConfigWith(d, 9, false, "/nova555/")
+	putConfigWith(d, 9, "/nova555/")
 	written := time.Now()
 	time.Sleep(time.Until(began.Add(slowTime)))
 	if trouble {
--- a/review/cases/replaced.go
+++ b/review/cases/replaced.go
@@ -26,7 +26,7 @@
 			return false, "", err
 		}
 	}
-	putConfig(d, 7, false)
+	putConfig(d, 7)
 	s, err := start(d, 3)
 	if err != nil {
 		return false, "", err
@@ -51,7 +51,7 @@
 	time.Sleep(catchUp + 500*time.Millisecond)
 
 	// The final fault comes right after a change of the configuration.
-	putConfig(d, 9, false)
+	putConfig(d, 9)
 	lost := s.members[0]
 	lost.Signal(syscall.SIGKILL)
 	lost.Wait()
--- a/review/cases/slowreader.go
+++ b/review/cases/slowreader.go
@@ -39,7 +39,7 @@
 	if _, err := d.AddEngine("i-02d9e6b4", plainServer, kit.Domains[0], 6, handler); err != nil {
 		return false, "", err
 	}
-	putConfig(d, 7, false)
+	putConfig(d, 7)
 	s, err := start(d, 1)
 	if err != nil {
 		return false, "", err
