ledger: a member that stops gives up its seat; settled views; no dead seat keeps a lost disk from recovering

Cause: the dead seat and the member that recovered waited for each other. The seat counted until others had missed it for 8 s, and was removed only if all others were ready and 2f+1 seats remained; the member with the empty disk needed the dead one as a source, since with four seats all three others are sources, and with three seats both.

Change: on SIGTERM a member hands over its records and changes the view so that its seat does not count, if f+1 others are ready; it joins again when it is back. A silent member is removed if f+1 seats remain. A view is settled once its members have exchanged all records under it; in a settled view that the store confirms to be the latest, four seats need two sources. With fewer than 2f+1 seats the seats change only in a settled view.

--- a/daemon/resident/ledger.go
+++ b/daemon/resident/ledger.go
@@ -5,6 +5,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/discovery"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
@@ -17,11 +18,17 @@
 // holds is allocated: frequent collections would take a third of the time.
 const loadGCPercent = 100
 
+// leaveShare is the share of the time between SIGTERM and SIGKILL in which a ledger member gives
+// up its seat.
+const leaveShare = 0.5
+
 // runLedger runs a ledger member until SIGTERM. Its records are durable once they are
 // acknowledged, so it may stop at any moment.
 func (p *process) runLedger(ctx context.Context) error {
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	terminated, stopNotify := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stopNotify()
 	var follower *discovery.Follower
 	follower = p.newFollower(func() []string { return p.ledgerAddrs(follower.Directory.Snapshot()) }, func(discovery.Snapshot) {})
 	go follower.RunWithRole(ctx, p.isStandby)
@@ -40,6 +47,12 @@
 		return err
 	}
 	m.Register(p.registry)
+	context.AfterFunc(terminated, func() {
+		defer stop()
+		leaving, cancel := context.WithTimeout(ctx, time.Duration(leaveShare*float64(p.settings.Bounds.Grace())))
+		defer cancel()
+		m.Leave(leaving)
+	})
 	return m.Run(ctx)
 }
 
--- a/ledger/member/copy.go
+++ b/ledger/member/copy.go
@@ -32,7 +32,6 @@
 // view does not have it in the size of a quorum.
 func (m *Member) recover(ctx context.Context, view ledger.View) error {
 	damages := m.damages.Load()
-	needed := view.CopySources(m.options.Name, m.options.DisksLost)
 	copied := 0
 	for _, seat := range view.Counting() {
 		if seat.Name == m.options.Name || !seat.Ready {
@@ -46,7 +45,7 @@
 		copied++
 		m.log.Info().Str("event", "copied").Str("peer", seat.Name).Int("records", records).Msg("")
 	}
-	if copied < needed {
+	if needed := m.neededSources(ctx, view, copied); copied < needed {
 		return &Error{Step: "copy", Peer: fmt.Sprintf("%d of %d members", copied, needed), Err: errTooFewSources}
 	}
 	if m.damages.Load() != damages {
@@ -64,6 +63,18 @@
 	return nil
 }
 
+// neededSources returns the number of members from which this one has to copy under a view. It
+// reads the store only if fewer suffice because the view is the latest one.
+func (m *Member) neededSources(ctx context.Context, view ledger.View, copied int) int {
+	needed := view.CopySources(m.options.Name, m.options.DisksLost)
+	if fewer := view.LatestCopySources(m.options.Name, m.options.DisksLost); fewer <= copied && copied < needed {
+		if stored, _, err := m.storedView(ctx); err == nil && stored.Version == view.Version {
+			return fewer
+		}
+	}
+	return needed
+}
+
 // becomeReady marks the disk as complete and lets the member count towards quorums, unless more
 // damages than those are found.
 func (m *Member) becomeReady(damages uint64) error {
--- a/ledger/member/member.go
+++ b/ledger/member/member.go
@@ -69,13 +69,16 @@
 	// hadSeat means that this process has had a seat. retired means that its seat was
 	// removed because operators retired the VM. Only maintainSeat uses these fields.
 	hadSeat, retired bool
-	// awaitedVersion is the view in which this member waits for a seat, since awaitedSince.
-	// Only maintainSeat uses these fields.
-	awaitedVersion uint64
-	awaitedSince   time.Time
-	replica        *ledger.Replica
-	mailbox        *mailbox.Mailbox
-	commits        chan ledger.Write
+	// seenVersion is the version of the view that this member has seen since seenSince. It does
+	// not settle that view before settleAfter. Only maintainSeat uses these fields.
+	seenVersion            uint64
+	seenSince, settleAfter time.Time
+	// leave is closed by Leave, left once maintainSeat has ended.
+	leave, left chan struct{}
+	leaveOnce   sync.Once
+	replica     *ledger.Replica
+	mailbox     *mailbox.Mailbox
+	commits     chan ledger.Write
 	// panicked receives the error if the replica panics; the member then has to stop.
 	panicked chan error
 	// peers is the client with which this member relays records for entries. It
@@ -106,10 +109,11 @@
 		panicked: make(chan error, 1),
 		pending:  make(map[uint64]func(*ledgerpb.Response)),
 		load:     loadboard.New(),
-		relays:   newBacklog(maxRelays, maxRelayBytes, relayTarget),
-		appends:  newBacklog(maxAppends, maxAppendBytes, 0),
-		reads:    newBacklog(maxReads, 0, 0),
-		awaits:   newBacklog(maxAwaits, 0, 0),
+		leave:    make(chan struct{}), left: make(chan struct{}),
+		relays:  newBacklog(maxRelays, maxRelayBytes, relayTarget),
+		appends: newBacklog(maxAppends, maxAppendBytes, 0),
+		reads:   newBacklog(maxReads, 0, 0),
+		awaits:  newBacklog(maxAwaits, 0, 0),
 		// The list of tunnels is empty. A member needs none: if it cannot reach a
 		// quorum, the entry that called it tries another member.
 		peers: quorum.NewClient(options.Domain, options.DisksLost, func() []string { return nil }),
--- a/ledger/member/seat.go
+++ b/ledger/member/seat.go
@@ -16,6 +16,10 @@
 )
 
 const (
+	// settleDelay is how long a member waits for each one before it in the view to settle it.
+	settleDelay = time.Second
+	// settleRetryDelay is the time after a failed attempt to settle the view.
+	settleRetryDelay = 2 * time.Second
 	// seatCheckPeriod is the average time between two checks of the view.
 	seatCheckPeriod = 300 * time.Millisecond
 	// unresponsiveAfter is the time without a response after which another member may
@@ -39,7 +43,10 @@
 // maintainSeat keeps the member's seat in the view up to date until ctx ends.
 func (m *Member) maintainSeat(ctx context.Context) {
 	for ctx.Err() == nil {
-		ctxwait.Sleep(ctx, seatCheckPeriod/2+rand.N(seatCheckPeriod))
+		if m.sleepUntilLeave(ctx, seatCheckPeriod/2+rand.N(seatCheckPeriod)) {
+			m.leaveSeat(ctx)
+			return
+		}
 		if err := m.reconcileSeat(ctx); err != nil {
 			m.log.Warn().Str("event", "seat_step_failed").Err(err).Msg("retrying")
 		}
@@ -55,6 +62,10 @@
 		m.handledDamages = damages
 	}
 	view := m.options.Directory.View()
+	if view.Version != m.seenVersion {
+		m.seenVersion, m.seenSince = view.Version, time.Now()
+		m.settleAfter = m.seenSince.Add(time.Duration(view.Rank(m.options.Name)) * settleDelay)
+	}
 	if m.isRetiring() {
 		return m.retire(ctx, view)
 	}
@@ -76,19 +87,20 @@
 	if seat != m.seat(true) {
 		return m.compareAndSwapView(ctx, view, view.With(m.seat(true)))
 	}
+	if view.NeedsSettling(m.options.DisksLost) && time.Now().After(m.settleAfter) {
+		m.settleAfter = time.Now().Add(settleRetryDelay)
+		return m.settle(ctx, view)
+	}
 	return nil
 }
 
 // mayTakeSeat reports whether a member without a seat may take one now. It waits while all
 // seats are taken, and longer the more seats its failure domain has.
 func (m *Member) mayTakeSeat(view ledger.View) bool {
-	if view.Version != m.awaitedVersion {
-		m.awaitedVersion, m.awaitedSince = view.Version, time.Now()
-	}
 	if view.IsFull(m.options.DisksLost) {
 		return false
 	}
-	return time.Since(m.awaitedSince) >= time.Duration(view.SeatsIn(m.options.Domain))*seatSpreadDelay
+	return time.Since(m.seenSince) >= time.Duration(view.SeatsIn(m.options.Domain))*seatSpreadDelay
 }
 
 func (m *Member) seat(ready bool) ledger.Seat {
@@ -109,6 +121,9 @@
 		// The store has a view, but this member has not read it yet.
 		return nil
 	}
+	if !m.options.FirstStart && !view.MayChange(m.options.DisksLost) {
+		return nil
+	}
 	if !m.options.FirstStart || m.hadSeat {
 		if err := m.markIncomplete(); err != nil {
 			return err
@@ -240,21 +255,15 @@
 // another version, it adopts that one instead and returns nil. If the view changes
 // concurrently, it returns errViewChanged.
 func (m *Member) compareAndSwapView(ctx context.Context, view, next ledger.View) error {
-	current, err := m.options.Store.Get(ctx, discovery.ViewKey)
+	stored, revision, err := m.storedView(ctx)
 	if err != nil {
-		return &Error{Step: "join", Peer: discovery.ViewKey, Err: err}
-	}
-	stored := ledger.View{}
-	if current.Revision != 0 {
-		if stored, err = ledger.DecodeView(current.Value); err != nil {
-			return &Error{Step: "join", Peer: discovery.ViewKey, Err: err}
-		}
+		return err
 	}
 	if stored.Version != view.Version {
 		m.options.Directory.MergeView(stored)
 		return nil
 	}
-	result, err := m.options.Store.CompareAndSwap(ctx, store.CompareAndSwapRequest{Key: discovery.ViewKey, Revision: current.Revision, Value: next.Encode()})
+	result, err := m.options.Store.CompareAndSwap(ctx, store.CompareAndSwapRequest{Key: discovery.ViewKey, Revision: revision, Value: next.Encode()})
 	if err != nil {
 		return &Error{Step: "join", Peer: discovery.ViewKey, Err: err}
 	}
@@ -266,6 +275,23 @@
 	return nil
 }
 
+// storedView reads the view from the store, with the revision of its record. Before the first
+// one is written, both are zero.
+func (m *Member) storedView(ctx context.Context) (ledger.View, int64, error) {
+	current, err := m.options.Store.Get(ctx, discovery.ViewKey)
+	if err != nil {
+		return ledger.View{}, 0, &Error{Step: "read view", Peer: discovery.ViewKey, Err: err}
+	}
+	if current.Revision == 0 {
+		return ledger.View{}, 0, nil
+	}
+	view, err := ledger.DecodeView(current.Value)
+	if err != nil {
+		return ledger.View{}, 0, &Error{Step: "read view", Peer: discovery.ViewKey, Err: err}
+	}
+	return view, current.Revision, nil
+}
+
 func (m *Member) isRetiring() bool { return m.options.Directory.Value(m.options.RetireKey) != nil }
 
 // retire hands over all records to the other members, removes this member's seat and
@@ -372,6 +398,24 @@
 	}
 }
 
+// settle lets all members whose seats count exchange their records under the view, and marks it
+// as settled.
+func (m *Member) settle(ctx context.Context, view ledger.View) error {
+	others := slices.DeleteFunc(view.Counting(), func(s ledger.Seat) bool { return s.Name == m.options.Name })
+	for _, seat := range others {
+		if !seat.Ready || !m.isReady(ctx, seat, view.Version) {
+			return nil
+		}
+	}
+	if err := m.copyFromAll(ctx, others, view.Version); err != nil {
+		return err
+	}
+	if err := m.handOver(ctx, others, view.Version); err != nil {
+		return err
+	}
+	return m.compareAndSwapView(ctx, view, view.AsSettled())
+}
+
 // mayRemove reports whether an unresponsive member may be removed. One whose seat is joining
 // is in no quorum, so it may be removed even while others are not ready.
 func (m *Member) mayRemove(view ledger.View, name string) bool {
--- a/ledger/view.go
+++ b/ledger/view.go
@@ -33,6 +33,10 @@
 type View struct {
 	Version uint64 `json:"version"`
 	Seats   []Seat `json:"seats"`
+	// Settled means that the members whose seats count have exchanged all records under this
+	// view: each of them had what quorums of earlier views have stored. Views of older processes
+	// are not settled.
+	Settled bool `json:"settled,omitempty"`
 }
 
 // DecodeView decodes a view as written by Encode.
@@ -88,10 +92,29 @@
 // date from an earlier view with one more seat, whose quorums have the same size.
 // Such a quorum may include the member that has been removed since.
 func (v View) CopySources(name string, disksLost int) int {
-	n, others := v.size()-v.Quorum(disksLost)+1, v.size()
+	n := v.intersecting(disksLost)
 	if v.size()%2 == 0 {
 		n++
 	}
+	return v.atMostOthers(n, name)
+}
+
+// LatestCopySources is CopySources for a view that was the latest one after the member had copied.
+// If it is settled, no quorum of an earlier view matters.
+func (v View) LatestCopySources(name string, disksLost int) int {
+	isChanging := slices.ContainsFunc(v.Seats, func(s Seat) bool { return s.Joining })
+	if !v.Settled || isChanging {
+		return v.CopySources(name, disksLost)
+	}
+	return v.atMostOthers(v.intersecting(disksLost), name)
+}
+
+// intersecting returns how many members have one in common with every quorum.
+func (v View) intersecting(disksLost int) int { return v.size() - v.Quorum(disksLost) + 1 }
+
+// atMostOthers bounds n by the number of other members whose seats count. It is at least 1.
+func (v View) atMostOthers(n int, name string) int {
+	others := v.size()
 	if v.Counts(name) {
 		others--
 	}
@@ -107,6 +130,15 @@
 	return v.Seats[i], true
 }
 
+// Rank returns the number of seats before that of the named member, or of all seats if it has
+// none.
+func (v View) Rank(name string) int {
+	if i := v.index(name); i >= 0 {
+		return i
+	}
+	return len(v.Seats)
+}
+
 func (v View) index(name string) int {
 	return slices.IndexFunc(v.Seats, func(s Seat) bool { return s.Name == name })
 }
@@ -119,6 +151,7 @@
 	i := v.index(seat.Name)
 	seat.Joining = !seat.Ready && !v.Counts(seat.Name)
 	if i >= 0 {
+		next.Settled = v.Settled && seat.Joining == v.Seats[i].Joining
 		next.Seats[i] = seat
 		return next
 	}
@@ -159,6 +192,35 @@
 	return next
 }
 
+// Leaving returns the next view, in which the seat of a member that stops does not count. The
+// member keeps the seat, and joins when it is back, unless its seat has to count at once then
+// (see Adding).
+func (v View) Leaving(name string, disksLost int) View {
+	next := v.Without(name)
+	if seat, seated := v.Seat(name); seated && next.size() >= minSeats(disksLost) {
+		seat.Ready = false
+		next = next.With(seat)
+		next.Version = v.Version + 1
+	}
+	return next
+}
+
+// AsSettled returns the next view, which is settled.
+func (v View) AsSettled() View {
+	return View{Version: v.Version + 1, Seats: slices.Clone(v.Seats), Settled: true}
+}
+
+// NeedsSettling reports whether a member that loses its disk needs fewer sources, or whether the
+// seats that count may change again, once the view is settled.
+func (v View) NeedsSettling(disksLost int) bool {
+	return !v.Settled && (v.size()%2 == 0 || v.size() < minSeats(disksLost))
+}
+
+// MayChange reports whether the seats that count may change. While fewer count than the loss of
+// disksLost disks requires, a record of an earlier quorum may be at one member only until the
+// view is settled.
+func (v View) MayChange(disksLost int) bool { return v.Settled || v.size() >= minSeats(disksLost) }
+
 // AllReadyExcept reports whether all seats except that of the named member are ready, and so
 // none is joining. Only then may the number of seats that count change again: after each
 // change, records written to a quorum of the previous view have one copy too few until the
@@ -192,8 +254,10 @@
 	return n
 }
 
-// CanRemoveSeat reports whether the named member's seat can be removed such that the remaining
-// members still tolerate the loss of disksLost disks. A joining seat always can.
+// CanRemoveSeat reports whether the named member's seat can be removed such that each record
+// still survives the loss of disksLost disks. With fewer than minSeats, quorums include all
+// members, so an unresponsive one that kept its seat would keep one with an empty disk from
+// recovering. A joining seat can always be removed.
 func (v View) CanRemoveSeat(name string, disksLost int) bool {
-	return !v.Counts(name) || v.size()-1 >= minSeats(disksLost)
+	return !v.Counts(name) || v.size()-1 > disksLost && v.MayChange(disksLost)
 }
