discovery: the revision up to which all changes are known is not that of the newest record

Cause: a read of the whole content is complete up to the revision of its first page, but has newer records from later pages. Followers of a member took the highest revision of a record for the one up to which they knew everything, and never asked for what was written to keys of earlier pages. It holds for every key: engines that drain or are gone, retirements, the membership.

Change: only the source says up to which revision its changes are complete: the first page of a read, the answer to a watch, a member's state. The watch passes that revision on. Followers are woken by a new revision also if its record was known. A follower that lags behind a member which read the content anew gets the complete state: from the differences, it kept a key that came and went in between and that only another member had told it of.

--- a/adapter/etcdjson/watch.go
+++ b/adapter/etcdjson/watch.go
@@ -19,7 +19,7 @@
 // Watch calls fn with the keys that begin with prefix and have changed since the
 // given revision. It returns when ctx is done or the connection is lost, always
 // with an error. A removed key is reported with revision zero.
-func (c *Client) Watch(ctx context.Context, prefix string, after int64, fn func([]core.StoreRecord)) error {
+func (c *Client) Watch(ctx context.Context, prefix string, after int64, fn func(changes []core.StoreRecord, revision int64)) error {
 	op := operation{step: store.StepWatch, path: PathWatch, key: prefix}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(context.Canceled)
@@ -46,7 +46,7 @@
 
 // readWatch reads the messages of a watch until reading fails. It calls onMessage
 // for every message, and fn with the changes of messages that contain any.
-func (c *Client) readWatch(ctx context.Context, op operation, body io.Reader, onMessage func(), fn func([]core.StoreRecord)) error {
+func (c *Client) readWatch(ctx context.Context, op operation, body io.Reader, onMessage func(), fn func([]core.StoreRecord, int64)) error {
 	decoder := json.NewDecoder(body)
 	for {
 		var m WatchResponse
@@ -65,7 +65,9 @@
 		}
 		onMessage()
 		if len(m.Result.Events) > 0 {
-			fn(c.changes(m.Result.Events))
+			// Events are in the order of their revisions, and those of one revision in one message.
+			last := m.Result.Events[len(m.Result.Events)-1].KV
+			fn(c.changes(m.Result.Events), int64(last.ModRevision))
 		}
 	}
 }
--- a/daemon/node/follow.go
+++ b/daemon/node/follow.go
@@ -92,7 +92,7 @@
 	}
 	n.outages.record("watch "+prefix, nil)
 	n.applyStoreChanges(records)
-	return n.options.Store.Watch(ctx, prefix, revision, n.applyStoreChanges)
+	return n.options.Store.Watch(ctx, prefix, revision, func(changes []core.StoreRecord, _ int64) { n.applyStoreChanges(changes) })
 }
 
 func (n *Node) applyStoreChanges(records []core.StoreRecord) {
--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -56,10 +56,12 @@
 
 	mu sync.Mutex
 	// records holds the records of all keys, including removed ones.
-	records  map[string]core.StoreRecord
+	records map[string]core.StoreRecord
+	// revision is that up to which records has all changes. Single records may be newer: the
+	// store's content is read in pages, each as of a later revision than the one before.
 	revision int64
-	// changes are the latest changes, oldest first. They are complete for followers
-	// whose revision is at least changesFrom.
+	// changes are changes after changesFrom, in the order in which they were applied. They are
+	// complete for followers whose revision is at least changesFrom.
 	changes     []core.StoreRecord
 	changesFrom int64
 	// storeConnected is set while this process has a connection to the store itself.
@@ -91,14 +93,17 @@
 	}
 }
 
-// ApplySnapshot replaces the records with the store's complete content as of a
-// revision. It ignores a snapshot that is older than the directory.
+// ApplySnapshot replaces the records with the store's content, complete up to a revision. It
+// ignores a snapshot that is older than the directory. Followers that lack changes before that
+// revision need the complete state: they may know keys that came and went in between.
 func (d *Directory) ApplySnapshot(records []core.StoreRecord, revision int64, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if revision < d.revision {
 		return
 	}
+	d.revision, d.changesFrom = revision, max(d.changesFrom, revision)
+	d.changes = slices.DeleteFunc(d.changes, func(e core.StoreRecord) bool { return e.Revision <= d.changesFrom })
 	listed := make(map[string]bool, len(records))
 	for _, e := range records {
 		listed[e.Key] = true
@@ -112,23 +117,23 @@
 	for _, e := range records {
 		changed = d.apply(e, now) || changed
 	}
-	d.revision = revision
-	if changed {
-		d.publish()
-	}
+	d.publishOrWake(changed)
 }
 
-// ApplyChanges applies changes of the store up to a revision.
+// ApplyChanges applies changes of the store. The directory then has all changes up to revision,
+// or up to its own if that is higher; those to a follower that had all up to an earlier revision
+// are complete from there on. The revisions of records say nothing of other records.
 func (d *Directory) ApplyChanges(records []core.StoreRecord, revision int64, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	changed := false
 	for _, e := range records {
 		changed = d.apply(e, now) || changed
-		revision = max(revision, e.Revision)
 	}
-	d.revision = max(d.revision, revision)
-	if changed {
+	if revision > d.revision {
+		d.revision = revision
+		d.publishOrWake(changed)
+	} else if changed {
 		d.publish()
 	}
 }
@@ -185,10 +190,10 @@
 	return true
 }
 
-// bufferChange buffers a change for followers.
+// bufferChange buffers a change for followers that have all changes before it.
 func (d *Directory) bufferChange(e core.StoreRecord) {
-	if len(d.changes) == 0 {
-		d.changesFrom = d.revision
+	if e.Revision <= d.changesFrom {
+		return
 	}
 	d.changes = append(d.changes, e)
 	if len(d.changes) > maxChanges {
@@ -245,6 +250,16 @@
 	d.wake()
 }
 
+// publishOrWake passes a changed snapshot on, or only tells followers of a new revision: a record
+// that the directory already had may be among the changes up to it.
+func (d *Directory) publishOrWake(changed bool) {
+	if changed {
+		d.publish()
+		return
+	}
+	d.wake()
+}
+
 // wake notifies all waiters of a change.
 func (d *Directory) wake() {
 	close(d.updated)
--- a/discovery/directory_test.go
+++ b/discovery/directory_test.go
@@ -89,6 +89,74 @@
 	assert.Equal(t, leader.Snapshot().Targets, follower.Snapshot().Targets)
 }
 
+// assertClosed asserts that followers which wait for a change are told of one.
+func assertClosed(t *testing.T, changed <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-changed:
+	default:
+		assert.Fail(t, "followers are not told of the change")
+	}
+}
+
+// The store's pages are as of different revisions. Followers took the highest revision of a
+// record for that up to which they had all changes, and missed what was written to keys of earlier
+// pages meanwhile, such as a configuration, for good.
+func TestFollowersGetChangesToKeysOfEarlierPages(t *testing.T) {
+	member, follower := newDirectory(), newDirectory()
+	merge := func() {
+		state, _ := member.ChangesSince(follower.Revision())
+		follower.Merge(state, now)
+	}
+	pages := []core.StoreRecord{record(platform.ConfigKey, 3, string(config(1))), record("servers/a", 4, target), record("servers/z", 9, target)}
+	member.ApplySnapshot(pages, 5, now)
+	merge()
+	assert.EqualValues(t, 5, follower.Revision())
+	_, changed := member.ChangesSince(follower.Revision())
+	member.ApplyChanges([]core.StoreRecord{record("op/retire/m1", 6, "{}"), record(platform.ConfigKey, 7, string(config(2))), {Key: "servers/a", Revision: 8}}, 8, now)
+	assertClosed(t, changed)
+	merge()
+	assert.EqualValues(t, 2, follower.Snapshot().Config.Version)
+	assert.Equal(t, "{}", string(follower.Value("op/retire/m1")))
+	require.Len(t, follower.Snapshot().Targets, 1)
+	assert.Equal(t, "z", follower.Snapshot().Targets[0].ID)
+
+	_, changed = member.ChangesSince(follower.Revision())
+	member.ApplyChanges([]core.StoreRecord{record("servers/z", 9, target)}, 9, now)
+	assertClosed(t, changed)
+	merge()
+	assert.EqualValues(t, 9, follower.Revision(), "the member has nothing new, but is further")
+}
+
+// A follower of two members knew a key that came and went between two snapshots of one of them,
+// and never heard that it was gone.
+func TestFollowerDropsKeysThatOneMemberNeverSaw(t *testing.T) {
+	early, late, follower := newDirectory(), newDirectory(), newDirectory()
+	early.ApplySnapshot([]core.StoreRecord{record("servers/a", 2, target)}, 4, now)
+	late.ApplySnapshot([]core.StoreRecord{record("servers/a", 2, target), record("servers/b", 5, target)}, 5, now)
+	state, _ := late.ChangesSince(0)
+	follower.Merge(state, now)
+	require.Len(t, follower.Snapshot().Targets, 2)
+	early.ApplySnapshot([]core.StoreRecord{record("servers/a", 2, target), record("servers/c", 7, target)}, 8, now)
+	state, _ = early.ChangesSince(follower.Revision())
+	follower.Merge(state, now)
+	assert.Equal(t, early.Snapshot().Targets, follower.Snapshot().Targets)
+}
+
+// A record of a later page stays a change for followers when the content is read again before
+// the watch has delivered it.
+func TestFollowersGetRecordsNewerThanTheRevision(t *testing.T) {
+	member, follower := newDirectory(), newDirectory()
+	follower.ApplySnapshot([]core.StoreRecord{record("servers/a", 2, target)}, 5, now)
+	for range 2 {
+		member.ApplySnapshot([]core.StoreRecord{record("servers/a", 2, target), record("servers/z", 9, target)}, 5, now)
+	}
+	member.ApplyChanges(nil, 9, now)
+	state, _ := member.ChangesSince(follower.Revision())
+	follower.Merge(state, now)
+	assert.Len(t, follower.Snapshot().Targets, 2)
+}
+
 // Entries write nothing to the store. They announce their tunnels to members, and members
 // pass the addresses on to other entries.
 func TestTunnelsAreReceivedFromMembers(t *testing.T) {
--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -129,9 +129,9 @@
 	}
 	f.Directory.ApplySnapshot(records, revision, time.Now())
 	f.recordConnected(onResponse)
-	return f.Store.Watch(ctx, "", revision, func(changes []core.StoreRecord) {
+	return f.Store.Watch(ctx, "", revision, func(changes []core.StoreRecord, revision int64) {
 		f.recordConnected(onResponse)
-		f.Directory.ApplyChanges(changes, 0, time.Now())
+		f.Directory.ApplyChanges(changes, revision, time.Now())
 	})
 }
 
--- a/standin/kv/kv_test.go
+++ b/standin/kv/kv_test.go
@@ -160,7 +160,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), eventuallyTimeout)
 	defer cancel()
 	var changes []core.StoreRecord
-	err := c.Watch(ctx, "slots/", after, func(records []core.StoreRecord) {
+	err := c.Watch(ctx, "slots/", after, func(records []core.StoreRecord, _ int64) {
 		changes = append(changes, records...)
 		if len(changes) >= n {
 			cancel()
@@ -188,7 +188,7 @@
 	done := make(chan error, 1)
 	began := make(chan struct{})
 	go func() {
-		done <- c.Watch(context.Background(), "slots/", 0, func([]core.StoreRecord) { close(began) })
+		done <- c.Watch(context.Background(), "slots/", 0, func([]core.StoreRecord, int64) { close(began) })
 	}()
 	<-began
 	s.SetOutage(true)
@@ -201,7 +201,7 @@
 	done := make(chan error, 1)
 	began := make(chan struct{})
 	go func() {
-		done <- c.Watch(context.Background(), "slots/", 0, func([]core.StoreRecord) { close(began) })
+		done <- c.Watch(context.Background(), "slots/", 0, func([]core.StoreRecord, int64) { close(began) })
 	}()
 	<-began
 	s.MakeUnresponsive()
--- a/store/store.go
+++ b/store/store.go
@@ -42,8 +42,9 @@
 type Store interface {
 	// Get reads one key.
 	Get(ctx context.Context, key string) (core.StoreRecord, error)
-	// Range reads all keys that begin with prefix, in order. It also returns the
-	// revision of the store at that instant; a Watch after it misses no change.
+	// Range reads all keys that begin with prefix, in order. It also returns a revision:
+	// all changes up to it are included, and a Watch after it misses no later one. Records
+	// may be newer than that revision.
 	Range(ctx context.Context, prefix string) ([]core.StoreRecord, int64, error)
 	// CompareAndSwap writes a key if it has the expected revision. If an error has
 	// Unknown set, the write may have taken effect.
@@ -55,10 +56,11 @@
 	// Revoke ends a lease and removes its keys.
 	Revoke(ctx context.Context, lease LeaseID) error
 	// Watch calls fn with the keys that begin with prefix and have changed since the
-	// given revision. It returns when ctx is done or the connection is lost. A
-	// removed key is reported with a nil value and the revision of its removal, or
-	// with revision zero if the service does not report that revision.
-	Watch(ctx context.Context, prefix string, after int64, fn func([]core.StoreRecord)) error
+	// given revision, and with the revision up to which fn has got all changes. It returns
+	// when ctx is done or the connection is lost. A removed key is reported with a nil
+	// value and the revision of its removal, or with revision zero if the service does not
+	// report that revision.
+	Watch(ctx context.Context, prefix string, after int64, fn func(changes []core.StoreRecord, revision int64)) error
 }
 
 // Step names the operation that failed.
