quarantine: targets that end together are one incident; condemned requests are tried again

Cause: three crashes at one moment counted as three observations, although they show no more than one; and only a completed request of the path could have cleared it, of which none ran.

Change: crashes that have the same moment, of requests that were all under way, are one incident, and three incidents condemn. A repeat reaches its target after the one before has ended, so it counts by itself. A condemned request or path is tried again by one request 30 to 60 s after the last crash, and after twice the time with each further incident.

TestPathIsServedAfterTargetsEndTogether fails on ("expected: 200, actual: 502").

--- a/ledger/load.go
+++ b/ledger/load.go
@@ -102,6 +102,7 @@
 		facts = append(facts, &ledgerpb.Fact{
 			Kind: ledgerpb.Fact_Kind(f.Kind), Subject: f.Subject, Target: f.Target, TargetId: f.TargetID,
 			BeforeFirstEvent: f.BeforeFirstEvent, AgeUs: uint64(max(0, f.Age.Microseconds())),
+			RanUs: uint64(max(0, f.Ran.Microseconds())),
 		})
 	}
 	return facts
@@ -118,6 +119,7 @@
 		facts = append(facts, loadboard.Fact{
 			Kind: kind, Subject: f.GetSubject(), Target: f.GetTarget(), TargetID: f.GetTargetId(),
 			BeforeFirstEvent: f.GetBeforeFirstEvent(), Age: time.Duration(f.GetAgeUs()) * time.Microsecond,
+			Ran: time.Duration(f.GetRanUs()) * time.Microsecond,
 		})
 	}
 	return facts
--- a/loadboard/facts.go
+++ b/loadboard/facts.go
@@ -44,6 +44,8 @@
 	BeforeFirstEvent bool
 	// Age is the time since the observation.
 	Age time.Duration
+	// Ran is how long the target had had the request at its crash; only for a Crash.
+	Ran time.Duration
 }
 
 // FactPosition is how far a process has read the facts of a board. The zero value is the
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -14,11 +14,16 @@
 )
 
 const (
-	// maxCrashes is the number of targets that a request may crash. After that, it reaches no
-	// further target.
-	maxCrashes = 3
-	// minUnexplained is how many of these crashes no other subject may explain.
+	// maxIncidents is the number of incidents after which a request reaches no further target.
+	maxIncidents = 3
+	// minUnexplained is how many of these no other subject may explain.
 	minUnexplained = 2
+	// incidentTime is the time within which processes notice crashes that have one cause.
+	incidentTime = time.Second
+	// trialDelay is the least time after the last crash or trial after which a condemned request
+	// may reach a target again, to see whether it still crashes it. It doubles with each further
+	// incident, up to crashTTL. Up to as much again is added at random for each process.
+	trialDelay = 30 * time.Second
 	// maxKeptCrashes bounds the crashes that are remembered of one subject.
 	maxKeptCrashes = 32
 	// crashTTL is how long crashes are remembered after the last one.
@@ -63,7 +68,9 @@
 	TargetID string
 	// BeforeFirstEvent means that the request had no answer yet.
 	BeforeFirstEvent bool
-	At               time.Time
+	// StartedAt is when the target got the request, or zero if that is not known.
+	StartedAt time.Time
+	At        time.Time
 }
 
 // record is what is known of one subject. Invariant: the crashes are at different targets, none
@@ -75,15 +82,22 @@
 	isConfirmed bool
 	// completions is the number of requests that the service had executed at the first crash.
 	completions uint64
+	// triedAt is when a condemned request last passed as a trial.
+	triedAt time.Time
 }
 
 // Tracker remembers what was in flight at crashed targets. It is not safe for concurrent use.
 type Tracker struct {
 	records map[uint64]*record
+	// spread delays the trials of this process.
+	spread float64
 }
 
-// NewTracker returns an empty tracker.
-func NewTracker() *Tracker { return &Tracker{records: make(map[uint64]*record)} }
+// NewTracker returns an empty tracker. Spread, from 0 to 1, differs between processes, so that
+// they do not all try a request at the same time.
+func NewTracker(spread float64) *Tracker {
+	return &Tracker{records: make(map[uint64]*record), spread: spread}
+}
 
 // RecordCrash records that a target's process ended while it had a request. Completions is the
 // number of requests that the service has executed so far. It returns false if the crash is
@@ -124,10 +138,10 @@
 }
 
 // Confirm records that the targets do not crash by themselves if the service has executed
-// enough other requests since the first of maxCrashes crashes. It reports whether this is new.
+// enough other requests since the first of maxIncidents incidents. It reports whether this is new.
 func (t *Tracker) Confirm(id uint64, completions uint64) (isNew bool) {
 	r := t.records[id]
-	if r == nil || r.isConfirmed || len(r.crashes) < maxCrashes || completions < r.completions+minCompletions {
+	if r == nil || r.isConfirmed || incidents(r.crashes) < maxIncidents || completions < r.completions+minCompletions {
 		return false
 	}
 	r.isConfirmed = true
@@ -147,10 +161,48 @@
 // many requests may have their path in common.
 func (t *Tracker) IsCondemned(s Subject, now time.Time) bool {
 	r := t.current(s.ID, now)
-	if r == nil || len(r.crashes) < maxCrashes || !r.isConfirmed && (s.IsResource || now.Sub(r.lastAt()) > unconfirmedTTL) {
+	if r == nil || incidents(r.crashes) < maxIncidents || !r.isConfirmed && (s.IsResource || now.Sub(r.lastAt()) > unconfirmedTTL) {
 		return false
 	}
-	return len(t.unexplained(r)) >= minUnexplained
+	return incidents(t.unexplained(r)) >= minUnexplained
+}
+
+// incidents returns the number of incidents among crashes. Targets that end together while each
+// has such a request end of one cause, which may be another one, such as a loss of power. A target
+// that gets the request after the others have ended shows more.
+func incidents(crashes []Crash) int {
+	sorted := slices.SortedFunc(slices.Values(crashes), func(a, b Crash) int { return a.At.Compare(b.At) })
+	n := 0
+	var first time.Time
+	for _, c := range sorted {
+		isSame := n > 0 && c.At.Sub(first) <= incidentTime && !c.StartedAt.IsZero() && c.StartedAt.Before(first)
+		if !isSame {
+			n, first = n+1, c.At
+		}
+	}
+	return n
+}
+
+// IsTrialDue reports whether such a request may reach a target although it is condemned. Nothing
+// else could show that it no longer crashes targets, or that it never did.
+func (t *Tracker) IsTrialDue(id uint64, now time.Time) bool {
+	r := t.records[id]
+	if r == nil {
+		return true
+	}
+	delay := min(trialDelay<<min(incidents(r.crashes)-maxIncidents, maxKeptCrashes), crashTTL)
+	last := r.lastAt()
+	if r.triedAt.After(last) {
+		last = r.triedAt
+	}
+	return now.Sub(last) >= delay+time.Duration(t.spread*float64(delay))
+}
+
+// RecordTrial records that such a request reaches a target as a trial.
+func (t *Tracker) RecordTrial(id uint64, now time.Time) {
+	if r := t.records[id]; r != nil {
+		r.triedAt = now
+	}
 }
 
 // unexplained returns the crashes of a subject at which no subject was in flight that is more
@@ -162,7 +214,7 @@
 		if len(left) == 0 {
 			break
 		}
-		if other == r || !other.isConfirmed || len(other.crashes) < maxCrashes || !other.outranks(r) {
+		if other == r || !other.isConfirmed || incidents(other.crashes) < maxIncidents || !other.outranks(r) {
 			continue
 		}
 		left = slices.DeleteFunc(slices.Clone(left), func(c Crash) bool { return other.hasCrashed(c.Target) })
@@ -243,10 +295,18 @@
 func (c Crash) Fact(id uint64, now time.Time) loadboard.Fact {
 	return loadboard.Fact{
 		Kind: loadboard.Crash, Subject: id, Target: c.Target, TargetID: c.TargetID,
-		BeforeFirstEvent: c.BeforeFirstEvent, Age: max(0, now.Sub(c.At)),
+		BeforeFirstEvent: c.BeforeFirstEvent, Age: max(0, now.Sub(c.At)), Ran: c.ran(),
 	}
 }
 
+// ran returns how long the target had had the request, or 0 if that is not known.
+func (c Crash) ran() time.Duration {
+	if c.StartedAt.IsZero() {
+		return 0
+	}
+	return max(0, c.At.Sub(c.StartedAt))
+}
+
 // CompletionFact returns a completion as a fact for other processes.
 func CompletionFact(id uint64, age time.Duration) loadboard.Fact {
 	return loadboard.Fact{Kind: loadboard.Completion, Subject: id, Age: max(0, age)}
@@ -260,7 +320,11 @@
 
 // CrashOf is the inverse of Crash.Fact.
 func CrashOf(f loadboard.Fact, now time.Time) Crash {
-	return Crash{Target: f.Target, TargetID: f.TargetID, BeforeFirstEvent: f.BeforeFirstEvent, At: now.Add(-f.Age)}
+	c := Crash{Target: f.Target, TargetID: f.TargetID, BeforeFirstEvent: f.BeforeFirstEvent, At: now.Add(-f.Age)}
+	if f.Ran > 0 {
+		c.StartedAt = c.At.Add(-f.Ran)
+	}
+	return c
 }
 
 // Expire forgets subjects whose last crash was long ago.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -83,7 +83,9 @@
 	refused bool
 	// afterFirstEvent means that events of a stream had arrived.
 	afterFirstEvent bool
-	err             error
+	// startedAt is when the attempt began; only if the target may have executed the request.
+	startedAt time.Time
+	err       error
 }
 
 // startAttempt sends the request to the chosen target and reads the head of the response.
@@ -218,7 +220,7 @@
 		}
 		a.written = nil
 	}
-	return &failure{execution: mayHaveExecuted, target: a.target, err: err}
+	return &failure{execution: mayHaveExecuted, target: a.target, startedAt: a.startedAt, err: err}
 }
 
 // isReusable reports whether another request may be sent on the connection once the
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -96,6 +97,42 @@
 	}
 }
 
+// Three targets ended together, each with a request for one path. All further requests for that
+// path were refused for ten minutes, though other targets were free (review/4: LOST).
+func TestPathIsServedAfterTargetsEndTogether(t *testing.T) {
+	var targets []*platformtest.Target
+	powerLost := make(chan struct{})
+	for i := range 6 {
+		var target *platformtest.Target
+		target = platformtest.NewTarget(fmt.Sprintf("i%d", i), func(w http.ResponseWriter, r *http.Request) {
+			if r.ContentLength == int64(len("long 0")) {
+				<-powerLost
+				target.Crash()
+			}
+			platformtest.Respond(http.StatusOK, "yes")(w, r)
+		})
+		targets = append(targets, target)
+	}
+	b := newTestbed(t, targets...)
+	var calls sync.WaitGroup
+	for i := range 3 {
+		calls.Go(func() { b.call(nonIdempotentPath, fmt.Sprintf("long %d", i)) })
+	}
+	require.Eventually(t, func() bool {
+		busy := 0
+		for _, target := range targets {
+			busy += min(1, len(target.Requests()))
+		}
+		return busy == 3
+	}, 3*time.Second, 10*time.Millisecond)
+	close(powerLost)
+	calls.Wait()
+	for range 20 {
+		require.Equal(t, http.StatusOK, b.call(idempotentPath, "x").status)
+	}
+	assert.Equal(t, http.StatusOK, b.call(nonIdempotentPath, "y").status)
+}
+
 // A request whose target crashed was answered 503, which says that it was not executed, once
 // no other target was left (deadly, bancarella-prod).
 func TestRequestLostInCrashIsNotReportedAsNotExecuted(t *testing.T) {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -67,7 +67,9 @@
 	body       []byte
 	// fingerprints are valid once the body has been read.
 	fingerprints fingerprints
-	deadline     time.Time
+	// isTrial means that the request is sent although it is condemned.
+	isTrial  bool
+	deadline time.Time
 
 	// attempts counts the attempts that were sent. executions counts those that
 	// a target may have executed.
@@ -215,7 +217,7 @@
 		body, err := a.conn.readBounded(a.response.Body)
 		if err != nil {
 			a.abort(ctx)
-			fail := &failure{execution: mayHaveExecuted, target: a.target, err: err}
+			fail := &failure{execution: mayHaveExecuted, target: a.target, startedAt: a.startedAt, err: err}
 			e.recordFailure(ctx, fail)
 			if !e.retryOrRespond(ctx, fail) {
 				return
@@ -292,7 +294,7 @@
 // failure. The key is checked again after all that may take long, since it may have been revoked
 // meanwhile.
 func (e *exchange) send(ctx context.Context, body []byte, resumeAfter string, allowFull bool) (*attempt, *failure) {
-	if ctx.Err() != nil || e.isCondemned() || !e.isAuthorized() {
+	if ctx.Err() != nil || !e.maySend() || !e.isAuthorized() {
 		return nil, nil
 	}
 	e.sentBytes = len(body)
--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -48,7 +49,7 @@
 }
 
 func newSuspects() suspects {
-	return suspects{tracker: quarantine.NewTracker(), completions: make(map[string]uint64)}
+	return suspects{tracker: quarantine.NewTracker(rand.Float64()), completions: make(map[string]uint64)}
 }
 
 func (s *suspects) add(now time.Time, facts ...loadboard.Fact) {
@@ -140,11 +141,36 @@
 }
 
 // isCondemned reports whether the request, or requests for its resource, have crashed so many
-// targets that it must not reach another.
+// targets that it must not reach another, not even as a trial.
 func (e *exchange) isCondemned() bool {
+	e.relay.mu.Lock()
+	defer e.relay.mu.Unlock()
+	return e.isCondemnedLocked() && !e.isTrial && !e.relay.suspects.isTrialDue(e.fingerprints, time.Now())
+}
+
+// maySend reports whether the request may be sent to a target now. If it is condemned and a trial
+// is due, this one is the trial.
+func (e *exchange) maySend() bool {
 	r, now := e.relay, time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !e.isCondemnedLocked() || e.isTrial {
+		return true
+	}
+	if !r.suspects.isTrialDue(e.fingerprints, now) {
+		return false
+	}
+	e.isTrial = true
+	for _, s := range e.fingerprints.subjects() {
+		r.suspects.tracker.RecordTrial(s.ID, now)
+	}
+	e.logTrial()
+	return true
+}
+
+// isCondemnedLocked is isCondemned without regard to trials. The caller holds r.mu.
+func (e *exchange) isCondemnedLocked() bool {
+	r, now := e.relay, time.Now()
 	condemned := false
 	for _, s := range e.fingerprints.subjects() {
 		before := r.suspects.tracker.IsCondemned(s, now)
@@ -161,6 +187,23 @@
 	return condemned
 }
 
+// isTrialDue reports whether a condemned request may be sent as a trial: if that is so for each
+// condemned subject. The caller holds the relay's lock.
+func (s *suspects) isTrialDue(f fingerprints, now time.Time) bool {
+	for _, subject := range f.subjects() {
+		if s.tracker.IsCondemned(subject, now) && !s.tracker.IsTrialDue(subject.ID, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// logTrial logs that a condemned request passes as a trial. The caller holds r.mu.
+func (e *exchange) logTrial() {
+	e.relay.log.Info().Str("event", "request_tried").Str("request", e.call.ID).Str("account", e.accountName()).Str("program", e.call.Program).Str("route", e.route.Name).
+		Stringer("fingerprint", e.fingerprints.request).Msg("the request, or its resource, has crashed targets; it is served once more, to see whether it still does")
+}
+
 // logCondemned logs that requests will be refused from now on. The caller holds r.mu.
 func (e *exchange) logCondemned(s quarantine.Subject) {
 	e.relay.metrics.condemned.Inc()
@@ -180,9 +223,10 @@
 	r, now := e.relay, time.Now()
 	r.metrics.lostByCrash.Inc()
 	r.mu.Lock()
+	e.isTrial = false
 	key := fail.target.TargetKey
 	r.fleet.RecordEnded(key, now)
-	crash := quarantine.Crash{Target: key.Hash(), TargetID: key.ID, BeforeFirstEvent: !fail.afterFirstEvent, At: now}
+	crash := quarantine.Crash{Target: key.Hash(), TargetID: key.ID, BeforeFirstEvent: !fail.afterFirstEvent, StartedAt: fail.startedAt, At: now}
 	for _, s := range e.fingerprints.subjects() {
 		before := r.suspects.tracker.IsCondemned(s, now)
 		if r.suspects.tracker.RecordCrash(s.ID, crash, r.suspects.completions[e.service]) {
