relay: where a stream may go on follows from the ledger, not from the targets that the entry knows

What callers saw (reports of other operators): streams taken up after a kill of all entries, or at an entry that was out of step during a release, were answered 200 and joined from two software versions.

Cause: an entry that could not be certain of a stream's origin looked at the targets that it knew at the moment. Just after a start these are none, when the old ones have left they are of one version, and an entry out of step knows only the old ones; it then took any target.

Change: only the ledger decides. A version is recorded if the chosen target names one. Streams without a budget are also recorded under the fingerprint of their request, for callers that do not name the request that began theirs. Without a record, such a stream goes on only at targets that name no version; with a budget it is refused. Entries that know no target yet answer with a Retry-After.

--- a/fleet/software.go
+++ b/fleet/software.go
@@ -18,10 +18,10 @@
 	return s != nil && slices.ContainsFunc(s.targets, func(t *target) bool { return t.software != s.targets[0].software })
 }
 
-// HasVersions reports whether any target of a service names the version of its software.
-func (f *Fleet) HasVersions(service string) bool {
+// HasTargets reports whether any target of a service is known.
+func (f *Fleet) HasTargets(service string) bool {
 	s := f.services[service]
-	return s != nil && slices.ContainsFunc(s.targets, func(t *target) bool { return t.Version != "" })
+	return s != nil && len(s.targets) > 0
 }
 
 // LikelySoftware returns the catalog.Target.Software of the target that a call would get now,
--- a/ledger/budget.go
+++ b/ledger/budget.go
@@ -1,6 +1,10 @@
 package ledger
 
-import "github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
+import (
+	"slices"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
+)
 
 // Spending is the union of the attempts that members have recorded for one program.
 type Spending struct {
@@ -69,19 +73,16 @@
 // string. It is a hint: members may disagree on which attempt was the last.
 func (s *Spending) LastTarget() string { return s.lastTarget }
 
-// OnlySoftware returns the hash of the software that began all streams of the program, or false
-// if it differs between them or no stream has begun. Attempts without one began none.
-func (s *Spending) OnlySoftware() (hash uint64, ok bool) {
+// Softwares returns the hashes of the software that began streams of the program, each once.
+// Attempts without one began none.
+func (s *Spending) Softwares() []uint64 {
+	var hashes []uint64
 	for _, a := range s.attempts {
-		if a.software == 0 {
-			continue
-		}
-		if hash != 0 && a.software != hash {
-			return 0, false
+		if a.software != 0 && !slices.Contains(hashes, a.software) {
+			hashes = append(hashes, a.software)
 		}
-		hash = a.software
 	}
-	return hash, hash != 0
+	return hashes
 }
 
 // Committed returns the tokens that the program's attempts other than self have spent
--- a/relay/software.go
+++ b/relay/software.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
 	"github.com/rhubarbsaddle/rhubarbsaddle/fleet"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 )
 
 // What two versions of a target's software generate for one request differs, so a stream goes
@@ -25,21 +28,6 @@
 // isResume reports whether the caller takes up a stream after an event.
 func (t *turn) isResume() bool { return t.route.Resumable && t.call.ResumeAfter != "" }
 
-// hasVersions reports whether the targets of the turn's service may differ in their software.
-func (t *turn) hasVersions() bool {
-	t.relay.mu.Lock()
-	defer t.relay.mu.Unlock()
-	return t.relay.fleet.HasVersions(t.service)
-}
-
-// hasSeveralVersions reports whether the registered targets of the turn's service differ in
-// their software.
-func (t *turn) hasSeveralVersions() bool {
-	t.relay.mu.Lock()
-	defer t.relay.mu.Unlock()
-	return t.relay.fleet.HasSeveralVersions(t.service)
-}
-
 // likelySoftware returns the software of the target that would get the turn now, or 0.
 func (t *turn) likelySoftware() uint64 {
 	if !t.route.Resumable {
@@ -60,30 +48,46 @@
 	return t.scope.qualify("stream/" + request)
 }
 
+// equalsProgram returns the program under which the ledger records all software that began
+// streams of requests like this one, for callers that do not name the request that began theirs.
+func (t *turn) equalsProgram() string {
+	return t.scope.qualify("streams/" + t.fingerprints.request.String())
+}
+
 func (t *turn) originRetentionMS() uint64 {
 	return uint64(max(t.route.Retention, minOriginRetention).Milliseconds())
 }
 
 // resumeAt restricts a stream that the caller takes up to the software that began it. If it
 // returns false, it has answered the caller.
+//
+// Invariant: which targets may continue the stream follows from the ledger alone. The targets that
+// this entry knows say nothing of those that others know or knew.
 func (t *turn) resumeAt(spending *ledger.Spending) bool {
-	software, ok := spending.Software(t.call.Resumes)
-	if t.call.Resumes == "" {
-		// The stream began with one of the program's attempts.
-		software, ok = spending.OnlySoftware()
-	}
-	if !ok {
-		if !t.hasVersions() {
-			return true
+	// The stream began with one of the program's attempts.
+	began := spending.Softwares()
+	if t.call.Resumes != "" {
+		began = nil
+		if software, ok := spending.Software(t.call.Resumes); ok {
+			began = []uint64{software}
 		}
+	}
+	reason := reasonVersionGone
+	if len(began) == 0 && !t.hasBudget() {
+		// Without a budget, only the software of targets that name a version is recorded.
+		unversioned := catalog.Target{Service: t.service}
+		began, reason = []uint64{unversioned.Software()}, reasonVersionUnknown
+	}
+	if len(began) != 1 {
 		t.respond(http.StatusServiceUnavailable, reasonVersionUnknown)
 		return false
 	}
+	software := began[0]
 	t.relay.mu.Lock()
-	hasTarget := t.relay.fleet.HasSoftware(t.service, software)
+	mayComeYet := !t.relay.fleet.HasTargets(t.service) || t.relay.fleet.HasSoftware(t.service, software)
 	t.relay.mu.Unlock()
-	if !hasTarget {
-		t.respond(http.StatusServiceUnavailable, reasonVersionGone)
+	if !mayComeYet {
+		t.respond(http.StatusServiceUnavailable, reason)
 		return false
 	}
 	t.software, t.isPinned = software, true
@@ -93,21 +97,18 @@
 // readOrigin reads which software began a stream without a budget that the caller takes up. If
 // it returns false, it has answered the caller.
 func (t *turn) readOrigin(ctx context.Context) bool {
-	if t.call.Resumes == "" {
-		if t.hasSeveralVersions() {
-			t.respond(http.StatusServiceUnavailable, reasonVersionUnknown)
-			return false
-		}
-		return true
-	}
 	if !t.awaitLedger(ctx) {
 		t.respondLedgerUnavailable()
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
 	defer cancel()
+	program := t.equalsProgram()
+	if t.call.Resumes != "" {
+		program = t.originProgram(t.call.Resumes)
+	}
 	// A reservation of no tokens reads the spending of its program.
-	record := ledger.NewReservation(t.originProgram(t.call.Resumes), t.call.ID, 0, t.originRetentionMS())
+	record := ledger.NewReservation(program, t.call.ID, 0, t.originRetentionMS())
 	spending, err := t.relay.ledger.Append(ctx, record)
 	if err != nil {
 		t.lastErr = err
@@ -121,16 +122,15 @@
 // records the software that will begin the stream, unless the ledger has it already.
 func (t *turn) recordSoftware(ctx context.Context, choice fleet.Choice) error {
 	software := choice.Target.Software()
-	if t.software == software || !t.route.Resumable || t.isResume() || !t.hasVersions() {
+	if t.software == software || !t.route.Resumable || t.isResume() || !t.hasBudget() && choice.Target.Version == "" {
 		return nil
 	}
 	// A write that fails may have been stored. The next choice is recorded in any case.
 	t.software = 0
 	t.originSequence++
-	record := ledger.NewOrigin(t.originProgram(t.call.ID), t.call.ID, software, t.originSequence, t.originRetentionMS())
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
-	if _, err := t.relay.ledger.Append(ctx, record); err != nil {
+	if _, err := t.relay.ledger.Append(ctx, t.originRecords(software)...); err != nil {
 		if t.hasBudget() {
 			return err
 		}
@@ -140,3 +140,13 @@
 	t.software = software
 	return nil
 }
+
+// originRecords returns the records of the software that begins the stream.
+func (t *turn) originRecords(software uint64) []*ledgerpb.Record {
+	records := []*ledgerpb.Record{ledger.NewOrigin(t.originProgram(t.call.ID), t.call.ID, software, t.originSequence, t.originRetentionMS())}
+	if !t.hasBudget() {
+		// One attempt stands for all with the same software.
+		records = append(records, ledger.NewOrigin(t.equalsProgram(), strconv.FormatUint(software, 16), software, 1, t.originRetentionMS()))
+	}
+	return records
+}
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -78,8 +78,8 @@
 		t.respondTimeout()
 		return false
 	}
-	if !t.hasBudget() && t.isResume() && t.hasVersions() {
-		return t.readOrigin(ctx)
+	if !t.hasBudget() && t.isResume() && !t.readOrigin(ctx) {
+		return false
 	}
 	if !t.hasBudget() && !t.continuesChain() {
 		return true
--- a/relay/version_test.go
+++ b/relay/version_test.go
@@ -174,3 +174,62 @@
 		})
 	}
 }
+
+// All entries were killed while two versions were in service, or just after the last target of one
+// had left, and streams that callers took up went on at the other version, joined from two
+// (ORDER). So did those taken up at an entry that had not heard of a new version yet. What an
+// entry knows of targets at the moment says nothing of where a stream began.
+func TestStreamTakenUpDoesNotDependOnWhatEntryKnows(t *testing.T) {
+	for name, headers := range streamKinds {
+		for _, resumes := range []string{"begun", ""} {
+			for began, known := range map[string]string{"v1": "v2", "v2": "v1"} {
+				t.Run(fmt.Sprintf("%s, named %q, began at %s, only %s known", name, resumes, began, known), func(t *testing.T) {
+					shared := newMemoryLedger()
+					one := newTestbedWithLedger(t, shared, newVersioned(began, 1, platformtest.StreamEvents(5, 2, 0))...)
+					require.Error(t, one.callWithID("begun", resumablePath, "x", headers...).err)
+					others := newVersioned(known, 3, wholeStream)
+					two := newTestbedWithLedger(t, shared, others...)
+					takeUp := append(headers, platformtest.LastEventID, "2", platformtest.Resumes, resumes)
+					got := two.call(resumablePath, "x", takeUp...)
+					require.NoError(t, got.err)
+					assert.Equal(t, http.StatusServiceUnavailable, got.status)
+					assert.Zero(t, requestsOf(others), "another version gets the rest")
+					two.update(append(others, newVersioned(began, 1, wholeStream)...)...)
+					assert.Equal(t, events(3, 5), two.call(resumablePath, "x", takeUp...).body)
+				})
+			}
+		}
+	}
+}
+
+// An entry that has just started knows no targets. A stream whose program has streams of two
+// versions may not go on at whichever comes first.
+func TestStreamOfUnknownVersionIsRefusedBeforeTargetsAreKnown(t *testing.T) {
+	headers := streamKinds["program"]
+	shared := newMemoryLedger()
+	for _, version := range []string{"v1", "v2"} {
+		b := newTestbedWithLedger(t, shared, newVersioned(version, 1, platformtest.StreamEvents(5, 2, 0))...)
+		require.Error(t, b.callWithID(version, resumablePath, "x", headers...).err)
+	}
+	started := newTestbedWithLedger(t, shared)
+	got := started.call(resumablePath, "x", append(headers, platformtest.LastEventID, "2")...)
+	assert.Equal(t, http.StatusServiceUnavailable, got.status)
+	assert.Equal(t, "stream_version_unknown\n", got.body)
+	got = started.call(resumablePath, "x", append(headers, platformtest.LastEventID, "2", platformtest.Resumes, "v1")...)
+	assert.Equal(t, http.StatusServiceUnavailable, got.status)
+	assert.NotEmpty(t, got.header.Get("Retry-After"), "its targets may be known soon")
+}
+
+// Equal requests that began at two versions can't be told apart by their content.
+func TestEqualStreamsOfTwoVersionsAreNotTakenUpWithoutName(t *testing.T) {
+	shared := newMemoryLedger()
+	for _, version := range []string{"v1", "v2"} {
+		b := newTestbedWithLedger(t, shared, newVersioned(version, 1, platformtest.StreamEvents(5, 2, 0))...)
+		require.Error(t, b.callWithID(version, resumablePath, "x").err)
+	}
+	both := append(newVersioned("v1", 1, wholeStream), newVersioned("v2", 1, wholeStream)...)
+	b := newTestbedWithLedger(t, shared, both...)
+	assert.Equal(t, http.StatusServiceUnavailable, b.call(resumablePath, "x", platformtest.LastEventID, "2").status)
+	assert.Equal(t, events(3, 5), b.call(resumablePath, "x", platformtest.LastEventID, "2", platformtest.Resumes, "v1").body)
+	assert.Zero(t, requestsOf(both[1:]))
+}
