ledger/member: a retirement waits if the remaining seats have no quorum

Cause: a retired member removed its seat whatever the number of others. With one disk that may be lost, the single seat left has no quorum.

Until another machine takes a seat, its status stays "running" and the log says why.

--- a/ledger/member/member.go
+++ b/ledger/member/member.go
@@ -69,6 +69,8 @@
 	// hadSeat means that this process has had a seat. retired means that its seat was
 	// removed because operators retired the VM. Only maintainSeat uses these fields.
 	hadSeat, retired bool
+	// waitedVersion is the last view in which the retirement had to wait. Only maintainSeat uses it.
+	waitedVersion uint64
 	// seenVersion is the version of the view that this member has seen since seenSince. It does
 	// not settle that view before settleAfter. Only maintainSeat uses these fields.
 	seenVersion            uint64
--- a/ledger/member/seat.go
+++ b/ledger/member/seat.go
@@ -295,7 +295,8 @@
 func (m *Member) isRetiring() bool { return m.options.Directory.Value(m.options.RetireKey) != nil }
 
 // retire hands over all records to the other members, removes this member's seat and
-// reports progress to the operators.
+// reports progress to the operators. It waits for another member to take a seat if the rest could
+// not store each record often enough.
 func (m *Member) retire(ctx context.Context, view ledger.View) error {
 	if m.retired {
 		return nil
@@ -304,6 +305,10 @@
 		if err := m.reportRetirement(ctx, false); err != nil {
 			return err
 		}
+		if !view.CanRemoveSeat(m.options.Name, m.options.DisksLost) {
+			m.logRetirementWaits(view)
+			return nil
+		}
 		if !view.AllReadyExcept(m.options.Name) {
 			return nil
 		}
@@ -329,6 +334,16 @@
 	return nil
 }
 
+// logRetirementWaits logs, once for each view, that too few other members have a seat.
+func (m *Member) logRetirementWaits(view ledger.View) {
+	if m.waitedVersion == view.Version {
+		return
+	}
+	m.waitedVersion = view.Version
+	m.log.Warn().Str("event", "retire_waits").Int("seats", len(view.Counting())).Int("disks_lost", m.options.DisksLost).
+		Msg("the VM can't be emptied before another one takes a seat: each record has to be on one disk more than may be lost")
+}
+
 func (m *Member) reportRetirement(ctx context.Context, completed bool) error {
 	key, value := m.options.RetireStatus(completed)
 	current, err := m.options.Store.Get(ctx, key)
