netopt, relay: callers may read their answers late

Cause: TCP_USER_TIMEOUT on callers' connections. Linux applies it to the probes of a closed window, although the peer acknowledges them.

Change: callers' connections do without it; each answer has a write deadline instead, a second after the caller's own timeout. The timer for a stream's next event pauses while an event is written: a caller that read late made its target look stalled.

--- a/daemon/resident/entry.go
+++ b/daemon/resident/entry.go
@@ -218,7 +218,7 @@
 
 func (e *entry) serveCallers() (*callerServer, error) {
 	addr := e.settings.Listen.Callers
-	listener, err := netopt.ListenConfig().Listen(context.Background(), "tcp", addr)
+	listener, err := netopt.CallerListenConfig().Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, &Error{Step: "listen", Peer: addr, Err: err}
 	}
--- a/daemon/resident/entry_test.go
+++ b/daemon/resident/entry_test.go
@@ -1,6 +1,7 @@
 package resident
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -26,6 +27,7 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/config/load"
 	"github.com/rhubarbsaddle/rhubarbsaddle/discovery"
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/quorum"
+	"github.com/rhubarbsaddle/rhubarbsaddle/netopt"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform"
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform/platformtest"
 	"github.com/rhubarbsaddle/rhubarbsaddle/relay"
@@ -34,12 +36,18 @@
 // newEntry returns an entry that serves callers and whose only target answers after
 // answerDelay. The set holds the IDs of the requests that have reached the target.
 func newEntry(t *testing.T, answerDelay time.Duration) (*entry, *callerServer, *sync.Map) {
+	t.Helper()
+	return newEntryWithAnswer(t, answerDelay, "yes")
+}
+
+// newEntryWithAnswer is newEntry with another answer of the target.
+func newEntryWithAnswer(t *testing.T, answerDelay time.Duration, answer string) (*entry, *callerServer, *sync.Map) {
 	t.Helper()
 	var forwarded sync.Map
 	target := platformtest.NewTarget("i1", func(w http.ResponseWriter, r *http.Request) {
 		forwarded.Store(r.Header.Get(platformtest.RequestID), true)
 		time.Sleep(answerDelay)
-		_, _ = io.WriteString(w, "yes")
+		_, _ = io.WriteString(w, answer)
 	})
 	t.Cleanup(target.Close)
 	settings := &config.Resident{VM: "entry-1", Bounds: config.ResidentBounds{GraceS: 8}}
@@ -64,6 +72,44 @@
 	return e, c, &forwarded
 }
 
+// Callers that left an answer unread for longer than a partition takes to be noticed were reset,
+// and the answers of calls that may run only once were lost (review/5: LOST).
+func TestAnswerMayBeReadLate(t *testing.T) {
+	answer := strings.Repeat("x", 4800)
+	_, c, _ := newEntryWithAnswer(t, 0, answer)
+	var callers sync.WaitGroup
+	for i := range 4 {
+		callers.Go(func() {
+			dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+				var optErr error
+				err := raw.Control(func(fd uintptr) {
+					optErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1<<10)
+				})
+				return errors.Join(err, optErr)
+			}}
+			nc, err := dialer.Dial("tcp", c.listener.Addr().String())
+			if !assert.NoError(t, err) {
+				return
+			}
+			defer nc.Close()
+			_, err = fmt.Fprintf(nc, "POST /x HTTP/1.1\r\nHost: h.example\r\n%s: late%d\r\n%s: 4000\r\nContent-Length: 1\r\n\r\nx", platformtest.RequestID, i, platformtest.Deadline)
+			if !assert.NoError(t, err) {
+				return
+			}
+			time.Sleep(netopt.UnackedTimeout + time.Second)
+			response, err := http.ReadResponse(bufio.NewReader(nc), nil)
+			if !assert.NoError(t, err) {
+				return
+			}
+			defer response.Body.Close()
+			body, err := io.ReadAll(response.Body)
+			assert.NoError(t, err)
+			assert.Equal(t, answer, string(body))
+		})
+	}
+	callers.Wait()
+}
+
 func postAndCheck(client *http.Client, addr, id string) error {
 	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/x", strings.NewReader("x"))
 	if err != nil {
--- a/netopt/netopt.go
+++ b/netopt/netopt.go
@@ -30,11 +30,19 @@
 }
 
 // ListenConfig returns a listener configuration whose connections detect an unreachable
-// peer.
+// peer. A peer that leaves data unread for longer than UnackedTimeout, with a full window, counts
+// as unreachable, though it acknowledges the probes of its window.
 func ListenConfig() *net.ListenConfig {
 	return &net.ListenConfig{KeepAliveConfig: keepAliveConfig, Control: setUserTimeout}
 }
 
+// CallerListenConfig returns a listener configuration for peers that may leave data unread for as
+// long as they like. An unreachable one is detected only while no data is on the way to it, so
+// writes need deadlines.
+func CallerListenConfig() *net.ListenConfig {
+	return &net.ListenConfig{KeepAliveConfig: keepAliveConfig}
+}
+
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var optErr error
 	err := raw.Control(func(fd uintptr) {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -17,6 +17,9 @@
 )
 
 const (
+	// unreadSlack is how long an answer may stay unread after the caller's timeout, which began
+	// when the caller sent the request.
+	unreadSlack = time.Second
 	// defaultCallerTimeout is the timeout assumed for callers that send no
 	// deadline.
 	defaultCallerTimeout = 10 * time.Second
@@ -117,6 +120,7 @@
 	if wait <= 0 {
 		wait = defaultCallerTimeout
 	}
+	e.limitWrites(wait)
 	e.config = e.relay.awaitConfig(e.req.Context(), wait)
 	if e.config == nil {
 		e.respondUnavailable(reasonNoConfig, configRetryAfter)
@@ -158,6 +162,15 @@
 	e.servePlain(ctx)
 }
 
+// limitWrites bounds how long the answer may wait for a caller that does not read it, or that has
+// become unreachable: until the caller has given up.
+func (e *exchange) limitWrites(wait time.Duration) {
+	err := http.NewResponseController(e.w).SetWriteDeadline(e.arrived.Add(wait + unreadSlack))
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		e.relay.log.Debug().Str("event", "connection_lost").Str("request", e.call.ID).Err(err).Msg("")
+	}
+}
+
 // hostOf returns the host without a port.
 func hostOf(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/relay/stalltimer.go
+++ b/relay/stalltimer.go
@@ -74,10 +74,13 @@
 	return true
 }
 
-// reset restarts the timer after data has arrived, unless it is stopped or has
-// expired. A limit of zero disables it.
-func (s *stallTimer) reset(limit time.Duration) {
-	if s.timer != nil && s.timer.Stop() && limit > 0 {
+// pause stops the timer while the target is not waited for. It reports whether resume may start it
+// again: not if it has expired or is disabled.
+func (s *stallTimer) pause() bool { return s.timer != nil && s.timer.Stop() }
+
+// resume restarts the timer after a pause. A limit of zero disables it.
+func (s *stallTimer) resume(limit time.Duration) {
+	if limit > 0 {
 		s.timer.Reset(limit)
 	}
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -161,7 +161,8 @@
 			a.abort(ctx)
 			return errOutputTooLarge
 		}
-		stall.reset(gap)
+		// A caller that reads slowly is no fault of the target.
+		isWaiting := stall.pause()
 		a.countBytes(received, len(ev.raw))
 		t.relay.recordEvent(a.choice.Call)
 		if !a.hasEvent {
@@ -181,6 +182,9 @@
 			return err
 		}
 		t.recordEvent(ev, p)
+		if isWaiting {
+			stall.resume(gap)
+		}
 	}
 }
 
