ledger: a chain is stored as long as turns of any program that continue it

Cause: records expire by program, so the chain broke off with the first program's retention.

Change: programs also stay while a turn of a retained program continues one of theirs.

Evidence: TestChainIsStoredAsLongAsTurnsThatContinueIt fails on ("expected: 3, actual: 0").

--- a/ledger/replica.go
+++ b/ledger/replica.go
@@ -129,17 +129,19 @@
 type program struct {
 	attempts map[uint64]attempt
 	// lastTarget is the target that ran the attempt that was settled last.
-	lastTarget   string
-	recordKeys   []Key
-	turnIDs      []string
+	lastTarget string
+	recordKeys []Key
+	turnIDs    []string
+	// continued are the turns, most likely of other programs, that turns of this one continue.
+	continued    []string
 	lastActivity time.Time
 	retention    time.Duration
 }
 
 // turn is the index entry of a stored turn.
 type turn struct {
-	previous string
-	location Location
+	program, previous string
+	location          Location
 }
 
 // Replica is the state machine of one member's copy of the ledger: it maps events to
@@ -354,7 +356,7 @@
 	r.locations[s.Key] = at
 	r.liveRecords[at.Segment]++
 	if s.Kind == TurnKind {
-		r.turns[s.Turn] = turn{previous: s.Previous, location: at}
+		r.turns[s.Turn] = turn{program: s.Program, previous: s.Previous, location: at}
 	}
 	if known {
 		return
@@ -368,6 +370,9 @@
 	p.recordKeys = append(p.recordKeys, s.Key)
 	if s.Kind == TurnKind {
 		p.turnIDs = append(p.turnIDs, s.Turn)
+		if previous, known := r.turns[s.Previous]; s.Previous != "" && (!known || previous.program != s.Program) {
+			p.continued = append(p.continued, s.Previous)
+		}
 	}
 }
 
@@ -434,15 +439,16 @@
 	return ReplyRecords{RequestID: e.RequestID, Locations: locations}
 }
 
-// expire removes programs whose retention has ended and drops segments without
-// unexpired records.
+// expire removes programs whose retention has ended and whose turns no other one continues, and
+// drops segments without unexpired records.
 func (r *Replica) expire(now time.Time) []Effect {
 	if now.Before(r.nextExpiry) {
 		return nil
 	}
 	r.nextExpiry = now.Add(expiryPeriod)
+	retained := r.retainedPrograms(now)
 	for name, p := range r.programs {
-		if now.Sub(p.lastActivity) > p.retention+expiryMargin {
+		if !retained[name] {
 			r.removeProgram(name, p)
 		}
 	}
@@ -456,6 +462,31 @@
 	return effects
 }
 
+// retainedPrograms returns the programs whose retention has not ended, and those whose turns they
+// continue: a turn is stored together with its chain.
+func (r *Replica) retainedPrograms(now time.Time) map[string]bool {
+	retained := make(map[string]bool, len(r.programs))
+	var added []string
+	for name, p := range r.programs {
+		if now.Sub(p.lastActivity) <= p.retention+expiryMargin {
+			retained[name] = true
+			added = append(added, name)
+		}
+	}
+	for len(added) > 0 {
+		p := r.programs[added[len(added)-1]]
+		added = added[:len(added)-1]
+		for _, id := range p.continued {
+			name := r.turns[id].program
+			if r.programs[name] != nil && !retained[name] {
+				retained[name] = true
+				added = append(added, name)
+			}
+		}
+	}
+	return retained
+}
+
 func (r *Replica) removeProgram(name string, p *program) {
 	for _, key := range p.recordKeys {
 		if at, ok := r.locations[key]; ok {
--- a/ledger/replica_test.go
+++ b/ledger/replica_test.go
@@ -297,3 +297,37 @@
 	frame.Softwares = []uint64{1, 2}
 	assert.Error(t, ledger.DecodeFrame(frame, func(ledger.Indexed) { t.Error("a malformed frame was visited") }))
 }
+
+// A turn that continued another program's turn could not be continued any more once that program
+// had expired (review of the ledger: 8 of 8 tries, 35 s after the turn).
+func TestChainIsStoredAsLongAsTurnsThatContinueIt(t *testing.T) {
+	turn := func(program, id, previous string) *ledgerpb.Record {
+		return ledger.NewTurn(&ledgerpb.Turn{Program: program, Id: id, Previous: previous, RetentionMs: 60_000})
+	}
+	chain := func(d *disk, id string) int {
+		reply, ok := d.step(ledger.ChainRequested{Turn: id})[0].(ledger.ReplyChain)
+		if !ok || reply.Missing != "" {
+			return 0
+		}
+		return len(reply.Locations)
+	}
+	inOrder, late := newDisk(true), newDisk(true)
+	for _, records := range [][]*ledgerpb.Record{{turn("one", "t1", "")}, {turn("two", "t2", "t1")}, {turn("three", "t3", "t2")}} {
+		inOrder.append(records...)
+		inOrder.now = inOrder.now.Add(50 * time.Second)
+	}
+	// A member that was away gets the turns in any order, here the last one first.
+	end := inOrder.now
+	late.now = end.Add(-50 * time.Second)
+	late.append(turn("three", "t3", "t2"))
+	late.append(turn("two", "t2", "t1"), turn("one", "t1", ""))
+	for _, d := range []*disk{inOrder, late} {
+		d.now = end.Add(20 * time.Second)
+		d.step(ledger.Tick{})
+		assert.Equal(t, 3, chain(d, "t3"))
+		d.now = d.now.Add(time.Minute)
+		d.step(ledger.Tick{})
+		assert.Zero(t, chain(d, "t3"), "it expires in the end")
+		assert.Zero(t, d.replica.Programs())
+	}
+}
