relay: streams of stored turns are not taken up

Cause: the stored output is what the last attempt forwarded.

Change: such a take-up is refused at once, and the caller sends the turn again from its start; nothing has kept the first events. "config check" warns of a route that is both resumable and stores turns.

Evidence: TestStoredTurnIsNotTakenUp fails on ("expected: 503, actual: 200").

--- a/catalog/lint/lint.go
+++ b/catalog/lint/lint.go
@@ -142,6 +142,9 @@
 	if route.IsPublic && !c.config.HasAccounts() {
 		c.add(Warning, at(Public), "all routes are public, since there are no accounts")
 	}
+	if route.StoresTurns && route.Resumable {
+		c.add(Warning, at(StoresTurns), "callers cannot take up the streams of a route that stores turns, since the events before a break are not stored")
+	}
 	if route.IsPublic && c.config.HasAccounts() && route.StoresTurns {
 		c.add(Warning, at(StoresTurns), "the turns of a public route belong to no account: every caller who knows an id can continue them")
 	}
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -35,6 +35,7 @@
 	reasonCallerDisconnected = "caller_gone"
 	reasonVersionUnknown     = "stream_version_unknown"
 	reasonVersionGone        = "stream_version_gone"
+	reasonTurnNotResumable   = "turn_not_resumable"
 	reasonCrashesTargets     = "crashes_targets"
 	reasonAnswered           = "answered"
 )
--- a/relay/turn.go
+++ b/relay/turn.go
@@ -78,6 +78,11 @@
 		t.respondTimeout()
 		return false
 	}
+	if t.route.StoresTurns && t.isResume() {
+		// The events before the break are part of the turn, and nothing has kept them.
+		t.respond(http.StatusServiceUnavailable, reasonTurnNotResumable)
+		return false
+	}
 	if !t.hasBudget() && t.isResume() && !t.readOrigin(ctx) {
 		return false
 	}
--- a/relay/version_test.go
+++ b/relay/version_test.go
@@ -233,3 +233,20 @@
 	assert.Equal(t, events(3, 5), b.call(resumablePath, "x", platformtest.LastEventID, "2", platformtest.Resumes, "v1").body)
 	assert.Zero(t, requestsOf(both[1:]))
 }
+
+// A stream that was taken up on a route that stores turns was stored without its first events, so
+// the prompts of all further turns lacked them (review of the relay). Its caller starts anew.
+func TestStoredTurnIsNotTakenUp(t *testing.T) {
+	target := platformtest.NewTarget("i1", wholeStream)
+	b := newTestbed(t)
+	b.edit = func(c *catalog.Config) { c.Routes[3].Resumable = true }
+	b.update(target)
+	for _, headers := range streamKinds {
+		got := b.call(storedTurnsPath, "x", append(headers, platformtest.LastEventID, "2")...)
+		require.NoError(t, got.err)
+		assert.Equal(t, http.StatusServiceUnavailable, got.status)
+		assert.Equal(t, "turn_not_resumable\n", got.body)
+		assert.Empty(t, target.Requests())
+	}
+	assert.Equal(t, events(1, 5), b.call(storedTurnsPath, "x").body)
+}
