ledger/member: members that retire or leave settle the view

If both members that were left after a retirement were retired as well, neither settled the view of the two, and no new member could take a seat: the check for due settling came after that for a retirement. Found while reading the change; TestRetirementOfAllMembersWaitsForOthers fails without it ("Condition never satisfied").

Members that give up their seats also settle the view of few seats themselves, which closes the moments in which a record may be at one of two members only.

--- a/ledger/member/cluster_test.go
+++ b/ledger/member/cluster_test.go
@@ -329,6 +329,26 @@
 	c.checkChain(4)
 }
 
+// Both members that were left after a retirement were retired as well, before they had exchanged
+// their records, and neither let a new member take a seat.
+func TestRetirementOfAllMembersWaitsForOthers(t *testing.T) {
+	c := newCluster(t)
+	c.startThree()
+	c.write(1, 3)
+	isEmptied := func(name string) bool {
+		key, completed := platform.RetireStatus(name, true)
+		return string(c.store.Value(key)) == string(completed)
+	}
+	for _, name := range []string{"m1", "m2", "m3"} {
+		c.store.Put(platform.RetireKey(name), []byte(`{"duration_s":10}`))
+	}
+	c.start("m4", false)
+	c.start("m5", false)
+	require.Eventually(t, func() bool { return isEmptied("m1") && isEmptied("m2") && isEmptied("m3") }, waitTimeout, 20*time.Millisecond)
+	c.stop("m1", "m2", "m3")
+	c.checkChain(3)
+}
+
 // An entry follows the store through members, and reads the store directly when no
 // member is reachable.
 func TestProcessFollowsMembersAndFallsBackToTheStore(t *testing.T) {
--- a/ledger/member/leave.go
+++ b/ledger/member/leave.go
@@ -52,13 +52,14 @@
 				return
 			}
 			left, err := m.leaveView(ctx, view)
-			if err != nil {
-				m.log.Warn().Str("event", "seat_kept").Err(err).Msg("retrying")
-			}
 			if left {
-				m.log.Info().Str("event", "seat_left").Uint64("version", m.options.Directory.View().Version).Msg("")
+				// With an error, the others may lack records written just before the seat was left.
+				m.log.Info().Str("event", "seat_left").Uint64("version", m.options.Directory.View().Version).Err(err).Msg("")
 				return
 			}
+			if err != nil {
+				m.log.Warn().Str("event", "seat_kept").Err(err).Msg("retrying")
+			}
 		}
 		ctxwait.Sleep(ctx, seatCheckPeriod)
 	}
@@ -87,6 +88,9 @@
 	// the others have that view.
 	for {
 		err := m.handOver(ctx, current.Counting(), current.Version)
+		if err == nil && current.NeedsSettling(m.options.DisksLost) {
+			err = m.settle(ctx, current)
+		}
 		if err == nil || ctx.Err() != nil {
 			return true, err
 		}
--- a/ledger/member/seat.go
+++ b/ledger/member/seat.go
@@ -66,6 +66,11 @@
 		m.seenVersion, m.seenSince = view.Version, time.Now()
 		m.settleAfter = m.seenSince.Add(time.Duration(view.Rank(m.options.Name)) * settleDelay)
 	}
+	// Members that retire settle the view, too: if all do, a new one can't take a seat before.
+	if m.ready.Load() && view.Counts(m.options.Name) && view.NeedsSettling(m.options.DisksLost) && time.Now().After(m.settleAfter) {
+		m.settleAfter = time.Now().Add(settleRetryDelay)
+		return m.settle(ctx, view)
+	}
 	if m.isRetiring() {
 		return m.retire(ctx, view)
 	}
@@ -87,10 +92,6 @@
 	if seat != m.seat(true) {
 		return m.compareAndSwapView(ctx, view, view.With(m.seat(true)))
 	}
-	if view.NeedsSettling(m.options.DisksLost) && time.Now().After(m.settleAfter) {
-		m.settleAfter = time.Now().Add(settleRetryDelay)
-		return m.settle(ctx, view)
-	}
 	return nil
 }
 
@@ -327,6 +328,14 @@
 	if err := m.handOver(ctx, view.Counting(), view.Version); err != nil {
 		return err
 	}
+	if view.NeedsSettling(m.options.DisksLost) {
+		if err := m.settle(ctx, view); err != nil {
+			return err
+		}
+		if m.options.Directory.View().NeedsSettling(m.options.DisksLost) {
+			return nil
+		}
+	}
 	if err := m.reportRetirement(ctx, true); err != nil {
 		return err
 	}
@@ -413,8 +422,8 @@
 	}
 }
 
-// settle lets all members whose seats count exchange their records under the view, and marks it
-// as settled.
+// settle lets all members whose seats count exchange their records under the view, through this
+// one, and marks it as settled. It does nothing while one of them is not ready.
 func (m *Member) settle(ctx context.Context, view ledger.View) error {
 	others := slices.DeleteFunc(view.Counting(), func(s ledger.Seat) bool { return s.Name == m.options.Name })
 	for _, seat := range others {
