quarantine: the delay of trials does not overflow

From 29 further incidents on, the doubled delay overflowed and every condemned request would have been a trial. Found while reading the change; the new lines of TestCondemnedRequestIsTriedAgain fail without the bound.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -24,6 +24,8 @@
 	// may reach a target again, to see whether it still crashes it. It doubles with each further
 	// incident, up to crashTTL. Up to as much again is added at random for each process.
 	trialDelay = 30 * time.Second
+	// maxTrialDoublings is enough for trialDelay to reach crashTTL.
+	maxTrialDoublings = 5
 	// maxKeptCrashes bounds the crashes that are remembered of one subject.
 	maxKeptCrashes = 32
 	// crashTTL is how long crashes are remembered after the last one.
@@ -190,7 +192,8 @@
 	if r == nil {
 		return true
 	}
-	delay := min(trialDelay<<min(incidents(r.crashes)-maxIncidents, maxKeptCrashes), crashTTL)
+	doublings := min(max(0, incidents(r.crashes)-maxIncidents), maxTrialDoublings)
+	delay := min(trialDelay<<doublings, crashTTL)
 	last := r.lastAt()
 	if r.triedAt.After(last) {
 		last = r.triedAt
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -220,4 +220,12 @@
 	assert.True(t, q.IsTrialDue(resource.ID, at(94)))
 	q.RecordCompletion(resource.ID, at(95))
 	assert.False(t, q.IsCondemned(resource, at(95)))
+
+	for i := range 100 {
+		q.RecordCrash(resource.ID, early(uint64(100+i), 100+i), 0)
+		q.RecordConfirmation(resource.ID, at(100+i))
+		assert.False(t, q.IsTrialDue(resource.ID, at(101+i)), "after %d incidents", i+1)
+	}
+	assert.False(t, q.IsTrialDue(resource.ID, at(199+599)))
+	assert.True(t, q.IsTrialDue(resource.ID, at(199+600)))
 }
