quarantine: only targets that end within 50 ms are one incident

Change: 50 ms, counted from the moment at which the connection failed and not from the end of the probe after it.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -18,8 +18,8 @@
 	maxIncidents = 3
 	// minUnexplained is how many of these no other subject may explain.
 	minUnexplained = 2
-	// incidentTime is the time within which processes notice crashes that have one cause.
-	incidentTime = time.Second
+	// incidentTime is the time within which processes notice crashes at one moment.
+	incidentTime = 50 * time.Millisecond
 	// trialDelay is the least time after the last crash or trial after which a condemned request
 	// may reach a target again, to see whether it still crashes it. It doubles with each further
 	// incident, up to crashTTL. Up to as much again is added at random for each process.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -83,9 +83,10 @@
 	refused bool
 	// afterFirstEvent means that events of a stream had arrived.
 	afterFirstEvent bool
-	// startedAt is when the attempt began; only if the target may have executed the request.
-	startedAt time.Time
-	err       error
+	// startedAt is when the attempt began, and noticedAt when it failed; only if the target may
+	// have executed the request.
+	startedAt, noticedAt time.Time
+	err                  error
 }
 
 // startAttempt sends the request to the chosen target and reads the head of the response.
@@ -220,7 +221,7 @@
 		}
 		a.written = nil
 	}
-	return &failure{execution: mayHaveExecuted, target: a.target, startedAt: a.startedAt, err: err}
+	return &failure{execution: mayHaveExecuted, target: a.target, startedAt: a.startedAt, noticedAt: time.Now(), err: err}
 }
 
 // isReusable reports whether another request may be sent on the connection once the
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -230,7 +230,7 @@
 		body, err := a.conn.readBounded(a.response.Body)
 		if err != nil {
 			a.abort(ctx)
-			fail := &failure{execution: mayHaveExecuted, target: a.target, startedAt: a.startedAt, err: err}
+			fail := &failure{execution: mayHaveExecuted, target: a.target, startedAt: a.startedAt, noticedAt: time.Now(), err: err}
 			e.recordFailure(ctx, fail)
 			if !e.retryOrRespond(ctx, fail) {
 				return
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -61,7 +61,7 @@
 			t.finish(ctx, p)
 			return
 		}
-		t.recordFailure(ctx, &failure{execution: mayHaveExecuted, target: a.target, startedAt: a.startedAt, afterFirstEvent: a.hasEvent, err: err})
+		t.recordFailure(ctx, &failure{execution: mayHaveExecuted, target: a.target, startedAt: a.startedAt, noticedAt: time.Now(), afterFirstEvent: a.hasEvent, err: err})
 		if !t.canExecuteAgain(ctx) {
 			t.failStream(p)
 			return
@@ -115,7 +115,7 @@
 	body, err := a.conn.readBounded(a.response.Body)
 	if err != nil {
 		a.abort(ctx)
-		t.recordFailure(ctx, &failure{execution: mayHaveExecuted, target: a.target, startedAt: a.startedAt, err: err})
+		t.recordFailure(ctx, &failure{execution: mayHaveExecuted, target: a.target, startedAt: a.startedAt, noticedAt: time.Now(), err: err})
 		if t.canExecuteAgain(ctx) {
 			return true
 		}
--- a/relay/suspect.go
+++ b/relay/suspect.go
@@ -226,7 +226,7 @@
 	e.isTrial = false
 	key := fail.target.TargetKey
 	r.fleet.RecordEnded(key, now)
-	crash := quarantine.Crash{Target: key.Hash(), TargetID: key.ID, BeforeFirstEvent: !fail.afterFirstEvent, StartedAt: fail.startedAt, At: now}
+	crash := quarantine.Crash{Target: key.Hash(), TargetID: key.ID, BeforeFirstEvent: !fail.afterFirstEvent, StartedAt: fail.startedAt, At: fail.noticedAt}
 	for _, s := range e.fingerprints.subjects() {
 		before := r.suspects.tracker.IsCondemned(s, now)
 		if r.suspects.tracker.RecordCrash(s.ID, crash, r.suspects.completions[e.service]) {
