--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -20,6 +20,8 @@
 	minUnexplained = 2
 	// incidentTime is the time within which processes notice crashes at one moment.
 	incidentTime = 50 * time.Millisecond
+	// minTogether is the number of targets that have to end at one moment to be one incident.
+	minTogether = 3
 	// trialDelay is the least time after the last crash or trial after which a condemned request
 	// may reach a target again, to see whether it still crashes it. It doubles with each further
 	// incident, up to crashTTL. Up to as much again is added at random for each process.
@@ -169,17 +171,25 @@
 	return incidents(t.unexplained(r)) >= minUnexplained
 }
 
-// incidents returns the number of incidents among crashes. Targets that end together while each
-// has such a request end of one cause, which may be another one, such as a loss of power. A target
-// that gets the request after the others have ended shows more.
+// incidents returns the number of incidents among crashes. Three or more targets that end at one
+// moment, while each has such a request, end of one cause, which may be another one, such as a loss
+// of power. Two may also end at one moment because of two requests, which shows as much as if they
+// had not. A target that gets the request after the others have ended always shows more.
 func incidents(crashes []Crash) int {
 	sorted := slices.SortedFunc(slices.Values(crashes), func(a, b Crash) int { return a.At.Compare(b.At) })
-	n := 0
+	n, together := 0, 0
 	var first time.Time
 	for _, c := range sorted {
-		isSame := n > 0 && c.At.Sub(first) <= incidentTime && !c.StartedAt.IsZero() && c.StartedAt.Before(first)
-		if !isSame {
-			n, first = n+1, c.At
+		isTogether := together > 0 && c.At.Sub(first) <= incidentTime && !c.StartedAt.IsZero() && c.StartedAt.Before(first)
+		if !isTogether {
+			together, first = 0, c.At
+		}
+		together++
+		switch {
+		case together < minTogether:
+			n++
+		case together == minTogether:
+			n -= minTogether - 2
 		}
 	}
 	return n
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -176,6 +176,17 @@
 	assert.NotZero(t, risk, "it is a suspect all the same")
 }
 
+// On days with deadly requests two often crash their targets at one moment, which must not let
+// more of them reach targets.
+func TestTwoTargetsThatEndTogetherAreTwoIncidents(t *testing.T) {
+	q := quarantine.NewTracker(0)
+	q.RecordCrash(request.ID, running(1, at(1), 100*time.Millisecond), 0)
+	q.RecordCrash(request.ID, running(2, at(1).Add(20*time.Millisecond), 100*time.Millisecond), 0)
+	assert.False(t, q.IsCondemned(request, at(2)))
+	q.RecordCrash(request.ID, running(3, at(2), 100*time.Millisecond), 0)
+	assert.True(t, q.IsCondemned(request, at(2)))
+}
+
 // Repeats of one deadly request reach the next target only after the one before has ended, and
 // requests that crash targets by themselves do so at different times (deadly).
 func TestTargetsThatEndOneAfterTheOtherAreSeveralIncidents(t *testing.T) {
