--- a/ledger/member/leave.go
+++ b/ledger/member/leave.go
@@ -13,6 +13,10 @@
 // view yet.
 const handOverRetryDelay = 50 * time.Millisecond
 
+// maxUnready is how often others may be found not ready before a member keeps its seat. They also
+// say so of a view that has just been changed.
+const maxUnready = 5
+
 // sleepUntilLeave sleeps for d, or until ctx ends or Leave is called. It reports whether Leave was
 // called.
 func (m *Member) sleepUntilLeave(ctx context.Context, d time.Duration) (isLeaving bool) {
@@ -42,14 +46,19 @@
 // added copies.
 func (m *Member) leaveSeat(ctx context.Context) {
 	defer close(m.left)
-	for ctx.Err() == nil {
+	for unready := 0; ctx.Err() == nil; {
 		view := m.options.Directory.View()
 		if !m.ready.Load() || !view.Counts(m.options.Name) || !view.CanRemoveSeat(m.options.Name, m.options.DisksLost) {
 			return
 		}
 		if view.AllReadyExcept(m.options.Name) {
 			if !m.othersAreReady(ctx, view) {
-				return
+				if unready++; unready == maxUnready {
+					m.log.Info().Str("event", "seat_kept").Uint64("version", view.Version).Msg("other members are not ready")
+					return
+				}
+				ctxwait.Sleep(ctx, seatCheckPeriod)
+				continue
 			}
 			left, err := m.leaveView(ctx, view)
 			if left {
