ledger/member: a recovering member names the store if that is why it needs more sources

With the store unreadable, a member in a settled view reported too few members to copy from; the store's error was dropped. Tests of ledger/member pass with the race detector.

--- a/ledger/member/copy.go
+++ b/ledger/member/copy.go
@@ -45,7 +45,11 @@
 		copied++
 		m.log.Info().Str("event", "copied").Str("peer", seat.Name).Int("records", records).Msg("")
 	}
-	if needed := m.neededSources(ctx, view, copied); copied < needed {
+	needed, err := m.neededSources(ctx, view, copied)
+	if err != nil {
+		return err
+	}
+	if copied < needed {
 		return &Error{Step: "copy", Peer: fmt.Sprintf("%d of %d members", copied, needed), Err: errTooFewSources}
 	}
 	if m.damages.Load() != damages {
@@ -65,14 +69,17 @@
 
 // neededSources returns the number of members from which this one has to copy under a view. It
 // reads the store only if fewer suffice because the view is the latest one.
-func (m *Member) neededSources(ctx context.Context, view ledger.View, copied int) int {
+func (m *Member) neededSources(ctx context.Context, view ledger.View, copied int) (int, error) {
 	needed := view.CopySources(m.options.Name, m.options.DisksLost)
-	if fewer := view.LatestCopySources(m.options.Name, m.options.DisksLost); fewer <= copied && copied < needed {
-		if stored, _, err := m.storedView(ctx); err == nil && stored.Version == view.Version {
-			return fewer
-		}
+	fewer := view.LatestCopySources(m.options.Name, m.options.DisksLost)
+	if copied < fewer || copied >= needed {
+		return needed, nil
+	}
+	stored, _, err := m.storedView(ctx)
+	if err != nil || stored.Version != view.Version {
+		return needed, err
 	}
-	return needed
+	return fewer, nil
 }
 
 // becomeReady marks the disk as complete and lets the member count towards quorums, unless more
