Review case 6: a planned restart instead of retire and add

Cause: the same fault needs fewer steps: a store machine that was stopped and started counts again before it has copied.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 # the disruption out. Build first: the build line of deploy/system.toml, then review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/rhubarbsaddled ] && [ -x target/review2/cases2 ] || exit 2
-exec target/review2/cases2 -case add -record review/6/record.txt
+exec target/review2/cases2 -case restart -record review/6/record.txt
--- a/review/cases2/ledger.go
+++ b/review/cases2/ledger.go
@@ -104,3 +104,36 @@
 	}
 	return s.judge()
 }
+
+// diskLossAfterPlannedRestart: a store machine is stopped with SIGTERM and started again. When the
+// platform's store has its seat again, another one loses its disk.
+func (s *scenario) diskLossAfterPlannedRestart() (broken bool, err error) {
+	if err := s.begin(12); err != nil {
+		return false, err
+	}
+	time.Sleep(10 * time.Second)
+	stopped := s.ledgers[2]
+	hasSeat := func() bool { return strings.Contains(string(s.Store.Value(viewKey)), stopped.Name) }
+	stopped.Signal(syscall.SIGTERM)
+	if !stopped.Wait(8 * time.Second) {
+		stopped.Kill()
+	}
+	if hasSeat() {
+		return false, errors.New("the stopped machine has kept its seat")
+	}
+	time.Sleep(time.Second)
+	if err := stopped.Start(false); err != nil {
+		return false, err
+	}
+	if !await(10*time.Second, hasSeat) {
+		return false, errors.New("the machine did not get a seat again")
+	}
+	s.Record.Add("seated", "node", stopped.Name)
+	if s.trouble {
+		time.Sleep(50 * time.Millisecond)
+		if err := s.loseDisk(s.ledgers[0], 2*time.Second); err != nil {
+			return false, err
+		}
+	}
+	return s.judge()
+}
--- a/review/rig2/check.go
+++ b/review/rig2/check.go
@@ -76,6 +76,7 @@
 			}
 		}
 	}
+	c.checkVersions(add)
 	for _, ended := range c.Rig.Ended() {
 		add("CRASH", "%s", ended)
 	}
@@ -106,3 +107,27 @@
 		add("ORDER", "%s %s ended whole after event %d of %d", a.Kind, a.ID, a.From+len(a.Events), events)
 	}
 }
+
+// checkVersions reports streams that hold events of engines of two versions, over all of a client's
+// tries.
+func (c *Clients) checkVersions(add func(rule, text string, args ...any)) {
+	versions := make(map[string]string)
+	c.Rig.mu.Lock()
+	versionOf := c.Rig.versions
+	for _, a := range c.attempts {
+		root := a.ID
+		if a.Resumes != "" {
+			root = a.Resumes
+		}
+		for _, ev := range a.Events {
+			engine, _, _ := strings.Cut(ev.Data, " ")
+			v := versionOf[engine]
+			if known := versions[root]; known != "" && known != v {
+				add("ORDER", "%s %s has an event of version %s after one of version %s", a.Kind, a.ID, v, known)
+				break
+			}
+			versions[root] = v
+		}
+	}
+	c.Rig.mu.Unlock()
+}
--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -17,6 +17,7 @@
 // Attempt is one request of a client with its answer.
 type Attempt struct {
 	ID, Kind, Path, Body, Previous, Program, Node string
+	Resumes                                       string
 	From                                          int
 	Sent, Ended                                   time.Time
 	// Status is 0 if no answer has come.
@@ -101,13 +102,15 @@
 // Request describes a request to send.
 type Request struct {
 	Kind, Path, Body string
-	Previous         string
-	Program          string
-	Budget           int
-	From             int
-	Resumes          string
-	Deadline         time.Duration
-	Fresh            bool
+	// ID is the request's id; empty for a new one.
+	ID       string
+	Previous string
+	Program  string
+	Budget   int
+	From     int
+	Resumes  string
+	Deadline time.Duration
+	Fresh    bool
 	// GiveUp closes the connection after that time.
 	GiveUp time.Duration
 	Extra  string
@@ -115,7 +118,10 @@
 
 // Send sends a request to a node.
 func (c *Clients) Send(n *Node, q Request) *Attempt {
-	a := &Attempt{ID: c.NewID(), Kind: q.Kind, Path: q.Path, Body: q.Body, Previous: q.Previous, Program: q.Program, Node: n.Name, From: q.From, Sent: time.Now()}
+	if q.ID == "" {
+		q.ID = c.NewID()
+	}
+	a := &Attempt{ID: q.ID, Kind: q.Kind, Path: q.Path, Body: q.Body, Previous: q.Previous, Program: q.Program, Node: n.Name, From: q.From, Resumes: q.Resumes, Sent: time.Now()}
 	c.mu.Lock()
 	c.attempts = append(c.attempts, a)
 	c.mu.Unlock()
--- a/review/rig2/engine.go
+++ b/review/rig2/engine.go
@@ -50,6 +50,9 @@
 	Work, First, Gap time.Duration
 	Events           int
 
+	// Limit is the Server-Limit that the engine names, or empty.
+	Limit string
+
 	server   *http.Server
 	listener net.Listener
 	running  atomic.Int64
@@ -76,7 +79,12 @@
 
 // AddEngine starts an engine and registers it. Addr is empty for a free port.
 func (r *Rig) AddEngine(id, service, zone, addr string, slots int) (*Engine, error) {
-	e := &Engine{rig: r, ID: id, Service: service, Zone: zone, Slots: slots, Queue: 3 * slots, Version: "1", Born: time.Now().UnixMilli(),
+	return r.AddEngineOf("1", id, service, zone, addr, slots)
+}
+
+// AddEngineOf is AddEngine for a version of the engine's software.
+func (r *Rig) AddEngineOf(version, id, service, zone, addr string, slots int) (*Engine, error) {
+	e := &Engine{rig: r, ID: id, Service: service, Zone: zone, Slots: slots, Queue: 3 * slots, Version: version, Born: time.Now().UnixMilli(),
 		Work: 30 * time.Millisecond, First: 40 * time.Millisecond, Gap: 15 * time.Millisecond, Events: 10, slots: make(chan struct{}, slots), stop: make(chan struct{})}
 	if addr == "" {
 		addr = "127.0.0.1:0"
@@ -90,6 +98,7 @@
 	go func() { _ = e.server.Serve(listener) }()
 	r.mu.Lock()
 	r.engines[id] = e
+	r.versions[id] = e.Version
 	r.mu.Unlock()
 	e.Register("ready")
 	go e.beat()
@@ -149,6 +158,9 @@
 	w.Header().Set(HeaderLoad, fmt.Sprintf("%d,%d,%d", e.running.Load(), e.waiting.Load(), e.Slots))
 	w.Header().Set("Keep-Alive", "timeout=6")
 	w.Header().Set(HeaderID, id)
+	if e.Limit != "" {
+		w.Header().Set("Server-Limit", e.Limit)
+	}
 	if e.leaving.Load() {
 		w.Header().Set("Server-Leaving", "1")
 		w.Header().Set("Connection", "close")
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -29,13 +29,14 @@
 	Store  *platformtest.Store
 	Record *Record
 
-	mu      sync.Mutex
-	nodes   []*Node
-	engines map[string]*Engine
-	ended   []string
-	net     int
-	version int
-	starts  chan func()
+	mu       sync.Mutex
+	nodes    []*Node
+	engines  map[string]*Engine
+	versions map[string]string
+	ended    []string
+	net      int
+	version  int
+	starts   chan func()
 }
 
 // Node is one machine with one process.
@@ -65,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	rig := &Rig{Dir: dir, Store: platformtest.NewStore(), Record: r, engines: make(map[string]*Engine), net: block, version: 3, starts: make(chan func())}
+	rig := &Rig{Dir: dir, Store: platformtest.NewStore(), Record: r, engines: make(map[string]*Engine), versions: make(map[string]string), net: block, version: 3, starts: make(chan func())}
 	go func() {
 		// The processes end with the thread that started them.
 		runtime.LockOSThread()
@@ -218,6 +219,16 @@
 	_ = n.cmd.Process.Signal(sig)
 }
 
+// PID is the id of the process.
+func (n *Node) PID() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cmd == nil {
+		return 0
+	}
+	return n.cmd.Process.Pid
+}
+
 // Wait waits for the end of the process, and reports whether it has ended.
 func (n *Node) Wait(limit time.Duration) bool {
 	n.mu.Lock()
