--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -49,7 +49,7 @@
 	}
 	defer rig.Close()
 	s := &scenario{Rig: rig, clients: rig2.NewClients(rig), trouble: trouble, stop: make(chan struct{})}
-	play := map[string]func(*scenario) (bool, error){"add": (*scenario).diskLossWhileMemberIsAdded, "leave": (*scenario).diskLossAfterStopWithoutStore, "cycle": (*scenario).reusedIDs, "drain": (*scenario).rollingStops, "restart": (*scenario).diskLossAfterPlannedRestart}[name]
+	play := map[string]func(*scenario) (bool, error){"add": (*scenario).diskLossWhileMemberIsAdded, "leave": (*scenario).diskLossAfterStopWithoutStore, "cycle": (*scenario).reusedIDs, "drain": (*scenario).rollingStops, "restart": (*scenario).diskLossAfterPlannedRestart, "crashes": (*scenario).crashesInTurn, "calm": (*scenario).largestBodies}[name]
 	if play == nil {
 		fmt.Println("no such case")
 		return 2
--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -113,7 +113,9 @@
 	Fresh    bool
 	// GiveUp closes the connection after that time.
 	GiveUp time.Duration
-	Extra  string
+	// Chunked sends the body in chunks.
+	Chunked bool
+	Extra   string
 }
 
 // Send sends a request to a node.
@@ -165,7 +167,10 @@
 		head += fmt.Sprintf("Last-Event-Id: %d\r\nResumes: %s\r\n", q.From, q.Resumes)
 	}
 	head += q.Extra
-	if method == "POST" {
+	if q.Chunked {
+		head += "Transfer-Encoding: chunked\r\n"
+		q.Body = chunks(q.Body)
+	} else if method == "POST" {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(q.Body))
 	}
 	_ = conn.SetDeadline(time.Now().Add(q.Deadline))
@@ -276,3 +281,14 @@
 	}
 	return text, true
 }
+
+// chunks is a body in chunks of 64 KiB.
+func chunks(body string) string {
+	var b strings.Builder
+	for len(body) > 0 {
+		n := min(len(body), 64<<10)
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", n, body[:n])
+		body = body[n:]
+	}
+	return b.String() + "0\r\n\r\n"
+}
--- a/review/rig2/engine.go
+++ b/review/rig2/engine.go
@@ -60,10 +60,15 @@
 	slots    chan struct{}
 	stop     chan struct{}
 	leaving  atomic.Bool
-	silent   atomic.Bool
 	calls    atomic.Int64
 }
 
+// LongMark begins the input of turns whose first event takes longFirst.
+const (
+	LongMark  = "long"
+	longFirst = 2 * time.Second
+)
+
 var runsMu sync.Mutex
 
 // Runs are all requests that engines began to work on.
@@ -279,7 +284,16 @@
 	if run.From != "" {
 		from, _ = strconv.Atoi(run.From)
 	}
-	wait(ctx.Done(), e.stop, e.First)
+	if strings.HasPrefix(run.Body, LongMark) {
+		wait(ctx.Done(), e.stop, longFirst)
+	} else {
+		wait(ctx.Done(), e.stop, e.First)
+	}
+	select {
+	case <-e.stop:
+		panic(http.ErrAbortHandler)
+	default:
+	}
 	if fault == "mute" {
 		wait(ctx.Done(), e.stop, 20*time.Second)
 		panic(http.ErrAbortHandler)
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"os/exec"
@@ -265,6 +266,13 @@
 // Log returns the path of the process's log.
 func (n *Node) Log() string { return filepath.Join(n.rig.Dir, n.Name, "log") }
 
+// Engines returns the running engines by id.
+func (r *Rig) Engines() map[string]*Engine {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.engines)
+}
+
 // Ended returns the processes that ended by themselves.
 func (r *Rig) Ended() []string {
 	r.mu.Lock()
--- a/review/soak2/main.go
+++ b/review/soak2/main.go
@@ -226,7 +226,11 @@
 	}
 	statuses := map[string]int{}
 	for _, a := range c.Attempts() {
-		statuses[fmt.Sprintf("%s %d whole=%v", a.Kind, a.Status, a.Whole)]++
+		kind := a.Kind
+		if a.Resumes != "" {
+			kind += " taken up"
+		}
+		statuses[fmt.Sprintf("%s %d whole=%v", kind, a.Status, a.Whole)]++
 	}
 	fmt.Println(statuses)
 	found := c.Check(10)
