--- a/review/soak2/main.go
+++ b/review/soak2/main.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -25,6 +27,7 @@
 	members := flag.Int("members", 3, "")
 	versions := flag.Bool("versions", false, "")
 	membership := flag.Bool("membership", false, "")
+	changes := flag.Bool("changes", false, "")
 	engineFaults := flag.Bool("engines", true, "")
 	flag.Parse()
 	r, err := rig2.New(*record)
@@ -122,7 +125,11 @@
 		})
 	}
 	if *membership {
-		wg.Go(func() { membershipFaults(r, ledgers, pick, stop) })
+		if *changes {
+			wg.Go(func() { membershipChanges(r, pick, stop) })
+		} else {
+			wg.Go(func() { membershipFaults(ledgers, pick, stop) })
+		}
 	}
 	if *entryFaults {
 		wg.Go(func() {
@@ -320,7 +327,7 @@
 	}
 }
 
-func membershipFaults(r *rig2.Rig, ledgers []*rig2.Node, pick func(int) int, stop time.Time) {
+func membershipFaults(ledgers []*rig2.Node, pick func(int) int, stop time.Time) {
 	var mu sync.Mutex
 	busy := map[*rig2.Node]bool{}
 	take := func() *rig2.Node {
@@ -378,3 +385,108 @@
 	}
 	wg.Wait()
 }
+
+// membershipChanges adds machines, retires some and replaces others for good, while further ones are
+// killed, frozen or stopped. One disk is lost at a time.
+func membershipChanges(r *rig2.Rig, pick func(int) int, stop time.Time) {
+	var mu sync.Mutex
+	live := r.Nodes("ledger")
+	busy := map[*rig2.Node]bool{}
+	take := func(least int) *rig2.Node {
+		mu.Lock()
+		defer mu.Unlock()
+		n := live[pick(len(live))]
+		if busy[n] || len(live) < least {
+			return nil
+		}
+		busy[n] = true
+		return n
+	}
+	free := func(n *rig2.Node) { mu.Lock(); busy[n] = false; mu.Unlock() }
+	drop := func(n *rig2.Node) {
+		mu.Lock()
+		defer mu.Unlock()
+		live = slices.DeleteFunc(live, func(other *rig2.Node) bool { return other == n })
+	}
+	add := func(n *rig2.Node) { mu.Lock(); live = append(live, n); mu.Unlock() }
+	size := func() int { mu.Lock(); defer mu.Unlock(); return len(live) }
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for time.Now().Before(stop) {
+			time.Sleep(time.Duration(5000+pick(4000)) * time.Millisecond)
+			switch pick(3) {
+			case 0:
+				// Replaced for good.
+				n := take(4)
+				if n == nil || len(r.Nodes("ledger")) > 8 {
+					continue
+				}
+				n.Kill()
+				must(n.Wipe())
+				drop(n)
+				time.Sleep(time.Duration(500+pick(1500)) * time.Millisecond)
+				replacement := r.AddNode("ledger", n.Zone)
+				must(replacement.Start(false))
+				add(replacement)
+				time.Sleep(5 * time.Second)
+			case 1:
+				n := take(1)
+				if n == nil {
+					continue
+				}
+				n.Kill()
+				must(n.Wipe())
+				time.Sleep(time.Duration(300+pick(1700)) * time.Millisecond)
+				must(n.Start(false))
+				time.Sleep(5 * time.Second)
+				free(n)
+			case 2:
+				if size() < 5 && len(r.Nodes("ledger")) <= 8 {
+					added := r.AddNode("ledger", rig2.Zones[pick(3)])
+					must(added.Start(false))
+					add(added)
+					continue
+				}
+				n := take(5)
+				if n == nil {
+					continue
+				}
+				r.Store.Put("op/retire/"+n.Name, []byte(`{"duration_s":8.9}`))
+				for end := time.Now().Add(12 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+					if strings.Contains(string(r.Store.Value("status/retire/"+n.Name)), "completed") {
+						n.Kill()
+						must(n.Wipe())
+						drop(n)
+						break
+					}
+				}
+				free(n)
+			}
+		}
+	})
+	wg.Go(func() {
+		for time.Now().Before(stop) {
+			time.Sleep(time.Duration(500+pick(3000)) * time.Millisecond)
+			n := take(1)
+			if n == nil {
+				continue
+			}
+			switch pick(3) {
+			case 0:
+				n.Kill()
+				time.Sleep(time.Duration(pick(3000)) * time.Millisecond)
+				must(n.Start(false))
+			case 1:
+				n.Signal(syscall.SIGSTOP)
+				time.Sleep(time.Duration(500+pick(2700)) * time.Millisecond)
+				n.Signal(syscall.SIGCONT)
+			case 2:
+				n.Terminate()
+				time.Sleep(time.Duration(pick(1500)) * time.Millisecond)
+				must(n.Start(false))
+			}
+			free(n)
+		}
+	})
+	wg.Wait()
+}
