Review: cases 6 and 7 stay inside the limits they quote

Cause: a lost disk was dark for 2 s and the time to remove its data, where the site file has 2.0 s; the outage of the store was 4.5 s or a little more. The load of the engines, of which the rule speaks, was not measured. Change: 1.9 s from the kill on, 4.4 s; catch_up_s is waited for besides recover_s; under half of the engines' slots must be taken.

--- a/review/cases2/ledger.go
+++ b/review/cases2/ledger.go
@@ -13,16 +13,25 @@
 // viewKey is the key under which the members keep their view in the platform's store.
 const viewKey = "rhubarbsaddle/ledger/view"
 
+const (
+	// darkTime and storeDown are inside the limits of the site file: for_s 2.0 of after_ack_wipe and
+	// for_s 4.5 of platform_down.
+	darkTime  = 1900 * time.Millisecond
+	storeDown = 4400 * time.Millisecond
+)
+
 // loseDisk is a loss of power with the disk: the process is killed, its data removed, and it is
-// started again with bootstrap false.
-func (s *scenario) loseDisk(n *rig2.Node, dark time.Duration) error {
+// started again with bootstrap false, darkTime after the kill.
+func (s *scenario) loseDisk(n *rig2.Node) error {
+	killed := time.Now()
 	n.Kill()
-	s.Record.Add("disk lost", "node", n.Name)
 	if err := n.Wipe(); err != nil {
 		return err
 	}
-	time.Sleep(dark)
-	return n.Start(false)
+	time.Sleep(time.Until(killed.Add(darkTime)))
+	err := n.Start(false)
+	s.Record.Add("disk lost", "node", n.Name, "dark for", time.Since(killed).Round(time.Millisecond))
+	return err
 }
 
 // diskLossWhileMemberIsAdded: one of three store machines is retired, and removed once the system
@@ -57,7 +66,7 @@
 	s.Record.Add("seated", "node", added.Name)
 	if s.trouble {
 		time.Sleep(100 * time.Millisecond)
-		if err := s.loseDisk(s.ledgers[1], 2*time.Second); err != nil {
+		if err := s.loseDisk(s.ledgers[1]); err != nil {
 			return false, err
 		}
 	}
@@ -88,7 +97,7 @@
 			failed <- nil
 			return
 		}
-		failed <- s.loseDisk(wiped, 2*time.Second)
+		failed <- s.loseDisk(wiped)
 	}()
 	time.Sleep(time.Second)
 	if err := stopped.Start(false); err != nil {
@@ -98,9 +107,9 @@
 		return false, err
 	}
 	if s.trouble {
-		time.Sleep(time.Until(began.Add(4500 * time.Millisecond)))
+		time.Sleep(time.Until(began.Add(storeDown)))
 		s.Store.SetDown(false)
-		s.Record.Add("store", "is", fmt.Sprintf("up after %.1f s", time.Since(began).Seconds()))
+		s.Record.Add("store", "is", fmt.Sprintf("up after %.3f s", time.Since(began).Seconds()))
 	}
 	return s.judge()
 }
@@ -131,7 +140,7 @@
 	s.Record.Add("seated", "node", stopped.Name)
 	if s.trouble {
 		time.Sleep(50 * time.Millisecond)
-		if err := s.loseDisk(s.ledgers[0], 2*time.Second); err != nil {
+		if err := s.loseDisk(s.ledgers[0]); err != nil {
 			return false, err
 		}
 	}
--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -13,9 +13,11 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/review/rig2"
 )
 
-// recoverTime is recover_s of the deployment, retention retention_s of its routes.
+// recoverTime is recover_s of the deployment, catchUp its catch_up_s, retention retention_s of its
+// routes.
 const (
 	recoverTime = 12 * time.Second
+	catchUp     = 4900 * time.Millisecond
 	retention   = 60 * time.Second
 	window      = 4 * time.Second
 	events      = 10
@@ -153,12 +155,12 @@
 	return string(b)
 }()
 
-// judge waits for recover_s from now, when all machines are back, and then counts for 4 s which
-// turns reach an engine. The rule is broken if no turn does that continues a kept one, while the
-// engines have nothing else to do.
+// judge waits for catch_up_s and recover_s from now, when all machines are back, and then counts for
+// 4 s which turns reach an engine. The rule is broken if no turn does that continues a kept one, while
+// the engines are under half full.
 func (s *scenario) judge() (broken bool, err error) {
 	s.Record.Add("back", "what", "all machines are back")
-	time.Sleep(recoverTime)
+	time.Sleep(catchUp + recoverTime)
 	close(s.stop)
 	s.wg.Wait()
 	s.mu.Lock()
@@ -171,6 +173,13 @@
 	continued, first := 0, 0
 	var continuedIDs, firstIDs []string
 	var wg sync.WaitGroup
+	var fullest float64
+	wg.Go(func() {
+		for time.Now().Before(end) {
+			fullest = max(fullest, s.EngineLoad())
+			time.Sleep(5 * time.Millisecond)
+		}
+	})
 	for i := range 16 {
 		tip := tips[len(tips)-1-i%len(tips)]
 		wg.Go(func() {
@@ -211,10 +220,10 @@
 			statuses[fmt.Sprintf("%d", a.Status)]++
 		}
 	}
-	text := fmt.Sprintf("in 4 s, more than %v after all machines were back: %d of %d turns that continue kept ones reached an engine, and %d of %d first turns; answers by status: %v", recoverTime, continued, len(continuedIDs), first, len(firstIDs), statuses)
+	text := fmt.Sprintf("in 4 s, more than %v after all machines were back: %d of %d turns that continue kept ones reached an engine, and %d of %d first turns; answers by status: %v; %.0f%% of the engines' slots were taken at most", catchUp+recoverTime, continued, len(continuedIDs), first, len(firstIDs), statuses, 100*fullest)
 	fmt.Println(text)
 	s.Record.Add("judged", "what", text)
-	return len(continuedIDs) >= 16 && continued == 0, nil
+	return len(continuedIDs) >= 16 && continued == 0 && fullest < 0.5, nil
 }
 
 // await waits for a condition.
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -273,6 +273,16 @@
 	return maps.Clone(r.engines)
 }
 
+// EngineLoad returns the share of all engines' slots that are taken.
+func (r *Rig) EngineLoad() float64 {
+	running, slots := 0.0, 0.0
+	for _, e := range r.Engines() {
+		running += float64(e.running.Load())
+		slots += float64(e.Slots)
+	}
+	return running / max(slots, 1)
+}
+
 // Ended returns the processes that ended by themselves.
 func (r *Rig) Ended() []string {
 	r.mu.Lock()
