ledger: members that are not ready are sources, too

Cause: a member copied from ready members only. The one with the empty disk and the one that rejoined waited for each other, although every record that a quorum acknowledged was on a disk that was there. Change: a source is any member whose disk is the one that had the seat. Members report the incarnation of their disk with their keys, a disk that lacks records gets a new one, a member is ready only after a view in the store with its disk in a ready seat, a seat that passes on names the disk that had it, and a view that is not settled the seat that was removed. The number of sources is as before. Members that retire recover first; one of few seats can be replaced before the view is settled; a removal settles the view at once. Why it works: a record is on the disks of a quorum, so copying from as many whole disks as intersect every quorum finds it, ready or not. With no more disks lost than allowed, enough whole disks are there once all run.

--- a/ledger/member/leave.go
+++ b/ledger/member/leave.go
@@ -51,7 +51,12 @@
 		if !m.ready.Load() || !view.Counts(m.options.Name) || !view.CanRemoveSeat(m.options.Name, m.options.DisksLost) {
 			return
 		}
-		if view.AllReadyExcept(m.options.Name) {
+		if seat, _ := view.Seat(m.options.Name); !seat.Equal(m.seat(true)) {
+			// Others rely on the disk of a member that ends while it leaves only if the view has it.
+			if err := m.showReady(ctx, view, seat); err != nil {
+				m.log.Warn().Str("event", "seat_step_failed").Err(err).Msg("retrying")
+			}
+		} else if view.AllReadyExcept(m.options.Name) {
 			if !m.othersAreReady(ctx, view) {
 				if unready++; unready == maxUnready {
 					m.log.Info().Str("event", "seat_kept").Uint64("version", view.Version).Msg("other members are not ready")
@@ -91,7 +96,7 @@
 	current := m.options.Directory.View()
 	if current.Counts(m.options.Name) {
 		// Another change came first, so the disk still has what quorums have stored.
-		return false, m.becomeReady(m.handledDamages)
+		return false, m.becomeReady(m.handledDamages.Load())
 	}
 	// Hand over the records written between the first handover and the change of the view, once
 	// the others have that view.
--- a/ledger/member/lost_test.go
+++ b/ledger/member/lost_test.go
@@ -7,6 +7,11 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/discovery"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger"
+	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/member"
+	"github.com/rhubarbsaddle/rhubarbsaddle/platform"
 )
 
 // terminate stops a member as SIGTERM does: it may give up its seat first.
@@ -123,3 +128,53 @@
 	c.start("m2", false)
 	c.checkChain(2)
 }
+
+// A member that is back after a planned stop had a seat, but had not copied yet, when another one
+// lost its disk. The two waited for each other for good (review/6: LOST, RECOVER).
+func TestDiskLossWhileMemberRejoins(t *testing.T) {
+	c := newCluster(t)
+	c.startThree()
+	c.write(1, 2)
+	c.terminate("m3")
+	c.awaitSeats("m1", "m2")
+	require.Eventually(t, func() bool { return c.views.Snapshot().View.Settled }, waitTimeout, 20*time.Millisecond)
+	c.write(3, 4)
+	id, err := member.ReadIncarnation(c.dirs["m3"])
+	require.NoError(t, err)
+	seat := ledger.Seat{Name: "m3", Addr: c.addrs["m3"], Domain: "m3", Incarnation: id}
+	c.store.Put(discovery.ViewKey, c.views.Snapshot().View.Adding(seat, 1).Encode())
+	c.loseDisk("m1")
+	c.start("m3", false)
+	c.awaitSeats("m1", "m2", "m3")
+	c.checkChain(4)
+}
+
+// All members ended between the mark and the change of the view, and no disk was
+// lost at all.
+func TestMembersMarkedAsIncompleteRecoverFromEachOther(t *testing.T) {
+	c := newCluster(t)
+	c.startThree()
+	c.write(1, 3)
+	all := []string{"m1", "m2", "m3"}
+	c.stop(all...)
+	for _, name := range all {
+		require.NoError(t, member.MarkIncomplete(c.dirs[name]))
+		c.start(name, false)
+	}
+	c.checkChain(3)
+}
+
+// One of two members was to retire and lost its disk. It never recovered, so no other one could
+// take a seat, for which its retirement waited.
+func TestDiskLossOfRetiringMember(t *testing.T) {
+	c := newCluster(t)
+	c.startThree()
+	c.terminate("m3")
+	c.awaitSeats("m1", "m2")
+	c.write(1, 3)
+	c.store.Put(platform.RetireKey("m2"), []byte(`{"duration_s":10}`))
+	c.loseDisk("m2")
+	c.start("m4", false)
+	c.awaitSeats("m1", "m4")
+	c.checkChain(3)
+}
--- a/ledger/member/member.go
+++ b/ledger/member/member.go
@@ -62,12 +62,13 @@
 	log     *log.Logger
 	disk    *segment.Log
 	index   indexQueue
-	// damages counts the damaged records that were found. Those up to handledDamages are
-	// known to maintainSeat, which alone uses that field.
-	damages        atomic.Uint64
-	handledDamages uint64
-	// identity identifies the disk. After Open only maintainSeat uses it.
-	identity identity
+	// damages counts the damaged records that were found. The disk got a new incarnation for those
+	// up to handledDamages.
+	damages, handledDamages atomic.Uint64
+	// identity identifies the disk. After Open only maintainSeat uses it. incarnation is that of
+	// the identity.
+	identity    identity
+	incarnation atomic.Uint64
 	// hadSeat means that this process has had a seat. retired means that its seat was
 	// removed because operators retired the VM. Only maintainSeat uses these fields.
 	hadSeat, retired bool
@@ -77,6 +78,10 @@
 	// not settle that view before settleAfter. Only maintainSeat uses these fields.
 	seenVersion            uint64
 	seenSince, settleAfter time.Time
+	// removedHeard is when the member of the seat that was removed last responded under the view of
+	// version removedVersion. Only maintainSeat uses these fields.
+	removedVersion uint64
+	removedHeard   time.Time
 	// leave is closed by Leave, left once maintainSeat has ended.
 	leave, left chan struct{}
 	leaveOnce   sync.Once
@@ -170,13 +175,14 @@
 			return err
 		}
 	}
-	if damaged && (m.identity.Complete || m.identity.CompleteFrom != 0) {
+	if damaged {
 		// The damaged files are indexed anew, so the next start would not find the damage.
-		if err := m.setIdentity(identity{Member: m.options.Name, Incarnation: m.identity.Incarnation}); err != nil {
+		if err := m.setIdentity(identity{Member: m.options.Name, Incarnation: rand.Uint64()}); err != nil {
 			return err
 		}
 	}
 	complete := m.identity.Complete
+	m.incarnation.Store(m.identity.Incarnation)
 	if complete {
 		m.replica.Step(ledger.Recovered{}, now)
 	}
@@ -192,9 +198,20 @@
 		return err
 	}
 	m.identity = id
+	m.incarnation.Store(id.Incarnation)
 	return nil
 }
 
+// intactIncarnation returns the incarnation of the disk, or 0 if it lacks records that it has
+// acknowledged and its identity does not say so yet.
+func (m *Member) intactIncarnation() uint64 {
+	handled, incarnation := m.handledDamages.Load(), m.incarnation.Load()
+	if m.damages.Load() != handled {
+		return 0
+	}
+	return incarnation
+}
+
 // Run serves until ctx ends.
 func (m *Member) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/ledger/member/seat.go
+++ b/ledger/member/seat.go
@@ -55,11 +55,11 @@
 
 // reconcileSeat takes the next step towards a ready seat, or towards retirement.
 func (m *Member) reconcileSeat(ctx context.Context) error {
-	if damages := m.damages.Load(); damages != m.handledDamages {
-		if err := m.markIncomplete(); err != nil {
+	if damages := m.damages.Load(); damages != m.handledDamages.Load() {
+		if err := m.renewIncarnation(); err != nil {
 			return err
 		}
-		m.handledDamages = damages
+		m.handledDamages.Store(damages)
 	}
 	view := m.options.Directory.View()
 	if view.Version != m.seenVersion {
@@ -71,10 +71,11 @@
 		m.settleAfter = time.Now().Add(settleRetryDelay)
 		return m.settle(ctx, view)
 	}
-	if m.isRetiring() {
+	seat, seated := view.Seat(m.options.Name)
+	// A member whose seat counts becomes ready before it retires: others may need it to copy from.
+	if m.isRetiring() && (!view.Counts(m.options.Name) || seat.Equal(m.seat(true)) && m.ready.Load()) {
 		return m.retire(ctx, view)
 	}
-	seat, seated := view.Seat(m.options.Name)
 	if !seated && !m.mayTakeSeat(view) {
 		// A member without a seat does not get the records written meanwhile.
 		return m.markIncomplete()
@@ -89,10 +90,15 @@
 		}
 		return m.recover(ctx, view)
 	}
-	if seat != m.seat(true) {
-		return m.compareAndSwapView(ctx, view, view.With(m.seat(true)))
+	return m.showReady(ctx, view, seat)
+}
+
+// showReady changes the view so that it has the ready seat of this member.
+func (m *Member) showReady(ctx context.Context, view ledger.View, seat ledger.Seat) error {
+	if seat.Equal(m.seat(true)) {
+		return nil
 	}
-	return nil
+	return m.compareAndSwapView(ctx, view, view.With(m.seat(true)))
 }
 
 // mayTakeSeat reports whether a member without a seat may take one now. It waits while all
@@ -114,16 +120,22 @@
 // takeSeat changes the view so that this member has a seat: it replaces an unresponsive
 // member, or else adds a seat, which counts once the member has copied (see recover).
 //
-// Invariant: a seat is only added while all other members are ready. A member without a ready
-// replica, and one that has lost its disk, would each lack the other to copy from. For the same
-// reason, a seat is only replaced while enough others are ready (see mayReplace).
+// Invariant: a seat is only added while all other members are ready, and only replaced while there
+// are enough others to copy from (see mayReplace).
 func (m *Member) takeSeat(ctx context.Context, view ledger.View) error {
+	if view.Version == 0 && m.ready.Load() {
+		return m.compareAndSwapView(ctx, view, view.Adding(m.seat(true), m.options.DisksLost))
+	}
 	if view.Version == 0 && !m.options.FirstStart {
-		// The store has a view, but this member has not read it yet.
+		// The store has a view that this member has not read yet.
 		return nil
 	}
-	if !m.options.FirstStart && !view.MayChange(m.options.DisksLost) {
-		return nil
+	if view.Counts(m.options.Name) {
+		// The member serves at another address than before.
+		if err := m.markIncomplete(); err != nil {
+			return err
+		}
+		return m.compareAndSwapView(ctx, view, view.With(m.seat(false)))
 	}
 	if !m.options.FirstStart || m.hadSeat {
 		if err := m.markIncomplete(); err != nil {
@@ -137,44 +149,51 @@
 			return m.compareAndSwapView(ctx, view, view.Replacing(unresponsive, m.seat(false)))
 		}
 	}
-	if !view.AllReadyExcept(m.options.Name) || !m.options.FirstStart && !m.othersAreReady(ctx, view) {
+	if !view.AllReadyExcept(m.options.Name) || !m.options.FirstStart && !(view.MayChange(m.options.DisksLost) && m.othersAreReady(ctx, view)) {
 		return nil
 	}
 	return m.compareAndSwapView(ctx, view, view.Adding(m.seat(m.ready.Load()), m.options.DisksLost))
 }
 
-// mayReplace reports whether this member may take the seat of an unresponsive one: enough others
-// must be ready to copy from. With fewer, neither it nor those that recover could get ready, and
-// the unresponsive member, which may only be down, would be lost as a source. A joining seat is in
-// no quorum and no source, so it may be replaced at any time.
+// mayReplace reports whether this member may take the seat of an unresponsive one: there must be
+// enough others to copy from, which this member does in advance. With fewer, it could not get
+// ready, and the unresponsive member, which may only be down, would be lost as a source. A joining
+// seat is in no quorum and no source, so it may be replaced at any time.
 func (m *Member) mayReplace(ctx context.Context, view ledger.View, name string) bool {
 	if !view.Counts(name) {
 		return true
 	}
-	next := view.Replacing(name, m.seat(false))
-	sources := 0
-	for _, seat := range next.Counting() {
-		if seat.Name != m.options.Name && seat.Ready && m.isReady(ctx, seat, view.Version) {
-			sources++
-		}
+	if !view.MayReplace(name, m.options.DisksLost) {
+		return false
 	}
-	return sources >= next.CopySources(m.options.Name, m.options.DisksLost)
+	next := view.Replacing(name, m.seat(false))
+	return next.IsComplete(m.options.Name, m.options.DisksLost, m.copySources(ctx, view))
 }
 
-// countSeat changes the view so that this member's seat counts after it has copied under that
-// view. It reports whether it does. The disk is marked before: once the seat counts, quorums and
-// other members that recover may need this one, also if it ends just then.
-func (m *Member) countSeat(ctx context.Context, view ledger.View) (bool, error) {
-	next := view.With(m.seat(true))
-	if err := m.setIdentity(identity{Member: m.options.Name, Incarnation: m.identity.Incarnation, CompleteFrom: next.Version}); err != nil {
-		return false, err
-	}
-	if err := m.compareAndSwapView(ctx, view, next); err != nil {
-		return false, err
+// confirmSeat lets the view in the store have the ready seat of this member after it has copied
+// under that view. It reports whether it has, and that there was no other view meanwhile. The disk
+// is marked before: once the seat counts as ready, quorums and other members that recover may need
+// this one, also if it ends just then.
+func (m *Member) confirmSeat(ctx context.Context, view ledger.View) (bool, error) {
+	next := view
+	if seat, _ := view.Seat(m.options.Name); seat.Equal(m.seat(true)) {
+		stored, _, err := m.storedView(ctx)
+		if err != nil {
+			return false, err
+		}
+		m.options.Directory.MergeView(stored)
+	} else {
+		next = view.With(m.seat(true))
+		if err := m.setIdentity(identity{Member: m.options.Name, Incarnation: m.identity.Incarnation, CompleteFrom: next.Version}); err != nil {
+			return false, err
+		}
+		if err := m.compareAndSwapView(ctx, view, next); err != nil {
+			return false, err
+		}
 	}
 	current := m.options.Directory.View()
 	seat, _ := current.Seat(m.options.Name)
-	return current.Version == next.Version && seat == m.seat(true), nil
+	return current.Version == next.Version && seat.Equal(m.seat(true)), nil
 }
 
 // isCompleteSince reports whether the disk was marked for a change of the view that took effect.
@@ -182,12 +201,12 @@
 func (m *Member) isCompleteSince(view ledger.View) bool {
 	seat, _ := view.Seat(m.options.Name)
 	from := m.identity.CompleteFrom
-	return from != 0 && view.Version >= from && seat == m.seat(true)
+	return from != 0 && view.Version >= from && seat.Equal(m.seat(true))
 }
 
 // resume makes a member ready that ended, or lost the store, while its seat began to count.
 func (m *Member) resume(ctx context.Context) error {
-	if err := m.becomeReady(m.handledDamages); err != nil {
+	if err := m.becomeReady(m.handledDamages.Load()); err != nil {
 		return err
 	}
 	m.log.Info().Str("event", "resumed").Msg("")
@@ -220,8 +239,19 @@
 	return err == nil && response.GetStatus() == ledgerpb.Status_STATUS_NOT_FOUND
 }
 
-// markIncomplete marks the member's disk as lacking records: those that were written while
-// it had no seat, or those that are damaged.
+// renewIncarnation marks the member's disk as one that lacks records that it has acknowledged, such
+// as damaged ones. Like an empty disk it gets a new incarnation, so others do not rely on it.
+func (m *Member) renewIncarnation() error {
+	if err := m.setIdentity(identity{Member: m.options.Name, Incarnation: rand.Uint64()}); err != nil {
+		return err
+	}
+	m.ready.Store(false)
+	m.post(ledger.Outdated{})
+	return nil
+}
+
+// markIncomplete marks the member's disk as lacking records that were written while it had no
+// seat. It still has all that it has acknowledged.
 func (m *Member) markIncomplete() error {
 	if !m.ready.Load() && m.identity.CompleteFrom == 0 {
 		return nil
@@ -306,15 +336,17 @@
 		if err := m.reportRetirement(ctx, false); err != nil {
 			return err
 		}
-		if !view.CanRemoveSeat(m.options.Name, m.options.DisksLost) {
-			m.logRetirementWaits(view)
-			return nil
-		}
-		if !view.AllReadyExcept(m.options.Name) {
-			return nil
-		}
-		if err := m.handOver(ctx, view.Counting(), view.Version); err != nil {
-			return err
+		if view.Counts(m.options.Name) {
+			if !view.CanRemoveSeat(m.options.Name, m.options.DisksLost) {
+				m.logRetirementWaits(view)
+				return nil
+			}
+			if !view.AllReadyExcept(m.options.Name) {
+				return nil
+			}
+			if err := m.handOver(ctx, view.Counting(), view.Version); err != nil {
+				return err
+			}
 		}
 		if err := m.compareAndSwapView(ctx, view, view.Without(m.options.Name)); err != nil {
 			return err
@@ -336,6 +368,9 @@
 			return nil
 		}
 	}
+	if view.ReliesOn(m.options.Name) {
+		return nil
+	}
 	if err := m.reportRetirement(ctx, true); err != nil {
 		return err
 	}
@@ -417,6 +452,12 @@
 		m.log.Warn().Str("event", "member_given_up").Str("peer", seat.Name).Dur("silent", sinceHeard).Msg("")
 		if err := m.removeMember(ctx, view, seat.Name); err != nil {
 			m.log.Warn().Str("event", "seat_kept").Err(err).Msg("")
+			return
+		}
+		if next := m.options.Directory.View(); next.NeedsSettling(m.options.DisksLost) {
+			if err := m.settle(ctx, next); err != nil {
+				m.log.Warn().Str("event", "settle_failed").Err(err).Msg("")
+			}
 		}
 		return
 	}
--- a/ledger/member/serve.go
+++ b/ledger/member/serve.go
@@ -198,7 +198,10 @@
 	case req.GetViewVersion() > known:
 		respond(&ledgerpb.Response{Status: ledgerpb.Status_STATUS_FAILED})
 	default:
-		m.post(ledger.KeysRequested{RequestID: m.newRequestID(respond)})
+		m.post(ledger.KeysRequested{RequestID: m.newRequestID(func(response *ledgerpb.Response) {
+			response.Incarnation = m.intactIncarnation()
+			respond(response)
+		})})
 	}
 }
 
--- a/ledger/view.go
+++ b/ledger/view.go
@@ -7,6 +7,15 @@
 	"strings"
 )
 
+// Disk identifies one disk of a member.
+type Disk struct {
+	// Name is the name of the VM, Addr the address at which the member serves.
+	Name string `json:"name"`
+	Addr string `json:"addr"`
+	// Incarnation identifies the disk among those of the member.
+	Incarnation uint64 `json:"incarnation"`
+}
+
 // Seat is the entry of one member in a View.
 type Seat struct {
 	// Name is the name of the VM.
@@ -19,15 +28,50 @@
 	// incarnation.
 	Incarnation uint64 `json:"incarnation"`
 	// Ready means that the member has every record that a quorum had stored when the
-	// member's disk was new. Members that are not ready have a seat, but do not count
-	// towards a quorum.
+	// member's disk was new. A member acknowledges records only after a view in which its disk
+	// has a ready seat. Members that are not ready have a seat, but do not count towards a quorum.
 	Ready bool `json:"ready"`
 	// Joining means that the seat was added and its member has not copied yet: it stores what
 	// is written, but does not count in the size of a quorum or of the sources of a copy. A
 	// member that has lost its disk is not joining, since quorums have included it.
 	Joining bool `json:"joining,omitempty"`
+	// Former is the disk that had this seat when its member was last ready, if the member of the
+	// seat is not ready now and may lack what was acknowledged. There is one at most.
+	Former []Disk `json:"former,omitempty"`
+}
+
+// Disk returns the disk that has the seat.
+func (s Seat) Disk() Disk { return Disk{Name: s.Name, Addr: s.Addr, Incarnation: s.Incarnation} }
+
+// Equal reports whether both seats are the same.
+func (s Seat) Equal(other Seat) bool {
+	return s.Name == other.Name && s.Addr == other.Addr && s.Domain == other.Domain && s.Incarnation == other.Incarnation &&
+		s.Ready == other.Ready && s.Joining == other.Joining && slices.Equal(s.Former, other.Former)
 }
 
+// passTo returns the seat that takes the place of s, which counts. While its member is not ready,
+// the disk that had s when its member was last ready has what was acknowledged.
+func (s Seat) passTo(next Seat) Seat {
+	next.Joining, next.Former = false, nil
+	if next.Ready {
+		return next
+	}
+	next.Former = slices.Clone(s.Former)
+	if s.Ready {
+		next.Former = []Disk{s.Disk()}
+	}
+	for i, d := range next.Former {
+		if d.Name == next.Name {
+			next.Former[i].Addr = next.Addr
+		}
+	}
+	return next
+}
+
+// hasAcknowledged reports whether a member may have acknowledged records under the seat. One that
+// has not been ready since its seat was added has not.
+func (s Seat) hasAcknowledged() bool { return s.Ready || len(s.Former) > 0 }
+
 // View is one version of the membership. The seats that count differ in one at most between
 // consecutive views, so every majority of one intersects every majority of the other.
 type View struct {
@@ -37,6 +81,12 @@
 	// view: each of them had what quorums of earlier views have stored. Views of older processes
 	// are not settled.
 	Settled bool `json:"settled,omitempty"`
+	// Removed is the seat that was removed by the last change in the number of seats that count.
+	// Until the view is settled, a record that it acknowledged may be at one other member only.
+	Removed *Seat `json:"removed,omitempty"`
+	// Grown means that the last change in the number of seats that count has added one to a settled
+	// view at once (see Adding), so quorums have the same size in both.
+	Grown bool `json:"grown,omitempty"`
 }
 
 // DecodeView decodes a view as written by Encode.
@@ -86,39 +136,121 @@
 	return max(disksLost+1, v.size()/2+1)
 }
 
-// CopySources returns the number of other members from which the named member has to copy
-// while its disk is empty or its seat is joining. Every quorum that it may have been part of
-// must include at least one of these sources. With an even number of seats, a quorum may
-// date from an earlier view with one more seat, whose quorums have the same size.
-// Such a quorum may include the member that has been removed since.
+// CopySources returns the number of other seats from which the named member has to copy while its
+// disk is empty or its seat is joining, if the store has no later view once it has. Every quorum
+// that it may have been part of must include at least one of these sources. With an even number of
+// seats, a quorum may date from an earlier view with one more seat, whose quorums have the same
+// size. Such a quorum may include the seat that has been removed since, which is a source, too. If
+// the view is settled, no quorum of an earlier view matters.
 func (v View) CopySources(name string, disksLost int) int {
+	return min(v.intersectingLatest(disksLost), max(1, len(v.sources(name))))
+}
+
+// intersectingEarlier returns how many seats have one in common with every quorum, also with those
+// of an earlier view that is not settled.
+func (v View) intersectingEarlier(disksLost int) int {
 	n := v.intersecting(disksLost)
-	if v.size()%2 == 0 {
+	isUnaffected := v.Grown || v.Removed != nil && !v.Removed.hasAcknowledged()
+	if v.size()%2 == 0 && !isUnaffected {
 		n++
 	}
-	return v.atMostOthers(n, name)
+	return n
 }
 
-// LatestCopySources is CopySources for a view that was the latest one after the member had copied.
-// If it is settled, no quorum of an earlier view matters.
-func (v View) LatestCopySources(name string, disksLost int) int {
+// intersectingLatest is intersectingEarlier, unless the view is settled.
+func (v View) intersectingLatest(disksLost int) int {
 	isChanging := slices.ContainsFunc(v.Seats, func(s Seat) bool { return s.Joining })
 	if !v.Settled || isChanging {
-		return v.CopySources(name, disksLost)
+		return v.intersectingEarlier(disksLost)
 	}
-	return v.atMostOthers(v.intersecting(disksLost), name)
+	return v.intersecting(disksLost)
 }
 
-// intersecting returns how many members have one in common with every quorum.
-func (v View) intersecting(disksLost int) int { return v.size() - v.Quorum(disksLost) + 1 }
+// intersecting returns how many members have one in common with every quorum. It is at least 1.
+func (v View) intersecting(disksLost int) int { return max(1, v.size()-v.Quorum(disksLost)+1) }
 
-// atMostOthers bounds n by the number of other members whose seats count. It is at least 1.
-func (v View) atMostOthers(n int, name string) int {
-	others := v.size()
-	if v.Counts(name) {
-		others--
+// tenures returns the seats whose acknowledgements matter to a member that copies: those that
+// count, and the removed one if its quorums matter (see CopySources). Only one of the sources that
+// are needed then is for these.
+func (v View) tenures() []Seat {
+	seats := v.Counting()
+	if v.size()%2 == 0 && v.Removed != nil && v.Removed.hasAcknowledged() {
+		seats = append(seats, *v.Removed)
+	}
+	return seats
+}
+
+// sources returns the seats from which the named member may copy.
+func (v View) sources(name string) []Seat {
+	return slices.DeleteFunc(v.tenures(), func(s Seat) bool { return s.Name == name })
+}
+
+// SourceDisks returns the disks from which the named member may copy, those that have a seat
+// first.
+func (v View) SourceDisks(name string) []Disk {
+	var seated, former []Disk
+	for _, s := range v.tenures() {
+		seated = append(seated, s.Disk())
+		former = append(former, s.Former...)
+	}
+	var disks []Disk
+	for _, d := range append(seated, former...) {
+		if d.Name != name && !slices.Contains(disks, d) {
+			disks = append(disks, d)
+		}
 	}
-	return min(max(1, n), max(1, others))
+	return disks
+}
+
+// ReliesOn reports whether a member may need the disk of the named one, which has no seat, to copy
+// from.
+func (v View) ReliesOn(name string) bool {
+	return slices.ContainsFunc(v.Seats, func(s Seat) bool {
+		return slices.ContainsFunc(s.Former, func(d Disk) bool { return d.Name == name })
+	})
+}
+
+// Copy describes the disk of a member from which all records were copied.
+type Copy struct {
+	// Incarnation identifies the disk; 0 if it may lack records that it has acknowledged.
+	Incarnation uint64
+	// Ready means that the member has every record that a quorum has stored.
+	Ready bool
+}
+
+// Copied returns the number of seats of which a member has everything that they have acknowledged.
+// Copies are those that it has made under this view, by the name of the source, and its own disk.
+// The sources need not be ready: what a quorum has acknowledged is on the disks of its members,
+// also if one of them lacks records of other quorums. So members that are not ready do not wait
+// for each other, as long as no more disks are lost than a quorum tolerates.
+func (v View) Copied(copies map[string]Copy) int {
+	n := 0
+	for _, s := range v.tenures() {
+		if s.isCopied(copies) {
+			n++
+		}
+	}
+	return n
+}
+
+// IsComplete reports whether the named member has every record that a quorum has stored, given the
+// copies as for Copied. The store must have had no later view once they were made: in that view, a
+// disk that was lost since may have been in a quorum with a seat that this view does not have.
+func (v View) IsComplete(name string, disksLost int, copies map[string]Copy) bool {
+	attainable := slices.DeleteFunc(v.tenures(), func(s Seat) bool { return s.Name == name && !s.isCopied(copies) })
+	return v.Copied(copies) >= min(v.intersectingLatest(disksLost), max(1, len(attainable)))
+}
+
+// isCopied reports whether copies have every record that was acknowledged under the seat.
+func (s Seat) isCopied(copies map[string]Copy) bool {
+	holds := func(d Disk) bool {
+		c, copied := copies[d.Name]
+		return copied && (c.Ready || c.Incarnation != 0 && c.Incarnation == d.Incarnation)
+	}
+	if len(s.Former) == 0 || copies[s.Name].Ready {
+		return holds(s.Disk())
+	}
+	return !slices.ContainsFunc(s.Former, func(d Disk) bool { return !holds(d) })
 }
 
 // Seat returns the seat of the member with that name.
@@ -147,12 +279,19 @@
 // name. The view determines whether it is joining: a seat that is added joins unless its
 // member is ready, and counts once its member is.
 func (v View) With(seat Seat) View {
-	next := View{Version: v.Version + 1, Seats: slices.Clone(v.Seats)}
+	next := View{Version: v.Version + 1, Seats: slices.Clone(v.Seats), Removed: v.Removed, Grown: v.Grown}
 	i := v.index(seat.Name)
 	seat.Joining = !seat.Ready && !v.Counts(seat.Name)
 	if i >= 0 {
-		next.Settled = v.Settled && seat.Joining == v.Seats[i].Joining
+		if !v.Seats[i].Joining {
+			seat = v.Seats[i].passTo(seat)
+		}
 		next.Seats[i] = seat
+		if seat.Joining != v.Seats[i].Joining {
+			next.Removed, next.Grown = nil, false
+			return next
+		}
+		next.Settled = v.Settled
 		return next
 	}
 	next.Seats = append(next.Seats, seat)
@@ -166,8 +305,9 @@
 // members that all lack a record of the new quorum.
 func (v View) Adding(seat Seat, disksLost int) View {
 	next := v.With(seat)
-	if v.size() < minSeats(disksLost) {
+	if !v.Counts(seat.Name) && v.size() < minSeats(disksLost) {
 		next.Seats[next.index(seat.Name)].Joining = false
+		next.Removed, next.Grown = nil, v.Settled
 	}
 	return next
 }
@@ -179,15 +319,30 @@
 func (v View) Replacing(name string, seat Seat) View {
 	next := v.Without(name).With(seat)
 	next.Version = v.Version + 1
-	if v.Counts(name) {
-		next.Seats[next.index(seat.Name)].Joining = false
+	next.Removed, next.Grown = v.Removed, v.Grown
+	if !v.Counts(name) {
+		return next
+	}
+	// The others still have what earlier quorums have stored, and the new member copies it.
+	next.Settled = v.Settled
+	replaced, _ := v.Seat(name)
+	i := next.index(seat.Name)
+	if v.Removed != nil && v.Removed.Name == seat.Name && v.size()%2 == 0 {
+		// The removed member returns, as if the replaced one had been removed in its place.
+		next.Seats[i] = v.Removed.passTo(next.Seats[i])
+		next.Removed = &replaced
+		return next
 	}
+	next.Seats[i] = replaced.passTo(next.Seats[i])
 	return next
 }
 
 // Without returns the next view, which lacks the seat of the named member.
 func (v View) Without(name string) View {
-	next := View{Version: v.Version + 1, Seats: slices.Clone(v.Seats)}
+	next := View{Version: v.Version + 1, Seats: slices.Clone(v.Seats), Removed: v.Removed, Grown: v.Grown}
+	if seat, _ := v.Seat(name); v.Counts(name) {
+		next.Removed, next.Grown = &seat, false
+	}
 	next.Seats = slices.DeleteFunc(next.Seats, func(s Seat) bool { return s.Name == name })
 	return next
 }
@@ -221,6 +376,14 @@
 // view is settled.
 func (v View) MayChange(disksLost int) bool { return v.Settled || v.size() >= minSeats(disksLost) }
 
+// MayReplace reports whether the seat of the named member may pass to another one. That one copies
+// from the seat that was removed before, too, so the view need not be settled if it is known
+// whether there is one.
+func (v View) MayReplace(name string, disksLost int) bool {
+	seat, _ := v.Seat(name)
+	return v.MayChange(disksLost) || v.Removed != nil || v.Grown || !seat.hasAcknowledged()
+}
+
 // AllReadyExcept reports whether all seats except that of the named member are ready, and so
 // none is joining. Only then may the number of seats that count change again: after each
 // change, records written to a quorum of the previous view have one copy too few until the
