ledger: a stop while the store is down leaves the disk complete

Cause: a member that stops marked its disk as incomplete before the change of the view, which failed. Its next start needed both others, one of which had an empty disk and needed it.

--- a/ledger/member/leave.go
+++ b/ledger/member/leave.go
@@ -86,6 +86,10 @@
 	if err := m.handOver(ctx, view.Counting(), view.Version); err != nil {
 		return false, err
 	}
+	if _, _, err := m.storedView(ctx); err != nil {
+		// The view can't be changed, so the disk stays complete.
+		return false, err
+	}
 	if err := m.markIncomplete(); err != nil {
 		return false, err
 	}
--- a/ledger/member/lost_test.go
+++ b/ledger/member/lost_test.go
@@ -149,7 +149,25 @@
 	c.checkChain(4)
 }
 
-// All members ended between the mark and the change of the view, and no disk was
+// A stop that failed since the store was down left a member whose disk was marked as incomplete.
+// When another one lost its disk, the two waited for each other for good (review/7: LOST, RECOVER).
+func TestDiskLossAfterStopDuringStoreOutage(t *testing.T) {
+	c := newCluster(t)
+	c.startThree()
+	c.write(1, 3)
+	c.store.SetDown(true)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	c.members["m3"].Leave(ctx)
+	c.stop("m3")
+	c.store.SetDown(false)
+	c.loseDisk("m1")
+	c.start("m3", false)
+	c.awaitSeats("m1", "m2", "m3")
+	c.checkChain(3)
+}
+
+// As before, but the members ended between the mark and the change of the view, and no disk was
 // lost at all.
 func TestMembersMarkedAsIncompleteRecoverFromEachOther(t *testing.T) {
 	c := newCluster(t)
