relay: an unframed answer is whole only once its request is written

Cause: a connection reports its error once. When the goroutine that writes the upload met the reset first, the reader saw a regular end. Change: at the end of an answer with neither a length nor chunks the attempt waits for the writer, and fails with its error. Why it works: a reset reaches the reader or the writer, and both are asked.

--- /dev/null
+++ b/relay/answer_test.go
@@ -0,0 +1,66 @@
+package relay_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
+	"github.com/rhubarbsaddle/rhubarbsaddle/platform/platformtest"
+	"github.com/rhubarbsaddle/rhubarbsaddle/relay"
+)
+
+// serveConn returns a handler that takes over the connection of its first request and passes both to
+// answer, with what follows on the connection.
+func serveConn(answer func(nc *net.TCPConn, first *http.Request, rest *bufio.Reader)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		nc, buffered, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer nc.Close()
+		answer(nc.(*net.TCPConn), r, buffered.Reader)
+	}
+}
+
+func idLine(r *http.Request) string {
+	return platformtest.RequestID + ": " + r.Header.Get(platformtest.RequestID) + "\r\n"
+}
+
+// A target answered a long upload at once without a length, sent a part of its body, and reset the
+// connection while the upload was written. Callers got the part as the whole answer (MIXED).
+func TestUnframedAnswerIsWholeOnlyOnceRequestIsWritten(t *testing.T) {
+	upload := strings.Repeat("x", 12<<20)
+	for _, isRead := range []bool{true, false} {
+		for path, part := range map[string]string{nonIdempotentPath: "half", resumablePath: events(1, 2)} {
+			b := newUnconfiguredTestbed(t, relay.Options{Permits: newSharedBoard()}, newMemoryLedger())
+			b.edit = func(config *catalog.Config) { config.Limits.BodyBytes = 16 << 20 }
+			b.update(platformtest.NewUnreadTarget("i1", serveConn(func(nc *net.TCPConn, r *http.Request, rest *bufio.Reader) {
+				_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\n%s\r\n%s", idLine(r), part)
+				_ = nc.CloseWrite()
+				if isRead {
+					_, _ = io.CopyN(io.Discard, rest, int64(len(upload)))
+					return
+				}
+				_ = nc.SetLinger(0)
+			})))
+			got := b.call(path, upload)
+			switch {
+			case isRead:
+				require.NoError(t, got.err)
+				assert.Equal(t, part, got.body, "the target answers before it reads the upload")
+			case path == nonIdempotentPath:
+				assert.Equal(t, http.StatusBadGateway, got.status)
+			default:
+				assert.Error(t, got.err, "the answer must not look complete")
+			}
+		}
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -35,6 +36,13 @@
 // requests.
 var errStaleResponse = errors.New("target's responses belong to other requests")
 
+// Errors of responses that are no answers.
+var (
+	// errCutAnswer means that an answer that ends with its connection ended before the request was
+	// written, so the connection was broken off.
+	errCutAnswer = errors.New("target's answer ended before the request was written")
+)
+
 // errHeadTimeout means that a target sent no response before the head timeout.
 var errHeadTimeout = errors.New("timed out waiting for the target's response")
 
@@ -211,6 +219,22 @@
 	return a.lostResponse(errStaleResponse)
 }
 
+// awaitWritten waits until the request is written, if the answer has neither a length nor chunks.
+// Such an answer ends with its connection, and the error of a connection that was reset is
+// reported only once: to the goroutine that writes, if it notices first, and the body then seems to
+// end as it should.
+func (a *attempt) awaitWritten() error {
+	if a.written == nil || a.response.ContentLength >= 0 || len(a.response.TransferEncoding) > 0 {
+		return nil
+	}
+	err := <-a.written
+	a.written = nil
+	if err != nil {
+		return fmt.Errorf("%w: %w", errCutAnswer, err)
+	}
+	return nil
+}
+
 // lostResponse returns the failure of a request whose response did not arrive. It
 // determines whether the target may have executed the request.
 func (a *attempt) lostResponse(err error) *failure {
--- a/relay/body.go
+++ b/relay/body.go
@@ -202,6 +202,9 @@
 		taken = bytes
 		return e.memory.await(ctx, bytes)
 	})
+	if err == nil {
+		err = a.awaitWritten()
+	}
 	if err == nil && taken > cap(body) {
 		e.memory.shrink(taken - cap(body))
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -147,6 +147,10 @@
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
 			stall.stop()
+			if err := a.awaitWritten(); err != nil {
+				a.abort(ctx)
+				return err
+			}
 			a.complete()
 			return nil
 		}
