relay: a response with the status of no answer is none

Cause: http.ReadResponse takes any three digits, and the server panics at a status under 100. Change: a status outside 200 to 599 fails the attempt as one that may have run; interim responses are skipped.

--- a/relay/answer_test.go
+++ b/relay/answer_test.go
@@ -64,3 +64,27 @@
 		}
 	}
 }
+
+// Callers got answers with a status that no answer has, or none at all for a status under 100 (MIXED).
+func TestStatusOfNoAnswerIsNotForwarded(t *testing.T) {
+	for _, status := range []string{"000", "042", "101", "600", "999"} {
+		bad := platformtest.NewTarget("i1", serveConn(func(nc *net.TCPConn, r *http.Request, _ *bufio.Reader) {
+			_, _ = fmt.Fprintf(nc, "HTTP/1.1 %s Odd\r\n%sContent-Length: 1\r\n\r\nx", status, idLine(r))
+		}))
+		b := newTestbed(t, bad)
+		for _, path := range []string{nonIdempotentPath, storedTurnsPath} {
+			got := b.call(path, "x")
+			require.NoError(t, got.err, status)
+			assert.Equal(t, http.StatusBadGateway, got.status, status)
+		}
+		b.update(bad, platformtest.NewTarget("i2", platformtest.Respond(http.StatusOK, "yes")))
+		assert.Equal(t, "yes", b.call(idempotentPath, "x").body, status)
+	}
+}
+
+func TestInterimResponsesAreSkipped(t *testing.T) {
+	b := newTestbed(t, platformtest.NewTarget("i1", serveConn(func(nc *net.TCPConn, r *http.Request, _ *bufio.Reader) {
+		_, _ = fmt.Fprintf(nc, "HTTP/1.1 103 Early Hints\r\n%s\r\nHTTP/1.1 200 OK\r\n%sContent-Length: 3\r\n\r\nyes", idLine(r), idLine(r))
+	})))
+	assert.Equal(t, "yes", b.call(nonIdempotentPath, "x").body)
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -30,6 +30,8 @@
 	// maxStaleResponses bounds how many responses to earlier requests are skipped on
 	// a connection.
 	maxStaleResponses = 2
+	// maxStatus is the greatest status of an answer.
+	maxStatus = 599
 )
 
 // errStaleResponse means that a connection delivered only responses to earlier
@@ -38,6 +40,7 @@
 
 // Errors of responses that are no answers.
 var (
+	errNoAnswer = errors.New("status of the target's response is that of no answer")
 	// errCutAnswer means that an answer that ends with its connection ended before the request was
 	// written, so the connection was broken off.
 	errCutAnswer = errors.New("target's answer ended before the request was written")
@@ -193,8 +196,8 @@
 // requestBuffers holds parts of requests while they are written.
 var requestBuffers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, requestBufferBytes) }}
 
-// readHead reads the head of the response to this request and skips late responses
-// to earlier ones.
+// readHead reads the head of the response to this request and skips interim responses and late
+// responses to earlier requests.
 func (a *attempt) readHead(request *http.Request, id string) *failure {
 	for range maxStaleResponses + 1 {
 		a.conn.source.begin(maxHeadBytes, errHeadTooLarge)
@@ -203,6 +206,12 @@
 		if err != nil {
 			return a.lostResponse(err)
 		}
+		if isInterim(response.StatusCode) {
+			continue
+		}
+		if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
+			return a.lostResponse(fmt.Errorf("%w: %d", errNoAnswer, response.StatusCode))
+		}
 		info := a.relay.dialect.ReadResponse(response.StatusCode, response.Header)
 		if info.IsLeaving {
 			a.relay.recordLeaving(a.target)
@@ -219,6 +228,12 @@
 	return a.lostResponse(errStaleResponse)
 }
 
+// isInterim reports whether another response follows that is the answer. Status 101 is that of an
+// answer that nobody has asked for.
+func isInterim(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // awaitWritten waits until the request is written, if the answer has neither a length nor chunks.
 // Such an answer ends with its connection, and the error of a connection that was reset is
 // reported only once: to the goroutine that writes, if it notices first, and the body then seems to
