relay: a refusal without an id counts only as a connection's first response

Cause: a refusal without an id was taken as that of the request in flight. Change: after another response on the connection it is skipped, as those with another id are.

--- a/relay/answer_test.go
+++ b/relay/answer_test.go
@@ -88,3 +88,31 @@
 	})))
 	assert.Equal(t, "yes", b.call(nonIdempotentPath, "x").body)
 }
+
+// A target wrote an earlier refusal once more on a kept connection. Callers of requests that it ran
+// were told that these had not run (REFUSED), or another target ran them, too (TWICE).
+func TestRefusalThatIsRepeatedBelongsToNoOtherRequest(t *testing.T) {
+	for _, withID := range []bool{false, true} {
+		b := newTestbed(t, platformtest.NewTarget("i1", serveConn(func(nc *net.TCPConn, r *http.Request, rest *bufio.Reader) {
+			refusal := "HTTP/1.1 503 Busy\r\n" + platformtest.NotExecuted + ": 1\r\nContent-Length: 0\r\n"
+			if withID {
+				refusal += idLine(r)
+			}
+			_, _ = io.WriteString(nc, refusal+"\r\n")
+			for {
+				r, err := http.ReadRequest(rest)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = fmt.Fprintf(nc, "%s\r\nHTTP/1.1 200 OK\r\n%sContent-Length: 3\r\n\r\nran", refusal, idLine(r))
+			}
+		})))
+		assert.Equal(t, http.StatusServiceUnavailable, b.call(nonIdempotentPath, "x").status, "the first refusal on a connection is that of its request")
+		for range 3 {
+			got := b.call(nonIdempotentPath, "x")
+			assert.Equal(t, http.StatusOK, got.status)
+			assert.Equal(t, "ran", got.body)
+		}
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -216,7 +216,10 @@
 		if info.IsLeaving {
 			a.relay.recordLeaving(a.target)
 		}
-		if info.RequestID == id || info.NotExecuted && info.RequestID == "" {
+		// A refusal without an id can only be told from that of an earlier request if there was none.
+		isRefusal := info.NotExecuted && info.RequestID == "" && !a.conn.hasResponded
+		a.conn.hasResponded = true
+		if info.RequestID == id || isRefusal {
 			a.response, a.responseInfo = response, info
 			return nil
 		}
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -42,6 +42,8 @@
 	source *boundedReader
 	reader *bufio.Reader
 	reused bool
+	// hasResponded is set once the target has sent a response on the connection.
+	hasResponded bool
 	// usableUntil is when an idle connection expires.
 	usableUntil time.Time
 }
