relay: heads and events of targets take their memory before they are read

Cause: heads and events had a bound each, but none together. An engine that stops just under the bound makes the entry hold each until its deadline. Change: an event above 16 KiB and a head above 4 KiB take memory from what callers may hold, as large bodies do; without room the attempt ends. Why it works: what is held is accounted for before it is allocated.

--- a/cmd/rhubarbsaddled/process_test.go
+++ b/cmd/rhubarbsaddled/process_test.go
@@ -173,7 +173,7 @@
 	t.Cleanup(func() { close(s.release) })
 	_, err = d.AddEngine("i-plain", plainService, kit.Domains[0], 1000, s.answerPlain)
 	require.NoError(t, err)
-	_, err = d.AddEngine("i-turns", turnService, kit.Domains[0], 1000, answerTurn)
+	_, err = d.AddEngine("i-turns", turnService, kit.Domains[0], 1000, s.answerTurn)
 	require.NoError(t, err)
 	s.putConfig(7, l.bodyBytes)
 	for _, domain := range kit.Domains {
@@ -239,6 +239,9 @@
 }
 
 func (s *system) answerPlain(w http.ResponseWriter, r *http.Request, _ string) {
+	if s.writeEndless(w, r) {
+		return
+	}
 	switch r.URL.Path {
 	case hangingPath:
 		<-s.release
@@ -250,7 +253,10 @@
 	_, _ = io.WriteString(w, "yes")
 }
 
-func answerTurn(w http.ResponseWriter, _ *http.Request, _ string) {
+func (s *system) answerTurn(w http.ResponseWriter, r *http.Request, _ string) {
+	if s.writeEndless(w, r) {
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	_, _ = io.WriteString(w, "id: 1\ndata: said\n\n")
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -123,7 +123,7 @@
 		return nil, fail
 	}
 	stall := startStallTimer(a.conn, e.headTimeout(), e.onStall(ctx))
-	fail := a.readHead(request, e.call.ID)
+	fail := a.readHead(request, e.call.ID, e.memory.grow)
 	timedOut := e.stopStallTimer(stall)
 	if fail == nil && timedOut {
 		// The head arrived just as the timer interrupted the connection, so the body
@@ -198,9 +198,9 @@
 
 // readHead reads the head of the response to this request and skips interim responses and late
 // responses to earlier requests.
-func (a *attempt) readHead(request *http.Request, id string) *failure {
+func (a *attempt) readHead(request *http.Request, id string, takeMemory func(bytes int) bool) *failure {
 	for range maxStaleResponses + 1 {
-		a.conn.source.begin(maxHeadBytes, errHeadTooLarge)
+		a.conn.beginHead(takeMemory)
 		response, err := http.ReadResponse(a.conn.reader, request)
 		a.conn.source.end()
 		if err != nil {
--- a/relay/bounded.go
+++ b/relay/bounded.go
@@ -8,8 +8,13 @@
 )
 
 const (
-	// maxHeadBytes bounds the head of a target's response, including any interim responses.
+	// maxHeadBytes bounds the head of a target's response.
 	maxHeadBytes = 64 << 10
+	// smallHeadBytes is the size up to which a head is part of what a request is charged for in any
+	// case, and headCopies how many times the process holds a larger one, as it arrived and as
+	// parsed fields.
+	smallHeadBytes = 4 << 10
+	headCopies     = 4
 	// maxAnswerBytes bounds an answer that is not a stream, which is held in memory until it
 	// is complete.
 	maxAnswerBytes = 2 << 20
@@ -41,9 +46,11 @@
 	// left is the number of bytes that may still be read; negative if there is no bound.
 	left int
 	err  error
+	// extend, if not nil, is called once when no byte is left. It returns how many more may be read.
+	extend func() (int, error)
 }
 
-func (r *boundedReader) begin(limit int, err error) { r.left, r.err = limit, err }
+func (r *boundedReader) begin(limit int, err error) { r.left, r.err, r.extend = limit, err, nil }
 func (r *boundedReader) end()                       { r.left = -1 }
 
 // Read implements io.Reader.
@@ -51,6 +58,13 @@
 	if r.left < 0 {
 		return r.Reader.Read(p)
 	}
+	if r.left == 0 && r.extend != nil {
+		more, err := r.extend()
+		if err != nil {
+			return 0, err
+		}
+		r.left, r.extend = more, nil
+	}
 	if r.left == 0 {
 		return 0, r.err
 	}
@@ -59,6 +73,18 @@
 	return n, err
 }
 
+// beginHead bounds the head of a response. Before more than smallHeadBytes are read, takeMemory is
+// called with what a larger head may take.
+func (c *conn) beginHead(takeMemory func(bytes int) bool) {
+	c.source.begin(smallHeadBytes, errHeadTooLarge)
+	c.source.extend = func() (int, error) {
+		if !takeMemory(headCopies * maxHeadBytes) {
+			return 0, errNoMemory
+		}
+		return maxHeadBytes - smallHeadBytes, nil
+	}
+}
+
 // readBounded reads the whole body of a response, of at most maxAnswerBytes. Before more than
 // smallAnswerBytes are held, it calls takeMemory with the size that the body may have.
 func (c *conn) readBounded(response *http.Response, takeMemory func(bytes int) error) ([]byte, error) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -21,6 +21,9 @@
 	// eventBufferBytes is the size of the read buffer. Longer lines are assembled
 	// from several reads.
 	eventBufferBytes = 1 << 10
+	// smallEventBytes is the size up to which an event is part of what a request is charged for in
+	// any case.
+	smallEventBytes = 16 << 10
 	// maxEventBytes bounds the size of one event.
 	maxEventBytes = 1 << 20
 )
@@ -138,7 +141,8 @@
 
 // forwardEvents forwards the events of one target as they arrive.
 func (t *turn) forwardEvents(ctx context.Context, a *attempt, p *progress) error {
-	events := eventReader{conn: a.conn, reader: bufio.NewReaderSize(a.response.Body, eventBufferBytes)}
+	events := eventReader{conn: a.conn, reader: bufio.NewReaderSize(a.response.Body, eventBufferBytes), memory: &t.memory}
+	defer events.release()
 	flusher := http.NewResponseController(t.w)
 	first, gap := t.eventTimeouts()
 	stall := startStallTimer(a.conn, first, t.onStall(ctx))
@@ -279,21 +283,56 @@
 type eventReader struct {
 	conn   *conn
 	reader *bufio.Reader
+	memory *memory
 	raw    []byte
+	// charged is the part of the capacity of raw that the exchange is charged for.
+	charged int
+}
+
+// extend makes room for n more bytes of an event. It returns errNoMemory if the exchange may not
+// hold them.
+func (r *eventReader) extend(n int) error {
+	if len(r.raw)+n <= cap(r.raw) {
+		return nil
+	}
+	size := max(2*cap(r.raw), len(r.raw)+n, eventBufferBytes)
+	charged := 0
+	if size > smallEventBytes {
+		charged = size
+	}
+	if !r.memory.grow(charged) {
+		return errNoMemory
+	}
+	r.raw = append(make([]byte, 0, size), r.raw...)
+	r.memory.shrink(r.charged)
+	r.charged = charged
+	return nil
+}
+
+// release gives back a large buffer.
+func (r *eventReader) release() {
+	if r.charged > 0 {
+		r.memory.shrink(r.charged)
+		r.raw, r.charged = nil, 0
+	}
 }
 
 // next reads one event. It returns io.EOF if the stream ends between two events and
 // io.ErrUnexpectedEOF if it ends within one.
 func (r *eventReader) next() (event, error) {
+	r.release()
 	r.raw = r.raw[:0]
 	r.conn.source.begin(framingFactor*maxEventBytes, errEventTooLong)
 	defer r.conn.source.end()
 	for {
 		line, err := r.reader.ReadSlice('\n')
-		r.raw = append(r.raw, line...)
-		if len(r.raw) > maxEventBytes {
+		if len(r.raw)+len(line) > maxEventBytes {
 			return event{}, errEventTooLong
 		}
+		if err := r.extend(len(line)); err != nil {
+			return event{}, err
+		}
+		r.raw = append(r.raw, line...)
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
@@ -312,6 +351,7 @@
 // parseEvent extracts the id and data fields of an event.
 func parseEvent(raw []byte) event {
 	ev := event{raw: raw}
+	isOwned := false
 	for line := range bytes.Lines(raw) {
 		line = bytes.TrimRight(line, "\r\n")
 		if value, ok := bytes.CutPrefix(line, idField); ok {
@@ -327,7 +367,10 @@
 			continue
 		}
 		// Several data lines are joined by line feeds.
-		ev.data = append(append(bytes.Clone(ev.data), '\n'), value...)
+		if !isOwned {
+			ev.data, isOwned = bytes.Clone(ev.data), true
+		}
+		ev.data = append(append(ev.data, '\n'), value...)
 	}
 	return ev
 }
