relay: a planned stop leaves no request without an answer

Cause: an entry that drains took whatever came until the end, and closed a connection only after a request that arrived after SIGTERM. Each answer that begins after SIGTERM closes its connection. What has no answer at the end gets one, 503 or 504. Evidence: TestRequestsAroundPlannedStop, on both requests end without an answer and the late one runs; with the change 503 and 504, and it does not. Why it works: nothing is passed on that the process can't wait for, and what it can't finish is answered before the connections close.

--- a/cmd/rhubarbsaddled/connection_test.go
+++ b/cmd/rhubarbsaddled/connection_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -113,3 +114,37 @@
 	_, descriptors := used[s.entry].get()
 	assert.Less(t, descriptors, smallLimits.descriptors, "the entry has used up its descriptors")
 }
+
+// Requests on kept connections that came late in a planned stop were taken, and cut at its end
+// without an answer, as were those in flight (LOST).
+func TestRequestsAroundPlannedStop(t *testing.T) {
+	s := newSystem(t, smallLimits)
+	send := func(after time.Duration) <-chan kit.Answer {
+		conn, err := net.DialTimeout("tcp", s.entry.Front, hangTimeout)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		// Without its second half, the head keeps the connection from being closed as idle.
+		r := &kit.Request{Method: http.MethodPost, Host: host, Path: hangingPath, ID: s.newID(), Body: "x", Deadline: hangTimeout}
+		head := "POST " + hangingPath + " HTTP/1.1\r\n"
+		_, err = conn.Write([]byte(head))
+		require.NoError(t, err)
+		answer := make(chan kit.Answer, 1)
+		go func() {
+			time.Sleep(after)
+			_, _ = conn.Write([]byte("Host: " + host + "\r\nX-Rhubarbsaddle-Request-Id: " + r.ID + "\r\nX-Rhubarbsaddle-Deadline-Ms: 30000\r\nContent-Length: 1\r\n\r\nx"))
+			answer <- s.Receive(conn, bufio.NewReader(conn), r)
+		}()
+		return answer
+	}
+	inFlight := send(0)
+	require.True(t, kit.Await(hangTimeout, func() bool { return s.hangs.Load() == 1 }))
+	late := send(time.Second)
+	s.entry.Signal(syscall.SIGTERM)
+	a := <-late
+	assert.NoError(t, a.Err)
+	assert.Equal(t, http.StatusServiceUnavailable, a.Status)
+	a = <-inFlight
+	assert.NoError(t, a.Err)
+	assert.Equal(t, http.StatusGatewayTimeout, a.Status)
+	assert.EqualValues(t, 1, s.hangs.Load(), "the late request has not run")
+}
--- a/cmd/rhubarbsaddled/process_test.go
+++ b/cmd/rhubarbsaddled/process_test.go
@@ -148,7 +148,9 @@
 	members []*machine
 	// release is closed when the target answers the requests of hangingPath.
 	release chan struct{}
-	nextID  atomic.Int64
+	// hangs counts the requests of hangingPath.
+	hangs  atomic.Int64
+	nextID atomic.Int64
 }
 
 const (
@@ -244,6 +246,7 @@
 	}
 	switch r.URL.Path {
 	case hangingPath:
+		s.hangs.Add(1)
 		<-s.release
 		return
 	case largePath:
--- a/daemon/resident/entry.go
+++ b/daemon/resident/entry.go
@@ -38,6 +38,8 @@
 	// graceMargin is the part of the time between SIGTERM and SIGKILL that a drain
 	// leaves unused.
 	graceMargin = 400 * time.Millisecond
+	// endedRequestTime is the part of graceMargin in which requests that were ended get their answers.
+	endedRequestTime = 200 * time.Millisecond
 	// idleSlack is added to the configured idle timeout, so that a caller that respects
 	// the timeout never reuses a connection while it is being closed.
 	idleSlack = time.Second
@@ -262,27 +264,32 @@
 	})
 }
 
+// awaitAnswers closes idle connections until all answers in flight have been sent, until the end at
+// most.
+func (e *entry) awaitAnswers(end time.Time) {
+	for e.conns.closeIdleBefore(time.Now()); e.relay.Active() > 0 && time.Now().Before(end); e.conns.closeIdleBefore(time.Now()) {
+		time.Sleep(drainPollPeriod)
+	}
+}
+
 // drain shuts the entry down without interrupting requests. It becomes unready, stops
 // accepting connections once the balancer has noticed, and ends when all answers in
-// flight have been sent, or graceMargin before SIGKILL. Callers that keep their
-// connections busy could delay the end indefinitely. The entry therefore closes idle
-// connections, and each other connection after its next answer.
+// flight have been sent, or graceMargin before SIGKILL, when those without one are ended.
+// Callers that keep their connections busy could delay the end indefinitely. The entry therefore
+// closes idle connections, and each other connection after its next answer.
 func (e *entry) drain(c *callerServer) {
 	e.log.Info().Str("event", "drain").Int64("active", e.relay.Active()).Msg("")
 	e.isDraining.Store(true)
-	e.relay.SetStopping()
-	end := time.Now().Add(e.settings.Bounds.Grace() - graceMargin)
+	begun := time.Now()
+	end := begun.Add(e.settings.Bounds.Grace() - graceMargin)
+	e.relay.BeginShutdown(relay.Shutdown{CallersLeave: begun.Add(balancerDetectionDelay), End: end})
 	time.Sleep(balancerDetectionDelay)
 	if err := c.listener.Close(); err != nil {
 		e.log.Warn().Str("event", "listener_kept").Err(err).Msg("")
 	}
-	for time.Now().Before(end) {
-		e.conns.closeIdleBefore(time.Now())
-		if e.relay.Active() == 0 {
-			break
-		}
-		time.Sleep(drainPollPeriod)
-	}
+	e.awaitAnswers(end)
+	e.relay.EndRequests()
+	e.awaitAnswers(end.Add(endedRequestTime))
 	if active := e.relay.Active(); active > 0 {
 		e.log.Warn().Str("event", "drain_cut").Int64("active", active).Msg("")
 	}
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -43,6 +43,7 @@
 	reasonVersionGone        = "stream_version_gone"
 	reasonTurnNotResumable   = "turn_not_resumable"
 	reasonCrashesTargets     = "crashes_targets"
+	reasonStopping           = "stopping"
 	reasonAnswered           = "answered"
 )
 
@@ -50,6 +51,7 @@
 func (e *exchange) forwardAnswer(a *attempt, body []byte) {
 	maps.Copy(e.w.Header(), e.relay.dialect.ResponseHeader(a.response.Header))
 	e.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	e.setConnectionHeader()
 	e.w.WriteHeader(a.response.StatusCode)
 	e.memory.holder.Wait(resource.Sending, time.Now())
 	if e.req.Method != http.MethodHead {
@@ -71,6 +73,7 @@
 // respond answers with a status and a reason that the relay generates itself. The request's body
 // may not have been read.
 func (e *exchange) respond(status int, reason string) {
+	e.setConnectionHeader()
 	defer e.leaveBody()()
 	e.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	body := reason + "\n"
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -143,6 +143,9 @@
 	if e.route.Timeout > 0 && e.route.Timeout < wait {
 		e.deadline = e.arrived.Add(e.route.Timeout - answerMargin)
 	}
+	if !e.fitsShutdown() {
+		return
+	}
 	defer e.memory.release()
 	if !e.readBody() {
 		return
@@ -157,7 +160,7 @@
 		return
 	}
 	defer e.refundQuota()
-	ctx, cancel := context.WithDeadline(e.req.Context(), e.deadline)
+	ctx, cancel := e.withDeadline()
 	defer cancel()
 	defer e.releaseReserved()
 	if e.route.Kind == catalog.Streaming {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -169,8 +169,10 @@
 	ledgerAvailableAt atomic.Int64
 	ledgerDelay       ledgerDelay
 	startedAt         time.Time
-	// stopping is set once the process has begun to shut down.
-	stopping atomic.Bool
+	// shutdown is set once the process has begun to shut down, and ending is closed at its end.
+	shutdown atomic.Pointer[Shutdown]
+	ending   context.Context
+	end      context.CancelFunc
 	// shedding is set while callers are to reconnect to other entries.
 	shedding atomic.Bool
 	active   atomic.Int64
@@ -222,7 +224,9 @@
 // New returns a relay that refuses all requests until Update has given it a
 // configuration.
 func New(o Options) *Relay {
+	ending, end := context.WithCancel(context.Background())
 	return &Relay{
+		ending: ending, end: end,
 		dialect: o.Dialect, ledger: o.Ledger, permits: o.Permits, domain: o.Domain, log: o.Log, metrics: o.Metrics,
 		pool: newPool(o.Metrics, o.MaxIdleTargetConns), fleet: fleet.New(o.Seed, o.Disabled), startedAt: time.Now(),
 		failovers: newFailoverLimiter(o.Disabled), disabled: o.Disabled, loadChanged: make(chan struct{}, 1), suspects: newSuspects(),
@@ -284,10 +288,6 @@
 // LedgerDelay returns the moving average of how long turns wait for the ledger.
 func (r *Relay) LedgerDelay(now time.Time) time.Duration { return r.ledgerDelay.get(now) }
 
-// SetStopping makes the relay close callers' connections after the next
-// answer.
-func (r *Relay) SetStopping() { r.stopping.Store(true) }
-
 // SetShedding enables or disables shedding. While it is enabled, the relay
 // closes callers' connections after each answer, so that callers reconnect to
 // other entries.
@@ -318,9 +318,6 @@
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	r.active.Add(1)
 	defer r.active.Add(-1)
-	if r.stopping.Load() || r.shedding.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	e := &exchange{relay: r, w: w, req: req, arrived: time.Now(), beforeSend: sendAtOnce}
 	e.memory.holder = resource.FromContext(req.Context())
 	e.serve()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/platform/platformtest"
+	"github.com/rhubarbsaddle/rhubarbsaddle/relay"
 )
 
 func TestAnswerIsForwardedUnchanged(t *testing.T) {
@@ -157,7 +158,7 @@
 	assert.Equal(t, http.StatusNotFound, b.call("/nowhere/", "x").status)
 	assert.Equal(t, http.StatusRequestEntityTooLarge, b.call(idempotentPath, strings.Repeat("x", 2<<20)).status)
 	assert.Empty(t, target.Requests())
-	b.relay.SetStopping()
+	b.relay.BeginShutdown(relay.Shutdown{End: time.Now().Add(time.Minute)})
 	assert.True(t, b.call(idempotentPath, "x").status == http.StatusOK, "an entry that is shutting down still serves requests")
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -240,6 +240,7 @@
 		return
 	}
 	maps.Copy(t.w.Header(), t.relay.dialect.ResponseHeader(a.response.Header))
+	t.setConnectionHeader()
 	t.w.WriteHeader(a.response.StatusCode)
 	p.started = true
 	t.software, t.isPinned = t.choice.Target.Software(), true
