ledger: a chain of turns without end is too long

Cause: a chain was followed until a turn was missing. Change: a member that has followed as many turns as it stores, and a client that is referred to a part again, say that the chain is too long: 413 at once.

--- a/ledger/quorum/chain_test.go
+++ b/ledger/quorum/chain_test.go
@@ -31,3 +31,17 @@
 	require.NoError(t, err)
 	assert.Equal(t, "1122333", string(text))
 }
+
+// Two members have parts of a chain that goes round.
+func TestChainOfPartsWithoutEndIsTooLong(t *testing.T) {
+	member := func(req *ledgerpb.Request) *ledgerpb.Response {
+		if req.GetReadChain().GetTurn() == "x" {
+			return chainResponse("1", "y")
+		}
+		return chainResponse("2", "x")
+	}
+	client, _ := newClient(t, member, member, member)
+	_, err := client.ReadChain(contextWithTimeout(t, 5*time.Second), "x", 0)
+	var tooLong *quorum.ChainTooLongError
+	require.ErrorAs(t, err, &tooLong)
+}
--- a/ledger/quorum/client.go
+++ b/ledger/quorum/client.go
@@ -344,7 +344,11 @@
 // is not read, and the error is a *ChainTooLongError; zero means no bound.
 func (c *Client) ReadChain(ctx context.Context, turn string, maxBytes int) ([]byte, error) {
 	text, missing, err := c.readChainPart(ctx, turn, maxBytes)
-	for err == nil && missing != "" {
+	for read := map[string]bool{turn: true}; err == nil && missing != ""; read[missing] = true {
+		if read[missing] {
+			// No member has a part with which the chain begins.
+			return nil, &ChainTooLongError{Bytes: ledger.EndlessChainBytes}
+		}
 		var earlier []byte
 		missingTurn, left := missing, maxBytes
 		if maxBytes > 0 {
--- a/ledger/replica.go
+++ b/ledger/replica.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -165,6 +166,9 @@
 	nextExpiry time.Time
 }
 
+// EndlessChainBytes is the size, in bytes, that is stated of a chain that has no end.
+const EndlessChainBytes = math.MaxInt32
+
 // expiryPeriod is the time between two checks for expired programs.
 const expiryPeriod = 5 * time.Second
 
@@ -400,7 +404,8 @@
 
 // readChain locates a turn and its predecessors. NOT_FOUND is only returned for the
 // requested turn. A predecessor must exist, so if this member lacks one, the response
-// names it and the caller reads the rest of the chain from other members.
+// names it and the caller reads the rest of the chain from other members. Turns of several programs
+// with the same id can make a chain without end, which is too long for any caller.
 func (r *Replica) readChain(e ChainRequested) Effect {
 	var locations []Location
 	id := e.Turn
@@ -409,6 +414,9 @@
 		if !ok {
 			break
 		}
+		if len(locations) == len(r.turns) {
+			return Reply{RequestID: e.RequestID, Response: &ledgerpb.Response{Status: ledgerpb.Status_STATUS_TOO_LONG, ChainBytes: EndlessChainBytes}}
+		}
 		locations = append(locations, t.location)
 		id = t.previous
 	}
--- a/ledger/replica_test.go
+++ b/ledger/replica_test.go
@@ -339,3 +339,18 @@
 		assert.Zero(t, d.replica.Programs())
 	}
 }
+
+// A client used one id for turns of two programs. Reading the chain that goes round ended members
+// by their memory.
+func TestChainWithoutEndIsTooLong(t *testing.T) {
+	r := ledger.NewReplica(true)
+	for i, turn := range []*ledgerpb.Turn{{Program: "p", Id: "x"}, {Program: "p", Id: "y", Previous: "x"}, {Program: "q", Id: "x", Previous: "y"}} {
+		summary, ok := ledger.Summarize(ledger.NewTurn(turn))
+		require.True(t, ok)
+		r.Step(ledger.Loaded{Summary: summary, Location: ledger.Location{Segment: 1, Offset: uint32(i), Length: 1}}, time.Now())
+	}
+	for _, turn := range []string{"x", "y"} {
+		reply := r.Step(ledger.ChainRequested{Turn: turn, MaxBytes: 1 << 30}, time.Now())[0].(ledger.Reply)
+		assert.Equal(t, ledgerpb.Status_STATUS_TOO_LONG, reply.Response.GetStatus())
+	}
+}
