--- a/ledger/member/copy.go
+++ b/ledger/member/copy.go
@@ -59,7 +59,7 @@
 // isRemovedSilent reports whether the member whose seat was removed has not responded for
 // unresponsiveAfter, and so counts as one that has ended for good.
 func (m *Member) isRemovedSilent(view ledger.View, copies map[string]ledger.Copy) bool {
-	if view.Removed == nil {
+	if !view.NeedsRemoved() {
 		return false
 	}
 	if _, responds := copies[view.Removed.Name]; responds || m.removedVersion != view.Version {
--- a/ledger/member/random_test.go
+++ b/ledger/member/random_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -38,6 +39,8 @@
 	// running are the members that run, down those that will start again.
 	running, down []string
 	started       int
+	// wiped is the member that lost its disk last.
+	wiped string
 	// acknowledged are the texts of the turns that were acknowledged, last the latest of them.
 	mu           sync.Mutex
 	acknowledged map[string]string
@@ -107,9 +110,10 @@
 		r.down = append(r.down, name)
 	case kind == 4 && r.isComplete():
 		r.replace(name)
-	case kind == 5 && r.isComplete():
-		r.t.Logf("%s loses its disk", name)
+	case kind == 5 && r.mayLoseDisk():
+		r.t.Logf("%s loses its disk, %v are down", name, r.down)
 		r.loseDisk(name)
+		r.wiped = name
 	case len(r.running) < 5 && len(r.down) == 0:
 		r.startNew()
 	case len(r.running) > 3 && r.isComplete():
@@ -170,6 +174,25 @@
 	}
 }
 
+// mayLoseDisk reports whether a disk may be lost, also while other members are down or rejoin: the
+// one that was lost last is replaced, and no view relies on that of a member that has gone.
+func (r *randomRun) mayLoseDisk() bool {
+	if r.isComplete() {
+		return true
+	}
+	if r.wiped != "" && (slices.Contains(r.down, r.wiped) || slices.Contains(r.running, r.wiped) && !r.members[r.wiped].Ready()) {
+		return false
+	}
+	view := r.views.Snapshot().View
+	seats := slices.Clone(view.Seats)
+	if view.NeedsRemoved() {
+		seats = append(seats, *view.Removed)
+	}
+	return !slices.ContainsFunc(seats, func(s ledger.Seat) bool {
+		return len(s.Former) > 0 || !slices.Contains(r.running, s.Name) && !slices.Contains(r.down, s.Name)
+	})
+}
+
 // isComplete reports whether one more disk may be lost: all members run, have seats and are ready,
 // no seat that counts is that of a member that has gone, unless the view is settled and has one
 // more, and nothing is being changed.
--- a/ledger/view.go
+++ b/ledger/view.go
@@ -150,7 +150,7 @@
 // of an earlier view that is not settled.
 func (v View) intersectingEarlier(disksLost int) int {
 	n := v.intersecting(disksLost)
-	isUnaffected := v.Grown || v.Removed != nil && !v.Removed.hasAcknowledged()
+	isUnaffected := v.Grown || v.Removed != nil && !v.NeedsRemoved()
 	if v.size()%2 == 0 && !isUnaffected {
 		n++
 	}
@@ -174,12 +174,17 @@
 // are needed then is for these.
 func (v View) tenures() []Seat {
 	seats := v.Counting()
-	if v.size()%2 == 0 && v.Removed != nil && v.Removed.hasAcknowledged() {
+	if v.NeedsRemoved() {
 		seats = append(seats, *v.Removed)
 	}
 	return seats
 }
 
+// NeedsRemoved reports whether the seat that was removed last matters to a member that copies.
+func (v View) NeedsRemoved() bool {
+	return v.size()%2 == 0 && v.Removed != nil && v.Removed.hasAcknowledged()
+}
+
 // sources returns the seats from which the named member may copy.
 func (v View) sources(name string) []Seat {
 	return slices.DeleteFunc(v.tenures(), func(s Seat) bool { return s.Name == name })
