ledger: one former disk a seat, one count of intersecting seats

Cause: read-through; a seat has at most one former disk since a member is ready only after the view shows it, but the view had a list; two functions counted the seats that intersect every quorum, of which one had a single caller. Change: a pointer in place of the list, one function.

--- a/ledger/member/random_test.go
+++ b/ledger/member/random_test.go
@@ -189,7 +189,7 @@
 		seats = append(seats, *view.Removed)
 	}
 	return !slices.ContainsFunc(seats, func(s ledger.Seat) bool {
-		return len(s.Former) > 0 || !slices.Contains(r.running, s.Name) && !slices.Contains(r.down, s.Name)
+		return s.Former != nil || !slices.Contains(r.running, s.Name) && !slices.Contains(r.down, s.Name)
 	})
 }
 
--- a/ledger/view.go
+++ b/ledger/view.go
@@ -36,8 +36,8 @@
 	// member that has lost its disk is not joining, since quorums have included it.
 	Joining bool `json:"joining,omitempty"`
 	// Former is the disk that had this seat when its member was last ready, if the member of the
-	// seat is not ready now and may lack what was acknowledged. There is one at most.
-	Former []Disk `json:"former,omitempty"`
+	// seat is not ready now and may lack what was acknowledged.
+	Former *Disk `json:"former,omitempty"`
 }
 
 // Disk returns the disk that has the seat.
@@ -46,7 +46,7 @@
 // Equal reports whether both seats are the same.
 func (s Seat) Equal(other Seat) bool {
 	return s.Name == other.Name && s.Addr == other.Addr && s.Domain == other.Domain && s.Incarnation == other.Incarnation &&
-		s.Ready == other.Ready && s.Joining == other.Joining && slices.Equal(s.Former, other.Former)
+		s.Ready == other.Ready && s.Joining == other.Joining && (s.Former == other.Former || s.Former != nil && other.Former != nil && *s.Former == *other.Former)
 }
 
 // passTo returns the seat that takes the place of s, which counts. While its member is not ready,
@@ -56,21 +56,21 @@
 	if next.Ready {
 		return next
 	}
-	next.Former = slices.Clone(s.Former)
+	former := s.Former
 	if s.Ready {
-		next.Former = []Disk{s.Disk()}
+		disk := s.Disk()
+		former = &disk
 	}
-	for i, d := range next.Former {
-		if d.Name == next.Name {
-			next.Former[i].Addr = next.Addr
-		}
+	if former != nil && former.Name == next.Name {
+		former = &Disk{Name: next.Name, Addr: next.Addr, Incarnation: former.Incarnation}
 	}
+	next.Former = former
 	return next
 }
 
 // hasAcknowledged reports whether a member may have acknowledged records under the seat. One that
 // has not been ready since its seat was added has not.
-func (s Seat) hasAcknowledged() bool { return s.Ready || len(s.Former) > 0 }
+func (s Seat) hasAcknowledged() bool { return s.Ready || s.Former != nil }
 
 // View is one version of the membership. The seats that count differ in one at most between
 // consecutive views, so every majority of one intersects every majority of the other.
@@ -143,29 +143,21 @@
 // size. Such a quorum may include the seat that has been removed since, which is a source, too. If
 // the view is settled, no quorum of an earlier view matters.
 func (v View) CopySources(name string, disksLost int) int {
-	return min(v.intersectingLatest(disksLost), max(1, len(v.sources(name))))
+	return min(v.intersectingAll(disksLost), max(1, len(v.sources(name))))
 }
 
-// intersectingEarlier returns how many seats have one in common with every quorum, also with those
-// of an earlier view that is not settled.
-func (v View) intersectingEarlier(disksLost int) int {
+// intersectingAll returns how many seats have one in common with every quorum, also with those of
+// an earlier view that is not settled. A seat that is joining may count in a later view.
+func (v View) intersectingAll(disksLost int) int {
 	n := v.intersecting(disksLost)
-	isUnaffected := v.Grown || v.Removed != nil && !v.NeedsRemoved()
+	isChanging := slices.ContainsFunc(v.Seats, func(s Seat) bool { return s.Joining })
+	isUnaffected := v.Settled && !isChanging || v.Grown || v.Removed != nil && !v.NeedsRemoved()
 	if v.size()%2 == 0 && !isUnaffected {
 		n++
 	}
 	return n
 }
 
-// intersectingLatest is intersectingEarlier, unless the view is settled.
-func (v View) intersectingLatest(disksLost int) int {
-	isChanging := slices.ContainsFunc(v.Seats, func(s Seat) bool { return s.Joining })
-	if !v.Settled || isChanging {
-		return v.intersectingEarlier(disksLost)
-	}
-	return v.intersecting(disksLost)
-}
-
 // intersecting returns how many members have one in common with every quorum. It is at least 1.
 func (v View) intersecting(disksLost int) int { return max(1, v.size()-v.Quorum(disksLost)+1) }
 
@@ -196,7 +188,9 @@
 	var seated, former []Disk
 	for _, s := range v.tenures() {
 		seated = append(seated, s.Disk())
-		former = append(former, s.Former...)
+		if s.Former != nil {
+			former = append(former, *s.Former)
+		}
 	}
 	var disks []Disk
 	for _, d := range append(seated, former...) {
@@ -210,9 +204,7 @@
 // ReliesOn reports whether a member may need the disk of the named one, which has no seat, to copy
 // from.
 func (v View) ReliesOn(name string) bool {
-	return slices.ContainsFunc(v.Seats, func(s Seat) bool {
-		return slices.ContainsFunc(s.Former, func(d Disk) bool { return d.Name == name })
-	})
+	return slices.ContainsFunc(v.Seats, func(s Seat) bool { return s.Former != nil && s.Former.Name == name })
 }
 
 // Copy describes the disk of a member from which all records were copied.
@@ -243,7 +235,7 @@
 // disk that was lost since may have been in a quorum with a seat that this view does not have.
 func (v View) IsComplete(name string, disksLost int, copies map[string]Copy) bool {
 	attainable := slices.DeleteFunc(v.tenures(), func(s Seat) bool { return s.Name == name && !s.isCopied(copies) })
-	return v.Copied(copies) >= min(v.intersectingLatest(disksLost), max(1, len(attainable)))
+	return v.Copied(copies) >= min(v.intersectingAll(disksLost), max(1, len(attainable)))
 }
 
 // isCopied reports whether copies have every record that was acknowledged under the seat.
@@ -252,10 +244,10 @@
 		c, copied := copies[d.Name]
 		return copied && (c.Ready || c.Incarnation != 0 && c.Incarnation == d.Incarnation)
 	}
-	if len(s.Former) == 0 || copies[s.Name].Ready {
+	if s.Former == nil || copies[s.Name].Ready {
 		return holds(s.Disk())
 	}
-	return !slices.ContainsFunc(s.Former, func(d Disk) bool { return !holds(d) })
+	return holds(*s.Former)
 }
 
 // Seat returns the seat of the member with that name.
--- a/spec/membership/world.go
+++ b/spec/membership/world.go
@@ -279,7 +279,7 @@
 // disksLost disks requires, those count that others have lost with their disks.
 func (w *World) lostSeats(view ledger.View, lost []ledger.Disk) int {
 	seats := view.Counting()
-	if view.Removed != nil && !view.Settled && len(seats)%2 == 0 {
+	if view.NeedsRemoved() {
 		seats = append(seats, *view.Removed)
 	}
 	unseated := 0
@@ -293,7 +293,7 @@
 		holder := w.find(s.Name)
 		for _, d := range lost {
 			hasRecovered := holder.ready && (holder.incarnation != d.Incarnation || holder.name != d.Name)
-			if !hasRecovered && (s.Name == d.Name || slices.Contains(s.Former, d)) {
+			if !hasRecovered && (s.Name == d.Name || s.Former != nil && *s.Former == d) {
 				n++
 				break
 			}
