service: a cut or odd response of a service is no answer

Cause: the faults of the reports on answers, on the product's own path to tool and plain services: after a reset that the writer met, a part of an unframed response passed as the whole; a status outside 200 to 599 passed as an answer. Change: as in package relay, an unframed response waits for the writer's result, and such a status is an error. Model engines' answers need their [DONE] or whole JSON, so a part never passes there.

--- a/engine/service/service.go
+++ b/engine/service/service.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -20,6 +21,12 @@
 // HeaderKey is the header with the idempotency key of a call.
 const HeaderKey = "Idempotency-Key"
 
+// errNoAnswer means that the status of a response is that of no answer.
+var errNoAnswer = errors.New("status of no answer")
+
+// maxStatus is the greatest status of an answer.
+const maxStatus = 599
+
 // errUnsupported is the cause for operations that only model engines support.
 var errUnsupported = errors.New("services do not support this operation")
 
@@ -63,14 +70,24 @@
 	return &engine.Error{Step: step, Peer: t.addr, Sent: sent, Reason: core.ReasonTargetFailed, Err: err}
 }
 
-// Run executes a call. A response of any status is a complete answer.
+// Run executes a call. A response of any status from 200 to 599 is a complete answer.
 func (t *Target) Run(ctx context.Context, req engine.Request, sink engine.Sink) (engine.Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	t.track(req.Attempt, cancel)
 	defer t.untrack(req.Attempt)
 	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	written := make(chan error, 1)
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			select {
+			case written <- info.Err:
+			default:
+				// Only a request that the client sends again is written twice.
+			}
+		},
+	}
 	httpReq, err := t.request(httptrace.WithClientTrace(ctx, trace), &req)
 	if err != nil {
 		return engine.Result{}, t.newError(engine.StepRun, false, err)
@@ -81,6 +98,9 @@
 	}
 	defer resp.Body.Close()
 	length, err := copyResponse(resp, sink)
+	if err == nil && isUnframed(resp) {
+		err = awaitWritten(ctx, written)
+	}
 	if err != nil {
 		return engine.Result{}, t.newError(engine.StepRun, true, err)
 	}
@@ -114,8 +134,29 @@
 	return out, nil
 }
 
-// copyResponse copies a response to the sink and returns the length of its body.
+// isUnframed reports whether a response has neither a length nor chunks, so that it ends with its
+// connection.
+func isUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// awaitWritten waits until the request is written. A connection that is reset reports its error
+// only once: if the write has met it, an unframed body seems to end as it should.
+func awaitWritten(ctx context.Context, written <-chan error) error {
+	select {
+	case err := <-written:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// copyResponse copies a response to the sink and returns the length of its body. A response with
+// the status of no answer is an error.
 func copyResponse(resp *http.Response, sink engine.Sink) (uint64, error) {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		return 0, fmt.Errorf("%w: %d", errNoAnswer, resp.StatusCode)
+	}
 	head := engine.Head{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type")}
 	if err := sink.Head(head); err != nil {
 		return 0, err
