--- a/relay/relay.go
+++ b/relay/relay.go
@@ -169,7 +169,8 @@
 	ledgerAvailableAt atomic.Int64
 	ledgerDelay       ledgerDelay
 	startedAt         time.Time
-	// shutdown is set once the process has begun to shut down, and ending is closed at its end.
+	// shutdown is set once the process has begun to shut down. The context ending is canceled by
+	// end when requests that have no answer yet are to be ended.
 	shutdown atomic.Pointer[Shutdown]
 	ending   context.Context
 	end      context.CancelFunc
