--- a/review/rig3/engine.go
+++ b/review/rig3/engine.go
@@ -45,7 +45,9 @@
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		// The links of the platform have small windows.
 		var failure error
-		err := raw.Control(func(fd uintptr) { failure = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, windowBytes) })
+		err := raw.Control(func(fd uintptr) {
+			failure = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, windowBytes)
+		})
 		return errors.Join(err, failure)
 	}}
 	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -4,9 +4,12 @@
 package rig3
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -17,6 +20,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -46,12 +50,13 @@
 	Store *platformtest.Store
 	Dir   string
 
-	network  int
-	mu       sync.Mutex
-	record   *os.File
-	began    time.Time
-	machines []*Machine
-	engines  []*Engine
+	network   int
+	storeAddr string
+	mu        sync.Mutex
+	record    *os.File
+	began     time.Time
+	machines  []*Machine
+	engines   []*Engine
 }
 
 // New starts the store. The record of the case is written to recordPath.
@@ -66,6 +71,7 @@
 	}
 	r := &Rig{Store: platformtest.NewStore(), Dir: dir, record: record, began: time.Now()}
 	r.network = r.freeNetwork()
+	r.storeAddr = r.Store.Addr()
 	return r, nil
 }
 
@@ -161,7 +167,7 @@
 	values := map[string]any{
 		"node_name": m.Name, "role": m.Role, "zone": m.Zone, "bootstrap": bootstrap, "data_dir": m.Data(), "ip": m.IP,
 		"listen.front": m.Front(), "listen.ready": fmt.Sprintf("%s:%d", m.IP, readyPort), "listen.control": fmt.Sprintf("%s:%d", m.IP, controlPort),
-		"port_range.0": peerPort, "seeds": seeds, "platform.address": m.rig.Store.Addr(), "fault_tolerance.machines": 1,
+		"port_range.0": peerPort, "seeds": seeds, "platform.address": m.rig.storeAddr, "fault_tolerance.machines": 1,
 		"limits.memory_mb": memory, "limits.max_fds": descriptors, "bounds.grace_s": 8,
 	}
 	var missing error
@@ -197,7 +203,7 @@
 			return err
 		}
 	}
-	m.cmd = exec.Command("target/rhubarbsaddled", m.Role)
+	m.cmd = exec.Command(program(), m.Role)
 	m.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "RHUBARBSADDLE_CONFIG=" + path}
 	m.cmd.Stdout, m.cmd.Stderr = m.log, m.log
 	m.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -299,3 +305,63 @@
 
 // Machines returns the machines in the order in which they were added.
 func (r *Rig) Machines() []*Machine { return r.machines }
+
+// program is the program of the deploy file, or another build of it for trials.
+func program() string {
+	if path := os.Getenv("REVIEW_PROGRAM"); path != "" {
+		return path
+	}
+	return "target/rhubarbsaddled"
+}
+
+// Proxy passes connections on to the store. While it is on, it loses or delays writes as the
+// platform may.
+type Proxy struct {
+	listener net.Listener
+	target   string
+	// Lost is how many of a hundred writes are done and not answered, Late how many are done 1 to
+	// 6 s later and not answered.
+	Lost, Late atomic.Int64
+}
+
+// NewProxy starts a proxy of the store, which the processes use from now on.
+func (r *Rig) NewProxy() (*Proxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{listener: listener, target: r.Store.Addr()}
+	r.storeAddr = listener.Addr().String()
+	go func() { _ = http.Serve(listener, p) }()
+	return p, nil
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Proxy) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return
+	}
+	isWrite := req.URL.Path == "/kv-txn"
+	if isWrite && rand.Int64N(100) < p.Late.Load() {
+		time.AfterFunc(time.Second+rand.N(5*time.Second), func() { _, _ = p.forward(context.Background(), req, body) })
+		panic(http.ErrAbortHandler)
+	}
+	response, err := p.forward(req.Context(), req, body)
+	if err != nil || isWrite && rand.Int64N(100) < p.Lost.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	defer response.Body.Close()
+	w.Header().Set("Content-Type", response.Header.Get("Content-Type"))
+	w.WriteHeader(response.StatusCode)
+	_, _ = io.Copy(w, response.Body)
+}
+
+func (p *Proxy) forward(ctx context.Context, req *http.Request, body []byte) (*http.Response, error) {
+	again, err := http.NewRequestWithContext(ctx, req.Method, "http://"+p.target+req.URL.RequestURI(), bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	again.Header = req.Header.Clone()
+	return http.DefaultClient.Do(again)
+}
