--- a/review/soak3/main.go
+++ b/review/soak3/main.go
@@ -76,7 +76,7 @@
 	}
 	w := &world{rig: rig, runs: map[string][]string{}, expect: map[string]string{}, bad: map[string]int{}, counts: map[string]int{}}
 	code := w.play(time.Duration(seconds) * time.Second)
-	for _, m := range append(w.members, w.entries...) {
+	for _, m := range append(append([]*rig3.Machine(nil), w.members...), w.entries...) {
 		text, _ := os.ReadFile(m.LogPath())
 		_ = os.WriteFile(os.Args[1]+"."+m.Name+".log", text, 0o600)
 	}
@@ -86,12 +86,12 @@
 
 func (w *world) config(version int) {
 	w.rig.Store.Put("op/config", fmt.Appendf(nil, `{"version":%d,"routes":[`+
-		`{"name":"keep","host":%q,"prefix":"/keep/","type":"streaming","timeout_ms":4000,"latency_target_ms":200,"priority":0,"service":"llm","max_attempts":2,"retained":true,"retention_s":60.0,"sticky":true,"resumable":false,"gap_target_ms":400},`+
-		`{"name":"draft","host":%q,"prefix":"/draft/","type":"streaming","timeout_ms":4000,"latency_target_ms":200,"priority":1,"service":"llm","max_attempts":2,"retained":false,"retention_s":60.0,"sticky":true,"resumable":true,"gap_target_ms":400},`+
+		`{"name":"keep","host":%q,"prefix":"/keep/","type":"streaming","timeout_ms":4000,"latency_target_ms":200,"priority":0,"service":"llm","max_attempts":2,"retained":true,"retention_s":%s,"sticky":true,"resumable":false,"gap_target_ms":400},`+
+		`{"name":"draft","host":%q,"prefix":"/draft/","type":"streaming","timeout_ms":4000,"latency_target_ms":200,"priority":1,"service":"llm","max_attempts":2,"retained":false,"retention_s":%s,"sticky":true,"resumable":true,"gap_target_ms":400},`+
 		`{"name":"once","host":%q,"prefix":"/once/","type":"non_idempotent","timeout_ms":3000,"latency_target_ms":500,"priority":2,"service":"app","max_attempts":1},`+
 		`{"name":"map","host":%q,"prefix":"/map/","type":"idempotent","timeout_ms":1200,"latency_target_ms":150,"priority":2,"service":"app","max_attempts":2}],`+
 		`"services":[{"name":"llm","health_path":"/healthz","engine":{"slots":12,"kv_capacity":378489,"chunk_tokens":22}},{"name":"app","health_path":"/healthz"}],`+
-		`"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, version, rig3.Host, rig3.Host, rig3.Host, rig3.Host))
+		`"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, version, rig3.Host, retention(), rig3.Host, retention(), rig3.Host, rig3.Host))
 }
 
 func (w *world) play(length time.Duration) int {
@@ -134,7 +134,9 @@
 	}
 	if os.Getenv("CALM") == "" {
 		w.trouble.Store(true)
-		if os.Getenv("HARD") != "" {
+		if os.Getenv("CHURN") != "" {
+			wait.Go(func() { w.churn(ctx) })
+		} else if os.Getenv("HARD") != "" {
 			wait.Go(func() { w.hardFaults(ctx) })
 		} else {
 			wait.Go(func() { w.faults(ctx) })
@@ -658,3 +660,114 @@
 	defer w.mu.Unlock()
 	return fmt.Sprint(w.counts["keep 200 whole true"], w.counts["draft 200 whole true resumed false"])
 }
+
+// retention is the retention of turns in seconds.
+func retention() string {
+	if text := os.Getenv("RETENTION"); text != "" {
+		return text
+	}
+	return "60.0"
+}
+
+// churn changes the members: it adds, retires, replaces, wipes and stops them, one at a time, and
+// waits until the one before counts again.
+func (w *world) churn(ctx context.Context) {
+	sleep := func(d time.Duration) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(d):
+		}
+	}
+	live := append([]*rig3.Machine(nil), w.members...)
+	zones := []string{"a", "b", "c"}
+	add := func() {
+		m := w.rig.Add("ledger", zones[rand.IntN(3)])
+		w.members = append(w.members, m)
+		live = append(live, m)
+		_ = m.Start(false)
+	}
+	remove := func(i int) *rig3.Machine {
+		m := live[i]
+		live = append(append([]*rig3.Machine(nil), live[:i]...), live[i+1:]...)
+		return m
+	}
+	catchUp := 4900 * time.Millisecond
+	for ctx.Err() == nil {
+		w.proxy.Lost.Store(int64(rand.IntN(2) * 35))
+		w.proxy.Late.Store(int64(rand.IntN(2) * 35))
+		i := rand.IntN(len(live))
+		m := live[i]
+		switch rand.IntN(8) {
+		case 0:
+			if len(live) < 5 {
+				w.rig.Note("churn: add")
+				add()
+				sleep(time.Duration(rand.IntN(2000)) * time.Millisecond)
+			}
+		case 1, 2:
+			if len(live) < 4 {
+				add()
+				sleep(catchUp)
+				i = rand.IntN(len(live))
+				m = live[i]
+			}
+			w.rig.Note("churn: retire %s", m.Name)
+			w.rig.Store.Put("op/retire/"+m.Name, []byte(`{"duration_s":9}`))
+			done := rig3.Await(20*time.Second, func() bool {
+				return strings.Contains(string(w.rig.Store.Value("status/retire/"+m.Name)), "completed") || ctx.Err() != nil
+			})
+			w.rig.Note("churn: retired %s: %v", m.Name, done)
+			if !done || ctx.Err() != nil {
+				break
+			}
+			remove(i)
+			m.Kill()
+			_ = m.Wipe()
+			if rand.IntN(2) == 0 {
+				other := live[rand.IntN(len(live))]
+				w.rig.Note("churn: wipe %s right after", other.Name)
+				other.Kill()
+				_ = other.Wipe()
+				sleep(time.Second)
+				_ = other.Start(false)
+				sleep(catchUp)
+			}
+		case 3:
+			w.rig.Note("churn: replace %s", m.Name)
+			remove(i)
+			m.Kill()
+			_ = m.Wipe()
+			sleep(time.Duration(500+rand.IntN(1500)) * time.Millisecond)
+			add()
+			sleep(catchUp)
+		case 4, 5:
+			w.rig.Note("churn: wipe %s", m.Name)
+			m.Kill()
+			_ = m.Wipe()
+			sleep(time.Duration(rand.IntN(2000)) * time.Millisecond)
+			_ = m.Start(false)
+			sleep(catchUp)
+		case 6:
+			m.Signal(syscall.SIGSTOP)
+			sleep(time.Duration(rand.IntN(12000)) * time.Millisecond)
+			m.Signal(syscall.SIGCONT)
+			sleep(catchUp)
+		case 7:
+			m.Signal(syscall.SIGTERM)
+			rig3.Await(8*time.Second, m.HasEnded)
+			m.Kill()
+			sleep(time.Duration(rand.IntN(1500)) * time.Millisecond)
+			_ = m.Start(false)
+			sleep(catchUp)
+		}
+		w.proxy.Lost.Store(0)
+		w.proxy.Late.Store(0)
+		w.rig.Note("%d members; served since: %v", len(live), w.summary())
+	}
+	for _, m := range live {
+		if m.HasEnded() {
+			_ = m.Start(false)
+		}
+		m.Signal(syscall.SIGCONT)
+	}
+}
