--- a/review/soak3/main.go
+++ b/review/soak3/main.go
@@ -112,7 +112,11 @@
 			return 2
 		}
 	}
-	for _, z := range zones {
+	memberZones := zones
+	if text := os.Getenv("ZONES"); text != "" {
+		memberZones = strings.Split(text, "")
+	}
+	for _, z := range memberZones {
 		w.members = append(w.members, w.rig.Add("ledger", z))
 	}
 	for _, z := range zones {
@@ -289,9 +293,13 @@
 func (w *world) front() *rig3.Machine { return w.entries[rand.IntN(len(w.entries))] }
 
 func (w *world) program(ctx context.Context, name string) {
-	if rand.IntN(2) == 0 {
+	switch rand.IntN(5) {
+	case 0, 1:
 		w.draftProgram(ctx, name)
 		return
+	case 2:
+		w.fanProgram(ctx, name)
+		return
 	}
 	chain, previous := "", ""
 	budget := maxTurn * (3 + rand.IntN(8))
@@ -771,3 +779,32 @@
 		m.Signal(syscall.SIGCONT)
 	}
 }
+
+// fanProgram runs several lines of turns of one program at once, until its budget is spent.
+func (w *world) fanProgram(ctx context.Context, name string) {
+	budget := maxTurn * (5 + rand.IntN(30))
+	var handed atomic.Int64
+	var wait sync.WaitGroup
+	for line := range 6 {
+		wait.Go(func() {
+			spent := 0
+			for t := 0; t < 40 && spent < 3 && ctx.Err() == nil; t++ {
+				id := w.id()
+				body := fmt.Sprintf("%s fan %d %d", name, line, t)
+				status, _, tokens, _ := w.sendTurn("/draft/x", id, name, "", body, body, budget, "")
+				if total := handed.Add(int64(tokens)); total > int64(budget+maxTurn) {
+					w.broken("BUDGET", "%s handed %d of %d", name, total, budget)
+				}
+				w.count(fmt.Sprintf("fan %d", status))
+				if status == 402 {
+					spent++
+					time.Sleep(time.Duration(rand.IntN(300)) * time.Millisecond)
+				}
+			}
+		})
+	}
+	wait.Wait()
+	if handed.Load() > int64(budget) {
+		w.count("fan over budget by part of a turn")
+	}
+}
