--- a/review/soak3/main.go
+++ b/review/soak3/main.go
@@ -147,7 +147,11 @@
 		}
 	}
 	wait.Wait()
-	time.Sleep(500 * time.Millisecond)
+	client.CloseIdleConnections()
+	time.Sleep(5 * time.Second)
+	for _, m := range w.entries {
+		w.printHeld(m)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for id, at := range w.runs {
@@ -808,3 +812,18 @@
 		w.count("fan over budget by part of a turn")
 	}
 }
+
+// printHeld prints what an entry holds for callers once there are none.
+func (w *world) printHeld(m *rig3.Machine) {
+	response, err := http.Get("http://" + m.IP + ":9464/metrics")
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer response.Body.Close()
+	for in := bufio.NewScanner(response.Body); in.Scan(); {
+		if strings.HasPrefix(in.Text(), "rhubarbsaddle_caller_") || strings.HasPrefix(in.Text(), "go_goroutines") {
+			fmt.Println(m.Name, in.Text())
+		}
+	}
+}
