--- a/review/12/main.go
+++ b/review/12/main.go
@@ -1,6 +1,6 @@
-// Command 12 lets programs continue the turns of other programs, as often as the retention of the
-// turns allows. With the disruption, two ledger machines freeze at different times, and the third
-// loses its disk long after.
+// Command 12 lets programs go on after pauses that are shorter than the retention of their turns. With
+// the disruption, two ledger machines freeze at different times, and the third loses its disk long
+// after.
 package main
 
 import (
@@ -27,16 +27,14 @@
 	// The times are from the start of traffic. The freezes last 3.2 s and the disk comes back empty
 	// after 1 s, which the site file has for these disruptions.
 	firstFreeze  = 2 * time.Second
-	secondFreeze = 12 * time.Second
+	secondFreeze = 50 * time.Second
 	freeze       = 3200 * time.Millisecond
 	// early is how long a machine has been frozen when the turns begin, and spread the time in which
 	// they begin.
 	early  = 100 * time.Millisecond
 	spread = 2800 * time.Millisecond
-	// turnPeriod is the pause between two turns of a program.
-	turnPeriod = 14 * time.Second
-	wipe       = 88 * time.Second
-	dark       = time.Second
+	wipe   = 88 * time.Second
+	dark   = time.Second
 	// judged is when the programs go on: recover_s (12) after the machine is back.
 	judged = wipe + dark + 12*time.Second
 	tries  = 6
@@ -110,10 +108,6 @@
 	lines := make([]*chain, chains)
 	w.freezeDuring(members[1], firstFreeze, func() { w.each(lines, func(i int) { lines[i] = w.first(i) }) })
 	w.freezeDuring(members[2], secondFreeze, func() { w.each(lines, func(i int) { w.goOn(i, lines[i]) }) })
-	for at := secondFreeze + turnPeriod; at < wipe-turnPeriod/2; at += turnPeriod {
-		w.until(at)
-		w.each(lines, func(i int) { w.goOn(i, lines[i]) })
-	}
 	w.until(wipe)
 	if rig3.Trouble() {
 		members[0].Kill()
@@ -155,21 +149,23 @@
 	wait.Wait()
 }
 
-// first sends the only turn of a first program.
+// first sends the first turn of a program.
 func (w *world) first(i int) *chain {
 	c := &chain{}
-	w.extend(c, fmt.Sprintf("first-%d", i), fmt.Sprintf("pitch %d\n", i))
+	w.extend(c, programName(i), fmt.Sprintf("pitch %d\n", i))
 	return c
 }
 
-// goOn sends a turn of the second program, which continues the turn of the first one.
+// goOn sends the next turn of a program.
 func (w *world) goOn(i int, c *chain) {
 	if c.last == "" {
 		return
 	}
-	w.extend(c, fmt.Sprintf("second-%d", i), fmt.Sprintf("offer %d of %d\n", c.turns, i))
+	w.extend(c, programName(i), fmt.Sprintf("offer %d of %d\n", c.turns, i))
 }
 
+func programName(i int) string { return fmt.Sprintf("program-%d", i) }
+
 // extend sends a turn, three times at most, and adds it to the line.
 func (w *world) extend(c *chain, program, input string) bool {
 	for range 3 {
@@ -263,7 +259,7 @@
 	begun, kept, lost := 0, 0, 0
 	w.each(lines, func(i int) {
 		hasBegun := w.turn("", fmt.Sprintf("new-%d", i), "a new pitch\n") != ""
-		isKept := lines[i].last != "" && lines[i].turns >= 3
+		isKept := lines[i].last != "" && lines[i].turns == 2
 		isLost := isKept && !w.reaches(i, lines[i])
 		mu.Lock()
 		defer mu.Unlock()
@@ -298,7 +294,7 @@
 		id := fmt.Sprintf("t%04d", w.next)
 		w.mu.Unlock()
 		input := "the last offer\n"
-		got := w.send(id, fmt.Sprintf("second-%d", i), c.last, input, c.text+input)
+		got := w.send(id, programName(i), c.last, input, c.text+input)
 		if w.ran(id) {
 			return true
 		}
