--- a/review/soak3/main.go
+++ b/review/soak3/main.go
@@ -136,6 +136,9 @@
 			}
 		})
 	}
+	if os.Getenv("DOWN") != "" {
+		wait.Go(func() { w.longOutage(ctx) })
+	}
 	if os.Getenv("CALM") == "" {
 		w.trouble.Store(true)
 		if os.Getenv("CHURN") != "" {
@@ -827,3 +830,12 @@
 		}
 	}
 }
+
+// longOutage takes the store away for most of the trial.
+func (w *world) longOutage(ctx context.Context) {
+	time.Sleep(15 * time.Second)
+	for end := time.Now().Add(60 * time.Second); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(100 * time.Millisecond) {
+		w.rig.Store.SetHung(true)
+	}
+	w.rig.Store.SetHung(false)
+}
