ledger: expire programs by quorum, and acknowledge turns with their chains

Cause: a ledger member decided alone, by the records that it happened to have, that a program had expired. One that had missed the program's later records, in a freeze, dropped earlier ones that it had acknowledged; the loss of one more disk then lost them.

Change: members remove programs only once a quorum has said how long each is retained there. A turn is acknowledged only with its chain, which a member copies first. Members copy what they may have missed, at a bounded rate. A batch of records that expired meanwhile no longer ends the copying of the others, and a record that was being written while its program expired is no longer acknowledged and forgotten.

--- a/ledger/await.go
+++ b/ledger/await.go
@@ -22,6 +22,7 @@
 // wait is a request that waits until records are stored.
 type wait struct {
 	requestID uint64
+	keys      []uint64
 	missing   []Key
 	// hasEnded means that the request waits only for writes under way.
 	hasEnded bool
@@ -90,14 +91,14 @@
 
 // awaitRecords replies at once if the records are stored.
 func (r *Replica) awaitRecords(e RecordsAwaited) []Effect {
-	w := &wait{requestID: e.RequestID}
+	w := &wait{requestID: e.RequestID, keys: e.Keys}
 	for _, key := range e.Keys {
 		if !r.HasRecord(Key(key)) && !slices.Contains(w.missing, Key(key)) {
 			w.missing = append(w.missing, Key(key))
 		}
 	}
 	if len(w.missing) == 0 {
-		return []Effect{r.awaitReply(w)}
+		return r.awaitReply(w)
 	}
 	r.awaits.add(w)
 	return nil
@@ -113,7 +114,7 @@
 		return nil
 	}
 	r.awaits.remove(w)
-	return []Effect{r.awaitReply(w)}
+	return r.awaitReply(w)
 }
 
 // endWrites ends the writes of records and replies to the requests that waited for them.
@@ -121,16 +122,31 @@
 	var effects []Effect
 	for i := range summaries {
 		for _, w := range r.awaits.endWrite(summaries[i].Key, stored) {
-			effects = append(effects, r.awaitReply(w))
+			effects = append(effects, r.awaitReply(w)...)
 		}
 	}
 	return effects
 }
 
-func (r *Replica) awaitReply(w *wait) Effect {
-	status := ledgerpb.Status_STATUS_NOT_FOUND
-	if len(w.missing) == 0 {
-		status = r.status()
+// awaitReply responds like replyAppend to records that were forwarded.
+func (r *Replica) awaitReply(w *wait) []Effect {
+	response := &ledgerpb.Response{Status: ledgerpb.Status_STATUS_NOT_FOUND}
+	effects := []Effect{Reply{RequestID: w.requestID, Response: response}}
+	if len(w.missing) > 0 {
+		return effects
 	}
-	return Reply{RequestID: w.requestID, Response: &ledgerpb.Response{Status: status}}
+	response.Status = r.status()
+	for _, key := range w.keys {
+		turn, isPartial := r.partial[Key(key)]
+		if !isPartial {
+			continue
+		}
+		if missing := r.missingTurn(turn); missing != "" {
+			response.Status = ledgerpb.Status_STATUS_RECOVERING
+			effects = append(effects, ChainNeeded{Turn: missing})
+			continue
+		}
+		delete(r.partial, Key(key))
+	}
+	return effects
 }
--- a/ledger/member/append.go
+++ b/ledger/member/append.go
@@ -18,6 +18,7 @@
 func (m *Member) append(ctx context.Context, call *ledgerpb.Append, respond func(*ledgerpb.Response)) {
 	size := proto.Size(call)
 	if !m.appends.acquire(size, finishing) {
+		m.signalMissed()
 		respond(&ledgerpb.Response{Status: ledgerpb.Status_STATUS_OVERLOADED})
 		return
 	}
--- a/ledger/member/commit.go
+++ b/ledger/member/commit.go
@@ -29,6 +29,8 @@
 	appends, chains, staleViews  atomic.Int64
 	// abandoned counts the appends of peers that disconnected before they were handled.
 	abandoned atomic.Int64
+	// repaired counts the records that were copied because the member had missed them.
+	repaired atomic.Int64
 	// forwards counts the appends forwarded, one for each member that they go to, missedForwards
 	// those that another member did not forward in time.
 	forwards, missedForwards atomic.Int64
@@ -98,10 +100,11 @@
 	if err != nil {
 		m.stats.failedWrites.Add(int64(len(b.writes)))
 		m.log.Error().Str("event", "write_failed").Err(err).Int("writes", len(b.writes)).Msg("the quorum has to come from the other members")
+		m.signalMissed()
 	}
 	m.stats.written.Add(int64(len(locations)))
 	for _, w := range b.writes {
-		stored := ledger.Stored{RequestID: w.RequestID, Summaries: w.Summaries, Records: w.Records, Failed: err != nil}
+		stored := ledger.Stored{RequestID: w.RequestID, Summaries: w.Summaries, Records: w.Records, AreCopies: w.AreCopies, Failed: err != nil}
 		if err == nil {
 			stored.Locations, locations = locations[:len(w.Records)], locations[len(w.Records):]
 			for i, at := range stored.Locations {
--- a/ledger/member/copy.go
+++ b/ledger/member/copy.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/ctxwait"
@@ -73,7 +74,7 @@
 func (m *Member) copySources(ctx context.Context, view ledger.View) map[string]ledger.Copy {
 	copies := map[string]ledger.Copy{m.options.Name: {Incarnation: m.intactIncarnation()}}
 	for _, disk := range view.SourceDisks(m.options.Name) {
-		copied, records, err := m.copyFrom(ctx, disk, view.Version)
+		copied, records, err := m.copyFrom(ctx, disk, view.Version, nil)
 		if err != nil {
 			m.log.Warn().Str("event", "copy_failed").Str("peer", disk.Name).Err(err).Msg("")
 			continue
@@ -112,7 +113,7 @@
 			if seat.Name == m.options.Name {
 				continue
 			}
-			_, records, err := m.copyFrom(ctx, seat.Disk(), view.Version)
+			_, records, err := m.copyFrom(ctx, seat.Disk(), view.Version, nil)
 			m.log.Info().Str("event", "caught_up").Str("peer", seat.Name).Int("records", records).Err(err).Msg("")
 		}
 		return
@@ -120,26 +121,33 @@
 }
 
 // copyFrom copies the records that another member has and this one lacks. It returns
-// their number.
-func (m *Member) copyFrom(ctx context.Context, disk ledger.Disk, version uint64) (ledger.Copy, int, error) {
+// their number. Limiter bounds the bytes per second; it may be nil.
+func (m *Member) copyFrom(ctx context.Context, disk ledger.Disk, version uint64, limiter *rate.Limiter) (ledger.Copy, int, error) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	conn, listed, err := m.listRemoteKeys(ctx, disk, version)
+	conn, listed, err := m.listRemoteKeys(ctx, disk, version, "")
 	if err != nil {
 		return ledger.Copy{}, 0, err
 	}
 	defer conn.Close()
 	copied := ledger.Copy{Incarnation: listed.GetIncarnation(), Ready: listed.GetStatus() == ledgerpb.Status_STATUS_OK}
-	missing, err := m.missingKeys(ctx, listed.GetKeys())
+	records, err := m.copyMissing(ctx, conn, listed.GetKeys(), limiter)
+	return copied, records, err
+}
+
+// copyMissing copies those of the records with these keys that this member lacks. It returns their
+// number.
+func (m *Member) copyMissing(ctx context.Context, conn *transport.Conn, keys []uint64, limiter *rate.Limiter) (int, error) {
+	missing, err := m.missingKeys(ctx, keys)
 	if err != nil {
-		return ledger.Copy{}, 0, err
+		return 0, err
 	}
-	records, err := m.fetchMissing(ctx, conn, missing)
-	return copied, records, err
+	return m.fetchMissing(ctx, conn, missing, limiter)
 }
 
 // fetchMissing requests the records with these keys and stores them. It returns their number.
-func (m *Member) fetchMissing(ctx context.Context, conn *transport.Conn, missing []uint64) (int, error) {
+// Members that serve copy with a limiter.
+func (m *Member) fetchMissing(ctx context.Context, conn *transport.Conn, missing []uint64, limiter *rate.Limiter) (int, error) {
 	copied := 0
 	for len(missing) > 0 {
 		batch := missing[:min(maxKeysPerCopy, len(missing))]
@@ -148,10 +156,14 @@
 			return copied, err
 		}
 		if len(records) == 0 {
-			// The remaining records have expired in the meantime.
-			return copied, nil
+			// The records of this batch have expired in the meantime.
+			missing = missing[len(batch):]
+			continue
 		}
-		if err := m.appendLocally(ctx, records); err != nil {
+		if err := waitForBytes(ctx, limiter, records); err != nil {
+			return copied, err
+		}
+		if err := m.appendLocally(ctx, records, limiter != nil); err != nil {
 			return copied, err
 		}
 		copied += len(records)
@@ -160,14 +172,27 @@
 	return copied, nil
 }
 
-// listRemoteKeys connects to a member and requests the keys of its records. Both members
-// must use the view with the given version. The other one may be ready or recovering.
-func (m *Member) listRemoteKeys(ctx context.Context, disk ledger.Disk, version uint64) (*transport.Conn, *ledgerpb.Response, error) {
+// waitForBytes waits until the limiter, if there is one, admits the records.
+func waitForBytes(ctx context.Context, limiter *rate.Limiter, records []*ledgerpb.Record) error {
+	if limiter == nil {
+		return nil
+	}
+	size := 0
+	for _, rec := range records {
+		size += proto.Size(rec)
+	}
+	return limiter.WaitN(ctx, size)
+}
+
+// listRemoteKeys connects to a member and requests the keys of its records, or only of those of a
+// chain if it is not empty. Both members must use the view with the given version. The other one
+// may be ready or recovering.
+func (m *Member) listRemoteKeys(ctx context.Context, disk ledger.Disk, version uint64, chain string) (*transport.Conn, *ledgerpb.Response, error) {
 	conn, err := transport.Dial(ctx, disk.Addr)
 	if err != nil {
 		return nil, nil, err
 	}
-	listed, err := conn.Call(ctx, &ledgerpb.Request{ViewVersion: version, Call: &ledgerpb.Request_ListKeys{ListKeys: &ledgerpb.ListKeys{}}})
+	listed, err := conn.Call(ctx, &ledgerpb.Request{ViewVersion: version, Call: &ledgerpb.Request_ListKeys{ListKeys: &ledgerpb.ListKeys{Chain: chain}}})
 	if err == nil {
 		m.mergeView(listed)
 		if status := listed.GetStatus(); status != ledgerpb.Status_STATUS_OK && status != ledgerpb.Status_STATUS_RECOVERING {
@@ -231,10 +256,11 @@
 	return records, nil
 }
 
-// appendLocally stores records at this member and waits until they are durable.
-func (m *Member) appendLocally(ctx context.Context, records []*ledgerpb.Record) error {
+// appendLocally stores records at this member and waits until they are durable. AreCopies is that of
+// ledger.AppendRequested.
+func (m *Member) appendLocally(ctx context.Context, records []*ledgerpb.Record, areCopies bool) error {
 	done := make(chan *ledgerpb.Response, 1)
-	m.post(ledger.AppendRequested{RequestID: m.newRequestID(func(r *ledgerpb.Response) { done <- r }), Records: records})
+	m.post(ledger.AppendRequested{RequestID: m.newRequestID(func(r *ledgerpb.Response) { done <- r }), Records: records, AreCopies: areCopies})
 	select {
 	case response := <-done:
 		if response.GetStatus() == ledgerpb.Status_STATUS_FAILED {
@@ -270,7 +296,7 @@
 		if seat.Name == m.options.Name {
 			continue
 		}
-		copied, _, err := m.copyFrom(ctx, seat.Disk(), version)
+		copied, _, err := m.copyFrom(ctx, seat.Disk(), version, nil)
 		if err == nil && !copied.Ready {
 			err = errNotReady
 		}
@@ -285,7 +311,7 @@
 func (m *Member) handOverTo(ctx context.Context, seat ledger.Seat, version uint64) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	conn, listed, err := m.listRemoteKeys(ctx, seat.Disk(), version)
+	conn, listed, err := m.listRemoteKeys(ctx, seat.Disk(), version, "")
 	if err != nil {
 		return 0, err
 	}
--- a/ledger/member/error.go
+++ b/ledger/member/error.go
@@ -10,7 +10,7 @@
 
 // Error is a failed operation of a member.
 type Error struct {
-	// Step is listen, start, accept, read, write, copy, collect, hand over, join or
+	// Step is listen, start, accept, read, write, copy, expire, collect, hand over, join or
 	// retire.
 	Step string
 	// Peer is the address, member, file or store key concerned.
--- a/ledger/member/member.go
+++ b/ledger/member/member.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"golang.org/x/time/rate"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/ctxwait"
 	"github.com/rhubarbsaddle/rhubarbsaddle/discovery"
@@ -88,6 +89,12 @@
 	replica     *ledger.Replica
 	mailbox     *mailbox.Mailbox
 	commits     chan ledger.Write
+	expiries    chan ledger.ExpiryDue
+	// chains has the turns that the chains of appended turns lack.
+	chains chan string
+	// missed has a value if quorums may have stored records without this member.
+	missed        chan struct{}
+	repairLimiter *rate.Limiter
 	// panicked receives the error if the replica panics; the member then has to stop.
 	panicked chan error
 	// peers is the client with which this member relays records for entries. It
@@ -116,6 +123,7 @@
 	m := &Member{
 		options: options, log: options.Log,
 		commits:  make(chan ledger.Write, maxCommits),
+		expiries: make(chan ledger.ExpiryDue, 1), missed: make(chan struct{}, 1), chains: make(chan string, maxChains), repairLimiter: newRepairLimiter(),
 		panicked: make(chan error, 1),
 		pending:  make(map[uint64]func(*ledgerpb.Response)),
 		load:     loadboard.New(),
@@ -216,7 +224,7 @@
 func (m *Member) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){m.commitWrites, m.tick, m.maintainSeat, m.removeUnresponsiveMembers, m.catchUp, m.persistState, m.writeIndex, m.verifyDisk, m.logBacklogs} {
+	for _, loop := range []func(context.Context){m.commitWrites, m.tick, m.expirePrograms, m.repairMissed, m.copyChains, m.maintainSeat, m.removeUnresponsiveMembers, m.catchUp, m.persistState, m.writeIndex, m.verifyDisk, m.logBacklogs} {
 		loops.Go(func() { loop(ctx) })
 	}
 	var panicErr error
@@ -272,10 +280,6 @@
 // Ready reports whether the member counts towards a quorum.
 func (m *Member) Ready() bool { return m.ready.Load() }
 
-func (m *Member) tick(ctx context.Context) {
-	ctxwait.Every(ctx, tickPeriod, func(time.Time) { m.post(ledger.Tick{}) })
-}
-
 // post queues an event of the replica, or a peerAppend.
 func (m *Member) post(ev ledger.Event) { m.mailbox.Post(ev) }
 
@@ -289,8 +293,10 @@
 func (m *Member) handleEvent(msg any) {
 	if request, ok := msg.(peerAppend); ok {
 		if request.ctx.Err() != nil {
-			// The peer has closed the connection and sends the records again.
+			// The peer has closed the connection. It sends the records again only if no quorum has
+			// stored them.
 			m.stats.abandoned.Add(1)
+			m.signalMissed()
 			m.reply(request.RequestID, &ledgerpb.Response{Status: ledgerpb.Status_STATUS_FAILED})
 			return
 		}
@@ -317,6 +323,7 @@
 		default:
 			// The disk hangs, so the quorum has to come from the other members.
 			m.post(ledger.Stored{RequestID: e.RequestID, Summaries: e.Summaries, Failed: true})
+			m.signalMissed()
 		}
 	case ledger.Reply:
 		m.reply(e.RequestID, e.Response)
@@ -324,6 +331,18 @@
 		go m.replyChain(e)
 	case ledger.ReplyRecords:
 		go m.replyRecords(e)
+	case ledger.ExpiryDue:
+		select {
+		case m.expiries <- e:
+		default:
+			// The other members are still being asked about earlier programs.
+		}
+	case ledger.ChainNeeded:
+		select {
+		case m.chains <- e.Turn:
+		default:
+			// The writer sends the turn again, which reports the chain again.
+		}
 	case ledger.DropSegment:
 		if err := m.disk.Drop(e.Segment); err != nil {
 			m.log.Error().Str("event", "segment_kept").Err(err).Msg("")
--- a/ledger/member/metrics.go
+++ b/ledger/member/metrics.go
@@ -32,6 +32,7 @@
 	counter("rhubarbsaddle_ledger_appends_total", "Appends asked for.", m.stats.appends.Load)
 	counter("rhubarbsaddle_ledger_chains_total", "Chains of turns read.", m.stats.chains.Load)
 	counter("rhubarbsaddle_ledger_abandoned_total", "Appends of peers that disconnected before they were handled.", m.stats.abandoned.Load)
+	counter("rhubarbsaddle_ledger_repaired_total", "Records copied because the member had missed them.", m.stats.repaired.Load)
 	counter("rhubarbsaddle_ledger_forwards_total", "Appends forwarded to members of the same failure domain.", m.stats.forwards.Load)
 	counter("rhubarbsaddle_ledger_missed_forwards_total", "Appends that another member did not forward in time.", m.stats.missedForwards.Load)
 	for name, b := range map[string]*backlog{"relays": m.relays, "appends": m.appends, "reads": m.reads, "awaits": m.awaits} {
--- a/ledger/member/serve.go
+++ b/ledger/member/serve.go
@@ -123,7 +123,11 @@
 	case *ledgerpb.Request_FollowState:
 		go m.followState(call.FollowState, respond)
 	case *ledgerpb.Request_ListKeys:
-		m.listKeys(req, respond)
+		m.listKeys(req, call.ListKeys, respond)
+	case *ledgerpb.Request_ReadRetentions:
+		m.postUnderView(req, respond, func(requestID uint64) ledger.Event {
+			return ledger.RetentionsRequested{RequestID: requestID, Programs: call.ReadRetentions.GetPrograms()}
+		})
 	case *ledgerpb.Request_ExchangeLoad:
 		respond(m.exchangeLoad(call.ExchangeLoad))
 	case *ledgerpb.Request_AcquirePermit:
@@ -187,10 +191,20 @@
 	return &ledgerpb.Response{Status: ledgerpb.Status_STATUS_OK, Quota: ledger.EncodeQuotaGrant(grant)}
 }
 
-// listKeys responds with the keys of the stored records. The caller is a member that
-// copies or hands over records. It relies on this member to reject writers with older
-// views, so both must use the same view.
-func (m *Member) listKeys(req *ledgerpb.Request, respond func(*ledgerpb.Response)) {
+// listKeys responds with keys of the stored records.
+func (m *Member) listKeys(req *ledgerpb.Request, call *ledgerpb.ListKeys, respond func(*ledgerpb.Response)) {
+	respondWithDisk := func(response *ledgerpb.Response) {
+		response.Incarnation = m.intactIncarnation()
+		respond(response)
+	}
+	m.postUnderView(req, respondWithDisk, func(requestID uint64) ledger.Event {
+		return ledger.KeysRequested{RequestID: requestID, Chain: call.GetChain()}
+	})
+}
+
+// postUnderView posts the event of a request from a member that copies, hands over or expires records. It
+// relies on this member to reject writers with older views, so both must use the same view.
+func (m *Member) postUnderView(req *ledgerpb.Request, respond func(*ledgerpb.Response), event func(requestID uint64) ledger.Event) {
 	known := m.options.Directory.View().Version
 	switch {
 	case req.GetViewVersion() < known:
@@ -198,10 +212,7 @@
 	case req.GetViewVersion() > known:
 		respond(&ledgerpb.Response{Status: ledgerpb.Status_STATUS_FAILED})
 	default:
-		m.post(ledger.KeysRequested{RequestID: m.newRequestID(func(response *ledgerpb.Response) {
-			response.Incarnation = m.intactIncarnation()
-			respond(response)
-		})})
+		m.post(event(m.newRequestID(respond)))
 	}
 }
 
--- a/ledger/quorum/client.go
+++ b/ledger/quorum/client.go
@@ -156,6 +156,12 @@
 // ends first.
 func (c *Client) AwaitQuorum(ctx context.Context) bool { return awaitCondition(ctx, c.HasQuorum) }
 
+// IsConnected reports whether all members that count are connected.
+func (c *Client) IsConnected() bool {
+	view := c.View()
+	return c.connectedMembers(view.Counts) == len(view.Counting())
+}
+
 func awaitCondition(ctx context.Context, condition func() bool) bool {
 	for !condition() {
 		if ctx.Err() != nil {
@@ -203,7 +209,7 @@
 		return nil, &Error{Step: "append", Peer: "no member", Err: ErrNoMembership}
 	}
 	a := &appendCall{
-		client: c, records: records, view: view, acks: make(map[string]bool), resends: resends{client: c}, done: make(chan struct{}),
+		client: c, records: records, began: time.Now(), view: view, acks: make(map[string]bool), resends: resends{client: c}, done: make(chan struct{}),
 		deliveries: c.planDeliveries(records, view, links), awaiting: make(map[string]bool), lacking: make(map[string]bool),
 	}
 	for _, l := range links {
@@ -222,6 +228,7 @@
 type appendCall struct {
 	client  *Client
 	records []*ledgerpb.Record
+	began   time.Time
 	done    chan struct{}
 
 	mu       sync.Mutex
@@ -295,7 +302,7 @@
 	if response.GetStatus() == ledgerpb.Status_STATUS_RECOVERING {
 		a.resends.later(a, seat)
 	}
-	if response.GetStatus() != ledgerpb.Status_STATUS_OK || !a.view.Counts(seat.Name) {
+	if response.GetStatus() != ledgerpb.Status_STATUS_OK || !a.view.Counts(seat.Name) || a.age(time.Now()) > ledger.MaxAppendTime {
 		return
 	}
 	a.acks[seat.Name] = true
@@ -308,6 +315,12 @@
 	}
 }
 
+// age returns the time since the call began. The steady clock does not count the time for which the
+// VM was suspended.
+func (a *appendCall) age(now time.Time) time.Duration {
+	return max(now.Sub(a.began), now.Round(0).Sub(a.began.Round(0)))
+}
+
 // restartWithNewerView sends the call again, under the newer view that a member returned.
 func (a *appendCall) restartWithNewerView(response *ledgerpb.Response) {
 	view, err := ledger.DecodeView(response.GetState().GetView())
--- a/ledger/replica.go
+++ b/ledger/replica.go
@@ -8,10 +8,6 @@
 	"github.com/rhubarbsaddle/rhubarbsaddle/ledger/ledgerpb"
 )
 
-// expiryMargin is added to a program's retention. If a turn is requested just
-// before its retention ends, retries of the request can still read it.
-const expiryMargin = 15 * time.Second
-
 // Location is the position of a stored record; Offset and Length are in bytes.
 type Location struct {
 	Segment uint32
@@ -27,6 +23,10 @@
 type AppendRequested struct {
 	RequestID uint64
 	Records   []*ledgerpb.Record
+	// AreCopies means that the records come from another member, which knows how long they are
+	// retained. They do not restart the retention: members that copied expired records from each
+	// other would store them for good.
+	AreCopies bool
 }
 
 // Stored reports the outcome of a Write: the records are durable, or Failed is set.
@@ -34,6 +34,7 @@
 	RequestID uint64
 	Summaries []Summary
 	Records   []*ledgerpb.Record
+	AreCopies bool
 	Locations []Location
 	// Failed means that the write failed and the records are not durable.
 	Failed bool
@@ -47,8 +48,12 @@
 	MaxBytes uint64
 }
 
-// KeysRequested requests the keys of all stored records.
-type KeysRequested struct{ RequestID uint64 }
+// KeysRequested requests the keys of all stored records or, if a turn is given, of what is stored of
+// its chain.
+type KeysRequested struct {
+	RequestID uint64
+	Chain     string
+}
 
 // RecordsRequested requests the stored records with these keys.
 type RecordsRequested struct {
@@ -75,19 +80,21 @@
 // Outdated reports that the replica may lack records that a quorum has stored.
 type Outdated struct{}
 
-// Tick triggers the periodic expiry of programs.
+// Tick triggers the periodic check for programs whose retention has ended.
 type Tick struct{}
 
-func (AppendRequested) event()  {}
-func (Stored) event()           {}
-func (ChainRequested) event()   {}
-func (KeysRequested) event()    {}
-func (RecordsRequested) event() {}
-func (Loaded) event()           {}
-func (Damaged) event()          {}
-func (Recovered) event()        {}
-func (Outdated) event()         {}
-func (Tick) event()             {}
+func (AppendRequested) event()     {}
+func (Stored) event()              {}
+func (ChainRequested) event()      {}
+func (KeysRequested) event()       {}
+func (RecordsRequested) event()    {}
+func (Loaded) event()              {}
+func (Damaged) event()             {}
+func (Recovered) event()           {}
+func (Outdated) event()            {}
+func (Tick) event()                {}
+func (RetentionsRequested) event() {}
+func (ExpiryAnswered) event()      {}
 
 // Effect is an output of a Replica.
 type Effect interface{ effect() }
@@ -97,6 +104,7 @@
 	RequestID uint64
 	Summaries []Summary
 	Records   []*ledgerpb.Record
+	AreCopies bool
 }
 
 // Reply responds to a request.
@@ -119,6 +127,10 @@
 	Locations []Location
 }
 
+// ChainNeeded reports that a turn was appended of whose chain this replica lacks the given turn. It
+// is not acknowledged before the chain has been copied from other members.
+type ChainNeeded struct{ Turn string }
+
 // DropSegment removes a segment whose records have all expired.
 type DropSegment struct{ Segment uint32 }
 
@@ -127,6 +139,8 @@
 func (ReplyChain) effect()   {}
 func (ReplyRecords) effect() {}
 func (DropSegment) effect()  {}
+func (ExpiryDue) effect()    {}
+func (ChainNeeded) effect()  {}
 
 // program is the state of one program.
 type program struct {
@@ -145,11 +159,14 @@
 type turn struct {
 	program, previous string
 	location          Location
+	// isWhole means that all turns before it are stored, too.
+	isWhole bool
 }
 
 // Replica is the state machine of one member's copy of the ledger: it maps events to
-// effects and does no I/O. Invariant: a record that was acknowledged is in records,
-// and stays there until its program expires. It is not safe for concurrent use.
+// effects and does no I/O. Invariant: a record that was acknowledged is in locations and stays
+// there until a quorum has found that the retention of its program has ended (see ExpiryDue). It
+// is not safe for concurrent use.
 type Replica struct {
 	ready bool
 	// damages counts the Damaged events.
@@ -157,21 +174,20 @@
 	programs  map[string]*program
 	turns     map[string]turn
 	locations map[Key]Location
+	// partial has the turns whose chain was not whole when they were stored, by their keys.
+	partial map[Key]string
 	// liveRecords counts the unexpired records of each segment.
 	liveRecords map[uint32]int
 	// newestSegment is the segment being written; it is never dropped.
 	newestSegment uint32
 	awaits        awaits
-	// nextExpiry is the time of the next check for expired programs.
+	// nextExpiry is the time of the next check for programs whose retention has ended.
 	nextExpiry time.Time
 }
 
 // EndlessChainBytes is the size, in bytes, that is stated of a chain that has no end.
 const EndlessChainBytes = math.MaxInt32
 
-// expiryPeriod is the time between two checks for expired programs.
-const expiryPeriod = 5 * time.Second
-
 // NewReplica returns an empty replica. Ready states that no quorum has stored a
 // record that the replica lacks.
 func NewReplica(ready bool) *Replica {
@@ -181,6 +197,7 @@
 		turns:       make(map[string]turn),
 		locations:   make(map[Key]Location),
 		liveRecords: make(map[uint32]int),
+		partial:     make(map[Key]string),
 		awaits:      newAwaits(),
 	}
 }
@@ -227,6 +244,8 @@
 		return []Effect{r.readChain(e)}
 	case KeysRequested:
 		return []Effect{r.listKeys(e)}
+	case RetentionsRequested:
+		return []Effect{r.readRetentions(e, now)}
 	case RecordsRequested:
 		return []Effect{r.readRecords(e)}
 	case Loaded:
@@ -241,7 +260,9 @@
 	case Outdated:
 		r.ready = false
 	case Tick:
-		return r.expire(now)
+		return r.checkExpiry(now)
+	case ExpiryAnswered:
+		return r.expire(e)
 	}
 	return nil
 }
@@ -252,6 +273,9 @@
 func (r *Replica) startAppend(e AppendRequested, now time.Time) []Effect {
 	var missing []*ledgerpb.Record
 	var summaries []Summary
+	if e.AreCopies {
+		now = time.Time{}
+	}
 	for _, rec := range e.Records {
 		summary, ok := Summarize(rec)
 		if !ok {
@@ -265,36 +289,74 @@
 		}
 	}
 	if len(missing) == 0 {
-		return []Effect{Reply{RequestID: e.RequestID, Response: r.appendResponse(e.Records)}}
+		return r.replyAppend(e.RequestID, e.Records)
 	}
-	return []Effect{Write{RequestID: e.RequestID, Summaries: summaries, Records: missing}}
+	return []Effect{Write{RequestID: e.RequestID, Summaries: summaries, Records: missing, AreCopies: e.AreCopies}}
 }
 
-// finishAppend indexes the records of a completed write and responds to the append.
-func (r *Replica) finishAppend(e Stored, _ time.Time) []Effect {
+// finishAppend indexes the records of a completed write and responds to the append. The facts are
+// applied again, since the program may have expired while the record was being written.
+func (r *Replica) finishAppend(e Stored, now time.Time) []Effect {
 	if e.Failed {
 		failed := Reply{RequestID: e.RequestID, Response: &ledgerpb.Response{Status: ledgerpb.Status_STATUS_FAILED}}
 		return append([]Effect{failed}, r.endWrites(e.Summaries, false)...)
 	}
+	if e.AreCopies {
+		now = time.Time{}
+	}
 	for i := range e.Summaries {
+		r.applyFact(&e.Summaries[i], now)
 		r.indexRecord(&e.Summaries[i], e.Locations[i])
 	}
-	stored := Reply{RequestID: e.RequestID, Response: r.appendResponse(e.Records)}
-	return append([]Effect{stored}, r.endWrites(e.Summaries, true)...)
+	return append(r.replyAppend(e.RequestID, e.Records), r.endWrites(e.Summaries, true)...)
 }
 
-// appendResponse returns the response to an append, with the budgets of the programs for
-// which the records reserve tokens.
-func (r *Replica) appendResponse(records []*ledgerpb.Record) *ledgerpb.Response {
+// replyAppend responds to an append, with the budgets of the programs for which the records reserve
+// tokens.
+//
+// Invariant: a turn is acknowledged only with its chain. The members that have acknowledged it know
+// what it continues, so they retain the chain as long as the turn, whatever the others know.
+func (r *Replica) replyAppend(requestID uint64, records []*ledgerpb.Record) []Effect {
 	response := &ledgerpb.Response{Status: r.status()}
+	effects := []Effect{Reply{RequestID: requestID, Response: response}}
 	for _, rec := range records {
+		if missing := r.missingTurn(rec.GetTurn().GetId()); missing != "" {
+			response.Status = ledgerpb.Status_STATUS_RECOVERING
+			effects = append(effects, ChainNeeded{Turn: missing})
+		}
 		reservation := rec.GetReservation()
 		if reservation == nil {
 			continue
 		}
 		response.Budgets = append(response.Budgets, r.budget(reservation.GetProgram()))
 	}
-	return response
+	return effects
+}
+
+// HasChain reports whether a turn and all turns before it are stored.
+func (r *Replica) HasChain(turn string) bool { return r.missingTurn(turn) == "" }
+
+// missingTurn returns the turn at which the chain of a turn breaks off here; empty if it is whole or
+// has no end.
+func (r *Replica) missingTurn(id string) string {
+	var chain []string
+	for id != "" && len(chain) <= len(r.turns) {
+		t, ok := r.turns[id]
+		if !ok {
+			return id
+		}
+		if t.isWhole {
+			break
+		}
+		chain = append(chain, id)
+		id = t.previous
+	}
+	for _, whole := range chain {
+		t := r.turns[whole]
+		t.isWhole = true
+		r.turns[whole] = t
+	}
+	return ""
 }
 
 func (r *Replica) status() ledgerpb.Status {
@@ -317,7 +379,8 @@
 	return budget
 }
 
-// applyFact updates the state of the record's program.
+// applyFact updates the state of the record's program, whose retention it restarts. With the zero
+// time, the retention goes on as it was, and that of an unknown program has ended.
 func (r *Replica) applyFact(s *Summary, now time.Time) {
 	p := r.retainProgram(s.Program, s.RetentionMS, now)
 	a := p.attempts[s.Attempt]
@@ -338,21 +401,23 @@
 	}
 }
 
-// retainProgram returns the state of a program, which it creates if necessary, and
-// restarts the program's retention.
+// retainProgram returns the state of a program, which it creates if necessary, with a retention that
+// begins at now at the earliest.
 func (r *Replica) retainProgram(name string, retentionMS uint64, now time.Time) *program {
 	p := r.programs[name]
 	if p == nil {
 		p = &program{attempts: make(map[uint64]attempt)}
 		r.programs[name] = p
 	}
-	p.lastActivity = now
+	if now.After(p.lastActivity) {
+		p.lastActivity = now
+	}
 	p.retention = max(p.retention, time.Duration(retentionMS)*time.Millisecond)
 	return p
 }
 
-// indexRecord records the location of a stored record. If the record has been stored
-// before, the newer location replaces the older one, which may be damaged.
+// indexRecord records the location of a stored record, whose fact has been applied. If the record
+// has been stored before, the newer location replaces the older one, which may be damaged.
 func (r *Replica) indexRecord(s *Summary, at Location) {
 	r.newestSegment = max(r.newestSegment, at.Segment)
 	old, known := r.locations[s.Key]
@@ -363,16 +428,14 @@
 	r.liveRecords[at.Segment]++
 	if s.Kind == TurnKind {
 		r.turns[s.Turn] = turn{program: s.Program, previous: s.Previous, location: at}
+		if r.missingTurn(s.Turn) != "" {
+			r.partial[s.Key] = s.Turn
+		}
 	}
 	if known {
 		return
 	}
 	p := r.programs[s.Program]
-	if p == nil {
-		// The program expired while the record was being written. If no further record
-		// arrives, the next check for expired programs removes it again.
-		p = r.retainProgram(s.Program, 0, time.Time{})
-	}
 	p.recordKeys = append(p.recordKeys, s.Key)
 	if s.Kind == TurnKind {
 		p.turnIDs = append(p.turnIDs, s.Turn)
@@ -398,7 +461,10 @@
 	for id, t := range r.turns {
 		if isLost[t.location] {
 			delete(r.turns, id)
+			continue
 		}
+		t.isWhole = false
+		r.turns[id] = t
 	}
 }
 
@@ -439,6 +505,9 @@
 }
 
 func (r *Replica) listKeys(e KeysRequested) Effect {
+	if e.Chain != "" {
+		return Reply{RequestID: e.RequestID, Response: &ledgerpb.Response{Status: r.status(), Keys: r.chainKeys(e.Chain)}}
+	}
 	response := &ledgerpb.Response{Status: r.status(), Keys: make([]uint64, 0, len(r.locations))}
 	for key := range r.locations {
 		response.Keys = append(response.Keys, uint64(key))
@@ -446,6 +515,20 @@
 	return Reply{RequestID: e.RequestID, Response: response}
 }
 
+// chainKeys returns the keys of what is stored of a chain.
+func (r *Replica) chainKeys(id string) []uint64 {
+	var keys []uint64
+	for len(keys) <= len(r.turns) {
+		t, ok := r.turns[id]
+		if !ok {
+			break
+		}
+		keys = append(keys, uint64(keyFor(keyTurn, t.program, id)))
+		id = t.previous
+	}
+	return keys
+}
+
 func (r *Replica) readRecords(e RecordsRequested) Effect {
 	locations := make([]Location, 0, len(e.Keys))
 	for _, key := range e.Keys {
--- a/ledger/replica_test.go
+++ b/ledger/replica_test.go
@@ -24,22 +24,25 @@
 	return &disk{replica: ledger.NewReplica(ready), segment: 1, now: time.Unix(1000, 0)}
 }
 
-// step applies an event, completes its writes and returns all other effects.
+// step applies an event, completes its writes, expires programs without other members and returns
+// all other effects.
 func (d *disk) step(ev ledger.Event) []ledger.Effect {
 	var out []ledger.Effect
 	for _, effect := range d.replica.Step(ev, d.now) {
-		w, ok := effect.(ledger.Write)
-		if !ok {
+		switch e := effect.(type) {
+		case ledger.Write:
+			out = append(out, d.step(d.complete(e))...)
+		case ledger.ExpiryDue:
+			out = append(out, d.step(ledger.ExpiryAnswered{Due: e, Quorum: 1, Counts: true})...)
+		default:
 			out = append(out, effect)
-			continue
 		}
-		out = append(out, d.step(d.complete(w))...)
 	}
 	return out
 }
 
 func (d *disk) complete(w ledger.Write) ledger.Stored {
-	stored := ledger.Stored{RequestID: w.RequestID, Summaries: w.Summaries, Records: w.Records, Failed: d.fail}
+	stored := ledger.Stored{RequestID: w.RequestID, Summaries: w.Summaries, Records: w.Records, AreCopies: w.AreCopies, Failed: d.fail}
 	for range w.Records {
 		stored.Locations = append(stored.Locations, ledger.Location{Segment: d.segment, Offset: d.offset, Length: 1})
 		d.offset++
@@ -48,8 +51,7 @@
 }
 
 func (d *disk) append(records ...*ledgerpb.Record) *ledgerpb.Response {
-	effects := d.step(ledger.AppendRequested{RequestID: 1, Records: records})
-	return effects[len(effects)-1].(ledger.Reply).Response
+	return d.step(ledger.AppendRequested{RequestID: 1, Records: records})[0].(ledger.Reply).Response
 }
 
 func spending(response *ledgerpb.Response) *ledger.Spending {
@@ -354,3 +356,87 @@
 		assert.Equal(t, ledgerpb.Status_STATUS_TOO_LONG, reply.Response.GetStatus())
 	}
 }
+
+// retentionOf returns what a replica answers to others about a program.
+func (d *disk) retentionOf(program string) ledger.ExpiryAnswer {
+	response := d.step(ledger.RetentionsRequested{Programs: []string{program}})[0].(ledger.Reply).Response
+	return ledger.ExpiryAnswer{ReceivedAt: d.now, Retentions: response.GetRetentions()}
+}
+
+// A member that had missed the later records of a program dropped the earlier ones, which it had
+// acknowledged (review/12: LOST, BUDGET).
+func TestProgramExpiresOnlyOnceAQuorumKnows(t *testing.T) {
+	one, two := newDisk(true), newDisk(true)
+	for _, d := range []*disk{one, two} {
+		d.append(ledger.NewReservation("p", "a", 300, retention), turnRecord("p", "t1", ""))
+		d.now = d.now.Add(50 * time.Second)
+	}
+	two.append(turnRecord("p", "t2", "t1"))
+	one.now, two.now = one.now.Add(50*time.Second), two.now.Add(50*time.Second)
+	due := one.replica.Step(ledger.Tick{}, one.now)[0].(ledger.ExpiryDue)
+	assert.Equal(t, []string{"p"}, due.Programs)
+	one.step(ledger.ExpiryAnswered{Due: due, Quorum: 2, Counts: true})
+	assert.Equal(t, 2, one.replica.Records(), "no other member has answered")
+	one.step(ledger.ExpiryAnswered{Due: due, Quorum: 2, Counts: true, Answers: []ledger.ExpiryAnswer{two.retentionOf("p")}})
+	assert.Equal(t, 2, one.replica.Records(), "another member has got a record since")
+	assert.Equal(t, 300, spending(one.append(ledger.NewReservation("p", "b", 1, retention))).Committed("b"))
+	one.now, two.now = one.now.Add(80*time.Second), two.now.Add(80*time.Second)
+	due = one.replica.Step(ledger.Tick{}, one.now)[0].(ledger.ExpiryDue)
+	one.step(ledger.ExpiryAnswered{Due: due, Quorum: 2, Counts: true, Answers: []ledger.ExpiryAnswer{two.retentionOf("p")}})
+	assert.Zero(t, one.replica.Records())
+}
+
+// The answer of a replica that has lost its disk, or is damaged, says nothing of what it lacks.
+func TestDamagedReplicaExpiresNothingAlone(t *testing.T) {
+	d := newDisk(true)
+	d.append(turnRecord("p", "t1", ""))
+	d.now = d.now.Add(100 * time.Second)
+	due := d.replica.Step(ledger.Tick{}, d.now)[0].(ledger.ExpiryDue)
+	d.step(ledger.Outdated{})
+	d.step(ledger.ExpiryAnswered{Due: due, Quorum: 1, Counts: true})
+	assert.Equal(t, 1, d.replica.Records())
+}
+
+// A turn was acknowledged by members that lacked the turns before it, and only one disk had those.
+func TestTurnIsAcknowledgedOnlyWithItsChain(t *testing.T) {
+	d := newDisk(true)
+	turn := turnRecord("p", "t3", "t2")
+	effects := d.step(ledger.AppendRequested{RequestID: 1, Records: []*ledgerpb.Record{turn}})
+	assert.Equal(t, ledgerpb.Status_STATUS_RECOVERING, effects[0].(ledger.Reply).Response.GetStatus())
+	assert.Equal(t, ledger.ChainNeeded{Turn: "t2"}, effects[1])
+	await := func() *ledgerpb.Response {
+		s := summary(t, turn)
+		return d.step(ledger.RecordsAwaited{Keys: []uint64{uint64(s.Key)}})[0].(ledger.Reply).Response
+	}
+	assert.Equal(t, ledgerpb.Status_STATUS_RECOVERING, await().GetStatus(), "forwarded records count no more than appended ones")
+	d.step(ledger.AppendRequested{Records: []*ledgerpb.Record{turnRecord("q", "t1", ""), turnRecord("p", "t2", "t1")}, AreCopies: true})
+	assert.Equal(t, ledgerpb.Status_STATUS_OK, await().GetStatus())
+	assert.Equal(t, ledgerpb.Status_STATUS_OK, d.append(turn).GetStatus())
+	assert.Len(t, d.step(ledger.KeysRequested{Chain: "t2"})[0].(ledger.Reply).Response.GetKeys(), 2)
+}
+
+// Copies do not restart the retention: members that copied expired records from each other would
+// store them for good.
+func TestCopiedRecordsExpireWithTheOthers(t *testing.T) {
+	d := newDisk(true)
+	d.append(turnRecord("p", "t1", ""))
+	d.now = d.now.Add(70 * time.Second)
+	d.step(ledger.AppendRequested{Records: []*ledgerpb.Record{turnRecord("p", "t2", "t1"), turnRecord("q", "u1", "")}, AreCopies: true})
+	assert.Equal(t, 2, d.replica.Programs())
+	d.now = d.now.Add(10 * time.Second)
+	d.step(ledger.Tick{})
+	assert.Zero(t, d.replica.Programs())
+}
+
+// A record that was written while its program expired was acknowledged, and its spending forgotten.
+func TestRecordOutlastsExpiryDuringItsWrite(t *testing.T) {
+	d := newDisk(true)
+	write := d.replica.Step(ledger.AppendRequested{Records: []*ledgerpb.Record{ledger.NewReservation("p", "a", 300, retention)}}, d.now)[0].(ledger.Write)
+	d.now = d.now.Add(100 * time.Second)
+	d.step(ledger.Tick{})
+	d.step(d.complete(write))
+	d.now = d.now.Add(10 * time.Second)
+	d.step(ledger.Tick{})
+	assert.Equal(t, 1, d.replica.Records())
+	assert.Equal(t, 300, spending(d.append(ledger.NewReservation("p", "b", 1, retention))).Committed("b"))
+}
