relay: a request whose head was sent may have run

Cause: a long request whose answer was lost counted as not sent unless its last byte had been written, though a target may begin to work once it has the head.

Change: a request counts as not sent only if the connection did not accept its whole head. The other places that say so were gone through; those of the product's own path were right, and a test holds them to it.

--- a/engine/service/service_test.go
+++ b/engine/service/service_test.go
@@ -65,3 +65,39 @@
 		server.Close()
 	}
 }
+
+// headed is a sink that notes whether it got a head.
+type headed struct {
+	buffer
+	hasHead bool
+}
+
+func (h *headed) Head(engine.Head) error {
+	h.hasHead = true
+	return nil
+}
+
+// A service may have begun to work before it has read a long request, and an answer that is cut in its
+// head is none (review/13: TWICE; reported by other operators: MIXED).
+func TestLostAnswersMayHaveRun(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Type: text/plain\r\n\r\n"
+	for _, body := range []string{"x", strings.Repeat("x", 16<<20)} {
+		for end := 0; end < len(head); end += 9 {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				nc, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(nc, head[:end])
+				_ = nc.Close()
+			}))
+			target, sink := service.New(strings.TrimPrefix(server.URL, "http://")), &headed{}
+			_, err := target.Run(t.Context(), engine.Request{Call: core.Call{Method: http.MethodPost, Path: "/", Body: []byte(body), NonIdempotent: true}}, sink)
+			var failed *engine.Error
+			require.ErrorAs(t, err, &failed)
+			assert.True(t, failed.Sent, "%q", head[:end])
+			assert.False(t, sink.hasHead, "%q", head[:end])
+			server.Close()
+		}
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -53,12 +53,12 @@
 type execution uint8
 
 const (
-	// notSent means that the target did not receive the complete request.
+	// notSent means that no target can have received the head of the request, and so begun to work.
 	notSent execution = iota
 	// notExecuted means that the target refused the request.
 	notExecuted
-	// mayHaveExecuted means that the request was sent and no complete response
-	// arrived.
+	// mayHaveExecuted means that at least the head of the request was sent and no complete response
+	// arrived. A target may work before it has read the rest.
 	mayHaveExecuted
 )
 
@@ -72,6 +72,9 @@
 	// written receives the result of writing the request. The channel is nil if
 	// the request was written before its response was read.
 	written chan error
+	// hasSentHead means that the connection has accepted the whole head of the request. Once the
+	// request is being written in the background, it is valid after written has been received.
+	hasSentHead bool
 	// stop detaches the attempt from its context. It returns false if the context has
 	// ended.
 	stop func() bool
@@ -167,8 +170,7 @@
 	return request
 }
 
-// writeRequest writes the request, large ones in a goroutine. A request that was not
-// written completely can't have been executed.
+// writeRequest writes the request, large ones in a goroutine.
 func (a *attempt) writeRequest(request *http.Request, size int) *failure {
 	if size > inlineBodyBytes {
 		a.written = make(chan error, 1)
@@ -176,7 +178,7 @@
 		return nil
 	}
 	if err := a.writeBuffered(request); err != nil {
-		return &failure{execution: notSent, target: a.target, err: err}
+		return a.failureAfter(err)
 	}
 	return nil
 }
@@ -186,11 +188,41 @@
 func (a *attempt) writeBuffered(request *http.Request) error {
 	buffer := requestBuffers.Get().(*bufio.Writer)
 	defer requestBuffers.Put(buffer)
-	buffer.Reset(a.conn.nc)
-	if err := request.Write(buffer); err != nil {
-		return err
+	out := &headWriter{Writer: a.conn.nc}
+	buffer.Reset(out)
+	err := request.Write(buffer)
+	if err == nil {
+		err = buffer.Flush()
+	}
+	a.hasSentHead = out.hasHead
+	return err
+}
+
+// headWriter notes when the head of a message has been written.
+type headWriter struct {
+	io.Writer
+	// tail is the end of what was written before, too short to end the head.
+	tail    []byte
+	hasHead bool
+}
+
+// endOfHead ends the head of an HTTP message.
+var endOfHead = []byte("\r\n\r\n")
+
+// Write implements io.Writer.
+func (w *headWriter) Write(p []byte) (int, error) {
+	n, err := w.Writer.Write(p)
+	if w.hasHead {
+		return n, err
+	}
+	overlap := len(endOfHead) - 1
+	across := append(w.tail, p[:min(n, overlap)]...)
+	w.hasHead = bytes.Contains(p[:n], endOfHead) || bytes.Contains(across, endOfHead)
+	if n >= overlap {
+		across = p[n-overlap : n]
 	}
-	return buffer.Flush()
+	w.tail = bytes.Clone(across[max(0, len(across)-overlap):])
+	return n, err
 }
 
 // requestBuffers holds parts of requests while they are written.
@@ -253,18 +285,23 @@
 	return nil
 }
 
-// lostResponse returns the failure of a request whose response did not arrive. It
-// determines whether the target may have executed the request.
+// lostResponse returns the failure of a request whose response did not arrive.
 func (a *attempt) lostResponse(err error) *failure {
 	if a.written != nil {
-		// The target can't have executed a request that was not written completely.
 		a.conn.close()
 		if written := <-a.written; written != nil {
-			a.written = nil
-			return &failure{execution: notSent, target: a.target, err: err}
+			err = errors.Join(err, written)
 		}
 		a.written = nil
 	}
+	return a.failureAfter(err)
+}
+
+// failureAfter returns the failure of a request that is not being written any more.
+func (a *attempt) failureAfter(err error) *failure {
+	if !a.hasSentHead {
+		return &failure{execution: notSent, target: a.target, err: err}
+	}
 	return &failure{execution: mayHaveExecuted, target: a.target, startedAt: a.startedAt, noticedAt: time.Now(), err: err}
 }
 
--- /dev/null
+++ b/relay/longrequest_test.go
@@ -0,0 +1,60 @@
+package relay_test
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbsaddle/rhubarbsaddle/catalog"
+	"github.com/rhubarbsaddle/rhubarbsaddle/platform/platformtest"
+)
+
+// longBodyBytes is the size of a request that does not fit into the buffers of a connection.
+const longBodyBytes = 16 << 20
+
+// callLong sends a long request that is not idempotent.
+func callLong(t *testing.T, targets ...*platformtest.Target) callResult {
+	t.Helper()
+	b := newTestbed(t)
+	b.edit = func(c *catalog.Config) {
+		c.Limits.BodyBytes = longBodyBytes
+		c.Routes[1].Timeout = 8 * time.Second
+	}
+	b.update(targets...)
+	return b.call(nonIdempotentPath, strings.Repeat("x", longBodyBytes), platformtest.Deadline, "8000")
+}
+
+// A target worked on a request before it had read it, and its answer was lost. The request was sent
+// to another target or, if there was none, answered as one that has not run (review/13: TWICE,
+// REFUSED).
+func TestLongRequestWhoseAnswerIsLostIsNotSentAgain(t *testing.T) {
+	var runs atomic.Int32
+	lost := func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		_, _ = r.Body.Read(make([]byte, 1024))
+		nc, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		if tcp, ok := nc.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = nc.Close()
+	}
+	for _, targets := range [][]*platformtest.Target{
+		{platformtest.NewUnreadTarget("i1", lost)},
+		{platformtest.NewUnreadTarget("i1", lost), platformtest.NewUnreadTarget("i2", lost)},
+	} {
+		runs.Store(0)
+		got := callLong(t, targets...)
+		require.NoError(t, got.err)
+		assert.Equal(t, http.StatusBadGateway, got.status)
+		assert.EqualValues(t, 1, runs.Load())
+	}
+}
