relay: continue a stream only with events that follow it

Cause: an answer of status 200 to the request that continues a broken stream was read as events whatever its type.

Change: the answer must have the media type of the stream and, on a resumable route, ids after the last one. Otherwise the attempt has failed.

--- a/relay/stream.go
+++ b/relay/stream.go
@@ -7,7 +7,9 @@
 	"errors"
 	"io"
 	"maps"
+	"mime"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/rhubarbsaddle/rhubarbsaddle/fleet"
@@ -30,6 +32,12 @@
 
 var errEventTooLong = errors.New("stream event exceeds the size limit")
 
+// Errors of answers that do not continue a stream.
+var (
+	errOtherType     = errors.New("target's answer has another media type than the stream that it was to continue")
+	errRepeatedEvent = errors.New("target's answer begins with an event that the caller has")
+)
+
 // event is one complete event of a stream.
 type event struct {
 	raw  []byte
@@ -42,6 +50,37 @@
 	// started is set once the head of the answer has been sent to the caller.
 	started     bool
 	lastEventID string
+	// mediaType is that of the answer, once it has started.
+	mediaType string
+}
+
+// continuedBy returns an error if a target's answer, which begins after lastEventID, does not
+// continue the stream.
+func (p *progress) continuedBy(response *http.Response) error {
+	if p.started && mediaTypeOf(response) != p.mediaType {
+		return errOtherType
+	}
+	return nil
+}
+
+// mediaTypeOf returns the media type of a response without its parameters; empty if it has none.
+func mediaTypeOf(response *http.Response) string {
+	mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	if err != nil {
+		return ""
+	}
+	return mediaType
+}
+
+// isRepeated reports whether an event id is not after that of the event that the caller has
+// received last. Ids that are not numbers have no order.
+func isRepeated(id, last string) bool {
+	n, err := strconv.ParseUint(id, 10, 64)
+	if err != nil {
+		return false
+	}
+	received, err := strconv.ParseUint(last, 10, 64)
+	return err == nil && n <= received
 }
 
 // stream sends the turn to a target and forwards the events. A resumable stream that
@@ -59,7 +98,12 @@
 			}
 			return
 		}
-		err := t.forwardEvents(ctx, a, p)
+		err := p.continuedBy(a.response)
+		if err != nil {
+			a.abort(ctx)
+		} else {
+			err = t.forwardEvents(ctx, a, p)
+		}
 		if err == nil {
 			t.sendHead(a, p)
 			t.finish(ctx, p)
@@ -165,6 +209,11 @@
 			a.abort(ctx)
 			return err
 		}
+		if t.route.Resumable && isRepeated(ev.id, p.lastEventID) {
+			stall.stop()
+			a.abort(ctx)
+			return errRepeatedEvent
+		}
 		if t.route.StoresTurns && len(t.output)+len(ev.data) > maxStoredOutputBytes {
 			stall.stop()
 			a.abort(ctx)
@@ -242,7 +291,7 @@
 	maps.Copy(t.w.Header(), t.relay.dialect.ResponseHeader(a.response.Header))
 	t.setConnectionHeader()
 	t.w.WriteHeader(a.response.StatusCode)
-	p.started = true
+	p.started, p.mediaType = true, mediaTypeOf(a.response)
 	t.software, t.isPinned = t.choice.Target.Software(), true
 	t.firstEventAfter = time.Since(t.arrived)
 	t.relay.metrics.observeFirstEvent(t.firstEventAfter)
