relay: a success without its target's signature is no answer

Change: such an answer counts as lost: another target gets the request if its route allows that, and otherwise the caller gets a 502. Stand-ins of the tests that had no signature now have one.

--- a/cmd/rhubarbsaddled/answer_test.go
+++ b/cmd/rhubarbsaddled/answer_test.go
@@ -61,7 +61,7 @@
 		return true
 	}
 	defer nc.Close()
-	_, err = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nX-Rhubarbsaddle-Request-Id: %s\r\n%s", r.Header.Get("X-Rhubarbsaddle-Request-Id"), text)
+	_, err = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nX-Rhubarbsaddle-Request-Id: %s\r\nX-Rhubarbsaddle-Response-Signature: s\r\n%s", r.Header.Get("X-Rhubarbsaddle-Request-Id"), text)
 	if err == nil {
 		<-s.release
 	}
--- a/relay/answer_test.go
+++ b/relay/answer_test.go
@@ -31,7 +31,7 @@
 }
 
 func idLine(r *http.Request) string {
-	return platformtest.RequestID + ": " + r.Header.Get(platformtest.RequestID) + "\r\n"
+	return platformtest.RequestID + ": " + r.Header.Get(platformtest.RequestID) + "\r\n" + platformtest.Signature + ": s\r\n"
 }
 
 // A target answered a long upload at once without a length, sent a part of its body, and reset the
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -41,6 +41,7 @@
 // Errors of responses that are no answers.
 var (
 	errNoAnswer = errors.New("status of the target's response is that of no answer")
+	errUnsigned = errors.New("target's answer is a success without its signature")
 	// errCutAnswer means that an answer that ends with its connection ended before the request was
 	// written, so the connection was broken off.
 	errCutAnswer = errors.New("target's answer ended before the request was written")
@@ -254,6 +255,9 @@
 		// A refusal without an id can only be told from that of an earlier request if there was none.
 		isRefusal := info.NotExecuted && info.RequestID == "" && !a.conn.hasResponded
 		a.conn.hasResponded = true
+		if info.RequestID == id && info.IsUnsigned {
+			return a.lostResponse(errUnsigned)
+		}
 		if info.RequestID == id || isRefusal {
 			a.response, a.responseInfo = response, info
 			return nil
--- a/relay/cutanswer_test.go
+++ b/relay/cutanswer_test.go
@@ -57,6 +57,18 @@
 	}
 }
 
+// A faulty target spoiled the name of the signature's header, and its answer passed as a success
+// (review/14: MIXED).
+func TestSuccessWithoutSignatureIsNoAnswer(t *testing.T) {
+	for path, contentType := range map[string]string{nonIdempotentPath: plainText, storedTurnsPath: eventStream} {
+		text := answerText("200 OK", contentType, withLength("id: 1\n\n"), "id: 1\n\n")
+		spoiled := strings.Replace(text, platformtest.Signature, strings.Repeat("x", len(platformtest.Signature)), 1)
+		got := newTestbed(t, platformtest.NewTarget("i1", rawAnswer(spoiled, false))).call(path, "x")
+		require.NoError(t, got.err)
+		assert.Equal(t, http.StatusBadGateway, got.status, path)
+	}
+}
+
 // The same with a target that ends while the request is being sent to it.
 func TestAnswerCutInItsHeadBesideUploadIsNoAnswer(t *testing.T) {
 	whole := answerText("200 OK", plainText, withLength("whole"), "")
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -91,6 +91,9 @@
 	RequestID string
 	// NotExecuted means that the target did not execute the call and never will.
 	NotExecuted bool
+	// IsUnsigned means that the response is a success without the signature that targets add to each,
+	// so its bytes are not as the target meant them.
+	IsUnsigned bool
 	// IsLeaving means that the target is shutting down and must get no further calls.
 	IsLeaving bool
 	Load      Load
--- a/relay/unframed_test.go
+++ b/relay/unframed_test.go
@@ -23,7 +23,7 @@
 			return
 		}
 		defer nc.Close()
-		head := "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: %s\r\n\r\n"
+		head := "HTTP/1.1 200 OK\r\n%s: %s\r\n" + platformtest.Signature + ": s\r\nContent-Type: %s\r\n\r\n"
 		_, _ = fmt.Fprintf(nc, head, platformtest.RequestID, r.Header.Get(platformtest.RequestID), contentType)
 		_, _ = io.WriteString(nc, body)
 		if tcp, ok := nc.(*net.TCPConn); ok && isReset {
