--- a/relay/longrequest_test.go
+++ b/relay/longrequest_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -19,6 +20,36 @@
 // longBodyBytes is the size of a request that does not fit into the buffers of a connection.
 const longBodyBytes = 16 << 20
 
+// The kernel adds up the times for which the window of a connection was full, so a later request on it
+// must not be cut because earlier ones were left unread.
+func TestTargetMayLeaveOneLongRequestAfterAnotherUnread(t *testing.T) {
+	const bodyBytes, unread = 3 << 20, 500 * time.Millisecond
+	var runs atomic.Int32
+	target := platformtest.NewUnreadTarget("i1", func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
+			return
+		}
+		time.Sleep(unread)
+		w.Header().Set(platformtest.RequestID, r.Header.Get(platformtest.RequestID))
+		w.Header().Set(platformtest.Signature, "s")
+		w.Header().Set("Content-Length", "4")
+		_, _ = w.Write([]byte("done"))
+		_ = http.NewResponseController(w).Flush()
+		_, _ = io.Copy(io.Discard, r.Body)
+	})
+	b := newTestbed(t)
+	b.edit = func(c *catalog.Config) { c.Limits.BodyBytes = bodyBytes }
+	b.update(target)
+	for range 4 {
+		got := b.call(nonIdempotentPath, strings.Repeat("x", bodyBytes))
+		require.NoError(t, got.err)
+		assert.Equal(t, "done", got.body)
+		time.Sleep(netopt.UnackedTimeout - unread)
+	}
+	assert.EqualValues(t, 4, runs.Load())
+}
+
 // callLong sends a long request that is not idempotent.
 func callLong(t *testing.T, targets ...*platformtest.Target) callResult {
 	t.Helper()
--- a/relay/unreadwatch.go
+++ b/relay/unreadwatch.go
@@ -11,21 +11,27 @@
 
 const (
 	// unreadWatchDelay is the time after which a request that its target has not read yet is
-	// watched. Before, the kernel detects an unreachable target.
+	// checked for the first time. An unreachable target is not noticed before.
 	unreadWatchDelay = netopt.UnackedTimeout / 2
 	// unreadCheckPeriod is the time between two checks.
 	unreadCheckPeriod = 250 * time.Millisecond
 )
 
-// watchUnread keeps the connection to a target that leaves a large request unread, which the kernel
-// would close after netopt.UnackedTimeout: a target may work before it has read a request, and read
-// on later. The connection is still closed if the target becomes unreachable.
+// watchUnread keeps the connection to a target that leaves a large request unread: a target may work
+// before it has read a request, and read on later. The kernel would close the connection when its
+// window has been full for netopt.UnackedTimeout, which may include the time of an earlier request.
+// The connection is still closed if the target becomes unreachable. The errors of the socket's options
+// mean that it is closed already.
 func (c *conn) watchUnread(p *pool, key poolKey) {
 	if c.isWatched.Swap(true) {
 		return
 	}
+	began := time.Now()
+	_ = netopt.SetUnackedTimeout(c.nc, 0)
 	time.AfterFunc(unreadWatchDelay, func() {
-		c.awaitRead(p, key)
+		if c.awaitRead(p, key, began) {
+			_ = netopt.SetUnackedTimeout(c.nc, netopt.UnackedTimeout)
+		}
 		c.isWatched.Store(false)
 		if c.hasUnread() {
 			// Another request began meanwhile.
@@ -34,23 +40,19 @@
 	})
 }
 
-// awaitRead waits until the target has received all data or the connection is closed, which it does
-// itself if the target becomes unreachable. The errors of the socket's options mean that the
-// connection is closed.
-func (c *conn) awaitRead(p *pool, key poolKey) {
-	if !c.hasUnread() || netopt.SetUnackedTimeout(c.nc, 0) != nil {
-		return
-	}
-	w := unreadWatch{conn: c, unackedSince: time.Now()}
+// awaitRead waits until the target has received what was sent since began, or the connection is
+// closed. It closes the connection itself, and returns false, if the target becomes unreachable.
+func (c *conn) awaitRead(p *pool, key poolKey, began time.Time) bool {
+	w := unreadWatch{conn: c, unackedSince: began}
 	for c.hasUnread() {
-		time.Sleep(unreadCheckPeriod)
 		if !w.isReachable(p, key) {
 			p.metrics.unreachable.Inc()
 			c.close()
-			return
+			return false
 		}
+		time.Sleep(unreadCheckPeriod)
 	}
-	_ = netopt.SetUnackedTimeout(c.nc, netopt.UnackedTimeout)
+	return true
 }
 
 // hasUnread reports whether the connection is open and has data that the target has not received.
