ledger: find out anew whether chains are whole after turns were removed

Cause: whether a turn's chain is stored here was remembered for good. When more programs expired than one question to a quorum names, the first part of a chain could be removed before the rest, and a turn that continued the rest was acknowledged without it.

Change: what was found out holds until turns are removed.

Evidence: TestTurnIsNotAcknowledgedOnceItsChainWasRemoved: acknowledged before.

--- a/ledger/expiry.go
+++ b/ledger/expiry.go
@@ -153,6 +153,7 @@
 	for _, id := range p.turnIDs {
 		if r.turns[id].program == name {
 			delete(r.turns, id)
+			r.removals++
 		}
 	}
 	delete(r.programs, name)
--- a/ledger/replica.go
+++ b/ledger/replica.go
@@ -159,8 +159,8 @@
 type turn struct {
 	program, previous string
 	location          Location
-	// isWhole means that all turns before it are stored, too.
-	isWhole bool
+	// wholeAt is the value of removals at which all turns before it were found to be stored, too.
+	wholeAt uint64
 }
 
 // Replica is the state machine of one member's copy of the ledger: it maps events to
@@ -176,6 +176,8 @@
 	locations map[Key]Location
 	// partial has the turns whose chain was not whole when they were stored, by their keys.
 	partial map[Key]string
+	// removals counts the removals of turns, after each of which chains may not be whole any more.
+	removals uint64
 	// liveRecords counts the unexpired records of each segment.
 	liveRecords map[uint32]int
 	// newestSegment is the segment being written; it is never dropped.
@@ -198,6 +200,7 @@
 		locations:   make(map[Key]Location),
 		liveRecords: make(map[uint32]int),
 		partial:     make(map[Key]string),
+		removals:    1,
 		awaits:      newAwaits(),
 	}
 }
@@ -345,7 +348,7 @@
 		if !ok {
 			return id
 		}
-		if t.isWhole {
+		if t.wholeAt == r.removals {
 			break
 		}
 		chain = append(chain, id)
@@ -353,7 +356,7 @@
 	}
 	for _, whole := range chain {
 		t := r.turns[whole]
-		t.isWhole = true
+		t.wholeAt = r.removals
 		r.turns[whole] = t
 	}
 	return ""
@@ -461,10 +464,8 @@
 	for id, t := range r.turns {
 		if isLost[t.location] {
 			delete(r.turns, id)
-			continue
+			r.removals++
 		}
-		t.isWhole = false
-		r.turns[id] = t
 	}
 }
 
--- a/ledger/replica_test.go
+++ b/ledger/replica_test.go
@@ -415,6 +415,16 @@
 	assert.Len(t, d.step(ledger.KeysRequested{Chain: "t2"})[0].(ledger.Reply).Response.GetKeys(), 2)
 }
 
+// The programs of a chain may be removed one after the other.
+func TestTurnIsNotAcknowledgedOnceItsChainWasRemoved(t *testing.T) {
+	d := newDisk(true)
+	d.append(turnRecord("p", "t1", ""))
+	d.append(turnRecord("q", "t2", "t1"))
+	d.now = d.now.Add(100 * time.Second)
+	d.step(ledger.ExpiryAnswered{Due: ledger.ExpiryDue{At: d.now, Programs: []string{"p"}}, Quorum: 1, Counts: true})
+	assert.Equal(t, ledgerpb.Status_STATUS_RECOVERING, d.append(turnRecord("q", "t3", "t2")).GetStatus())
+}
+
 // Copies do not restart the retention: members that copied expired records from each other would
 // store them for good.
 func TestCopiedRecordsExpireWithTheOthers(t *testing.T) {
