--- a/ledger/await.go
+++ b/ledger/await.go
@@ -22,8 +22,9 @@
 // wait is a request that waits until records are stored.
 type wait struct {
 	requestID uint64
-	keys      []uint64
-	missing   []Key
+	// keys are those of all records asked for, missing those that are not stored yet.
+	keys    []uint64
+	missing []Key
 	// hasEnded means that the request waits only for writes under way.
 	hasEnded bool
 }
--- a/ledger/member/serve.go
+++ b/ledger/member/serve.go
@@ -202,8 +202,9 @@
 	})
 }
 
-// postUnderView posts the event of a request from a member that copies, hands over or expires records. It
-// relies on this member to reject writers with older views, so both must use the same view.
+// postUnderView posts the event of a request from a member that copies, hands over or expires
+// records. That member relies on this one to reject writers with older views, so both must use the
+// same view.
 func (m *Member) postUnderView(req *ledgerpb.Request, respond func(*ledgerpb.Response), event func(requestID uint64) ledger.Event) {
 	known := m.options.Directory.View().Version
 	switch {
